Measure the split of budgets beside baselines, and follow demand

Change: regions report to the root each 20 s, boxes each 10 s or when they run low; messages that nobody waits for are gathered into one write; a reply names lenders when the stock does not cover a need; the forecast window is 5 min.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -151,14 +152,18 @@
 // Step sends one round of messages and takes in the replies.
 func (a *Agent) Step(ctx context.Context) {
 	now := a.settings.Clock()
-	if err := a.send(ctx, a.settings.Purse.Asks(now), false, now); err != nil {
+	asks, urgent := a.settings.Purse.Asks(now)
+	err := a.send(ctx, asks, SyncParams{Urgent: urgent}, now)
+	if err != nil {
 		a.settings.Failed(err)
-		a.borrow(ctx)
 	}
+	a.borrow(ctx, err != nil)
 }
 
-// send sends asks to the keepers, shard by shard at the same time.
-func (a *Agent) send(ctx context.Context, asks []Ask, closing bool, now time.Time) error {
+// send sends asks to the keepers, shard by shard at the same time. params holds
+// what the messages have in common.
+func (a *Agent) send(ctx context.Context, asks []Ask, params SyncParams, now time.Time) error {
+	params.Box, params.Incarnation = a.settings.Box, a.settings.Purse.Incarnation()
 	byShard := map[Shard][]Ask{}
 	for _, ask := range asks {
 		s := ShardOf(ask.Budget, a.settings.Shards)
@@ -167,8 +172,9 @@
 	var group errgroup.Group
 	for s, part := range byShard {
 		group.Go(func() error {
-			params := SyncParams{Box: a.settings.Box, Incarnation: a.settings.Purse.Incarnation(), Asks: part, Closing: closing}
-			result, err := a.sync(ctx, s, params, now)
+			message := params
+			message.Asks = part
+			result, err := a.sync(ctx, s, message, now)
 			if err != nil {
 				return err
 			}
@@ -197,24 +203,33 @@
 	return a.settings.Keeper.Sync(ctx, s, params, now)
 }
 
-// borrow asks other boxes for what requests wait for.
-func (a *Agent) borrow(ctx context.Context) {
+// borrow asks the boxes that the keepers named, or all of the region if no
+// keeper could be reached, for what requests still wait for.
+func (a *Agent) borrow(ctx context.Context, unreachable bool) {
 	for _, k := range a.settings.Purse.Short() {
+		named := a.settings.Purse.Lenders(k)
 		for _, peer := range a.settings.Peers() {
+			if !unreachable && !slices.Contains(named, peer.Incarnation) {
+				continue
+			}
 			params, short := a.settings.Purse.Borrowing(k, peer.Incarnation)
 			if !short {
 				break
 			}
-			var result BorrowResult
-			if err := a.settings.Caller.Call(ctx, peer.Address, MethodBorrow, params, &result); err != nil {
-				a.settings.Failed(fmt.Errorf("budget: borrow from %s: %w", peer.Incarnation, err))
-				continue
-			}
-			a.settings.Purse.Borrow(k, result)
+			a.borrowFrom(ctx, peer, params)
 		}
 	}
 }
 
+func (a *Agent) borrowFrom(ctx context.Context, peer Peer, params BorrowParams) {
+	var result BorrowResult
+	if err := a.settings.Caller.Call(ctx, peer.Address, MethodBorrow, params, &result); err != nil {
+		a.settings.Failed(fmt.Errorf("budget: borrow from %s: %w", peer.Incarnation, err))
+		return
+	}
+	a.settings.Purse.Borrow(params.Budget, result)
+}
+
 // ServeSync serves MethodSync.
 func (a *Agent) ServeSync(ctx context.Context, s ShardSync) (SyncResult, error) {
 	return a.settings.Keeper.Sync(ctx, s.Shard, s.Params, a.settings.Clock())
@@ -230,5 +245,6 @@
 func (a *Agent) Close(ctx context.Context) error {
 	a.settings.Purse.Close()
 	now := a.settings.Clock()
-	return a.send(ctx, a.settings.Purse.Asks(now), true, now)
+	asks, _ := a.settings.Purse.Asks(now)
+	return a.send(ctx, asks, SyncParams{Closing: true, Urgent: true}, now)
 }
--- a/budget/forecast.go
+++ b/budget/forecast.go
@@ -12,7 +12,7 @@
 
 // forecastWindow is the time over which a forecast forgets all but 1/e of what
 // it has seen.
-const forecastWindow = 60 * time.Second
+const forecastWindow = 5 * time.Minute
 
 // forecast estimates a rate of spending in tokens a second, by exponential
 // decay. Its zero value has seen nothing.
--- a/budget/keeper.go
+++ b/budget/keeper.go
@@ -41,6 +41,9 @@
 	Prepaid func(granitehoist.BudgetID) (granitehoist.Tokens, granitehoist.Serial, bool)
 	// Split returns the split of a budget; nil stands for the zero Split.
 	Split func(granitehoist.BudgetID) Split
+	// Gather is how long a message that no request waits for is kept, so that
+	// one write serves many; zero keeps none.
+	Gather time.Duration
 }
 
 // DefaultShards serves some thousands of budgets.
@@ -79,6 +82,17 @@
 	return result, nil
 }
 
+// SyncAll serves the messages of several boxes with one write, as Sync does
+// those that arrive together. A result is Unknown where Sync returns
+// ErrUnknownIncarnation.
+func (k *Keeper) SyncAll(ctx context.Context, s Shard, messages []SyncParams, now time.Time) ([]SyncResult, error) {
+	items := make([]syncItem, len(messages))
+	for i, params := range messages {
+		items[i] = syncItem{params: params, now: now}
+	}
+	return k.serve(ctx, s, items)
+}
+
 // ErrUnknownIncarnation says that a page does not take an incarnation's
 // message: it has closed, or speaks of grants that the page never made.
 var ErrUnknownIncarnation = eris.New("budget: unknown incarnation")
@@ -92,6 +106,8 @@
 			Commit: func(ctx context.Context, items []syncItem) ([]SyncResult, error) {
 				return k.serve(ctx, s, items)
 			},
+			Linger: k.settings.Gather,
+			Urgent: func(item syncItem) bool { return item.params.Urgent },
 		})
 		k.shards[s] = g
 	}
@@ -210,13 +226,13 @@
 // gives back what it has too much of.
 func (k *Keeper) refill(ctx context.Context, s Shard, page *Page, asks asksByBudget, now time.Time) error {
 	var wishes []RegionAsk
+	worth := false
 	for _, budget := range asks.budgets() {
 		wish := page.Ask(budget, k.settings.Split(budget), now)
-		if page.Accounts[budget].worthAsking(wish) {
-			wishes = append(wishes, wish)
-		}
+		worth = worth || page.Accounts[budget].worthAsking(wish, now)
+		wishes = append(wishes, wish)
 	}
-	if len(wishes) == 0 {
+	if !worth {
 		return nil
 	}
 	for range conflictTries {
@@ -228,22 +244,28 @@
 			return err
 		}
 		for _, r := range replies {
-			page.Take(r)
+			page.Take(r, now)
 		}
 		return nil
 	}
 	return granitehoist.ErrConflict
 }
 
-// worthAsking reports whether the root should hear of an account: requests
-// wait, the region's holding has fallen to three quarters of what it wishes or
-// may hold, or it has given tokens back.
-func (a *PageAccount) worthAsking(wish RegionAsk) bool {
-	if wish.Need > 0 || wish.Back > a.Confirmed {
+// rootInterval is how long the root goes without word of an account that is in
+// use. Holdings of the regions follow demand as fast.
+const rootInterval = 20 * time.Second
+
+// worthAsking reports whether the root should hear of an account at once:
+// requests wait, tokens were given back, the region's holding has fallen to
+// half of what it may hold, or the root has not heard of it for long.
+func (a *PageAccount) worthAsking(wish RegionAsk, now time.Time) bool {
+	switch {
+	case wish.Need > 0, wish.Back > a.Confirmed, a.Received == 0:
 		return true
+	case wish.Live < a.Limit/2 && wish.Want > 0:
+		return now.Sub(time.Unix(a.Told, 0)) >= lowAfter
 	}
-	aim := min(wish.Live+wish.Want, max(a.Limit, wish.Largest))
-	return a.Received == 0 || wish.Live < aim-aim/4
+	return now.Sub(time.Unix(a.Told, 0)) >= rootInterval
 }
 
 func (k *Keeper) askRoot(ctx context.Context, s Shard, wishes []RegionAsk, now time.Time) ([]RegionReply, error) {
--- a/budget/messages.go
+++ b/budget/messages.go
@@ -55,6 +55,8 @@
 	Box         granitehoist.Box         `json:"box"`
 	Incarnation granitehoist.Incarnation `json:"incarnation"`
 	Asks        []Ask                    `json:"asks"`
+	// Urgent says that requests wait for the answer.
+	Urgent bool `json:"urgent,omitempty"`
 	// Closing says that the box holds nothing any more and stops.
 	Closing bool `json:"closing,omitempty"`
 }
@@ -69,6 +71,9 @@
 	// Left is what the whole budget has left, as far as is known. It is never
 	// less than what the box could still get.
 	Left granitehoist.Tokens `json:"x"`
+	// Lenders names the incarnations of the region that hold most, if the grant
+	// does not cover the need.
+	Lenders []granitehoist.Incarnation `json:"b,omitempty"`
 }
 
 // SyncResult is the Keeper's answer to a box.
--- a/budget/page.go
+++ b/budget/page.go
@@ -129,10 +129,30 @@
 		row.Totals.Granted += claims[n].give
 		a.Rows[id] = row
 		replies[id] = Reply{Budget: k, Granted: row.Totals.Granted, Target: claims[n].limit, Left: left}
+		if asks[id].Need > row.Totals.Granted {
+			replies[id] = withLenders(replies[id], a, id)
+		}
 	}
 	return replies
 }
 
+// maxLenders bounds the lenders that a reply names.
+const maxLenders = 3
+
+// withLenders names the incarnations other than the asker that hold most.
+func withLenders(r Reply, a *PageAccount, asker granitehoist.Incarnation) Reply {
+	for _, id := range sortedIncarnations(a.Rows) {
+		if id != asker && a.Rows[id].Totals.Held() > 0 {
+			r.Lenders = append(r.Lenders, id)
+		}
+	}
+	sort.SliceStable(r.Lenders, func(i, j int) bool {
+		return a.Rows[r.Lenders[i]].Totals.Held() > a.Rows[r.Lenders[j]].Totals.Held()
+	})
+	r.Lenders = r.Lenders[:min(maxLenders, len(r.Lenders))]
+	return r
+}
+
 // claimOf states an ask as additions to what the row has been granted.
 func (a *PageAccount) claimOf(row Row, ask Ask) *claim {
 	return &claim{
@@ -193,10 +213,10 @@
 }
 
 // giveBack returns stock beyond the root's limit, in steps that are worth a
-// write: an eighth of what the region has.
+// write: a sixteenth of what the region has.
 func (a *PageAccount) giveBack(live, need granitehoist.Tokens) {
 	surplus := min(a.Stock(), live-a.Limit)
-	if need > 0 || surplus <= live/8 {
+	if need > 0 || surplus <= live/16 {
 		return
 	}
 	a.Sent += surplus
@@ -214,8 +234,9 @@
 }
 
 // Take takes the root's answer into the page.
-func (p *Page) Take(r RegionReply) {
+func (p *Page) Take(r RegionReply, now time.Time) {
 	a := p.account(r.Budget)
+	a.Told = now.Unix()
 	a.Confirmed = max(a.Confirmed, r.Back)
 	a.Received = max(a.Received, r.Given)
 	a.Limit = r.Limit
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -38,11 +38,15 @@
 	told   bool
 	// changed is set when the Keeper has to hear of the account.
 	changed bool
+	// hurry is set when others may wait for what the account gives back.
+	hurry bool
 	// heard is when the Keeper last heard of the account.
 	heard time.Time
 	// left is what the whole budget had left, as told at leftAt.
-	left     granitehoist.Tokens
-	leftAt   time.Time
+	left   granitehoist.Tokens
+	leftAt time.Time
+	// lenders are the boxes that the Keeper last named.
+	lenders  []granitehoist.Incarnation
 	spending forecast
 	largest  granitehoist.Tokens
 	waiters  []*Waiter
@@ -198,7 +202,8 @@
 	a.largest = max(a.largest, bound)
 	a.changed = true
 	a.wake()
-	return a.told && a.target < a.largest && a.free() > a.target
+	a.hurry = a.told && a.target < a.largest && a.free() > a.target
+	return a.hurry
 }
 
 // wake reserves for each waiter that fits, in the order of arrival.
@@ -238,53 +243,70 @@
 	return sum
 }
 
-// refreshAfter is how long the Keeper goes without word of an account that
-// holds tokens.
-const refreshAfter = 5 * time.Second
+// Times between messages about one account while no request waits for tokens.
+const (
+	// refreshAfter is how long the Keeper goes without word of an account that
+	// holds tokens or has changed.
+	refreshAfter = 10 * time.Second
+	// lowAfter is how long an account that runs low waits to ask again.
+	lowAfter = time.Second
+)
 
-// Asks returns the message about every account that has changed, should hold
-// more, or holds tokens and was not mentioned for a while. What is beyond the
-// target is given back by it.
-func (p *Purse) Asks(now time.Time) []Ask {
+// Asks returns the message about every account that the Keeper should hear of
+// now, and whether requests wait for its answer here or elsewhere. What is
+// beyond an account's target is given back by it.
+func (p *Purse) Asks(now time.Time) (asks []Ask, urgent bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var asks []Ask
 	for k, a := range p.accounts {
-		if ask, ok := p.ask(k, a, now); ok {
-			asks = append(asks, ask)
+		if !p.due(a, now) {
+			continue
 		}
+		ask := p.ask(k, a, now)
+		asks = append(asks, ask)
+		urgent = urgent || a.hurry || ask.Need > ask.Totals.Granted
+		a.hurry = false
 	}
 	sort.Slice(asks, func(i, j int) bool { return asks[i].Budget < asks[j].Budget })
-	return asks
+	return asks, urgent || p.closing
 }
 
-func (p *Purse) ask(k granitehoist.BudgetID, a *account, now time.Time) (Ask, bool) {
-	split := p.split(k)
-	rate := a.spending.rate(now)
-	a.giveBack(p.closing)
-	ask := Ask{Budget: k, Totals: a.totals, Rate: rate, Largest: a.largest, Want: a.totals.Granted, Need: a.totals.Granted}
-	if !p.closing {
-		missing := a.waiting() - a.free()
-		ask.Need += max(0, missing)
-		ask.Want += max(0, missing+max(tokensFor(rate, split.Cover), a.largest))
-	}
-	due := a.totals.Held() > 0 && now.Sub(a.heard) >= refreshAfter
-	if !a.changed && !due && ask.Need <= a.totals.Granted {
-		return ask, false
+// due reports whether the Keeper should hear of an account now.
+func (p *Purse) due(a *account, now time.Time) bool {
+	silent := now.Sub(a.heard)
+	switch {
+	case p.closing || a.hurry || len(a.waiters) > 0:
+		return true
+	case a.told && a.free() < a.target/2:
+		return silent >= lowAfter
 	}
+	return silent >= refreshAfter && (a.changed || a.totals.Held() != 0)
+}
+
+func (p *Purse) ask(k granitehoist.BudgetID, a *account, now time.Time) Ask {
+	a.giveBack(p.closing)
 	a.heard = now
-	return ask, true
+	ask := Ask{Budget: k, Totals: a.totals, Rate: a.spending.rate(now), Largest: a.largest, Want: a.totals.Granted, Need: a.totals.Granted}
+	if p.closing {
+		return ask
+	}
+	missing := a.waiting() - a.free()
+	ask.Need += max(0, missing)
+	ask.Want += max(0, missing+max(tokensFor(ask.Rate, p.split(k).Cover), a.largest))
+	return ask
 }
 
 // giveBack returns what is free beyond the target and beyond what requests
-// wait for. A box that stops returns all that is free.
+// wait for, if it is worth a message. A box that stops returns all that is
+// free.
 func (a *account) giveBack(closing bool) {
 	if closing {
 		a.putBack(a.free())
 		return
 	}
-	if a.told {
-		a.putBack(a.free() - max(a.target, a.waiting()))
+	surplus := a.free() - max(a.target, a.waiting())
+	if a.told && (surplus > a.target/8 || a.target < a.largest) {
+		a.putBack(surplus)
 	}
 }
 
@@ -310,6 +332,7 @@
 		a.totals.Granted = max(a.totals.Granted, r.Granted)
 		a.target, a.told = r.Target, true
 		a.left, a.leftAt = r.Left, now
+		a.lenders = r.Lenders
 		a.wake()
 		a.refuse()
 		before := told[r.Budget]
@@ -375,6 +398,16 @@
 	a.wake()
 }
 
+// Lenders returns the boxes that the Keeper last named for a budget.
+func (p *Purse) Lenders(k granitehoist.BudgetID) []granitehoist.Incarnation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a, ok := p.accounts[k]; ok {
+		return a.lenders
+	}
+	return nil
+}
+
 // Short returns the budgets for which requests wait.
 func (p *Purse) Short() []granitehoist.BudgetID {
 	p.mu.Lock()
--- a/budget/root.go
+++ b/budget/root.go
@@ -107,9 +107,10 @@
 }
 
 // forRegions returns the split between regions: they hold for longer than
-// boxes, since a write at the root is dearer.
+// boxes, and more, since a write at the root is dearer.
 func (s Split) forRegions() Split {
 	s.Cover *= 2
+	s.Share = (1 + s.Share) / 2
 	return s
 }
 
--- a/cmd/granitehoist/main.go
+++ b/cmd/granitehoist/main.go
@@ -68,6 +68,7 @@
 		newShow(app, out),
 		newBudgets(app, out),
 		newBills(app, out),
+		newMeasureBudgets(app, out),
 		newVersion(app, out),
 	}
 	return app, commands
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // Settings configure a Group.
@@ -17,6 +18,10 @@
 	Commit func(ctx context.Context, items []In) ([]Out, error)
 	// Most bounds the items of one batch; zero stands for no bound.
 	Most int
+	// Linger is how long an item waits for others; an item for which Urgent
+	// returns true ends the wait. Zero does not wait.
+	Linger time.Duration
+	Urgent func(item In) bool
 }
 
 // Group gathers items into batches. At most one batch is in progress.
@@ -25,6 +30,8 @@
 	mu       sync.Mutex
 	waiting  []*call[In, Out]
 	busy     bool
+	// hurry ends a wait for others.
+	hurry chan struct{}
 }
 
 type call[In, Out any] struct {
@@ -39,7 +46,7 @@
 	if s.Commit == nil {
 		panic("batch: no commit")
 	}
-	return &Group[In, Out]{settings: s}
+	return &Group[In, Out]{settings: s, hurry: make(chan struct{}, 1)}
 }
 
 // Do hands in an item and waits for its result. If ctx ends first the item may
@@ -51,6 +58,12 @@
 	lead := !g.busy
 	g.busy = true
 	g.mu.Unlock()
+	if g.settings.Urgent != nil && g.settings.Urgent(item) {
+		select {
+		case g.hurry <- struct{}{}:
+		default:
+		}
+	}
 	if lead {
 		// The batches outlive the caller that started them.
 		go g.drain(context.WithoutCancel(ctx))
@@ -67,6 +80,7 @@
 // drain commits what waits until nothing does.
 func (g *Group[In, Out]) drain(ctx context.Context) {
 	for {
+		g.linger()
 		calls := g.take()
 		if len(calls) == 0 {
 			return
@@ -75,6 +89,19 @@
 	}
 }
 
+// linger waits for more items, until one is urgent.
+func (g *Group[In, Out]) linger() {
+	if g.settings.Linger <= 0 {
+		return
+	}
+	timer := time.NewTimer(g.settings.Linger)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-g.hurry:
+	}
+}
+
 func (g *Group[In, Out]) take() []*call[In, Out] {
 	g.mu.Lock()
 	defer g.mu.Unlock()
