Check random histories of spending for doubled and lost tokens

Change: a closed purse takes in no loan and no grant, and the page takes back a grant that the closing message has not seen. Holdings shrink when a budget has few of its largest requests left, and parts that serve nobody go back.

--- a/budget/agent.go
+++ b/budget/agent.go
@@ -92,7 +92,11 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return outcomeError(ctx, purse.Abandon(k, waiter, a.settings.Clock()), k)
+	outcome := purse.Abandon(k, waiter, a.settings.Clock())
+	if purse.Busy() {
+		a.Kick()
+	}
+	return outcomeError(ctx, outcome, k)
 }
 
 func outcomeError(ctx context.Context, o Outcome, k granitehoist.BudgetID) error {
@@ -143,7 +147,7 @@
 
 // pause returns the time until the next message.
 func (a *Agent) pause() time.Duration {
-	if len(a.settings.Purse.Short()) > 0 {
+	if a.settings.Purse.Busy() {
 		return min(waitingInterval, a.settings.Interval)
 	}
 	return a.settings.Interval
--- a/budget/allot.go
+++ b/budget/allot.go
@@ -10,19 +10,27 @@
 	"granitehoist.example/granitehoist"
 )
 
-// endGame is the remaining life of a budget, at its forecast, below which
-// holdings shrink faster than the budget does. At the very end each request
-// is decided at the page.
-const endGame = 60 * time.Second
+// Below endGame of remaining life at its forecast, or endRequests of its
+// largest requests, a budget's holdings shrink faster than the budget does. At
+// the very end each request is decided at the page.
+const (
+	endGame     = 60 * time.Second
+	endRequests = 20
+)
+
+// smallPart is the number of largest requests that a budget must have left for
+// a quiet holder to keep one in hand.
+const smallPart = 100
 
 // claim is one holder's wish to an amount that several share: an incarnation's
 // to its region's stock, or a region's to what is unallocated.
 type claim struct {
 	// held is what the holder has.
 	held granitehoist.Tokens
-	// need is what requests wait for and want all that the holder wishes,
-	// need included; both are additions to held.
-	need, want granitehoist.Tokens
+	// least is what lets the smallest waiting request run, need what all of
+	// them wait for, and want all that the holder wishes; each includes the one
+	// before, and all are additions to held.
+	least, need, want granitehoist.Tokens
 	// rate is the forecast in tokens a second.
 	rate float64
 	// largest is the largest bound of a request there.
@@ -33,20 +41,34 @@
 
 // allot divides stock among claims. total is what all holders and the stock
 // have together, and rate the forecast of all holders, those without a claim
-// included. Needs are met first, smallest first, so that as many requests as
-// possible run; then wishes up to each holder's limit, in the given order. The
-// sum of the gifts never exceeds stock.
+// included. First each holder gets what lets its smallest waiting request run,
+// smallest first and never a part of it; then what its others wait for, as far
+// as it goes; then wishes up to its limit. The sum of the gifts never exceeds
+// stock.
 func allot(claims []*claim, stock, total granitehoist.Tokens, rate float64, split Split) {
-	hold := horizon(total, rate, split)
+	var largest granitehoist.Tokens
+	for _, c := range claims {
+		largest = max(largest, c.largest)
+	}
+	hold := horizon(total, largest, rate, split)
 	for _, c := range claims {
 		c.limit = c.limitAt(hold, total)
 	}
-	for _, c := range byNeed(claims) {
-		if c.need <= stock {
-			c.give = c.need
-			stock -= c.need
+	needy := byLeast(claims)
+	for _, c := range needy {
+		if c.least <= stock {
+			c.give = c.least
+			stock -= c.least
 		}
 	}
+	for _, c := range needy {
+		if c.give < c.least {
+			continue
+		}
+		more := min(c.need-c.give, stock)
+		c.give += more
+		stock -= more
+	}
 	for _, c := range claims {
 		more := min(c.want-c.give, c.limit-c.held-c.give, stock)
 		if more > 0 {
@@ -56,13 +78,17 @@
 	}
 }
 
-// horizon returns how long a holding may last, from what a budget has left.
-func horizon(total granitehoist.Tokens, rate float64, split Split) time.Duration {
+// horizon returns how long a holding may last, from what a budget has left and
+// its largest request.
+func horizon(total, largest granitehoist.Tokens, rate float64, split Split) time.Duration {
 	if rate <= 0 || total <= 0 {
 		return 0
 	}
 	life := float64(total) / rate
 	shrink := min(1, life/endGame.Seconds())
+	if largest > 0 {
+		shrink = min(shrink, float64(total/endRequests)/float64(largest))
+	}
 	return min(split.Cover, time.Duration(split.Share*shrink*life*float64(time.Second)))
 }
 
@@ -77,18 +103,14 @@
 	return limit
 }
 
-// smallPart is the number of largest requests that a budget must have left for
-// a quiet holder to keep one in hand.
-const smallPart = 100
-
-// byNeed returns the claims that need something, smallest need first.
-func byNeed(claims []*claim) []*claim {
+// byLeast returns the claims that need something, smallest request first.
+func byLeast(claims []*claim) []*claim {
 	var needy []*claim
 	for _, c := range claims {
 		if c.need > 0 {
 			needy = append(needy, c)
 		}
 	}
-	sort.SliceStable(needy, func(i, j int) bool { return needy[i].need < needy[j].need })
+	sort.SliceStable(needy, func(i, j int) bool { return needy[i].least < needy[j].least })
 	return needy
 }
--- a/budget/messages.go
+++ b/budget/messages.go
@@ -40,10 +40,12 @@
 	Budget granitehoist.BudgetID `json:"k"`
 	// Totals is the box's own record.
 	Totals Totals `json:"t"`
-	// Want is the total grant that the box wishes, and Need the part of it
-	// that requests wait for.
-	Want granitehoist.Tokens `json:"w"`
-	Need granitehoist.Tokens `json:"n"`
+	// Want is the total grant that the box wishes, Need the part of it that
+	// requests wait for, and Least the part of Need that lets the smallest of
+	// them run.
+	Want  granitehoist.Tokens `json:"w"`
+	Need  granitehoist.Tokens `json:"n"`
+	Least granitehoist.Tokens `json:"y"`
 	// Rate is the forecast in tokens a second, and Largest the largest bound
 	// of a request seen.
 	Rate    float64             `json:"f"`
--- a/budget/page.go
+++ b/budget/page.go
@@ -29,6 +29,9 @@
 	}
 	for _, ask := range s.Asks {
 		p.hear(s.Incarnation, ask)
+		if s.Closing {
+			p.takeBack(s.Incarnation, ask)
+		}
 	}
 	member := Member{Box: s.Box, Seen: p.Members[s.Incarnation].Seen}
 	if now.Unix()-member.Seen >= seenStep {
@@ -60,6 +63,16 @@
 	row.Rate = ask.Rate
 	row.Largest = ask.Largest
 	row.Need = max(0, ask.Need-row.Totals.Granted)
+	row.Least = min(row.Need, max(0, ask.Least-row.Totals.Granted))
+	a.Rows[i] = row
+}
+
+// takeBack undoes grants that an incarnation has not seen when it closed, and
+// will not take in any more.
+func (p *Page) takeBack(i granitehoist.Incarnation, ask Ask) {
+	a := p.account(ask.Budget)
+	row := a.Rows[i]
+	row.Totals.Granted = ask.Totals.Granted
 	a.Rows[i] = row
 }
 
@@ -127,6 +140,8 @@
 	for n, id := range ids {
 		row := a.Rows[id]
 		row.Totals.Granted += claims[n].give
+		row.Need = max(0, row.Need-claims[n].give)
+		row.Least = min(row.Need, row.Least)
 		a.Rows[id] = row
 		replies[id] = Reply{Budget: k, Granted: row.Totals.Granted, Target: claims[n].limit, Left: left}
 		if asks[id].Need > row.Totals.Granted {
@@ -158,6 +173,7 @@
 	return &claim{
 		held:    row.Totals.Held(),
 		need:    max(0, ask.Need-row.Totals.Granted),
+		least:   max(0, ask.Least-row.Totals.Granted),
 		want:    max(0, ask.Want-row.Totals.Granted),
 		rate:    row.Rate,
 		largest: row.Largest,
@@ -188,8 +204,8 @@
 	Live           granitehoist.Tokens
 	Rate           float64
 	Largest        granitehoist.Tokens
-	// Need and Want are additions to what the region has.
-	Need, Want granitehoist.Tokens
+	// Least, Need and Want are additions to what the region has.
+	Least, Need, Want granitehoist.Tokens
 }
 
 // Ask states what the region has of a budget and wishes from the root. What is
@@ -200,26 +216,34 @@
 	live, rate := p.live(a, now)
 	ask := RegionAsk{Budget: k, Spent: a.Spent(), Rate: rate}
 	for _, id := range sortedIncarnations(a.Rows) {
-		ask.Need += a.Rows[id].Need
-		ask.Largest = max(ask.Largest, a.Rows[id].Largest)
+		row := a.Rows[id]
+		ask.Need += row.Need
+		ask.Largest = max(ask.Largest, row.Largest)
+		if row.Least > 0 && (ask.Least == 0 || row.Least < ask.Least) {
+			ask.Least = row.Least
+		}
 	}
-	ask.Need = max(0, ask.Need-a.Stock())
+	stock := a.Stock()
+	least := ask.Least
+	ask.Need = max(0, ask.Need-stock)
+	ask.Least = min(ask.Need, max(0, ask.Least-stock))
 	ask.Live = live
 	ask.Received, ask.Back = a.Received, a.Sent
 	wish := max(tokensFor(rate, 2*split.withDefaults().Cover), ask.Largest)
 	ask.Want = max(ask.Need, wish-ask.Live)
-	a.giveBack(live, ask.Need)
+	if ask.Need == 0 || stock < least {
+		a.giveBack(live)
+	}
 	return ask
 }
 
 // giveBack returns stock beyond the root's limit, in steps that are worth a
 // write: a sixteenth of what the region has.
-func (a *PageAccount) giveBack(live, need granitehoist.Tokens) {
+func (a *PageAccount) giveBack(live granitehoist.Tokens) {
 	surplus := min(a.Stock(), live-a.Limit)
-	if need > 0 || surplus <= live/16 {
-		return
+	if surplus > live/16 {
+		a.Sent += surplus
 	}
-	a.Sent += surplus
 }
 
 // returning reports whether tokens were given back that the root has not heard
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -38,8 +38,6 @@
 	told   bool
 	// changed is set when the Keeper has to hear of the account.
 	changed bool
-	// hurry is set when others may wait for what the account gives back.
-	hurry bool
 	// heard is when the Keeper last heard of the account.
 	heard time.Time
 	// left is what the whole budget had left, as told at leftAt.
@@ -202,8 +200,7 @@
 	a.largest = max(a.largest, bound)
 	a.changed = true
 	a.wake()
-	a.hurry = a.told && a.target < a.largest && a.free() > a.target
-	return a.hurry
+	return a.hasIdle()
 }
 
 // wake reserves for each waiter that fits, in the order of arrival.
@@ -262,10 +259,10 @@
 		if !p.due(a, now) {
 			continue
 		}
+		surplus := a.hasIdle()
 		ask := p.ask(k, a, now)
 		asks = append(asks, ask)
-		urgent = urgent || a.hurry || ask.Need > ask.Totals.Granted
-		a.hurry = false
+		urgent = urgent || surplus || ask.Need > ask.Totals.Granted
 	}
 	sort.Slice(asks, func(i, j int) bool { return asks[i].Budget < asks[j].Budget })
 	return asks, urgent || p.closing
@@ -275,7 +272,7 @@
 func (p *Purse) due(a *account, now time.Time) bool {
 	silent := now.Sub(a.heard)
 	switch {
-	case p.closing || a.hurry || len(a.waiters) > 0:
+	case p.closing || len(a.waiters) > 0 || a.hasIdle():
 		return true
 	case a.told && a.free() < a.target/2:
 		return silent >= lowAfter
@@ -286,12 +283,14 @@
 func (p *Purse) ask(k granitehoist.BudgetID, a *account, now time.Time) Ask {
 	a.giveBack(p.closing)
 	a.heard = now
-	ask := Ask{Budget: k, Totals: a.totals, Rate: a.spending.rate(now), Largest: a.largest, Want: a.totals.Granted, Need: a.totals.Granted}
+	granted := a.totals.Granted
+	ask := Ask{Budget: k, Totals: a.totals, Rate: a.spending.rate(now), Largest: a.largest, Want: granted, Need: granted, Least: granted}
 	if p.closing {
 		return ask
 	}
 	missing := a.waiting() - a.free()
 	ask.Need += max(0, missing)
+	ask.Least += max(0, a.leastWaiting()-a.free())
 	ask.Want += max(0, missing+max(tokensFor(ask.Rate, p.split(k).Cover), a.largest))
 	return ask
 }
@@ -305,11 +304,38 @@
 		return
 	}
 	surplus := a.free() - max(a.target, a.waiting())
-	if a.told && (surplus > a.target/8 || a.target < a.largest) {
+	switch {
+	case !a.told:
+	case a.low() && a.free() < a.leastWaiting():
+		// Parts that serve nobody here may serve somebody elsewhere.
+		a.putBack(a.free())
+	case a.low() || surplus > a.target/8:
 		a.putBack(surplus)
 	}
 }
 
+// low reports whether the budget is so low that a box is not to keep what one
+// request needs.
+func (a *account) low() bool { return a.told && a.target < a.largest }
+
+// hasIdle reports whether the account has tokens that it is not to keep and
+// that others may wait for.
+func (a *account) hasIdle() bool {
+	return a.low() && a.free() > max(a.target, a.waiting())
+}
+
+// leastWaiting returns the smallest bound that a request waits for, zero if
+// none waits.
+func (a *account) leastWaiting() granitehoist.Tokens {
+	var least granitehoist.Tokens
+	for i, w := range a.waiters {
+		if i == 0 || w.bound < least {
+			least = w.bound
+		}
+	}
+	return least
+}
+
 func (a *account) putBack(surplus granitehoist.Tokens) {
 	if surplus <= 0 {
 		return
@@ -329,7 +355,9 @@
 	}
 	for _, r := range replies {
 		a := p.account(r.Budget)
-		a.totals.Granted = max(a.totals.Granted, r.Granted)
+		if !p.closing {
+			a.totals.Granted = max(a.totals.Granted, r.Granted)
+		}
 		a.target, a.told = r.Target, true
 		a.left, a.leftAt = r.Left, now
 		a.lenders = r.Lenders
@@ -380,13 +408,15 @@
 	return BorrowParams{Incarnation: p.incarnation, Budget: k, Known: known, Want: known + missing + a.largest}, true
 }
 
-// Borrow takes in a lender's answer. An old or doubled answer changes nothing.
+// Borrow takes in a lender's answer. An old or doubled answer changes nothing,
+// and neither does one that comes after Close: the page may have closed the
+// incarnation's rows by then, so that it could not give the tokens back.
 func (p *Purse) Borrow(k granitehoist.BudgetID, r BorrowResult) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := p.account(k)
 	more := r.Total - a.borrowed[r.Incarnation]
-	if more <= 0 || r.Incarnation == p.incarnation {
+	if more <= 0 || r.Incarnation == p.incarnation || p.closing {
 		return
 	}
 	if a.borrowed == nil {
@@ -408,6 +438,19 @@
 	return nil
 }
 
+// Busy reports whether requests wait for tokens, here or elsewhere, that the
+// next messages may bring.
+func (p *Purse) Busy() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range p.accounts {
+		if len(a.waiters) > 0 || a.hasIdle() {
+			return true
+		}
+	}
+	return false
+}
+
 // Short returns the budgets for which requests wait.
 func (p *Purse) Short() []granitehoist.BudgetID {
 	p.mu.Lock()
@@ -422,7 +465,9 @@
 	return short
 }
 
-// Close makes the following Asks return everything that is free.
+// Close makes the following Asks return everything that is free. From then on
+// the purse takes in no grant and no loan, so that the page can take back what
+// it granted and the purse has not seen.
 func (p *Purse) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/budget/record.go
+++ b/budget/record.go
@@ -26,8 +26,10 @@
 	// largest bound of a request.
 	Rate    float64             `json:"f,omitempty"`
 	Largest granitehoist.Tokens `json:"m,omitempty"`
-	// Need is what requests of the incarnation waited for at its last report.
-	Need granitehoist.Tokens `json:"n,omitempty"`
+	// Need is what requests of the incarnation waited for at its last report,
+	// and Least what the smallest of them did.
+	Need  granitehoist.Tokens `json:"n,omitempty"`
+	Least granitehoist.Tokens `json:"y,omitempty"`
 }
 
 // Member is what a page knows of one incarnation.
--- a/budget/root.go
+++ b/budget/root.go
@@ -67,6 +67,7 @@
 	c := &claim{
 		held:    row.Live + onTheWay,
 		need:    max(0, ask.Need-onTheWay),
+		least:   max(0, ask.Least-onTheWay),
 		want:    max(0, ask.Want-onTheWay),
 		rate:    row.Rate,
 		largest: row.Largest,
--- a/budget/split.go
+++ b/budget/split.go
@@ -55,7 +55,7 @@
 	case WeighRefusals:
 		return Split{Cover: 2 * time.Hour, Share: 0.9}.withDefaults(), true
 	case WeighOverspend:
-		return Split{Cover: 5 * time.Minute, Share: 0.5}.withDefaults(), true
+		return Split{Cover: 75 * time.Minute, Share: 0.85}.withDefaults(), true
 	}
 	return Split{}, false
 }
--- a/cmd/granitehoist/main.go
+++ b/cmd/granitehoist/main.go
@@ -69,6 +69,7 @@
 		newBudgets(app, out),
 		newBills(app, out),
 		newMeasureBudgets(app, out),
+		newMeasureHistories(app, out),
 		newVersion(app, out),
 	}
 	return app, commands
--- a/measure/escrow.go
+++ b/measure/escrow.go
@@ -228,7 +228,7 @@
 		}
 	}
 	b.waiting = kept
-	if len(b.waiting) > 0 {
+	if b.purse.Busy() {
 		e.kick(b, escrowWaiting)
 	}
 }
--- a/standin/store.go
+++ b/standin/store.go
@@ -98,6 +98,13 @@
 	s.faults = f
 }
 
+// Faults returns the failures that are set.
+func (s *Store) Faults() StoreFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
 // Calls returns the counts of calls.
 func (s *Store) Calls() StoreCalls {
 	s.mu.Lock()
