--- a/budget/allot.go
+++ b/budget/allot.go
@@ -79,17 +79,19 @@
 }
 
 // horizon returns how long a holding may last, from what a budget has left and
-// its largest request.
+// its largest request. It is zero when the budget has fewer than two such
+// requests left, so that the last tokens lie where they can serve any.
 func horizon(total, largest granitehoist.Tokens, rate float64, split Split) time.Duration {
-	if rate <= 0 || total <= 0 {
+	if rate <= 0 || total <= 2*largest {
 		return 0
 	}
 	life := float64(total) / rate
 	shrink := min(1, life/endGame.Seconds())
 	if largest > 0 {
-		shrink = min(shrink, float64(total/endRequests)/float64(largest))
+		shrink = min(shrink, float64(total)/float64(endRequests*largest))
 	}
-	return min(split.Cover, time.Duration(split.Share*shrink*life*float64(time.Second)))
+	hold := min(split.Cover.Seconds(), split.Share*life)
+	return time.Duration(shrink * hold * float64(time.Second))
 }
 
 // limitAt returns what the holder should hold. A holder whose forecast is
--- /dev/null
+++ b/budget/bench_test.go
@@ -0,0 +1,55 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package budget_test
+
+import (
+	"fmt"
+	"testing"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/budget"
+)
+
+// filledPurse returns a purse that holds tokens of count budgets.
+func filledPurse(count int) (*budget.Purse, []granitehoist.BudgetID) {
+	p := newPurse("box-1")
+	ids := make([]granitehoist.BudgetID, count)
+	replies := make([]budget.Reply, count)
+	for i := range ids {
+		ids[i] = granitehoist.NewBudgetID("tuul", "w", fmt.Sprint(i))
+		replies[i] = budget.Reply{Budget: ids[i], Granted: 1 << 40, Target: 1 << 40, Left: 1 << 40}
+	}
+	p.Apply(nil, replies, start)
+	return p, ids
+}
+
+// BenchmarkReserveSettle is the warm path of one request.
+func BenchmarkReserveSettle(b *testing.B) {
+	for _, count := range []int{10, 1000, 14000} {
+		b.Run(fmt.Sprintf("budgets=%d", count), func(b *testing.B) {
+			p, ids := filledPurse(count)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				id := ids[i%count]
+				if !p.Reserve(id, 1000) {
+					b.Fatal("not reserved")
+				}
+				p.Settle(id, 1000, 0, start)
+			}
+		})
+	}
+}
+
+// BenchmarkAsks is one round of messages of a box.
+func BenchmarkAsks(b *testing.B) {
+	for _, count := range []int{10, 1000, 14000} {
+		b.Run(fmt.Sprintf("budgets=%d", count), func(b *testing.B) {
+			p, _ := filledPurse(count)
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Asks(start)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/budget/fuzz_test.go
@@ -0,0 +1,32 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package budget_test
+
+import (
+	"testing"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/budget"
+)
+
+// FuzzDecode looks for records that panic, or that are read as sound though
+// they are no record of the known format.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"format":1,"members":{},"accounts":{"a":{"in":5,"rows":{"b":{"t":{"g":3}}}}}}`))
+	f.Add([]byte(`{"format":1,"accounts":{"a":{"prepaid":5,"regions":{"r":{"g":3}}}}}`))
+	f.Add([]byte(`{}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		e := granitehoist.Entry{Key: "x", Value: value, Version: 1}
+		if page, err := budget.DecodePage(e); err == nil {
+			for id, a := range page.Accounts {
+				if a.Stock() < 0 {
+					t.Fatalf("account %s granted more than it received", id)
+				}
+			}
+		}
+		if root, err := budget.DecodeRoot(e); err == nil && root.Format != 1 {
+			t.Fatalf("format %d was read", root.Format)
+		}
+	})
+}
--- a/budget/page.go
+++ b/budget/page.go
@@ -134,7 +134,12 @@
 		claims[n] = a.claimOf(a.Rows[id], asks[id])
 	}
 	live, rate := p.live(a, now)
-	allot(claims, a.Stock(), live, rate, split.withDefaults())
+	share := live
+	if a.Limit == 0 {
+		// The root wants everything back.
+		share = 0
+	}
+	allot(claims, a.Stock(), share, rate, split.withDefaults())
 	left := live + a.Elsewhere + a.Sent - a.Confirmed
 	replies := make(map[granitehoist.Incarnation]Reply, len(ids))
 	for n, id := range ids {
--- a/cmd/granitehoist/check.go
+++ b/cmd/granitehoist/check.go
@@ -47,8 +47,8 @@
 		return nil, err
 	}
 	if isSettings(string(text)) {
-		_, faults := settings.Parse(file, text)
-		return faults, nil
+		_, faults, err := settings.Load(file)
+		return faults, err
 	}
 	_, err = config.Parse(file, text)
 	if faults, ok := err.(config.Faults); ok {
--- a/cmd/granitehoist/router.go
+++ b/cmd/granitehoist/router.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"os"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -22,11 +21,10 @@
 }
 
 func runRouter(ctx context.Context, file string) error {
-	text, err := os.ReadFile(file)
+	parsed, faults, err := settings.Load(file)
 	if err != nil {
 		return err
 	}
-	parsed, faults := settings.Parse(file, text)
 	if len(faults) > 0 {
 		return faults
 	}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,162 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package fleet_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/fleet"
+	"granitehoist.example/granitehoist/standin"
+)
+
+var ctx = context.Background()
+
+type echo struct {
+	Text string `json:"text"`
+}
+
+var _ = Describe("Client and Server", func() {
+	var server *fleet.Server
+	var client *fleet.Client
+	var address string
+	BeforeEach(func() {
+		before := goleak.IgnoreCurrent()
+		server = fleet.NewServer(fleet.ServerSettings{Methods: map[string]fleet.HandlerFunc{
+			"echo": fleet.Handle(func(_ context.Context, e echo) (echo, error) { return e, nil }),
+			"fail": fleet.Handle(func(context.Context, echo) (echo, error) { return echo{}, errors.New("no") }),
+			"hang": fleet.Handle(func(_ context.Context, e echo) (echo, error) {
+				time.Sleep(200 * time.Millisecond)
+				return e, nil
+			}),
+		}})
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address = listener.Addr().String()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = server.Serve(listener)
+		}()
+		client = fleet.NewClient(fleet.ClientSettings{Timeout: 100 * time.Millisecond})
+		DeferCleanup(func() {
+			client.Close()
+			server.Close()
+			<-done
+			Eventually(func() error { return goleak.Find(before) }).Should(Succeed())
+		})
+	})
+
+	It("brings a call and its reply", func() {
+		var got echo
+		Expect(client.Call(ctx, address, "echo", echo{"x"}, &got)).To(Succeed())
+		Expect(got.Text).To(Equal("x"))
+	})
+
+	It("tells errors, unknown methods and time-outs, and goes on", func() {
+		var got echo
+		Expect(client.Call(ctx, address, "fail", echo{}, &got)).To(MatchError(ContainSubstring("no")))
+		Expect(client.Call(ctx, address, "none", echo{}, &got)).To(MatchError(ContainSubstring("no such method")))
+		Expect(client.Call(ctx, address, "echo", []int{1}, &got)).NotTo(Succeed())
+		Expect(client.Call(ctx, address, "hang", echo{}, &got)).To(MatchError(context.DeadlineExceeded))
+		Expect(client.Call(ctx, address, "echo", echo{"y"}, &got)).To(Succeed())
+	})
+
+	It("connects anew after the other side went away", func() {
+		var got echo
+		Expect(client.Call(ctx, address, "echo", echo{"x"}, &got)).To(Succeed())
+		server.Close()
+		Expect(client.Call(ctx, address, "echo", echo{"x"}, &got)).NotTo(Succeed())
+		Expect(client.Call(ctx, "127.0.0.1:1", "echo", echo{"x"}, &got)).NotTo(Succeed())
+	})
+})
+
+func members(n int) []fleet.Member {
+	members := make([]fleet.Member, n)
+	for i := range members {
+		members[i] = fleet.Member{Incarnation: granitehoist.Incarnation(fmt.Sprint("i", i)), Region: "tuul"}
+	}
+	return members
+}
+
+var _ = Describe("View", func() {
+	It("gives the same holder in whatever order members are known", func() {
+		a, b := members(9), members(9)
+		b[0], b[8] = b[8], b[0]
+		for role := range 100 {
+			first, ok := fleet.NewView(a).Holder("tuul", fmt.Sprint(role))
+			Expect(ok).To(BeTrue())
+			second, _ := fleet.NewView(b).Holder("tuul", fmt.Sprint(role))
+			Expect(second).To(Equal(first))
+		}
+	})
+
+	It("spreads roles and gives none to who leaves or is elsewhere", func() {
+		all := members(5)
+		all[0].Leaving = true
+		all[1].Region = "lima"
+		count := map[granitehoist.Incarnation]int{}
+		for role := range 300 {
+			m, _ := fleet.NewView(all).Holder("tuul", fmt.Sprint(role))
+			count[m.Incarnation]++
+		}
+		Expect(count).To(HaveLen(3))
+		_, ok := fleet.NewView(nil).Holder("tuul", "x")
+		Expect(ok).To(BeFalse())
+	})
+})
+
+var _ = Describe("Registry", func() {
+	var now time.Time
+	var store *standin.Store
+	BeforeEach(func() {
+		now = time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+		store = standin.NewStore(standin.StoreSettings{Clock: func() time.Time { return now }})
+	})
+	newRegistry := func(id granitehoist.Incarnation) *fleet.Registry {
+		return fleet.NewRegistry(fleet.RegistrySettings{Self: fleet.Member{Incarnation: id, Region: "tuul", Box: granitehoist.Box(id)}, Store: store})
+	}
+
+	It("knows the others, and forgets who died", func() {
+		a, b := newRegistry("a"), newRegistry("b")
+		Expect(a.Refresh(ctx)).To(Succeed())
+		Expect(b.Refresh(ctx)).To(Succeed())
+		Expect(b.View().Members()).To(HaveLen(2))
+		now = now.Add(fleet.DefaultTTL + time.Second)
+		Expect(b.Refresh(ctx)).To(Succeed())
+		Expect(b.View().Members()).To(HaveLen(1))
+		Expect(a.Refresh(ctx)).To(Succeed(), "a paused router enters itself again")
+		Expect(a.View().Members()).To(HaveLen(2))
+	})
+
+	It("keeps its view while the store is down", func() {
+		a, b := newRegistry("a"), newRegistry("b")
+		Expect(a.Refresh(ctx)).To(Succeed())
+		Expect(b.Refresh(ctx)).To(Succeed())
+		store.Fail(standin.StoreFaults{Down: true})
+		Expect(b.Refresh(ctx)).NotTo(Succeed())
+		Expect(b.View().Members()).To(HaveLen(2))
+	})
+
+	It("says that it leaves, and goes, though answers are lost", func() {
+		store.Fail(standin.StoreFaults{LoseEvery: 2})
+		a, b := newRegistry("a"), newRegistry("b")
+		Eventually(func() error { return a.Refresh(ctx) }).Should(Succeed())
+		a.Leave()
+		Eventually(func() error { return a.Refresh(ctx) }).Should(Succeed())
+		Eventually(func() error { return b.Refresh(ctx) }).Should(Succeed())
+		Expect(b.View().Region("tuul")[0].Leaving).To(BeTrue())
+		Expect(a.Remove(ctx)).To(Succeed())
+		Expect(b.Refresh(ctx)).To(Succeed())
+		Expect(b.View().Members()).To(HaveLen(1))
+	})
+})
--- /dev/null
+++ b/gate/gate_test.go
@@ -0,0 +1,341 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package gate_test
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/config"
+	"granitehoist.example/granitehoist/gate"
+	"granitehoist.example/granitehoist/standin"
+)
+
+type step = func(granitehoist.Call, granitehoist.Sink) (granitehoist.Usage, error)
+
+var _ = Describe("Gate", func() {
+	var s *site
+	BeforeEach(func() { s = newSite() })
+
+	// nothingSpent expects that no token was charged or kept and no upstream
+	// was called.
+	nothingSpent := func() {
+		GinkgoHelper()
+		left, reserved := s.funds.state()
+		Expect(left).To(Equal(granitehoist.Tokens(10_000)))
+		Expect(reserved).To(BeZero())
+		Expect(s.ledger.Pending()).To(BeZero())
+		Expect(s.engine.count() + s.plain.count()).To(BeZero())
+	}
+
+	It("serves, settles to the reported use and makes one charge", func() {
+		t := s.chat(goodBody, gate.HeaderRequest, "mine")
+		Expect(t.status).To(Equal(http.StatusOK))
+		Expect(t.header.Get(gate.HeaderRequest)).To(Equal("mine"))
+		Expect(t.header.Get(gate.HeaderCode)).To(Equal("1"))
+		left, reserved := s.funds.state()
+		Expect(left).To(Equal(granitehoist.Tokens(9990)))
+		Expect(reserved).To(BeZero())
+		charges := s.ledger.Next(10).Charges
+		Expect(charges).To(HaveLen(1))
+		Expect(charges[0].Tokens).To(Equal(granitehoist.Tokens(10)))
+		Expect(charges[0].Request).To(Equal(granitehoist.RequestID("mine")))
+		Expect(charges[0].Budget).To(Equal(budgetID))
+	})
+
+	It("writes the bound of the output into the request", func() {
+		s.chat(`{"model":"m","max_completion_tokens":7,"messages":[{"role":"user","content":"hello"}]}`)
+		Expect(string(s.engine.calls[0].Body)).To(ContainSubstring(`"max_tokens":7`))
+		Expect(string(s.engine.calls[0].Body)).NotTo(ContainSubstring("max_completion_tokens"))
+		s.chat(goodBody)
+		Expect(string(s.engine.calls[1].Body)).To(ContainSubstring(`"max_tokens":50`))
+		s.chat(`{"model":"m","max_tokens":100000,"messages":[{"role":"user","content":"hello"}]}`)
+		Expect(string(s.engine.calls[2].Body)).To(ContainSubstring(`"max_tokens":100,`))
+	})
+
+	DescribeTable("refuses bad completions as not run and charges nothing",
+		func(body string, code granitehoist.Code) {
+			t := s.chat(body)
+			Expect(t.code).To(Equal(code), t.body)
+			Expect(t.fate).To(Equal(granitehoist.NotRun))
+			Expect(t.status).To(Equal(code.Info().Status))
+			nothingSpent()
+		},
+		Entry("no JSON", "hello", granitehoist.BadRequest),
+		Entry("nothing", "", granitehoist.BadRequest),
+		Entry("a list", "[]", granitehoist.BadRequest),
+		Entry("null", "null", granitehoist.BadRequest),
+		Entry("no model", `{"messages":[{"role":"user","content":"x"}]}`, granitehoist.BadRequest),
+		Entry("model of wrong type", `{"model":3,"messages":[]}`, granitehoist.BadRequest),
+		Entry("unknown model", `{"model":"z","messages":[{"role":"user","content":"x"}]}`, granitehoist.UnknownModel),
+		Entry("no messages", `{"model":"m","messages":[]}`, granitehoist.BadRequest),
+		Entry("neither messages nor prompt", `{"model":"m"}`, granitehoist.BadRequest),
+		Entry("both messages and prompt", `{"model":"m","prompt":"x","messages":[{"role":"user","content":"x"}]}`, granitehoist.BadRequest),
+		Entry("prompt on the chat path", `{"model":"m","prompt":"x"}`, granitehoist.BadRequest),
+		Entry("negative tokens", `{"model":"m","max_tokens":-1,"messages":[{"role":"user","content":"x"}]}`, granitehoist.BadTokenCount),
+		Entry("zero tokens", `{"model":"m","max_tokens":0,"messages":[{"role":"user","content":"x"}]}`, granitehoist.BadTokenCount),
+		Entry("half a token", `{"model":"m","max_tokens":1.5,"messages":[{"role":"user","content":"x"}]}`, granitehoist.BadTokenCount),
+		Entry("absurd tokens", `{"model":"m","max_tokens":1e300,"messages":[{"role":"user","content":"x"}]}`, granitehoist.BadTokenCount),
+		Entry("tokens as text", `{"model":"m","max_tokens":"9","messages":[{"role":"user","content":"x"}]}`, granitehoist.BadTokenCount),
+		Entry("two bounds that differ", `{"model":"m","max_tokens":1,"max_completion_tokens":2,"messages":[{"role":"user","content":"x"}]}`, granitehoist.BadTokenCount),
+		Entry("too many choices", `{"model":"m","n":1000,"messages":[{"role":"user","content":"x"}]}`, granitehoist.BadTokenCount),
+		Entry("a field whose cost is unbounded", `{"model":"m","best_of":9,"messages":[{"role":"user","content":"x"}]}`, granitehoist.Unsupported),
+		Entry("a template of the caller's", `{"model":"m","chat_template":"x","messages":[{"role":"user","content":"x"}]}`, granitehoist.Unsupported),
+		Entry("the bound in capitals", `{"model":"m","MAX_TOKENS":9,"messages":[{"role":"user","content":"x"}]}`, granitehoist.Unsupported),
+		Entry("a picture", `{"model":"m","messages":[{"role":"user","content":[{"type":"image_url","image_url":{"url":"x"}}]}]}`, granitehoist.Unsupported),
+		Entry("content of another type", `{"model":"m","messages":[{"role":"user","content":{"a":1}}]}`, granitehoist.Unsupported),
+		Entry("a body over the limit", `{"model":"m","messages":[{"role":"user","content":"`+strings.Repeat("x", 20_000)+`"}]}`, granitehoist.BodyTooLarge),
+		Entry("what a policy denies", `{"model":"m","messages":[{"role":"user","content":"`+strings.Repeat("x", 6000)+`"}]}`, granitehoist.PolicyDenied),
+	)
+
+	DescribeTable("refuses bad headers as not run",
+		func(code granitehoist.Code, headers ...string) {
+			t := s.chat(goodBody, headers...)
+			Expect(t.code).To(Equal(code), t.body)
+			Expect(t.fate).To(Equal(granitehoist.NotRun))
+			nothingSpent()
+		},
+		Entry("no key", granitehoist.MissingKey, "Authorization", ""),
+		Entry("another scheme", granitehoist.MissingKey, "Authorization", "Basic eDp5"),
+		Entry("a wrong key", granitehoist.WrongKey, "Authorization", "Bearer nobody"),
+		Entry("priority too high", granitehoist.BadHeader, gate.HeaderPriority, "10"),
+		Entry("priority of letters", granitehoist.BadHeader, gate.HeaderPriority, "high"),
+		Entry("deadline of zero", granitehoist.BadHeader, gate.HeaderDeadline, "0"),
+		Entry("deadline beyond all bounds", granitehoist.BadHeader, gate.HeaderDeadline, "99999999999999999999"),
+		Entry("once as a word", granitehoist.BadHeader, gate.HeaderOnce, "maybe"),
+		Entry("once without an id", granitehoist.BadHeader, gate.HeaderOnce, "true"),
+		Entry("an id with a space", granitehoist.BadHeader, gate.HeaderRequest, "a b"),
+		Entry("an id too long", granitehoist.BadHeader, gate.HeaderRequest, strings.Repeat("x", 200)),
+		Entry("a budget of nobody's", granitehoist.BudgetUnknown, gate.HeaderBudget, "winter"),
+	)
+
+	DescribeTable("tells paths and methods that are not served",
+		func(method, path string, code granitehoist.Code) {
+			Expect(s.send(method, path, "").code).To(Equal(code))
+		},
+		Entry("unknown path", http.MethodGet, "/v2/x", granitehoist.NotFound),
+		Entry("wrong method", http.MethodDelete, "/v1/chat/completions", granitehoist.MethodNotAllowed),
+		Entry("unknown service", http.MethodGet, "/services/none/x", granitehoist.UnknownService),
+		Entry("an engine as a plain service", http.MethodGet, "/services/pool/x", granitehoist.UnknownService),
+	)
+
+	It("refuses when it has no documents yet", func() {
+		s.view = config.NewView()
+		Expect(s.chat(goodBody).code).To(Equal(granitehoist.NotReady))
+		Expect(s.send(http.MethodGet, gate.PathReady, "").status).To(Equal(http.StatusServiceUnavailable))
+		Expect(s.send(http.MethodGet, gate.PathHealth, "").status).To(Equal(http.StatusOK))
+	})
+
+	It("refuses while it drains", func() {
+		s.gate.Drain()
+		t := s.chat(goodBody)
+		Expect(t.code).To(Equal(granitehoist.Draining))
+		Expect(t.fate).To(Equal(granitehoist.NotRun))
+		Expect(s.send(http.MethodGet, gate.PathReady, "").status).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	It("lists models for a known key only", func() {
+		Expect(s.send(http.MethodGet, "/v1/models", "").body).To(ContainSubstring(`"id":"m"`))
+		Expect(s.send(http.MethodGet, "/v1/models", "", "Authorization", "Bearer x").code).To(Equal(granitehoist.WrongKey))
+	})
+
+	Describe("when the budget does not pay", func() {
+		It("tells why and calls nobody", func() {
+			s.funds.fail = granitehoist.Errorf(granitehoist.BudgetUnreachable, "")
+			t := s.chat(goodBody)
+			Expect(t.code).To(Equal(granitehoist.BudgetUnreachable))
+			Expect(t.fate).To(Equal(granitehoist.NotRun))
+			nothingSpent()
+		})
+
+		It("leaves room in the ledger", func() {
+			s.funds.fail = granitehoist.Errorf(granitehoist.BudgetExhausted, "")
+			for range 10 {
+				s.chat(goodBody)
+			}
+			s.funds.fail = nil
+			Expect(s.chat(goodBody).status).To(Equal(http.StatusOK))
+		})
+	})
+
+	Describe("when upstreams fail", func() {
+		It("sends a refused request elsewhere and charges it once", func() {
+			s.engine.steps = []step{fails(granitehoist.UpstreamRefused), answers}
+			t := s.chat(goodBody)
+			Expect(t.status).To(Equal(http.StatusOK))
+			Expect(s.engine.calls[0].Address).NotTo(Equal(s.engine.calls[1].Address))
+			Expect(s.engine.calls[0].Attempt).NotTo(Equal(s.engine.calls[1].Attempt))
+			left, reserved := s.funds.state()
+			Expect(left).To(Equal(granitehoist.Tokens(9990)))
+			Expect(reserved).To(BeZero())
+			Expect(s.ledger.Pending()).To(Equal(1))
+		})
+
+		It("says not run when all refused, and charges nothing", func() {
+			s.engine.steps = []step{fails(granitehoist.UpstreamRefused)}
+			t := s.chat(goodBody)
+			Expect(t.code).To(Equal(granitehoist.UpstreamRefused))
+			Expect(t.fate).To(Equal(granitehoist.NotRun))
+			left, _ := s.funds.state()
+			Expect(left).To(Equal(granitehoist.Tokens(10_000)))
+			Expect(s.ledger.Pending()).To(BeZero())
+		})
+
+		It("charges a lost attempt what the engine says, beside the one that answered", func() {
+			s.engine.steps = []step{fails(granitehoist.UpstreamLost), answers}
+			s.engine.stopped = &granitehoist.Usage{Prompt: 4, Output: 1, Reported: true}
+			Expect(s.chat(goodBody).status).To(Equal(http.StatusOK))
+			left, reserved := s.funds.state()
+			Expect(left).To(Equal(granitehoist.Tokens(9985)))
+			Expect(reserved).To(BeZero())
+			charges := s.ledger.Next(10).Charges
+			Expect(charges).To(HaveLen(1))
+			Expect(charges[0].Tokens).To(Equal(granitehoist.Tokens(15)))
+			Expect(charges[0].Estimated).To(BeFalse())
+		})
+
+		It("charges the bound, marked as estimated, when nobody can tell", func() {
+			s.engine.steps = []step{fails(granitehoist.UpstreamLost)}
+			t := s.chat(goodBody)
+			Expect(t.fate).To(Equal(granitehoist.MayHaveRun))
+			charges := s.ledger.Next(10).Charges
+			Expect(charges).To(HaveLen(1))
+			Expect(charges[0].Estimated).To(BeTrue())
+			left, reserved := s.funds.state()
+			Expect(left + charges[0].Tokens).To(Equal(granitehoist.Tokens(10_000)))
+			Expect(reserved).To(BeZero())
+		})
+
+		It("ends a broken stream with an error event and no end mark", func() {
+			s.engine.steps = []step{breaks}
+			s.engine.stopped = &granitehoist.Usage{Prompt: 4, Output: 1, Reported: true}
+			t := s.chat(`{"model":"m","stream":true,"messages":[{"role":"user","content":"hello"}]}`)
+			Expect(t.body).To(ContainSubstring(`"type":"upstream_cut"`))
+			Expect(t.body).To(ContainSubstring(`"fate":"may have run"`))
+			Expect(t.body).NotTo(ContainSubstring("[DONE]"))
+			Expect(s.engine.count()).To(Equal(1))
+		})
+
+		It("bounds the retries of a service that fails", func() {
+			s.engine.steps = []step{fails(granitehoist.UpstreamRefused)}
+			const requests = 200
+			for range requests {
+				s.chat(goodBody)
+			}
+			Expect(s.engine.count()).To(BeNumerically("<=", requests+requests/10+10))
+		})
+	})
+
+	Describe("a plain service", func() {
+		It("passes method, path, query, body and status through", func() {
+			s.plain.steps = []step{func(_ granitehoist.Call, sink granitehoist.Sink) (granitehoist.Usage, error) {
+				_ = sink.Start(http.StatusTeapot, http.Header{"X-Own": {"1"}})
+				return granitehoist.Usage{}, sink.Write([]byte("own"))
+			}}
+			t := s.send(http.MethodPatch, "/services/desk/a%2Fb/c?x=1&y=%20", "body", "X-Mine", "2")
+			Expect(t.status).To(Equal(http.StatusTeapot))
+			Expect(t.body).To(Equal("own"))
+			Expect(t.header.Get("X-Own")).To(Equal("1"))
+			c := s.plain.calls[0]
+			Expect(c.Method).To(Equal(http.MethodPatch))
+			Expect(c.Path).To(Equal("/a%2Fb/c?x=1&y=%20"))
+			Expect(string(c.Body)).To(Equal("body"))
+			Expect(c.Header.Get("X-Mine")).To(Equal("2"))
+			Expect(c.Header.Get("Authorization")).To(BeEmpty())
+			left, _ := s.funds.state()
+			Expect(left).To(Equal(granitehoist.Tokens(9997)))
+		})
+
+		It("repeats a lost GET and no lost POST", func() {
+			s.plain.steps = []step{fails(granitehoist.UpstreamLost), answers}
+			Expect(s.send(http.MethodGet, "/services/desk/x", "").status).To(Equal(http.StatusOK))
+			s.plain.calls = nil
+			t := s.send(http.MethodPost, "/services/desk/x", "")
+			Expect(t.fate).To(Equal(granitehoist.MayHaveRun))
+			Expect(s.plain.count()).To(Equal(1))
+		})
+	})
+
+	Describe("a request not to be repeated", func() {
+		permit := func() told {
+			return s.send(http.MethodPost, "/services/gate/permits", "p", gate.HeaderRequest, "permit-1")
+		}
+
+		It("runs once, and later callers are told that it ran", func() {
+			Expect(permit().status).To(Equal(http.StatusOK))
+			t := permit()
+			Expect(t.code).To(Equal(granitehoist.AlreadyRun))
+			Expect(t.fate).To(Equal(granitehoist.Ran))
+			Expect(s.plain.count()).To(Equal(1))
+			Expect(s.ledger.Pending()).To(Equal(1))
+		})
+
+		It("is not sent again after a lost answer", func() {
+			s.plain.steps = []step{fails(granitehoist.UpstreamLost), answers}
+			Expect(permit().fate).To(Equal(granitehoist.MayHaveRun))
+			Expect(permit().code).To(Equal(granitehoist.OnceUnsure))
+			Expect(s.plain.count()).To(Equal(1))
+		})
+
+		It("may be tried again after all upstreams refused it", func() {
+			s.plain.steps = []step{fails(granitehoist.UpstreamRefused), fails(granitehoist.UpstreamRefused), answers}
+			t := permit()
+			Expect(t.fate).To(Equal(granitehoist.NotRun))
+			Expect(permit().status).To(Equal(http.StatusOK))
+		})
+
+		It("is refused as not run while the store is down", func() {
+			s.store.Fail(standin.StoreFaults{Down: true})
+			t := permit()
+			Expect(t.code).To(Equal(granitehoist.OnceUnavailable))
+			Expect(t.fate).To(Equal(granitehoist.NotRun))
+			nothingSpent()
+		})
+
+		It("is marked for the transport", func() {
+			permit()
+			Expect(s.plain.calls[0].Once).To(BeTrue())
+		})
+	})
+
+	It("tells a passed deadline as not run while it waits for room", func() {
+		release := make(chan struct{})
+		s.engine.steps = []step{func(c granitehoist.Call, sink granitehoist.Sink) (granitehoist.Usage, error) {
+			<-release
+			return answers(c, sink)
+		}}
+		document := document()
+		for i := range document.Upstreams {
+			document.Upstreams[i].Concurrency = 1
+		}
+		s.view = config.NewView().With(document, 2)
+		finished := make(chan told, 3)
+		for range 3 {
+			go func() { finished <- s.chat(goodBody) }()
+		}
+		Eventually(s.engine.count).Should(Equal(3))
+		t := s.chat(goodBody, gate.HeaderDeadline, "20")
+		Expect(t.code).To(Equal(granitehoist.Overloaded))
+		Expect(t.fate).To(Equal(granitehoist.NotRun))
+		Expect(t.header.Get("Retry-After")).NotTo(BeEmpty())
+		close(release)
+		for range 3 {
+			Expect((<-finished).status).To(Equal(http.StatusOK))
+		}
+	})
+
+	It("never tells a caller what lies behind an error", func() {
+		s.funds.fail = granitehoist.Wrap(granitehoist.BudgetUnreachable, errors.New("store at 10.0.0.1"), "")
+		Expect(s.chat(goodBody).body).NotTo(ContainSubstring("10.0.0.1"))
+	})
+
+	It("panics without its parts", func() {
+		Expect(func() { gate.New(gate.Settings{}) }).To(Panic())
+	})
+})
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -128,3 +128,10 @@
 		close(c.done)
 	}
 }
+
+// Waiting returns the number of items that no batch has taken yet.
+func (g *Group[In, Out]) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.waiting)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -129,7 +129,7 @@
 	}
 	ast, issues := environment.Compile(text)
 	if issues != nil && issues.Err() != nil {
-		return nil, fault("does not compile: %v", issues.Err())
+		return nil, fault("does not compile: %s", firstIssue(issues))
 	}
 	if !ast.OutputType().IsExactType(want) {
 		return nil, fault("yields %v and must yield %v", ast.OutputType(), want)
@@ -141,6 +141,12 @@
 	return compiled, nil
 }
 
+// firstIssue returns where and why a program does not compile, on one line.
+func firstIssue(issues *cel.Issues) string {
+	first := issues.Errors()[0]
+	return fmt.Sprintf("line %d, column %d: %s", first.Location.Line(), first.Location.Column()+1, first.Message)
+}
+
 // Name returns the policy's name.
 func (p *Policy) Name() string { return p.name }
 
--- a/route/queue.go
+++ b/route/queue.go
@@ -65,3 +65,10 @@
 		first.slot <- slot
 	}
 }
+
+// Waiting returns the number of a service's requests that wait.
+func (t *Table) Waiting(s granitehoist.Service) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.queue(s).waiters)
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,165 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package route_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/route"
+)
+
+var (
+	ctx   = context.Background()
+	start = time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+)
+
+func targets(n, concurrency int) []route.Target {
+	targets := make([]route.Target, n)
+	for i := range targets {
+		targets[i] = route.Target{Name: granitehoist.Upstream(fmt.Sprint("u", i)), Concurrency: concurrency}
+	}
+	return targets
+}
+
+var _ = Describe("Table", func() {
+	var table *route.Table
+	BeforeEach(func() { table = route.NewTable(route.Settings{}) })
+
+	acquire := func(w route.Want, now time.Time) *route.Slot {
+		GinkgoHelper()
+		slot, err := table.Acquire(ctx, w, now)
+		Expect(err).NotTo(HaveOccurred())
+		return slot
+	}
+
+	It("sends requests that begin alike to one upstream, on every router", func() {
+		want := route.Want{Service: "s", Targets: targets(20, 10), Affinity: route.Prefix([]byte("the same beginning"))}
+		first := acquire(want, start)
+		first.Done(route.Good, start)
+		other := route.NewTable(route.Settings{})
+		same, err := other.Acquire(ctx, want, start)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(same.Upstream).To(Equal(first.Upstream))
+	})
+
+	It("spreads a hot beginning when its upstream has more than its part", func() {
+		want := route.Want{Service: "s", Targets: targets(4, 100), Affinity: 7}
+		loads := map[granitehoist.Upstream]int{}
+		for range 100 {
+			loads[acquire(want, start).Upstream]++
+		}
+		for _, load := range loads {
+			Expect(load).To(BeNumerically("<=", 33))
+		}
+	})
+
+	It("moves few beginnings when an upstream goes", func() {
+		moved := 0
+		for affinity := range uint64(1000) {
+			all := route.Want{Service: "s", Targets: targets(10, 10), Affinity: affinity + 1}
+			before := acquire(all, start)
+			before.Done(route.Good, start)
+			fewer := all
+			fewer.Targets = all.Targets[:9]
+			after := acquire(fewer, start)
+			after.Done(route.Good, start)
+			if before.Upstream != after.Upstream {
+				moved++
+				Expect(before.Upstream).To(Equal(granitehoist.Upstream("u9")))
+			}
+		}
+		Expect(moved).To(BeNumerically("~", 100, 40))
+	})
+
+	It("takes the least loaded without affinity", func() {
+		want := route.Want{Service: "s", Targets: targets(3, 10)}
+		seen := map[granitehoist.Upstream]int{}
+		for range 9 {
+			seen[acquire(want, start).Upstream]++
+		}
+		Expect(seen).To(HaveLen(3))
+		for _, n := range seen {
+			Expect(n).To(Equal(3))
+		}
+	})
+
+	It("leaves out what failed, for longer each time, and lets it return", func() {
+		want := route.Want{Service: "s", Targets: targets(2, 10), Affinity: 7}
+		first := acquire(want, start)
+		first.Done(route.Bad, start)
+		Expect(acquire(want, start.Add(100*time.Millisecond)).Upstream).NotTo(Equal(first.Upstream))
+		later := start.Add(600 * time.Millisecond)
+		again := acquire(want, later)
+		Expect(again.Upstream).To(Equal(first.Upstream))
+		again.Done(route.Bad, later)
+		Expect(acquire(want, later.Add(600*time.Millisecond)).Upstream).NotTo(Equal(first.Upstream))
+	})
+
+	It("tries the one that returns first when all are left out", func() {
+		want := route.Want{Service: "s", Targets: targets(1, 10)}
+		acquire(want, start).Done(route.Bad, start)
+		Expect(acquire(want, start).Upstream).To(Equal(granitehoist.Upstream("u0")))
+	})
+
+	It("refuses when every upstream was tried", func() {
+		_, err := table.Acquire(ctx, route.Want{Service: "s", Targets: targets(1, 1), Tried: map[granitehoist.Upstream]bool{"u0": true}}, start)
+		Expect(granitehoist.CodeOf(err)).To(Equal(granitehoist.NoUpstream))
+	})
+
+	It("gives room to the highest priority that waits, and then by arrival", func() {
+		want := route.Want{Service: "s", Targets: targets(1, 1)}
+		held := acquire(want, start)
+		order := make(chan int, 3)
+		for i, priority := range []granitehoist.Priority{1, 9, 1} {
+			w := want
+			w.Priority = priority
+			go func() {
+				defer GinkgoRecover()
+				slot, err := table.Acquire(ctx, w, start)
+				Expect(err).NotTo(HaveOccurred())
+				order <- i
+				slot.Done(route.Good, start)
+			}()
+			Eventually(func() int { return table.Waiting("s") }).Should(Equal(i + 1))
+		}
+		held.Done(route.Good, start)
+		Expect([]int{<-order, <-order, <-order}).To(Equal([]int{1, 0, 2}))
+		Expect(table.InFlight("u0")).To(BeZero())
+	})
+
+	It("loses no room when a wait ends", func() {
+		want := route.Want{Service: "s", Targets: targets(1, 1)}
+		held := acquire(want, start)
+		short, cancel := context.WithTimeout(ctx, time.Millisecond)
+		defer cancel()
+		_, err := table.Acquire(short, want, start)
+		Expect(granitehoist.CodeOf(err)).To(Equal(granitehoist.Overloaded))
+		held.Done(route.Good, start)
+		acquire(want, start).Done(route.Good, start)
+		Expect(table.InFlight("u0")).To(BeZero())
+	})
+
+	It("refuses at once when too many wait", func() {
+		table = route.NewTable(route.Settings{QueueLimit: 1})
+		want := route.Want{Service: "s", Targets: targets(1, 1)}
+		acquire(want, start)
+		waiting, cancel := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = table.Acquire(waiting, want, start)
+		}()
+		Eventually(func() int { return table.Waiting("s") }).Should(Equal(1))
+		_, err := table.Acquire(ctx, want, start)
+		Expect(granitehoist.CodeOf(err)).To(Equal(granitehoist.Overloaded))
+		cancel()
+		<-done
+	})
+})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"net"
 	"net/url"
+	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -60,6 +62,9 @@
 	Partner granitehoist.Partner `toml:"partner"`
 	// Keys are Ed25519 public keys in base64.
 	Keys []string `toml:"keys"`
+	// Files hold further keys, one each; Load reads them. A relative path
+	// begins at the folder of the settings file.
+	Files []string `toml:"files"`
 }
 
 // Split chooses how a partner's budgets are spread.
@@ -107,8 +112,37 @@
 	DefaultLevel       = "info"
 )
 
-// Parse reads a settings file. file is used in faults only. It returns all
-// faults at once.
+// Load reads a settings file and the files of keys that it names. It returns
+// all faults of the settings at once, and an error if a file can't be read.
+func Load(file string) (*Router, config.Faults, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, nil, err
+	}
+	r, faults := Parse(file, text)
+	if len(faults) > 0 {
+		return r, faults, nil
+	}
+	for i := range r.Trust {
+		t := &r.Trust[i]
+		for _, name := range t.Files {
+			if !filepath.IsAbs(name) {
+				name = filepath.Join(filepath.Dir(file), name)
+			}
+			key, err := os.ReadFile(name)
+			if err != nil {
+				return nil, nil, err
+			}
+			t.Keys = append(t.Keys, strings.TrimSpace(string(key)))
+		}
+	}
+	c := checker{file: file, lines: strings.Split(string(text), "\n")}
+	c.trust(r)
+	return r, c.faults, nil
+}
+
+// Parse reads the text of a settings file. file is used in faults only. It
+// returns all faults at once.
 func Parse(file string, text []byte) (*Router, config.Faults) {
 	var r Router
 	if faults := config.Decode(file, text, &r); len(faults) > 0 {
@@ -181,9 +215,7 @@
 	c.address("listen.callers", r.Listen.Callers)
 	c.address("listen.peers", r.Listen.Peers)
 	c.address("listen.admin", r.Listen.Admin)
-	if _, err := r.TrustedKeys(); err != nil {
-		c.add("trust.keys", err.Error(), `write public keys as "granitehoist keys partner" prints them`)
-	}
+	c.trust(r)
 	if len(r.Trust) == 0 {
 		c.add("trust.keys", "no partner is trusted", "add a [[trust]] table for each partner")
 	}
@@ -195,6 +227,12 @@
 	c.limits(r)
 }
 
+func (c *checker) trust(r *Router) {
+	if _, err := r.TrustedKeys(); err != nil {
+		c.add("trust.keys", err.Error(), `write public keys as "granitehoist keys partner" prints them`)
+	}
+}
+
 func (c *checker) limits(r *Router) {
 	c.positive("limits.body_bytes", r.Limits.BodyBytes)
 	c.positive("limits.header_bytes", int64(r.Limits.HeaderBytes))
