Measure the cost of each role, and choose upstreams on a ring

Change: upstreams stand on a ring of 32 points each, requests without affinity take the lighter of two; reports, pages and bill segments are compressed JSON (internal/pack); views share what did not change; conversations are placed by their messages up to the first of the user.

--- a/bill/bill.go
+++ b/bill/bill.go
@@ -4,7 +4,6 @@
 package bill
 
 import (
-	"encoding/json"
 	"fmt"
 	"sort"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/pack"
 )
 
 // Charge is the cost of one attempt.
@@ -40,9 +40,12 @@
 	Charges []Charge `json:"charges"`
 }
 
-// MethodCollect hands a Batch to a collector.
+// MethodCollect hands CollectParams to a collector.
 const MethodCollect = "bill.collect"
 
+// CollectParams is a Batch on its way between routers.
+type CollectParams = pack.Message[Batch]
+
 // CollectResult confirms that a batch is in the store.
 type CollectResult struct {
 	Segment string `json:"segment"`
@@ -69,7 +72,7 @@
 // never an empty segment.
 func DecodeSegment(e granitehoist.Entry) (Segment, error) {
 	var s Segment
-	if err := json.Unmarshal(e.Value, &s); err != nil {
+	if err := pack.Unpack(e.Value, &s); err != nil {
 		return s, eris.Wrapf(err, "bill: segment %s can't be read", e.Key)
 	}
 	if s.Format != segmentFormat || len(s.Charges) == 0 {
--- a/bill/bill_test.go
+++ b/bill/bill_test.go
@@ -37,7 +37,11 @@
 	if f.loseCall {
 		return errors.New("lost")
 	}
-	collected, err := f.collector.Collect(ctx, params.(bill.Batch))
+	b, err := params.(bill.CollectParams).Value()
+	if err != nil {
+		return err
+	}
+	collected, err := f.collector.Collect(ctx, b)
 	if err != nil || f.loseAnswer {
 		return errors.New("lost")
 	}
--- a/bill/collector.go
+++ b/bill/collector.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -13,14 +12,15 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/batch"
+	"granitehoist.example/granitehoist/internal/pack"
 	"granitehoist.example/granitehoist/store"
 )
 
 // MaxBatch bounds the charges that a box sends at once, and maxSegment the
 // batches of one segment, so that a segment stays under the store's limit.
 const (
-	MaxBatch   = 200
-	maxSegment = 8
+	MaxBatch   = 500
+	maxSegment = 10
 )
 
 // Collector writes batches into segments. Batches that arrive while a segment
@@ -68,9 +68,9 @@
 	}
 	key := c.nextKey()
 	segment.ID = key
-	raw, err := json.Marshal(segment)
+	raw, err := pack.Pack(segment)
 	if err != nil {
-		return nil, eris.Wrap(err, "bill: segment does not encode")
+		return nil, err
 	}
 	if _, err := store.Create(ctx, c.settings.Store, key, raw); err != nil {
 		return nil, err
@@ -162,8 +162,12 @@
 // fails. A batch may so be in two segments; readers count it once.
 func (s *Sender) send(ctx context.Context, b Batch) error {
 	if address, ok := s.settings.Holder(); ok {
+		params, err := pack.NewMessage(b)
+		if err != nil {
+			return err
+		}
 		var result CollectResult
-		if err := s.settings.Caller.Call(ctx, address, MethodCollect, b, &result); err == nil && result.Segment != "" {
+		if err := s.settings.Caller.Call(ctx, address, MethodCollect, params, &result); err == nil && result.Segment != "" {
 			return nil
 		}
 	}
@@ -189,6 +193,10 @@
 }
 
 // ServeCollect serves MethodCollect.
-func (s *Sender) ServeCollect(ctx context.Context, b Batch) (CollectResult, error) {
+func (s *Sender) ServeCollect(ctx context.Context, p CollectParams) (CollectResult, error) {
+	b, err := p.Value()
+	if err != nil {
+		return CollectResult{}, err
+	}
 	return s.settings.Collector.Collect(ctx, b)
 }
--- a/budget/agent.go
+++ b/budget/agent.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/pack"
 )
 
 // Peer is another router of the region.
@@ -198,8 +199,7 @@
 // sync reaches the shard's keeper, or acts as keeper if that fails.
 func (a *Agent) sync(ctx context.Context, s Shard, params SyncParams, now time.Time) (SyncResult, error) {
 	if peer, ok := a.settings.Holder(s); ok {
-		var result SyncResult
-		err := a.settings.Caller.Call(ctx, peer.Address, MethodSync, ShardSync{Shard: s, Params: params}, &result)
+		result, err := a.call(ctx, peer, ShardSync{Shard: s, Params: params})
 		if err == nil && !result.Unknown {
 			return result, nil
 		}
@@ -207,6 +207,18 @@
 	return a.settings.Keeper.Sync(ctx, s, params, now)
 }
 
+func (a *Agent) call(ctx context.Context, peer Peer, message ShardSync) (SyncResult, error) {
+	packed, err := pack.NewMessage(message)
+	if err != nil {
+		return SyncResult{}, err
+	}
+	var result pack.Message[SyncResult]
+	if err := a.settings.Caller.Call(ctx, peer.Address, MethodSync, packed, &result); err != nil {
+		return SyncResult{}, err
+	}
+	return result.Value()
+}
+
 // borrow asks the boxes that the keepers named, or all of the region if no
 // keeper could be reached, for what requests still wait for.
 func (a *Agent) borrow(ctx context.Context, unreachable bool) {
@@ -235,8 +247,16 @@
 }
 
 // ServeSync serves MethodSync.
-func (a *Agent) ServeSync(ctx context.Context, s ShardSync) (SyncResult, error) {
-	return a.settings.Keeper.Sync(ctx, s.Shard, s.Params, a.settings.Clock())
+func (a *Agent) ServeSync(ctx context.Context, m pack.Message[ShardSync]) (pack.Message[SyncResult], error) {
+	s, err := m.Value()
+	if err != nil {
+		return pack.Message[SyncResult]{}, err
+	}
+	result, err := a.settings.Keeper.Sync(ctx, s.Shard, s.Params, a.settings.Clock())
+	if err != nil {
+		return pack.Message[SyncResult]{}, err
+	}
+	return pack.NewMessage(result)
 }
 
 // ServeBorrow serves MethodBorrow.
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -13,6 +13,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/budget"
+	"granitehoist.example/granitehoist/internal/pack"
 	"granitehoist.example/granitehoist/standin"
 )
 
@@ -279,13 +280,18 @@
 var _ = Describe("Records", func() {
 	DescribeTable("that can't be read are errors and never empty",
 		func(value string) {
-			e := granitehoist.Entry{Key: "x", Value: []byte(value), Version: 1}
-			_, err := budget.DecodePage(e)
+			packed, err := pack.Pack(json.RawMessage(value))
+			if err != nil {
+				packed = []byte(value)
+			}
+			e := granitehoist.Entry{Key: "x", Value: packed, Version: 1}
+			_, err = budget.DecodePage(e)
 			Expect(err).To(HaveOccurred())
 			_, err = budget.DecodeRoot(e)
 			Expect(err).To(HaveOccurred())
 		},
 		Entry("nothing", ""),
+		Entry("plain text", "{\"format\":1}x"),
 		Entry("null", "null"),
 		Entry("an empty object", "{}"),
 		Entry("another format", `{"format":2,"members":{},"accounts":{}}`),
@@ -297,7 +303,7 @@
 	It("that grant more than they received are errors", func() {
 		page := budget.NewPage()
 		page.Accounts[k] = &budget.PageAccount{Rows: map[granitehoist.Incarnation]budget.Row{"b": {Totals: budget.Totals{Granted: 1}}}}
-		raw, err := json.Marshal(page)
+		raw, err := pack.Pack(page)
 		Expect(err).NotTo(HaveOccurred())
 		_, err = budget.DecodePage(granitehoist.Entry{Value: raw, Version: 1})
 		Expect(err).To(HaveOccurred())
--- a/budget/fuzz_test.go
+++ b/budget/fuzz_test.go
@@ -4,10 +4,12 @@
 package budget_test
 
 import (
+	"encoding/json"
 	"testing"
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/budget"
+	"granitehoist.example/granitehoist/internal/pack"
 )
 
 // FuzzDecode looks for records that panic, or that are read as sound though
@@ -17,6 +19,9 @@
 	f.Add([]byte(`{"format":1,"accounts":{"a":{"prepaid":5,"regions":{"r":{"g":3}}}}}`))
 	f.Add([]byte(`{}`))
 	f.Fuzz(func(t *testing.T, value []byte) {
+		if packed, err := pack.Pack(json.RawMessage(value)); err == nil {
+			value = packed
+		}
 		e := granitehoist.Entry{Key: "x", Value: value, Version: 1}
 		if page, err := budget.DecodePage(e); err == nil {
 			for id, a := range page.Accounts {
--- a/budget/record.go
+++ b/budget/record.go
@@ -4,7 +4,6 @@
 package budget
 
 import (
-	"encoding/json"
 	"fmt"
 	"sort"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/pack"
 )
 
 // recordFormat is the format number of the stored records.
@@ -153,7 +153,7 @@
 
 func decodeRecord(e granitehoist.Entry, record any, format *int) error {
 	*format = 0
-	if err := json.Unmarshal(e.Value, record); err != nil {
+	if err := pack.Unpack(e.Value, record); err != nil {
 		return eris.Wrapf(err, "budget: record %s can't be read", e.Key)
 	}
 	if *format != recordFormat {
@@ -165,7 +165,7 @@
 // encodeRecord returns the stored form, or an error if it is larger than the
 // store takes.
 func encodeRecord(key string, record any) ([]byte, error) {
-	raw, err := json.Marshal(record)
+	raw, err := pack.Pack(record)
 	if err != nil {
 		return nil, eris.Wrapf(err, "budget: record %s can't be written", key)
 	}
--- a/cmd/granitehoist/main.go
+++ b/cmd/granitehoist/main.go
@@ -70,6 +70,7 @@
 		newBills(app, out),
 		newMeasureBudgets(app, out),
 		newMeasureHistories(app, out),
+		newMeasureCapacity(app, out),
 		newVersion(app, out),
 	}
 	return app, commands
--- a/cmd/granitehoist/measure.go
+++ b/cmd/granitehoist/measure.go
@@ -71,3 +71,8 @@
 		return nil
 	}}
 }
+
+func newMeasureCapacity(app *kingpin.Application, out io.Writer) command {
+	clause := measureCommand(app).Command("capacity", "Slopes of the costs of each role, and the loads at full and at small size.")
+	return command{clause, func(context.Context) error { return measure.Capacity(out, measure.Sizes) }}
+}
--- a/config/view.go
+++ b/config/view.go
@@ -31,127 +31,167 @@
 	Service
 	Owner     granitehoist.Partner
 	Upstreams []Upstream
+	byName    map[granitehoist.Upstream]Upstream
+}
+
+// Upstream returns an upstream of the service by its name.
+func (o *Offer) Upstream(name granitehoist.Upstream) (Upstream, bool) {
+	u, ok := o.byName[name]
+	return u, ok
 }
 
 // View is the documents in force, indexed for requests. It is not changed
 // after it was made.
 type View struct {
-	serials map[granitehoist.Partner]granitehoist.Serial
-	docs    map[granitehoist.Partner]*Document
-	keys    map[KeyHash]Identity
-	budgets map[granitehoist.BudgetID]granitehoist.Tokens
-	own     map[granitehoist.Partner]policy.Set
-	lend    map[granitehoist.Partner]policy.Set
-	offers  map[granitehoist.Partner]map[granitehoist.Service]*Offer
+	partners map[granitehoist.Partner]*partnerView
+}
+
+// partnerView is one partner's document, indexed. Views share those of the
+// partners whose documents did not change.
+type partnerView struct {
+	serial   granitehoist.Serial
+	document *Document
+	keys     map[KeyHash]Identity
+	budgets  map[granitehoist.BudgetID]granitehoist.Tokens
+	own      policy.Set
+	lend     policy.Set
+	offers   map[granitehoist.Service]*Offer
+	// models holds the offer of each model.
+	models map[granitehoist.Model]*Offer
 }
 
 // NewView returns a view without documents.
 func NewView() *View {
-	return &View{
-		serials: map[granitehoist.Partner]granitehoist.Serial{},
-		docs:    map[granitehoist.Partner]*Document{},
-		keys:    map[KeyHash]Identity{},
-		budgets: map[granitehoist.BudgetID]granitehoist.Tokens{},
-		own:     map[granitehoist.Partner]policy.Set{},
-		lend:    map[granitehoist.Partner]policy.Set{},
-		offers:  map[granitehoist.Partner]map[granitehoist.Service]*Offer{},
-	}
+	return &View{partners: map[granitehoist.Partner]*partnerView{}}
 }
 
 // With returns a view that has the document at the serial, and all other
 // partners' documents as before. A serial that is not newer than the one in
-// force returns the same view.
+// force returns the same view. It panics if the document has faults.
 func (v *View) With(d *Document, serial granitehoist.Serial) *View {
-	if serial <= v.serials[d.Partner] {
+	if serial <= v.Serial(d.Partner) {
 		return v
 	}
 	next := NewView()
-	for partner, doc := range v.docs {
-		if partner != d.Partner {
-			next.add(doc, v.serials[partner])
-		}
+	for name, p := range v.partners {
+		next.partners[name] = p
 	}
-	next.add(d, serial)
+	next.partners[d.Partner] = newPartnerView(d, serial)
 	return next
 }
 
-func (v *View) add(d *Document, serial granitehoist.Serial) {
-	v.serials[d.Partner] = serial
-	v.docs[d.Partner] = d
+func newPartnerView(d *Document, serial granitehoist.Serial) *partnerView {
+	p := &partnerView{
+		serial:   serial,
+		document: d,
+		keys:     make(map[KeyHash]Identity, len(d.Keys)),
+		budgets:  make(map[granitehoist.BudgetID]granitehoist.Tokens, len(d.Budgets)),
+		offers:   make(map[granitehoist.Service]*Offer, len(d.Services)),
+		models:   map[granitehoist.Model]*Offer{},
+	}
 	for _, k := range d.Keys {
 		var hash KeyHash
-		raw, _ := hex.DecodeString(k.SHA256)
+		raw, err := hex.DecodeString(k.SHA256)
+		if err != nil {
+			panic("config: view of a document with faults: " + err.Error())
+		}
 		copy(hash[:], raw)
-		v.keys[hash] = Identity{Partner: d.Partner, Workspace: k.Workspace, Budget: k.Budget}
+		p.keys[hash] = Identity{Partner: d.Partner, Workspace: k.Workspace, Budget: k.Budget}
 	}
 	for _, b := range d.Budgets {
-		v.budgets[granitehoist.NewBudgetID(d.Partner, b.Workspace, b.Name)] = b.Tokens
+		p.budgets[granitehoist.NewBudgetID(d.Partner, b.Workspace, b.Name)] = b.Tokens
 	}
-	v.addPolicies(d)
-	v.addOffers(d)
+	p.addPolicies(d)
+	p.addOffers(d)
+	return p
 }
 
-func (v *View) addPolicies(d *Document) {
-	for _, p := range d.Policies {
-		compiled, err := policy.New(p.source())
+func (p *partnerView) addPolicies(d *Document) {
+	for _, source := range d.Policies {
+		compiled, err := policy.New(source.source())
 		if err != nil {
-			panic("config: view of an unchecked document: " + err.Error())
+			panic("config: view of a document with faults: " + err.Error())
 		}
-		if p.Use == UseLend {
-			v.lend[d.Partner] = append(v.lend[d.Partner], compiled)
+		if source.Use == UseLend {
+			p.lend = append(p.lend, compiled)
 		} else {
-			v.own[d.Partner] = append(v.own[d.Partner], compiled)
+			p.own = append(p.own, compiled)
 		}
 	}
 }
 
-func (v *View) addOffers(d *Document) {
-	offers := map[granitehoist.Service]*Offer{}
+func (p *partnerView) addOffers(d *Document) {
 	for _, s := range d.Services {
-		offers[s.Name] = &Offer{Service: s, Owner: d.Partner}
+		offer := &Offer{Service: s, Owner: d.Partner, byName: map[granitehoist.Upstream]Upstream{}}
+		p.offers[s.Name] = offer
+		for _, m := range s.Models {
+			p.models[m] = offer
+		}
 	}
 	for _, u := range d.Upstreams {
 		if u.Concurrency == 0 {
 			u.Concurrency = DefaultConcurrency
 		}
-		offers[u.Service].Upstreams = append(offers[u.Service].Upstreams, u)
+		offer := p.offers[u.Service]
+		offer.Upstreams = append(offer.Upstreams, u)
+		offer.byName[u.Name] = u
 	}
-	v.offers[d.Partner] = offers
 }
 
 // Serial returns the serial of a partner's document, zero if it has none.
-func (v *View) Serial(p granitehoist.Partner) granitehoist.Serial { return v.serials[p] }
+func (v *View) Serial(p granitehoist.Partner) granitehoist.Serial {
+	if partner, ok := v.partners[p]; ok {
+		return partner.serial
+	}
+	return 0
+}
 
 // Serials returns the serial of each partner's document.
 func (v *View) Serials() map[granitehoist.Partner]granitehoist.Serial {
-	serials := make(map[granitehoist.Partner]granitehoist.Serial, len(v.serials))
-	for partner, serial := range v.serials {
-		serials[partner] = serial
+	serials := make(map[granitehoist.Partner]granitehoist.Serial, len(v.partners))
+	for name, p := range v.partners {
+		serials[name] = p.serial
 	}
 	return serials
 }
 
 // Identity returns whom a key stands for.
 func (v *View) Identity(hash KeyHash) (Identity, bool) {
-	identity, ok := v.keys[hash]
-	return identity, ok
+	for _, p := range v.partners {
+		if identity, ok := p.keys[hash]; ok {
+			return identity, true
+		}
+	}
+	return Identity{}, false
 }
 
 // Prepaid returns the tokens prepaid on a budget.
 func (v *View) Prepaid(b granitehoist.BudgetID) (granitehoist.Tokens, bool) {
-	tokens, ok := v.budgets[b]
+	p, ok := v.partners[b.Partner()]
+	if !ok {
+		return 0, false
+	}
+	tokens, ok := p.budgets[b]
 	return tokens, ok
 }
 
-// Budgets returns all budgets and what was prepaid on each. The map is not to
-// be changed.
-func (v *View) Budgets() map[granitehoist.BudgetID]granitehoist.Tokens { return v.budgets }
+// Budgets returns the names of all budgets, in order.
+func (v *View) Budgets() []granitehoist.BudgetID {
+	var ids []granitehoist.BudgetID
+	for _, p := range v.partners {
+		for id := range p.budgets {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
 
 // OfferOf returns the service of a name: the caller's own partner's, or, if it
 // has none, the first by partner name that another partner has.
 func (v *View) OfferOf(caller granitehoist.Partner, s granitehoist.Service) (*Offer, bool) {
-	for _, partner := range v.partnersFrom(caller) {
-		if offer, ok := v.offers[partner][s]; ok {
+	for _, p := range v.partnersFrom(caller) {
+		if offer, ok := p.offers[s]; ok {
 			return offer, true
 		}
 	}
@@ -161,13 +201,9 @@
 // OfferFor returns the engine service that offers a model, with the same
 // preference as OfferOf.
 func (v *View) OfferFor(caller granitehoist.Partner, m granitehoist.Model) (*Offer, bool) {
-	for _, partner := range v.partnersFrom(caller) {
-		for _, s := range v.docs[partner].Services {
-			for _, model := range s.Models {
-				if model == m {
-					return v.offers[partner][s.Name], true
-				}
-			}
+	for _, p := range v.partnersFrom(caller) {
+		if offer, ok := p.models[m]; ok {
+			return offer, true
 		}
 	}
 	return nil, false
@@ -176,9 +212,9 @@
 // Offers returns all services in the order that the caller's partner sees.
 func (v *View) Offers(caller granitehoist.Partner) []*Offer {
 	var offers []*Offer
-	for _, partner := range v.partnersFrom(caller) {
-		for _, s := range v.docs[partner].Services {
-			offers = append(offers, v.offers[partner][s.Name])
+	for _, p := range v.partnersFrom(caller) {
+		for _, s := range p.document.Services {
+			offers = append(offers, p.offers[s.Name])
 		}
 	}
 	return offers
@@ -186,16 +222,17 @@
 
 // partnersFrom returns the partners with a document, the caller's first and
 // then by name.
-func (v *View) partnersFrom(caller granitehoist.Partner) []granitehoist.Partner {
-	partners := make([]granitehoist.Partner, 0, len(v.docs))
-	for p := range v.docs {
+func (v *View) partnersFrom(caller granitehoist.Partner) []*partnerView {
+	partners := make([]*partnerView, 0, len(v.partners))
+	for _, p := range v.partners {
 		partners = append(partners, p)
 	}
 	sort.Slice(partners, func(i, j int) bool {
-		if (partners[i] == caller) != (partners[j] == caller) {
-			return partners[i] == caller
+		a, b := partners[i].document.Partner, partners[j].document.Partner
+		if (a == caller) != (b == caller) {
+			return a == caller
 		}
-		return partners[i] < partners[j]
+		return a < b
 	})
 	return partners
 }
@@ -204,11 +241,18 @@
 // belongs to another partner, that partner's policies for lending. All must
 // permit; the priority is the lowest of theirs.
 func (v *View) Decide(r policy.Request) (granitehoist.Priority, error) {
-	priority, err := v.own[r.Partner].Decide(r)
+	var own, lend policy.Set
+	if p, ok := v.partners[r.Partner]; ok {
+		own = p.own
+	}
+	if p, ok := v.partners[r.Owner]; ok {
+		lend = p.lend
+	}
+	priority, err := own.Decide(r)
 	if err != nil || r.Owner == r.Partner {
 		return priority, err
 	}
-	lent, err := v.lend[r.Owner].Decide(r)
+	lent, err := lend.Decide(r)
 	if err != nil {
 		return 0, err
 	}
--- a/gate/completion.go
+++ b/gate/completion.go
@@ -146,10 +146,9 @@
 	case chat && plain:
 		return granitehoist.Errorf(granitehoist.BadRequest, "it has both \"messages\" and \"prompt\"")
 	case chat:
-		c.prompt = messages
 		return c.readMessages(messages)
 	case plain:
-		c.prompt = prompt
+		c.prompt = prompt[:min(len(prompt), promptBeginning)]
 		var text string
 		if err := json.Unmarshal(prompt, &text); err != nil {
 			return granitehoist.Errorf(granitehoist.Unsupported, "field \"prompt\" is one text")
@@ -166,6 +165,7 @@
 		return granitehoist.Errorf(granitehoist.BadRequest, "field \"messages\" is a list of at least one message")
 	}
 	c.messages = len(messages)
+	c.prompt = beginning(messages)
 	for i, m := range messages {
 		if err := checkContent(m["content"]); err != nil {
 			return granitehoist.Errorf(granitehoist.Unsupported, "message %d: %v", i, err)
@@ -175,6 +175,22 @@
 	return nil
 }
 
+// promptBeginning is the length of a plain prompt's beginning in bytes.
+const promptBeginning = 1024
+
+// beginning returns the part of a conversation that all its turns share: the
+// messages up to the first of the user.
+func beginning(messages []chatMessage) []byte {
+	var shared []byte
+	for _, m := range messages {
+		shared = append(shared, m["content"]...)
+		if string(m["role"]) == `"user"` {
+			break
+		}
+	}
+	return shared
+}
+
 // size bounds the tokens of a message's text: the bytes of its content, or, if
 // it has parts or more fields than role and content, all its bytes.
 func (m chatMessage) size() int {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -70,6 +70,7 @@
 	attempts atomic.Uint64
 	draining atomic.Bool
 	retries  retryBudget
+	prepared targetCache
 	// background holds what goes on after the answer was given.
 	background sync.WaitGroup
 }
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -228,7 +228,7 @@
 func (g *Gate) execute(ctx context.Context, req *request, s *spend) error {
 	want := route.Want{
 		Service:  req.offer.Name,
-		Targets:  targets(req.offer),
+		Targets:  g.prepared.targets(g.settings.View(), req.offer),
 		Affinity: req.affinity,
 		Priority: req.priority,
 		Tried:    map[granitehoist.Upstream]bool{},
@@ -260,14 +260,6 @@
 	}
 }
 
-func targets(offer *config.Offer) []route.Target {
-	targets := make([]route.Target, len(offer.Upstreams))
-	for i, u := range offer.Upstreams {
-		targets[i] = route.Target{Name: u.Name, Concurrency: u.Concurrency}
-	}
-	return targets
-}
-
 func (g *Gate) nextAttempt() granitehoist.AttemptID {
 	n := strconv.FormatUint(g.attempts.Add(1), 36)
 	return granitehoist.AttemptID(string(g.settings.Incarnation) + "." + n)
@@ -324,12 +316,11 @@
 }
 
 func upstreamOf(offer *config.Offer, name granitehoist.Upstream) config.Upstream {
-	for _, u := range offer.Upstreams {
-		if u.Name == name {
-			return u
-		}
+	u, ok := offer.Upstream(name)
+	if !ok {
+		panic("gate: an upstream was chosen that the service does not have")
 	}
-	panic("gate: an upstream was chosen that the service does not have")
+	return u
 }
 
 // resultOf tells what an attempt says of its upstream.
--- /dev/null
+++ b/measure/loads.go
@@ -0,0 +1,111 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package measure
+
+// FleetSize is the size of a fleet for which loads are worked out.
+type FleetSize struct {
+	Name     string
+	Nodes    float64
+	Regions  float64
+	Places   float64
+	Requests float64
+	// Budgets are drawn on by requests, and Upstreams served by.
+	Budgets   float64
+	Upstreams float64
+	Shards    float64
+	// Changes is configuration changes a second.
+	Changes float64
+	// Restarts is starts of routers a second.
+	Restarts float64
+}
+
+const secondsPerDay = 86400
+
+// Sizes are those of docs/CAPACITY.md.
+var Sizes = []FleetSize{
+	{Name: "full", Nodes: 1100, Regions: 6, Places: 19, Requests: 63000, Budgets: 14000, Upstreams: 10000, Shards: 64, Changes: 15000.0 / secondsPerDay, Restarts: 2000.0 / secondsPerDay},
+	{Name: "small", Nodes: 6, Regions: 1, Places: 3, Requests: 60, Budgets: 20, Upstreams: 25, Shards: 8, Changes: 20.0 / secondsPerDay, Restarts: 6.0 / secondsPerDay},
+}
+
+// Load is what a role costs each node that has it. Writes and Reads are of the
+// whole fleet.
+type Load struct {
+	Role string
+	// Cores is processor time a second, Memory in bytes, Bytes in bytes a
+	// second sent and received.
+	Cores, Memory, Bytes, Writes, Reads float64
+}
+
+// Times of the fleet's messages, as the code has them.
+const (
+	boxReport    = 10.0
+	pageInterval = 10.0
+	rootContact  = 20.0
+	billInterval = 1.0
+	leaseTTL     = 15.0
+)
+
+// Loads works the loads of each role out from the slopes. Every figure is an
+// upper bound for the traffic named: a box reports on no more budgets than it
+// has had requests since its last report.
+func Loads(slopes []Slope, f FleetSize) []Load {
+	by := map[string]Slope{}
+	for _, s := range slopes {
+		by[s.Name] = s
+	}
+	perNode := f.Requests / f.Nodes
+	boxesPerRegion := f.Nodes / f.Regions
+	// Budgets that one box has had requests for within its report interval.
+	active := min(f.Budgets, perNode*boxReport)
+	pages := f.Shards * f.Regions
+	pagesPerNode := pages / f.Nodes
+	rowsPerPage := active * boxesPerRegion / f.Shards
+	// A box sends each shard's keeper one message with all asks about it.
+	messages := min(f.Shards, active)
+	const nano = 1e-9
+	return []Load{
+		{
+			Role:   "spend",
+			Cores:  nano * by["purse-round"].Step * f.Budgets,
+			Memory: by["purse-memory"].At(f.Budgets),
+			Bytes:  messages / boxReport * (by["ask-bytes"].At(active/messages) + by["reply-bytes"].At(active/messages)),
+		},
+		{
+			Role:   "keep-budgets",
+			Cores:  nano * by["page-write"].At(rowsPerPage) * pagesPerNode / pageInterval,
+			Memory: 3 * by["page-bytes"].At(rowsPerPage) * max(1, pagesPerNode),
+			Bytes:  pagesPerNode / pageInterval * 2 * by["page-bytes"].At(rowsPerPage),
+			Writes: pages/pageInterval + pages/rootContact,
+			Reads:  pages/pageInterval + pages/rootContact,
+		},
+		{
+			Role:   "bill",
+			Memory: by["charge-memory"].At(perNode * 1800),
+			Bytes:  perNode * by["batch-bytes"].Step * 4 / 3,
+		},
+		{
+			Role:   "collect-bills",
+			Bytes:  2 * f.Requests / f.Regions * by["segment-bytes"].Step / max(1, boxesPerRegion),
+			Writes: max(f.Requests/5000, f.Regions/billInterval),
+		},
+		{
+			Role:   "follow-documents",
+			Memory: by["view-memory"].At(f.Budgets),
+			Bytes:  f.Changes * by["document-bytes"].At(f.Budgets/2),
+			Reads:  f.Nodes / 20,
+		},
+		{
+			Role:   "membership",
+			Memory: by["member-bytes"].At(f.Nodes),
+			Bytes:  by["member-bytes"].At(f.Nodes) * 3 / leaseTTL,
+			Writes: f.Nodes * 3 / leaseTTL,
+			Reads:  f.Nodes * 3 / leaseTTL,
+		},
+		{
+			Role:   "choose-upstream",
+			Cores:  nano * perNode * by["choice-time"].At(f.Upstreams),
+			Memory: by["choice-memory"].At(f.Upstreams),
+		},
+	}
+}
--- a/route/queue.go
+++ b/route/queue.go
@@ -12,9 +12,7 @@
 
 // queue holds the requests of a service that wait for room, the highest
 // priority first and then in order of arrival.
-type queue struct {
-	waiters []*waiter
-}
+type queue []*waiter
 
 type waiter struct {
 	want Want
@@ -22,46 +20,33 @@
 	slot chan *Slot
 }
 
-func (t *Table) queue(s granitehoist.Service) *queue {
-	q, ok := t.queues[s]
-	if !ok {
-		q = &queue{}
-		t.queues[s] = q
-	}
-	return q
-}
-
 func (q *queue) add(w Want) *waiter {
 	added := &waiter{want: w, slot: make(chan *Slot, 1)}
-	at := sort.Search(len(q.waiters), func(i int) bool { return q.waiters[i].want.Priority < w.Priority })
-	q.waiters = append(q.waiters, nil)
-	copy(q.waiters[at+1:], q.waiters[at:])
-	q.waiters[at] = added
+	at := sort.Search(len(*q), func(i int) bool { return (*q)[i].want.Priority < w.Priority })
+	*q = append(*q, nil)
+	copy((*q)[at+1:], (*q)[at:])
+	(*q)[at] = added
 	return added
 }
 
 func (q *queue) remove(w *waiter) {
-	for i, other := range q.waiters {
+	for i, other := range *q {
 		if other == w {
-			q.waiters = append(q.waiters[:i], q.waiters[i+1:]...)
+			*q = append((*q)[:i], (*q)[i+1:]...)
 			return
 		}
 	}
 }
 
 // serveQueue gives room to waiting requests, in order, as long as there is any.
-func (t *Table) serveQueue(s granitehoist.Service, now time.Time) {
-	q, ok := t.queues[s]
-	if !ok {
-		return
-	}
-	for len(q.waiters) > 0 {
-		first := q.waiters[0]
-		slot, _ := t.pick(first.want, now)
+func (t *Table) serveQueue(p *Pool, now time.Time) {
+	for len(p.waiters) > 0 {
+		first := p.waiters[0]
+		slot, _ := t.pick(p, first.want, now)
 		if slot == nil {
 			return
 		}
-		q.waiters = q.waiters[1:]
+		p.waiters = p.waiters[1:]
 		first.slot <- slot
 	}
 }
@@ -70,5 +55,8 @@
 func (t *Table) Waiting(s granitehoist.Service) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.queue(s).waiters)
+	if p, ok := t.pools[s]; ok {
+		return len(p.waiters)
+	}
+	return 0
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -62,13 +62,16 @@
 
 	It("moves few beginnings when an upstream goes", func() {
 		moved := 0
+		ten := targets(10, 10)
 		for affinity := range uint64(1000) {
-			all := route.Want{Service: "s", Targets: targets(10, 10), Affinity: affinity + 1}
+			all := route.Want{Service: "s", Targets: ten, Affinity: route.Prefix([]byte(fmt.Sprint(affinity)))}
 			before := acquire(all, start)
 			before.Done(route.Good, start)
 			fewer := all
 			fewer.Targets = all.Targets[:9]
-			after := acquire(fewer, start)
+			other := route.NewTable(route.Settings{})
+			after, err := other.Acquire(ctx, fewer, start)
+			Expect(err).NotTo(HaveOccurred())
 			after.Done(route.Good, start)
 			if before.Upstream != after.Upstream {
 				moved++
--- a/route/table.go
+++ b/route/table.go
@@ -5,7 +5,8 @@
 
 import (
 	"context"
-	"sort"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,9 +27,10 @@
 type Table struct {
 	settings Settings
 
-	mu     sync.Mutex
-	states map[granitehoist.Upstream]*state
-	queues map[granitehoist.Service]*queue
+	mu      sync.Mutex
+	random  *rand.Rand
+	members map[granitehoist.Upstream]*member
+	pools   map[granitehoist.Service]*Pool
 }
 
 // Settings configure a Table. The zero value works.
@@ -42,6 +44,8 @@
 	// QueueLimit bounds the requests of a service that wait; zero stands for
 	// DefaultQueueLimit.
 	QueueLimit int
+	// Seed chooses among equals.
+	Seed uint64
 }
 
 // Defaults of Settings.
@@ -50,14 +54,9 @@
 	DefaultEject      = 500 * time.Millisecond
 	DefaultQueueLimit = 1000
 	maxEject          = 30 * time.Second
+	maxEjectDoublings = 10
 )
 
-type state struct {
-	inFlight int
-	failures int
-	until    time.Time
-}
-
 // NewTable returns an empty table.
 func NewTable(s Settings) *Table {
 	if s.Slack == 0 {
@@ -69,12 +68,19 @@
 	if s.QueueLimit == 0 {
 		s.QueueLimit = DefaultQueueLimit
 	}
-	return &Table{settings: s, states: map[granitehoist.Upstream]*state{}, queues: map[granitehoist.Service]*queue{}}
+	return &Table{
+		settings: s,
+		random:   rand.New(rand.NewPCG(s.Seed, 0)),
+		members:  map[granitehoist.Upstream]*member{},
+		pools:    map[granitehoist.Service]*Pool{},
+	}
 }
 
 // Want is what an attempt asks of the table.
 type Want struct {
 	Service granitehoist.Service
+	// Targets are the service's upstreams. They are not to be changed; a new
+	// slice is compared with the last one.
 	Targets []Target
 	// Affinity is the hash of what requests should share an upstream by; zero
 	// stands for none.
@@ -84,50 +90,45 @@
 	Tried map[granitehoist.Upstream]bool
 }
 
-// Prefix returns the affinity of a prompt: the hash of its first bytes.
-func Prefix(prompt []byte) uint64 {
-	return xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
-}
-
-// prefixBytes is the length of the beginning that requests of one kind share.
-const prefixBytes = 256
+// Prefix returns the affinity of a prompt's beginning.
+func Prefix(beginning []byte) uint64 { return xxhash.Sum64(beginning) }
 
 // Slot is an upstream chosen for one attempt. It is to be ended by Done.
 type Slot struct {
 	Upstream granitehoist.Upstream
 	table    *Table
-	service  granitehoist.Service
+	pool     *Pool
+	member   *member
 }
 
 // Acquire chooses an upstream, or waits for one until ctx ends. Its errors are
 // *Error with codes NoUpstream and Overloaded.
 func (t *Table) Acquire(ctx context.Context, w Want, now time.Time) (*Slot, error) {
 	t.mu.Lock()
-	slot, found := t.pick(w, now)
-	if slot != nil {
+	pool := t.pool(w)
+	slot, found := t.pick(pool, w, now)
+	switch {
+	case slot != nil:
 		t.mu.Unlock()
 		return slot, nil
-	}
-	if !found {
+	case !found:
 		t.mu.Unlock()
-		return nil, t.none(w)
-	}
-	q := t.queue(w.Service)
-	if len(q.waiters) >= t.settings.QueueLimit {
+		return nil, none(w)
+	case len(pool.waiters) >= t.settings.QueueLimit:
 		t.mu.Unlock()
 		return nil, overloaded()
 	}
-	waiter := q.add(w)
+	added := pool.waiters.add(w)
 	t.mu.Unlock()
 	select {
-	case slot := <-waiter.slot:
+	case slot := <-added.slot:
 		return slot, nil
 	case <-ctx.Done():
-		return t.leave(q, waiter)
+		return t.leave(pool, added)
 	}
 }
 
-func (t *Table) none(w Want) error {
+func none(w Want) error {
 	e := granitehoist.Errorf(granitehoist.NoUpstream, "service %s", w.Service)
 	e.RetryAfter = time.Second
 	return e
@@ -140,7 +141,7 @@
 }
 
 // leave ends a wait. A slot that was given at the same moment is taken.
-func (t *Table) leave(q *queue, w *waiter) (*Slot, error) {
+func (t *Table) leave(p *Pool, w *waiter) (*Slot, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	select {
@@ -148,90 +149,79 @@
 		return slot, nil
 	default:
 	}
-	q.remove(w)
+	p.waiters.remove(w)
 	return nil, overloaded()
 }
 
-// pick chooses an upstream with room. found is false if no upstream could be
-// chosen even with room.
-func (t *Table) pick(w Want, now time.Time) (slot *Slot, found bool) {
-	candidates := t.candidates(w, now)
-	if len(candidates) == 0 {
-		return nil, false
+// pool returns the prepared upstreams of a service. Requests in progress and
+// waiting stay with the pool in which they began.
+func (t *Table) pool(w Want) *Pool {
+	p, ok := t.pools[w.Service]
+	if ok && sameSlice(p.targets, w.Targets) {
+		return p
 	}
-	limit := t.limit(candidates)
-	t.order(candidates, w.Affinity)
-	for _, c := range candidates {
-		if t.states[c.Name].inFlight < min(c.Concurrency, limit) {
-			t.states[c.Name].inFlight++
-			return &Slot{Upstream: c.Name, table: t, service: w.Service}, true
-		}
+	if ok && slices.Equal(p.targets, w.Targets) {
+		p.targets = w.Targets
+		return p
 	}
-	return nil, true
-}
-
-// candidates returns the targets that were not tried and are not left out. If
-// all are left out, the one that returns first stands in for all.
-func (t *Table) candidates(w Want, now time.Time) []Target {
-	var candidates []Target
-	var first *Target
+	next := &Pool{service: w.Service, targets: w.Targets}
 	for _, target := range w.Targets {
-		if w.Tried[target.Name] {
-			continue
-		}
-		s := t.state(target.Name)
-		if !now.Before(s.until) {
-			candidates = append(candidates, target)
-			continue
-		}
-		if first == nil || s.until.Before(t.states[first.Name].until) {
-			first = &target
+		m, known := t.members[target.Name]
+		if !known {
+			m = &member{}
+			t.members[target.Name] = m
 		}
+		m.Target = target
+		next.members = append(next.members, m)
+		next.inFlight += m.inFlight
 	}
-	if len(candidates) == 0 && first != nil {
-		return []Target{*first}
+	next.ring = newRing(next.members)
+	if ok {
+		next.waiters = p.waiters
+		p.waiters = nil
+		p.next = next
 	}
-	return candidates
+	t.pools[w.Service] = next
+	return next
 }
 
-func (t *Table) state(u granitehoist.Upstream) *state {
-	s, ok := t.states[u]
-	if !ok {
-		s = &state{}
-		t.states[u] = s
-	}
-	return s
+func sameSlice(a, b []Target) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-// limit returns the load bound: the average with the new request, and slack.
-func (t *Table) limit(candidates []Target) int {
-	total := 1
-	for _, c := range candidates {
-		total += t.states[c.Name].inFlight
+// pick chooses an upstream with room. found is false if no upstream could be
+// chosen even with room.
+func (t *Table) pick(p *Pool, w Want, now time.Time) (slot *Slot, found bool) {
+	if len(p.members) == 0 {
+		return nil, false
+	}
+	if m := t.choose(p, w, now); m != nil {
+		return t.take(p, m), true
+	}
+	first, untried := p.firstBack(w, now)
+	if first != nil && first.inFlight < first.Concurrency {
+		return t.take(p, first), true
 	}
-	average := float64(total) / float64(len(candidates))
-	return int(average*(1+t.settings.Slack)) + 1
+	return nil, untried
 }
 
-// order sorts candidates by rendezvous weight, or by load without affinity.
-func (t *Table) order(candidates []Target, affinity uint64) {
-	if affinity == 0 {
-		sort.SliceStable(candidates, func(i, j int) bool {
-			return t.states[candidates[i].Name].inFlight < t.states[candidates[j].Name].inFlight
-		})
-		return
+// choose returns a member with room, nil if there is none.
+func (t *Table) choose(p *Pool, w Want, now time.Time) *member {
+	if w.Affinity != 0 {
+		if m := p.byRing(w, p.limit(t.settings.Slack), now); m != nil {
+			return m
+		}
+	}
+	if m := p.lightest(w, t.random.IntN, now); m != nil {
+		return m
 	}
-	sort.Slice(candidates, func(i, j int) bool {
-		return weight(candidates[i].Name, affinity) > weight(candidates[j].Name, affinity)
-	})
+	return p.scan(w, now)
 }
 
-// weight mixes an upstream's name with an affinity.
-func weight(u granitehoist.Upstream, affinity uint64) uint64 {
-	h := xxhash.NewWithSeed(affinity)
-	// The hash does not fail.
-	_, _ = h.WriteString(string(u))
-	return h.Sum64()
+func (t *Table) take(p *Pool, m *member) *Slot {
+	m.inFlight++
+	p.inFlight++
+	return &Slot{Upstream: m.Name, table: t, pool: p, member: m}
 }
 
 // Result is how an attempt ended, for the choice of later ones.
@@ -249,25 +239,29 @@
 
 // Done ends an attempt and gives its room to a waiting request.
 func (s *Slot) Done(r Result, now time.Time) {
-	t := s.table
+	t, m := s.table, s.member
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	st := t.state(s.Upstream)
-	st.inFlight--
+	m.inFlight--
+	pool := s.pool.current()
+	pool.inFlight--
 	switch r {
 	case Good:
-		st.failures = 0
+		m.failures = 0
 	case Bad:
-		st.failures++
-		st.until = now.Add(min(maxEject, t.settings.Eject<<min(st.failures-1, 10)))
+		m.failures++
+		m.until = now.Add(min(maxEject, t.settings.Eject<<min(m.failures-1, maxEjectDoublings)))
 	case Unclear:
 	}
-	t.serveQueue(s.service, now)
+	t.serveQueue(pool, now)
 }
 
 // InFlight returns the requests in progress at an upstream.
 func (t *Table) InFlight(u granitehoist.Upstream) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.state(u).inFlight
+	if m, ok := t.members[u]; ok {
+		return m.inFlight
+	}
+	return 0
 }
--- a/router/admin.go
+++ b/router/admin.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"sort"
 	"strings"
 
 	"golang.org/x/sync/errgroup"
@@ -173,17 +172,12 @@
 }
 
 func (r *Router) serveBudgets(w http.ResponseWriter, req *http.Request) {
-	var ids []granitehoist.BudgetID
-	for k := range r.follower.View().Budgets() {
-		ids = append(ids, k)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
 	states, err := budget.ReadStates(req.Context(), r.settings.Store, r.settings.Router.Budget.Shards, r.settings.Clock())
 	if err != nil {
 		writeError(w, granitehoist.Wrap(granitehoist.StoreDown, err, ""))
 		return
 	}
-	writeJSON(w, http.StatusOK, states.Of(ids, r.prepaid))
+	writeJSON(w, http.StatusOK, states.Of(r.follower.View().Budgets(), r.prepaid))
 }
 
 func (r *Router) serveBills(w http.ResponseWriter, req *http.Request) {
--- a/router/router.go
+++ b/router/router.go
@@ -165,6 +165,7 @@
 		Store:   s.Store,
 		Prepaid: r.prepaid,
 		Split:   s.Router.SplitOf,
+		Gather:  time.Duration(s.Router.Budget.Gather),
 	})
 	r.agent = budget.NewAgent(budget.AgentSettings{
 		Box:      r.self.Box,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -94,6 +94,9 @@
 	// Shards must be the same on all routers.
 	Shards   int      `toml:"shards"`
 	Interval Duration `toml:"interval"`
+	// Gather is how long a report that no request waits for is kept, so that
+	// one store write serves many boxes. A large fleet sets it to 10 s.
+	Gather Duration `toml:"gather"`
 }
 
 // Log tunes the log.
--- a/trial/site.go
+++ b/trial/site.go
@@ -65,6 +65,7 @@
 	Routers []*router.Router
 
 	log       *zap.Logger
+	engine    standin.EngineSettings
 	servers   []*http.Server
 	documents map[granitehoist.Partner]*config.Document
 	keys      map[granitehoist.Partner]ed25519.PrivateKey
@@ -75,7 +76,12 @@
 // force on all of them. Listen is the callers' address of the first router;
 // empty lets the system choose.
 func NewSite(ctx context.Context, listen string, log *zap.Logger) (*Site, error) {
+	return newSite(ctx, listen, log, standin.EngineSettings{FirstDelay: 2 * time.Millisecond, TokenDelay: 200 * time.Microsecond})
+}
+
+func newSite(ctx context.Context, listen string, log *zap.Logger, engines standin.EngineSettings) (*Site, error) {
 	s := &Site{
+		engine:    engines,
 		Store:     standin.NewStore(standin.StoreSettings{}),
 		Engines:   map[granitehoist.Service][]*standin.Engine{},
 		Plain:     map[granitehoist.Service][]*standin.Plain{},
@@ -151,7 +157,7 @@
 
 func (s *Site) newUpstream(service config.Service) http.Handler {
 	if service.Kind == config.KindEngine {
-		engine := standin.NewEngine(standin.EngineSettings{FirstDelay: 2 * time.Millisecond, TokenDelay: 200 * time.Microsecond})
+		engine := standin.NewEngine(s.engine)
 		s.Engines[service.Name] = append(s.Engines[service.Name], engine)
 		return engine.Handler()
 	}
@@ -328,3 +334,9 @@
 	customer(d, "accountants", largeBudget)
 	return d
 }
+
+// NewQuietSite starts a site whose engines answer at once and without
+// failures, for benchmarks.
+func NewQuietSite(ctx context.Context) (*Site, error) {
+	return newSite(ctx, "", zap.NewNop(), standin.EngineSettings{})
+}
