Bill the attempts of a router that died, once

Change: attempt ids name incarnation, budget and request; package orphan lists a silent router's attempts at the engines and charges those that no segment holds; a late charge of the dead router's own takes the place of an orphan's. Operators can say that a router is gone ('settle'), which also ends what still runs. Loans whose answers are lost are asked for again; an agent closes after its last step. Calls to plain services keep no list, so a dead router's last second of them can't be found; its tokens stay in doubt.

--- a/bill/bill.go
+++ b/bill/bill.go
@@ -14,15 +14,16 @@
 	"granitehoist.example/granitehoist/internal/pack"
 )
 
-// Charge is the cost of one attempt.
+// Charge is the cost of one request.
 type Charge struct {
 	// Incarnation made the charge and Seq numbers its charges from 1.
 	Incarnation granitehoist.Incarnation `json:"incarnation"`
 	Seq         uint64                   `json:"seq"`
 
 	Request granitehoist.RequestID `json:"request"`
-	Attempt granitehoist.AttemptID `json:"attempt"`
-	Budget  granitehoist.BudgetID  `json:"budget"`
+	// Attempts are those that may have run; Tokens is the sum of their costs.
+	Attempts []granitehoist.AttemptID `json:"attempts"`
+	Budget   granitehoist.BudgetID    `json:"budget"`
 	// Owner is the partner whose capacity served the request.
 	Owner    granitehoist.Partner  `json:"owner"`
 	Service  granitehoist.Service  `json:"service"`
@@ -31,6 +32,10 @@
 	// Estimated says that the upstream reported no use, and that the reserved
 	// upper bound was charged.
 	Estimated bool `json:"estimated,omitempty"`
+	// Orphan says that the charge was made by another router, from the
+	// upstream's record of an attempt whose incarnation is gone. It has no
+	// number, and gives way to a charge of the incarnation's own.
+	Orphan bool `json:"orphan,omitempty"`
 	// At is when the charge was made.
 	At time.Time `json:"at"`
 }
@@ -68,6 +73,21 @@
 	return fmt.Sprintf("%s%s/%s/%08d", KeyPrefix, r, collector, n)
 }
 
+// OrphanKey returns the store's key of the n-th segment of a dead incarnation's
+// orphans.
+func OrphanKey(dead granitehoist.Incarnation, n int) string {
+	return fmt.Sprintf("%sorphans/%s/%04d", KeyPrefix, dead, n)
+}
+
+// EncodeSegment returns the stored form of charges. It panics if there are
+// none.
+func EncodeSegment(id string, charges []Charge) ([]byte, error) {
+	if len(charges) == 0 {
+		panic("bill: empty segment")
+	}
+	return pack.Pack(Segment{Format: segmentFormat, ID: id, Charges: charges})
+}
+
 // DecodeSegment reads a stored segment. What can't be read is an error and
 // never an empty segment.
 func DecodeSegment(e granitehoist.Entry) (Segment, error) {
@@ -97,22 +117,32 @@
 	seq         uint64
 }
 
-// Merge returns each charge once, by incarnation and number, however often and
-// in however many segments it stands.
+// Merge returns each charge once, however often and in however many segments it
+// stands: the incarnations' own by incarnation and number, and those of orphans
+// by attempt, where no incarnation charged the attempt itself.
 func Merge(segments []Segment) []Charge {
-	seen := map[chargeID]bool{}
 	var charges []Charge
-	for _, s := range segments {
-		for _, c := range s.Charges {
-			id := chargeID{c.Incarnation, c.Seq}
-			if seen[id] {
-				continue
-			}
-			seen[id] = true
-			charges = append(charges, c)
+	seen := map[chargeID]bool{}
+	charged := map[granitehoist.AttemptID]bool{}
+	for _, c := range all(segments, false) {
+		id := chargeID{c.Incarnation, c.Seq}
+		if seen[id] {
+			continue
+		}
+		seen[id] = true
+		charges = append(charges, c)
+		for _, attempt := range c.Attempts {
+			charged[attempt] = true
 		}
 	}
-	sort.Slice(charges, func(i, j int) bool {
+	for _, c := range all(segments, true) {
+		if len(c.Attempts) != 1 || charged[c.Attempts[0]] {
+			continue
+		}
+		charged[c.Attempts[0]] = true
+		charges = append(charges, c)
+	}
+	sort.SliceStable(charges, func(i, j int) bool {
 		if charges[i].Incarnation != charges[j].Incarnation {
 			return charges[i].Incarnation < charges[j].Incarnation
 		}
@@ -121,6 +151,20 @@
 	return charges
 }
 
+// all returns the charges of segments that are of orphans, or those that are
+// not.
+func all(segments []Segment, orphans bool) []Charge {
+	var charges []Charge
+	for _, s := range segments {
+		for _, c := range s.Charges {
+			if c.Orphan == orphans {
+				charges = append(charges, c)
+			}
+		}
+	}
+	return charges
+}
+
 // Summarise returns the sums by budget, in the order of their names.
 func Summarise(charges []Charge) []Summary {
 	sums := map[granitehoist.BudgetID]*Summary{}
--- a/bill/collector.go
+++ b/bill/collector.go
@@ -62,13 +62,12 @@
 }
 
 func (c *Collector) commit(ctx context.Context, batches []Batch) ([]CollectResult, error) {
-	segment := Segment{Format: segmentFormat}
+	var charges []Charge
 	for _, b := range batches {
-		segment.Charges = append(segment.Charges, b.Charges...)
+		charges = append(charges, b.Charges...)
 	}
 	key := c.nextKey()
-	segment.ID = key
-	raw, err := pack.Pack(segment)
+	raw, err := EncodeSegment(key, charges)
 	if err != nil {
 		return nil, err
 	}
--- a/budget/agent.go
+++ b/budget/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -56,6 +57,16 @@
 type Agent struct {
 	settings AgentSettings
 	kick     chan struct{}
+	// running is held by a Step, so that Close comes after it.
+	running sync.Mutex
+	// unanswered are loans whose answers were lost.
+	unanswered []unansweredLoan
+}
+
+// unansweredLoan is a loan that the lender may have given.
+type unansweredLoan struct {
+	peer   Peer
+	budget granitehoist.BudgetID
 }
 
 // NewAgent returns an agent. It panics if a needed setting is missing.
@@ -156,6 +167,9 @@
 
 // Step sends one round of messages and takes in the replies.
 func (a *Agent) Step(ctx context.Context) {
+	a.running.Lock()
+	defer a.running.Unlock()
+	a.askAgain(ctx)
 	now := a.settings.Clock()
 	asks, urgent := a.settings.Purse.Asks(now)
 	err := a.send(ctx, asks, SyncParams{Urgent: urgent}, now)
@@ -237,15 +251,36 @@
 	}
 }
 
+// borrowFrom makes one call. If its answer is lost the lender may have
+// deducted tokens, which askAgain fetches.
 func (a *Agent) borrowFrom(ctx context.Context, peer Peer, params BorrowParams) {
 	var result BorrowResult
 	if err := a.settings.Caller.Call(ctx, peer.Address, MethodBorrow, params, &result); err != nil {
 		a.settings.Failed(fmt.Errorf("budget: borrow from %s: %w", peer.Incarnation, err))
+		if len(a.unanswered) < maxUnanswered {
+			a.unanswered = append(a.unanswered, unansweredLoan{peer, params.Budget})
+		}
 		return
 	}
 	a.settings.Purse.Borrow(params.Budget, result)
 }
 
+// maxUnanswered bounds the loans that are asked for again.
+const maxUnanswered = 1000
+
+// askAgain asks lenders whose answers were lost what they have lent. A lender
+// that can't be reached is asked no more once it has left the view.
+func (a *Agent) askAgain(ctx context.Context) {
+	loans := a.unanswered
+	a.unanswered = nil
+	peers := a.settings.Peers()
+	for _, loan := range loans {
+		if slices.Contains(peers, loan.peer) {
+			a.borrowFrom(ctx, loan.peer, BorrowParams{Incarnation: a.settings.Purse.Incarnation(), Budget: loan.budget})
+		}
+	}
+}
+
 // ServeSync serves MethodSync.
 func (a *Agent) ServeSync(ctx context.Context, m pack.Message[ShardSync]) (pack.Message[SyncResult], error) {
 	s, err := m.Value()
@@ -267,6 +302,8 @@
 // Close returns all tokens to the pages. It is called when no reservation is
 // left. An error means that some are still recorded as held by this router.
 func (a *Agent) Close(ctx context.Context) error {
+	a.running.Lock()
+	defer a.running.Unlock()
 	a.settings.Purse.Close()
 	now := a.settings.Clock()
 	asks, _ := a.settings.Purse.Asks(now)
--- a/cmd/granitehoist/main.go
+++ b/cmd/granitehoist/main.go
@@ -68,6 +68,7 @@
 		newShow(app, out),
 		newBudgets(app, out),
 		newBills(app, out),
+		newSettle(app, out),
 		newMeasureBudgets(app, out),
 		newMeasureHistories(app, out),
 		newMeasureCapacity(app, out),
--- a/cmd/granitehoist/operator.go
+++ b/cmd/granitehoist/operator.go
@@ -23,6 +23,7 @@
 	"granitehoist.example/granitehoist/bill"
 	"granitehoist.example/granitehoist/budget"
 	"granitehoist.example/granitehoist/config"
+	"granitehoist.example/granitehoist/orphan"
 	"granitehoist.example/granitehoist/router"
 )
 
@@ -201,3 +202,17 @@
 	sort.Strings(parts)
 	return strings.Join(parts, " ")
 }
+
+func newSettle(app *kingpin.Application, out io.Writer) command {
+	clause := app.Command("settle", "Charge the attempts of a router that is known to be gone, and end those that still run.")
+	o := newOperator(clause)
+	incarnation := clause.Arg("incarnation", "The router's incarnation, as its log lines name it.").Required().String()
+	return command{clause, func(ctx context.Context) error {
+		var result orphan.Result
+		if _, err := o.call(ctx, o.base().Post(router.PathOrphans+*incarnation), &result); err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "incarnation=%s found=%d charged=%d running=%d unreached=%d\n", result.Incarnation, result.Found, result.Charged, result.Running, len(result.Unreached))
+		return nil
+	}}
+}
--- a/gate/fakes_test.go
+++ b/gate/fakes_test.go
@@ -91,6 +91,10 @@
 	return *f.stopped, true
 }
 
+func (f *fakeProtocol) List(context.Context, string, string) ([]granitehoist.KnownAttempt, error) {
+	return nil, nil
+}
+
 func (f *fakeProtocol) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -7,13 +7,11 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"granitehoist.example/granitehoist"
-	"granitehoist.example/granitehoist/bill"
 	"granitehoist.example/granitehoist/config"
 	"granitehoist.example/granitehoist/once"
 	"granitehoist.example/granitehoist/policy"
@@ -240,7 +238,7 @@
 		if err != nil {
 			return g.release(ctx, binding, err)
 		}
-		id := g.nextAttempt()
+		id := granitehoist.NewAttemptID(g.settings.Incarnation, g.attempts.Add(1), req.budget, req.id)
 		if req.wishes.once && binding == nil {
 			binding, err = g.bind(ctx, req, id)
 			if err != nil {
@@ -260,11 +258,6 @@
 	}
 }
 
-func (g *Gate) nextAttempt() granitehoist.AttemptID {
-	n := strconv.FormatUint(g.attempts.Add(1), 36)
-	return granitehoist.AttemptID(string(g.settings.Incarnation) + "." + n)
-}
-
 func (g *Gate) bind(ctx context.Context, req *request, id granitehoist.AttemptID) (*once.Binding, error) {
 	subject := once.Subject{Partner: req.identity.Partner, Workspace: req.identity.Workspace, Request: req.id}
 	return g.settings.Once.Bind(ctx, subject, id, g.settings.Clock())
@@ -308,7 +301,7 @@
 	req.sent = g.settings.Clock()
 	usage, err := protocol.Do(ctx, call, req.sink)
 	slot.Done(resultOf(ctx, err), g.settings.Clock())
-	s.attempted(bill.Charge{Attempt: id, Upstream: u.Name}, u.Address, usage, err)
+	s.attempted(id, u, usage, err)
 	if err != nil {
 		g.settings.Log.Info("attempt", zap.String("request", string(req.id)), zap.String("attempt", string(id)), zap.String("upstream", string(u.Name)), zap.Int("code", int(granitehoist.CodeOf(err))), zap.Error(err))
 	}
--- a/gate/spend.go
+++ b/gate/spend.go
@@ -9,6 +9,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/bill"
+	"granitehoist.example/granitehoist/config"
 )
 
 // spend is the cost of one request over all its attempts: what is reserved,
@@ -43,21 +44,22 @@
 
 // attempted takes in the end of an attempt. An attempt that did not run leaves
 // the reservation for the next.
-func (s *spend) attempted(c bill.Charge, address string, usage granitehoist.Usage, err error) {
+func (s *spend) attempted(id granitehoist.AttemptID, u config.Upstream, usage granitehoist.Usage, err error) {
 	fate := granitehoist.CodeOf(err).Info().Fate
 	if fate == granitehoist.NotRun {
 		return
 	}
 	s.ran = true
 	s.reserved = false
-	s.charge.Attempt, s.charge.Upstream = c.Attempt, c.Upstream
+	s.charge.Attempts = append(s.charge.Attempts, id)
+	s.charge.Upstream = u.Name
 	switch {
 	case s.request.model == "":
 		s.use(s.request.bound)
 	case usage.Reported && err == nil:
 		s.use(usage.Total())
 	default:
-		s.doubts = append(s.doubts, doubt{c.Attempt, address})
+		s.doubts = append(s.doubts, doubt{id, u.Address})
 	}
 }
 
--- a/ids.go
+++ b/ids.go
@@ -6,7 +6,10 @@
 import (
 	"encoding/hex"
 	"io"
+	"strconv"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Partner names one of the organisations that share the fleet.
@@ -103,6 +106,39 @@
 	return parts[2]
 }
 
+// Parts of an AttemptID, in their order: the incarnation, a number, the hash of
+// the budget, the request. Incarnations, numbers and hashes have no dots.
+const (
+	attemptSeparator = "."
+	attemptParts     = 4
+	numberBase       = 36
+)
+
+// NewAttemptID names the n-th attempt of an incarnation, so that an upstream's
+// record of it tells whom to charge even if the incarnation is gone.
+func NewAttemptID(i Incarnation, n uint64, b BudgetID, r RequestID) AttemptID {
+	parts := []string{string(i), strconv.FormatUint(n, numberBase), BudgetHash(b), string(r)}
+	return AttemptID(strings.Join(parts, attemptSeparator))
+}
+
+// BudgetHash is the short name of a budget in an AttemptID.
+func BudgetHash(b BudgetID) string {
+	return strconv.FormatUint(xxhash.Sum64String(string(b)), numberBase)
+}
+
+// Parts returns the incarnation, the hash of the budget and the request of an
+// attempt, and false if the id is not of the form that NewAttemptID makes.
+func (a AttemptID) Parts() (i Incarnation, budgetHash string, r RequestID, ok bool) {
+	parts := strings.SplitN(string(a), attemptSeparator, attemptParts)
+	if len(parts) < attemptParts {
+		return "", "", "", false
+	}
+	return Incarnation(parts[0]), parts[2], RequestID(parts[3]), true
+}
+
+// AttemptPrefix is what the ids of all attempts of an incarnation begin with.
+func AttemptPrefix(i Incarnation) string { return string(i) + attemptSeparator }
+
 const randomIDBytes = 12
 
 // NewID returns a random identifier with the given prefix, drawn from random.
--- a/measure/capacity.go
+++ b/measure/capacity.go
@@ -218,7 +218,7 @@
 		Incarnation: capacityIncarnation(0),
 		Seq:         uint64(i),
 		Request:     granitehoist.RequestID(granitehoist.NewID("r", newHexSource(i))),
-		Attempt:     granitehoist.AttemptID(fmt.Sprintf("%s.%x", capacityIncarnation(0), i)),
+		Attempts:    []granitehoist.AttemptID{granitehoist.NewAttemptID(capacityIncarnation(0), uint64(i), capacityID(i%500), granitehoist.RequestID(granitehoist.NewID("r", newHexSource(i))))},
 		Budget:      capacityID(i % 500),
 		Owner:       "tuul",
 		Service:     "granite-pool",
--- a/measure/loads.go
+++ b/measure/loads.go
@@ -18,13 +18,16 @@
 	Changes float64
 	// Restarts is starts of routers a second.
 	Restarts float64
+	// Gathered says that reports nobody waits for are kept for pageInterval, so
+	// that a page is written once in that time and not once a box.
+	Gathered bool
 }
 
 const secondsPerDay = 86400
 
 // Sizes are those of docs/CAPACITY.md.
 var Sizes = []FleetSize{
-	{Name: "full", Nodes: 1100, Regions: 6, Places: 19, Requests: 63000, Budgets: 14000, Upstreams: 10000, Shards: 64, Changes: 15000.0 / secondsPerDay, Restarts: 2000.0 / secondsPerDay},
+	{Name: "full", Nodes: 1100, Regions: 6, Places: 19, Requests: 63000, Budgets: 14000, Upstreams: 10000, Shards: 64, Changes: 15000.0 / secondsPerDay, Restarts: 2000.0 / secondsPerDay, Gathered: true},
 	{Name: "small", Nodes: 6, Regions: 1, Places: 3, Requests: 60, Budgets: 20, Upstreams: 25, Shards: 8, Changes: 20.0 / secondsPerDay, Restarts: 6.0 / secondsPerDay},
 }
 
@@ -63,6 +66,10 @@
 	rowsPerPage := active * boxesPerRegion / f.Shards
 	// A box sends each shard's keeper one message with all asks about it.
 	messages := min(f.Shards, active)
+	pageWrites := pages / pageInterval
+	if !f.Gathered {
+		pageWrites = f.Nodes * messages / boxReport
+	}
 	const nano = 1e-9
 	return []Load{
 		{
@@ -73,11 +80,11 @@
 		},
 		{
 			Role:   "keep-budgets",
-			Cores:  nano * by["page-write"].At(rowsPerPage) * pagesPerNode / pageInterval,
+			Cores:  nano * by["page-write"].At(rowsPerPage) * pageWrites / f.Nodes,
 			Memory: 3 * by["page-bytes"].At(rowsPerPage) * max(1, pagesPerNode),
-			Bytes:  pagesPerNode / pageInterval * 2 * by["page-bytes"].At(rowsPerPage),
-			Writes: pages/pageInterval + pages/rootContact,
-			Reads:  pages/pageInterval + pages/rootContact,
+			Bytes:  pageWrites / f.Nodes * 2 * by["page-bytes"].At(rowsPerPage),
+			Writes: pageWrites + pages/rootContact,
+			Reads:  pageWrites + pages/rootContact,
 		},
 		{
 			Role:   "bill",
--- /dev/null
+++ b/orphan/orphan_test.go
@@ -0,0 +1,161 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package orphan_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/bill"
+	"granitehoist.example/granitehoist/budget"
+	"granitehoist.example/granitehoist/config"
+	"granitehoist.example/granitehoist/internal/pack"
+	"granitehoist.example/granitehoist/orphan"
+	"granitehoist.example/granitehoist/standin"
+	"granitehoist.example/granitehoist/store"
+	"granitehoist.example/granitehoist/upstream"
+)
+
+const (
+	dead = granitehoist.Incarnation("box-1")
+	k    = granitehoist.BudgetID("tuul/kiosk/season")
+)
+
+var (
+	ctx = context.Background()
+	now = time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+)
+
+// discard is a sink of answers that nobody reads.
+type discard struct{}
+
+func (discard) Start(int, http.Header) error { return nil }
+func (discard) Write([]byte) error           { return nil }
+
+var _ = Describe("Settler", func() {
+	var keys *standin.Store
+	var engine *standin.Engine
+	var address string
+	var settler *orphan.Settler
+	protocol := upstream.NewEngine(upstream.Settings{})
+	BeforeEach(func() {
+		keys = standin.NewStore(standin.StoreSettings{})
+		engine = standin.NewEngine(standin.EngineSettings{})
+		server := httptest.NewServer(engine.Handler())
+		DeferCleanup(server.Close)
+		address = server.URL
+		document := &config.Document{
+			Partner:   "tuul",
+			Services:  []config.Service{{Name: "pool", Kind: config.KindEngine, Models: []granitehoist.Model{"m"}}},
+			Upstreams: []config.Upstream{{Name: "p1", Service: "pool", Address: address}, {Name: "p2", Service: "pool", Address: "http://127.0.0.1:1"}},
+			Budgets:   []config.Budget{{Workspace: "kiosk", Name: "season", Tokens: 10}},
+		}
+		view := config.NewView().With(document, 1)
+		settler = orphan.New(orphan.Settings{Region: "tuul", Store: keys, Shards: 1, View: func() *config.View { return view }, Engines: protocol})
+	})
+
+	attempt := func(n uint64) granitehoist.AttemptID { return granitehoist.NewAttemptID(dead, n, k, "request.1") }
+	// serve lets the engine run an attempt of the dead router to its end.
+	serve := func(id granitehoist.AttemptID) granitehoist.Tokens {
+		GinkgoHelper()
+		body := `{"model":"m","max_tokens":8,"messages":[{"role":"user","content":"x"}]}`
+		usage, err := protocol.Do(ctx, granitehoist.Call{Attempt: id, Address: address, Method: "POST", Path: "/v1/chat/completions", Header: map[string][]string{}, Body: []byte(body)}, discard{})
+		Expect(err).NotTo(HaveOccurred())
+		return usage.Total()
+	}
+	write := func(key string, charges ...bill.Charge) {
+		GinkgoHelper()
+		raw, err := bill.EncodeSegment(key, charges)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = store.Create(ctx, keys, key, raw)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	charges := func() []bill.Charge {
+		GinkgoHelper()
+		all, err := bill.Read(ctx, keys)
+		Expect(err).NotTo(HaveOccurred())
+		return all
+	}
+
+	It("charges what the dead router did not, once", func() {
+		cost := serve(attempt(1))
+		for range 3 {
+			result, err := settler.Settle(ctx, dead, false, now)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(result.Found).To(Equal(1))
+			Expect(result.Unreached).To(Equal([]granitehoist.Upstream{"p2"}))
+		}
+		Expect(charges()).To(HaveLen(1))
+		c := charges()[0]
+		Expect(c.Tokens).To(Equal(cost))
+		Expect(c.Budget).To(Equal(k))
+		Expect(c.Request).To(Equal(granitehoist.RequestID("request.1")))
+		Expect(c.Owner).To(Equal(granitehoist.Partner("tuul")))
+	})
+
+	It("charges nothing that a segment holds", func() {
+		cost := serve(attempt(1))
+		write(bill.SegmentKey("tuul", "box-2", 1), bill.Charge{Incarnation: dead, Seq: 1, Attempts: []granitehoist.AttemptID{attempt(1)}, Budget: k, Tokens: cost})
+		result, err := settler.Settle(ctx, dead, false, now)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Charged).To(BeZero())
+	})
+
+	It("gives way to the router's own charge that comes late", func() {
+		cost := serve(attempt(1))
+		_, err := settler.Settle(ctx, dead, false, now)
+		Expect(err).NotTo(HaveOccurred())
+		write(bill.SegmentKey("tuul", "box-2", 1), bill.Charge{Incarnation: dead, Seq: 1, Attempts: []granitehoist.AttemptID{attempt(1)}, Budget: k, Tokens: cost})
+		Expect(charges()).To(HaveLen(1))
+		Expect(charges()[0].Orphan).To(BeFalse())
+	})
+
+	It("takes two routers that settle at once for one", func() {
+		serve(attempt(1))
+		serve(attempt(2))
+		done := make(chan error, 2)
+		for range cap(done) {
+			go func() {
+				_, err := settler.Settle(ctx, dead, false, now)
+				done <- err
+			}()
+		}
+		for range cap(done) {
+			Expect(<-done).To(Succeed())
+		}
+		Expect(charges()).To(HaveLen(2))
+	})
+
+	It("leaves others' attempts alone", func() {
+		serve(granitehoist.NewAttemptID("box-10", 1, k, "r"))
+		result, err := settler.Settle(ctx, dead, true, now)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Found).To(BeZero())
+	})
+
+	It("charges nothing while the store is down", func() {
+		serve(attempt(1))
+		keys.Fail(standin.StoreFaults{Down: true})
+		_, err := settler.Settle(ctx, dead, false, now)
+		Expect(err).To(MatchError(granitehoist.ErrUnavailable))
+	})
+
+	It("finds who is silent and did not stop in good order", func() {
+		page := budget.NewPage()
+		page.Members["alive"] = budget.Member{Seen: now.Unix()}
+		page.Members["stopped"] = budget.Member{Seen: now.Add(-time.Hour).Unix(), Closed: true}
+		page.Members[dead] = budget.Member{Seen: now.Add(-time.Hour).Unix()}
+		raw, err := pack.Pack(page)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = store.Create(ctx, keys, budget.PageKey("tuul", 0), raw)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settler.Silent(ctx, now)).To(Equal([]granitehoist.Incarnation{dead}))
+	})
+})
--- a/router/admin.go
+++ b/router/admin.go
@@ -26,6 +26,7 @@
 	PathBudgets   = "/admin/budgets"
 	PathBills     = "/admin/bills"
 	PathMembers   = "/admin/members"
+	PathOrphans   = "/admin/orphans/"
 	PathMetrics   = "/metrics"
 )
 
@@ -36,6 +37,7 @@
 	mux.HandleFunc("GET "+PathBudgets, r.serveBudgets)
 	mux.HandleFunc("GET "+PathBills, r.serveBills)
 	mux.HandleFunc("GET "+PathMembers, r.serveMembers)
+	mux.HandleFunc("POST "+PathOrphans+"{incarnation}", r.serveOrphans)
 	mux.HandleFunc("GET "+PathMetrics, r.serveMetrics)
 	return mux
 }
@@ -197,6 +199,23 @@
 	writeJSON(w, http.StatusOK, r.registry.View().Members())
 }
 
+// serveOrphans takes an operator's word that a router is gone.
+func (r *Router) serveOrphans(w http.ResponseWriter, req *http.Request) {
+	dead := granitehoist.Incarnation(req.PathValue("incarnation"))
+	for _, m := range r.registry.View().Members() {
+		if m.Incarnation == dead {
+			writeError(w, granitehoist.Errorf(granitehoist.DocumentConflict, "router %s is in the list of live routers", dead))
+			return
+		}
+	}
+	result, err := r.SettleOrphans(req.Context(), dead, true)
+	if err != nil {
+		writeError(w, granitehoist.Wrap(granitehoist.StoreDown, err, ""))
+		return
+	}
+	writeJSON(w, http.StatusOK, result)
+}
+
 func (r *Router) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	// A reader that has gone is no failure.
--- a/router/router.go
+++ b/router/router.go
@@ -24,6 +24,7 @@
 	"granitehoist.example/granitehoist/fleet"
 	"granitehoist.example/granitehoist/gate"
 	"granitehoist.example/granitehoist/once"
+	"granitehoist.example/granitehoist/orphan"
 	"granitehoist.example/granitehoist/route"
 	"granitehoist.example/granitehoist/settings"
 	"granitehoist.example/granitehoist/upstream"
@@ -56,6 +57,8 @@
 	ledger   *bill.Ledger
 	sender   *bill.Sender
 	gate     *gate.Gate
+	orphans  *orphan.Settler
+	engines  granitehoist.Protocol
 	callers  *http.Server
 	admin    *http.Server
 
@@ -146,6 +149,14 @@
 			s.Log.Info("config_in_force", zap.Any("serials", v.Serials()))
 		},
 	})
+	r.engines = upstream.NewEngine(upstream.Settings{})
+	r.orphans = orphan.New(orphan.Settings{
+		Region:  r.self.Region,
+		Store:   s.Store,
+		Shards:  s.Router.Budget.Shards,
+		View:    r.follower.View,
+		Engines: r.engines,
+	})
 	r.buildBudget()
 	r.buildBills()
 	r.buildGate()
@@ -205,7 +216,7 @@
 		Once:        once.New(once.Settings{Store: s.Store}),
 		Table:       route.NewTable(route.Settings{}),
 		Protocols: map[config.Kind]granitehoist.Protocol{
-			config.KindEngine: upstream.NewEngine(upstream.Settings{}),
+			config.KindEngine: r.engines,
 			config.KindPlain:  upstream.NewPlain(upstream.Settings{}),
 		},
 		Clock:       s.Clock,
@@ -241,6 +252,7 @@
 	r.loops.Go(func() { r.refresh(ctx) })
 	r.loops.Go(func() { r.agent.Run(ctx) })
 	r.loops.Go(func() { r.sender.Run(ctx) })
+	r.loops.Go(func() { r.settleOrphans(ctx) })
 	r.loops.Go(func() { r.serve("callers", r.callers, r.callersAt) })
 	r.loops.Go(func() { r.serve("admin", r.admin, r.adminAt) })
 	r.settings.Log.Info("started",
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -378,14 +378,9 @@
 	reply(w, record, nil)
 }
 
-// AttemptList answers a query for attempts.
-type AttemptList struct {
-	Attempts []upstream.AttemptRecord `json:"attempts"`
-}
-
 func (e *Engine) serveAttempts(w http.ResponseWriter, r *http.Request) {
 	prefix := r.URL.Query().Get("prefix")
-	var list AttemptList
+	var list upstream.AttemptList
 	e.mu.Lock()
 	for id, x := range e.books {
 		if strings.HasPrefix(string(id), prefix) {
--- a/trial/judge.go
+++ b/trial/judge.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"sort"
 	"strings"
 
@@ -76,12 +75,15 @@
 
 func (v *Verdict) judgeAnswer(t *Told, x execution) {
 	switch {
+	case t.Killed:
+		v.Cut++
+		return
 	case t.Failed != nil:
 		v.Lost++
 		return
 	case t.Code == granitehoist.Served:
 		v.Served++
-	case t.Status == http.StatusOK:
+	case t.Broken:
 		v.Cut++
 	default:
 		v.Refused++
--- a/trial/run.go
+++ b/trial/run.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"granitehoist.example/granitehoist/bill"
+	"granitehoist.example/granitehoist/router"
 	"granitehoist.example/granitehoist/standin"
 )
 
@@ -32,6 +33,10 @@
 	Log *zap.Logger
 	// Out takes the summary.
 	Out io.Writer
+	// Kill ends one router without warning halfway through the load, and sends
+	// requests to engines only: what a dead router sent to plain services can't
+	// be found again.
+	Kill bool
 	// Calm leaves out the stand-ins' failures.
 	Calm bool
 }
@@ -66,12 +71,15 @@
 	if !s.Calm {
 		site.disturb()
 	}
-	told := Load(ctx, site, s.Requests, s.Seed, s.Interval)
+	told := Load(ctx, site, s)
 	if s.Hold > 0 {
 		hold(ctx, site, s)
 	}
 	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
 	defer cancel()
+	if err := site.settleDead(stopping); err != nil {
+		return Verdict{}, err
+	}
 	if err := site.StopRouters(stopping); err != nil {
 		return Verdict{}, eris.Wrap(err, "trial: stop")
 	}
@@ -98,6 +106,24 @@
 	}
 }
 
+// killOne ends a router without warning.
+func (s *Site) killOne(i int) {
+	r := s.Routers[i]
+	s.Routers = append(append([]*router.Router(nil), s.Routers[:i]...), s.Routers[i+1:]...)
+	s.dead = append(s.dead, r)
+	r.Kill()
+}
+
+// settleDead lets a router charge the orphans of the dead.
+func (s *Site) settleDead(ctx context.Context) error {
+	for _, r := range s.dead {
+		if _, err := s.Routers[0].SettleOrphans(ctx, r.Incarnation(), true); err != nil {
+			return eris.Wrap(err, "trial: orphans")
+		}
+	}
+	return nil
+}
+
 // onlyTrial leaves out the charges of requests that a person sent meanwhile.
 func onlyTrial(charges []bill.Charge, told []*Told) []bill.Charge {
 	ours := map[string]bool{}
--- a/trial/site.go
+++ b/trial/site.go
@@ -64,6 +64,8 @@
 	Plain   map[granitehoist.Service][]*standin.Plain
 	Routers []*router.Router
 
+	// dead holds the routers that were killed.
+	dead      []*router.Router
 	log       *zap.Logger
 	engine    standin.EngineSettings
 	servers   []*http.Server
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -14,6 +15,14 @@
 )
 
 var _ = Describe("Run", func() {
+	It("bills once what a killed router left behind", func() {
+		for seed := range uint64(3) {
+			verdict, err := trial.Run(context.Background(), trial.Settings{Requests: 150, Seed: seed, Interval: time.Millisecond, Kill: true, Out: io.Discard})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(verdict.Held()).To(BeTrue(), verdict.String())
+		}
+	})
+
 	It("holds every promise while stand-ins fail", func() {
 		verdict, err := trial.Run(context.Background(), trial.Settings{Requests: 200, Seed: 7, Out: io.Discard})
 		Expect(err).NotTo(HaveOccurred())
--- a/upstream.go
+++ b/upstream.go
@@ -56,4 +56,15 @@
 	// Stop ends an attempt that is in doubt, where the protocol has a way to,
 	// and returns what it cost. It returns false if that can't be learnt.
 	Stop(ctx context.Context, address string, attempt AttemptID) (Usage, bool)
+	// List returns the attempts that an upstream knows of and whose ids begin
+	// with a prefix. A protocol without a way to returns none.
+	List(ctx context.Context, address, prefix string) ([]KnownAttempt, error)
+}
+
+// KnownAttempt is what an upstream tells of an attempt.
+type KnownAttempt struct {
+	ID AttemptID
+	// Ended says that the attempt costs no more than Usage.
+	Ended bool
+	Usage Usage
 }
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -14,6 +14,7 @@
 	"strings"
 
 	"github.com/dghubble/sling"
+	"github.com/rotisserie/eris"
 
 	"granitehoist.example/granitehoist"
 )
@@ -286,3 +287,36 @@
 	}
 	return granitehoist.Usage{}, false
 }
+
+// AttemptList answers a query of PathAttempts.
+type AttemptList struct {
+	Attempts []AttemptRecord `json:"attempts"`
+}
+
+// AttemptQuery asks for attempts by the beginning of their ids.
+type AttemptQuery struct {
+	Prefix string `url:"prefix"`
+}
+
+// List implements granitehoist.Protocol.
+func (e *Engine) List(ctx context.Context, address, prefix string) ([]granitehoist.KnownAttempt, error) {
+	ctx, cancel := context.WithTimeout(ctx, e.sender.settings.Stop)
+	defer cancel()
+	request, err := sling.New().Base(address).Get(PathAttempts).QueryStruct(AttemptQuery{Prefix: prefix}).Request()
+	if err != nil {
+		return nil, eris.Wrap(err, "upstream: request can't be made")
+	}
+	var list AttemptList
+	response, err := sling.New().Client(e.sender.kept).Do(request.WithContext(ctx), &list, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "upstream: list of attempts")
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("upstream: list of attempts: status %d", response.StatusCode)
+	}
+	known := make([]granitehoist.KnownAttempt, len(list.Attempts))
+	for i, a := range list.Attempts {
+		known[i] = granitehoist.KnownAttempt{ID: a.ID, Ended: a.Ended, Usage: a.Usage.usage()}
+	}
+	return known, nil
+}
--- a/upstream/plain.go
+++ b/upstream/plain.go
@@ -61,3 +61,8 @@
 func (p *Plain) Stop(context.Context, string, granitehoist.AttemptID) (granitehoist.Usage, bool) {
 	return granitehoist.Usage{}, false
 }
+
+// List implements granitehoist.Protocol; plain services have no way to.
+func (p *Plain) List(context.Context, string, string) ([]granitehoist.KnownAttempt, error) {
+	return nil, nil
+}
