--- a/bill/bill.go
+++ b/bill/bill.go
@@ -101,10 +101,47 @@
 	return s, nil
 }
 
+// Bill is the cost of one request id of a workspace, over all routers that
+// served it.
+type Bill struct {
+	Request granitehoist.RequestID `json:"request"`
+	Budget  granitehoist.BudgetID  `json:"budget"`
+	Tokens  granitehoist.Tokens    `json:"tokens"`
+	Charges []Charge               `json:"charges"`
+}
+
+type billID struct {
+	partner   granitehoist.Partner
+	workspace granitehoist.Workspace
+	request   granitehoist.RequestID
+}
+
+// Bills returns one bill a request id of a workspace, in the order of their
+// first charges. A caller that sent a request again to another router, while
+// the first served it, so gets one bill for both executions.
+func Bills(charges []Charge) []Bill {
+	index := map[billID]int{}
+	var bills []Bill
+	for _, c := range charges {
+		id := billID{c.Budget.Partner(), c.Budget.Workspace(), c.Request}
+		at, ok := index[id]
+		if !ok {
+			at = len(bills)
+			index[id] = at
+			bills = append(bills, Bill{Request: c.Request, Budget: c.Budget})
+		}
+		bills[at].Tokens += c.Tokens
+		bills[at].Charges = append(bills[at].Charges, c)
+	}
+	return bills
+}
+
 // Summary is what was charged to one budget.
 type Summary struct {
-	Budget   granitehoist.BudgetID
+	Budget granitehoist.BudgetID
+	// Requests is the number of bills, and Charges that of charges.
 	Requests int
+	Charges  int
 	Tokens   granitehoist.Tokens
 	// Estimated is the part of Tokens that no upstream reported.
 	Estimated granitehoist.Tokens
@@ -174,7 +211,7 @@
 			s = &Summary{Budget: c.Budget}
 			sums[c.Budget] = s
 		}
-		s.Requests++
+		s.Charges++
 		s.Tokens += c.Tokens
 		if c.Estimated {
 			s.Estimated += c.Tokens
@@ -183,10 +220,13 @@
 			s.Lent += c.Tokens
 		}
 	}
-	all := make([]Summary, 0, len(sums))
+	for _, b := range Bills(charges) {
+		sums[b.Budget].Requests++
+	}
+	list := make([]Summary, 0, len(sums))
 	for _, s := range sums {
-		all = append(all, *s)
+		list = append(list, *s)
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Budget < all[j].Budget })
-	return all
+	sort.Slice(list, func(i, j int) bool { return list[i].Budget < list[j].Budget })
+	return list
 }
--- a/bill/bill_test.go
+++ b/bill/bill_test.go
@@ -204,9 +204,20 @@
 
 	It("is summed by budget, with what the partner served apart", func() {
 		sums := bill.Summarise([]bill.Charge{
-			{Budget: "tuul/a/x", Owner: "tuul", Tokens: 5},
-			{Budget: "tuul/a/x", Owner: "lima", Tokens: 7, Estimated: true},
+			{Request: "1", Budget: "tuul/a/x", Owner: "tuul", Tokens: 5},
+			{Request: "2", Budget: "tuul/a/x", Owner: "lima", Tokens: 7, Estimated: true},
 		})
-		Expect(sums).To(Equal([]bill.Summary{{Budget: "tuul/a/x", Requests: 2, Tokens: 12, Estimated: 7, Lent: 7}}))
+		Expect(sums).To(Equal([]bill.Summary{{Budget: "tuul/a/x", Requests: 2, Charges: 2, Tokens: 12, Estimated: 7, Lent: 7}}))
+	})
+
+	It("makes one bill of a request that ran at two routers", func() {
+		bills := bill.Bills([]bill.Charge{
+			{Incarnation: "a", Seq: 1, Request: "r", Budget: "tuul/a/x", Tokens: 5},
+			{Incarnation: "b", Seq: 1, Request: "r", Budget: "tuul/a/x", Tokens: 7},
+			{Incarnation: "b", Seq: 2, Request: "r", Budget: "tuul/b/x", Tokens: 9},
+		})
+		Expect(bills).To(HaveLen(2))
+		Expect(bills[0].Tokens).To(Equal(granitehoist.Tokens(12)))
+		Expect(bills[1].Tokens).To(Equal(granitehoist.Tokens(9)))
 	})
 })
--- a/cmd/granitehoist/router.go
+++ b/cmd/granitehoist/router.go
@@ -32,11 +32,8 @@
 	if err != nil {
 		return err
 	}
-	r, err := router.New(router.Settings{
-		Router: parsed,
-		Store:  store.NewHTTP(store.HTTPSettings{Address: parsed.Store}),
-		Log:    log,
-	})
+	platform := store.NewHTTP(store.HTTPSettings{Address: parsed.Store})
+	r, err := router.New(router.Settings{Router: parsed, Store: platform, Platform: platform, Log: log})
 	if err != nil {
 		return err
 	}
--- a/config/document.go
+++ b/config/document.go
@@ -62,6 +62,8 @@
 	Service granitehoist.Service  `toml:"service"`
 	Place   granitehoist.Place    `toml:"place"`
 	Address string                `toml:"address"`
+	// Box, if set, is the upstream's name in the platform's list of boxes.
+	Box granitehoist.Box `toml:"box"`
 	// Concurrency bounds the requests that one router has in progress there;
 	// zero stands for DefaultConcurrency.
 	Concurrency int `toml:"concurrency"`
--- a/route/pool.go
+++ b/route/pool.go
@@ -43,6 +43,8 @@
 	inFlight int
 	failures int
 	until    time.Time
+	// leaving members get no new work at all.
+	leaving bool
 }
 
 // point is a place of a member on the ring.
@@ -76,7 +78,7 @@
 
 // room reports whether a member may take one more request now.
 func (m *member) room(limit int, tried map[granitehoist.Upstream]bool, now time.Time) bool {
-	return m.inFlight < min(m.Concurrency, limit) && !now.Before(m.until) && !tried[m.Name]
+	return !m.leaving && m.inFlight < min(m.Concurrency, limit) && !now.Before(m.until) && !tried[m.Name]
 }
 
 // ringSteps bounds the points that are looked at for one request. Among so many
@@ -133,7 +135,7 @@
 // member is left out, and whether there is an untried member at all.
 func (p *Pool) firstBack(w Want, now time.Time) (first *member, untried bool) {
 	for _, m := range p.members {
-		if w.Tried[m.Name] {
+		if m.leaving || w.Tried[m.Name] {
 			continue
 		}
 		if !now.Before(m.until) {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -105,6 +105,30 @@
 		Expect(acquire(want, later.Add(600*time.Millisecond)).Upstream).NotTo(Equal(first.Upstream))
 	})
 
+	It("sends nothing new to what is leaving, not even when nothing else is left", func() {
+		both := targets(2, 10)
+		want := route.Want{Service: "s", Targets: both, Affinity: 7}
+		held := acquire(want, start)
+		table.SetLeaving(map[granitehoist.Upstream]bool{held.Upstream: true})
+		for affinity := range uint64(50) {
+			want.Affinity = affinity
+			slot := acquire(want, start)
+			Expect(slot.Upstream).NotTo(Equal(held.Upstream))
+			slot.Done(route.Good, start)
+		}
+		table.SetLeaving(map[granitehoist.Upstream]bool{"u0": true, "u1": true})
+		_, err := table.Acquire(ctx, want, start)
+		Expect(granitehoist.CodeOf(err)).To(Equal(granitehoist.NoUpstream))
+		held.Done(route.Good, start)
+		table.SetLeaving(nil)
+		acquire(want, start)
+	})
+
+	It("knows of leaving before it first hears of an upstream", func() {
+		table.SetLeaving(map[granitehoist.Upstream]bool{"u0": true})
+		Expect(acquire(route.Want{Service: "s", Targets: targets(2, 10), Affinity: 7}, start).Upstream).To(Equal(granitehoist.Upstream("u1")))
+	})
+
 	It("tries the one that returns first when all are left out", func() {
 		want := route.Want{Service: "s", Targets: targets(1, 10)}
 		acquire(want, start).Done(route.Bad, start)
--- a/route/table.go
+++ b/route/table.go
@@ -256,6 +256,21 @@
 	t.serveQueue(pool, now)
 }
 
+// SetLeaving names all upstreams that are leaving: they get no new work. What
+// is in progress there goes on.
+func (t *Table) SetLeaving(leaving map[granitehoist.Upstream]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, m := range t.members {
+		m.leaving = leaving[name]
+	}
+	for name := range leaving {
+		if _, ok := t.members[name]; !ok {
+			t.members[name] = &member{Target: Target{Name: name}, leaving: leaving[name]}
+		}
+	}
+}
+
 // InFlight returns the requests in progress at an upstream.
 func (t *Table) InFlight(u granitehoist.Upstream) int {
 	t.mu.Lock()
--- a/router/admin.go
+++ b/router/admin.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strings"
 
 	"golang.org/x/sync/errgroup"
 
@@ -188,11 +187,14 @@
 		writeError(w, granitehoist.Wrap(granitehoist.StoreDown, err, ""))
 		return
 	}
-	if strings.HasSuffix(req.URL.Query().Get("form"), "charges") {
+	switch req.URL.Query().Get("form") {
+	case "charges":
 		writeJSON(w, http.StatusOK, charges)
-		return
+	case "requests":
+		writeJSON(w, http.StatusOK, bill.Bills(charges))
+	default:
+		writeJSON(w, http.StatusOK, bill.Summarise(charges))
 	}
-	writeJSON(w, http.StatusOK, bill.Summarise(charges))
 }
 
 func (r *Router) serveMembers(w http.ResponseWriter, _ *http.Request) {
--- a/router/router.go
+++ b/router/router.go
@@ -34,6 +34,8 @@
 type Settings struct {
 	Router *settings.Router
 	Store  granitehoist.Store
+	// Platform has the list of boxes; nil goes without.
+	Platform granitehoist.Platform
 	// Clock tells the time; nil stands for time.Now.
 	Clock granitehoist.Clock
 	// Random makes identifiers; nil stands for the system's source.
@@ -57,6 +59,7 @@
 	ledger   *bill.Ledger
 	sender   *bill.Sender
 	gate     *gate.Gate
+	table    *route.Table
 	orphans  *orphan.Settler
 	engines  granitehoist.Protocol
 	callers  *http.Server
@@ -207,6 +210,7 @@
 func (r *Router) buildGate() {
 	s := r.settings
 	limits := s.Router.Limits
+	r.table = route.NewTable(route.Settings{})
 	r.gate = gate.New(gate.Settings{
 		Place:       r.self.Place,
 		Incarnation: r.self.Incarnation,
@@ -214,7 +218,7 @@
 		Funds:       r.agent,
 		Ledger:      r.ledger,
 		Once:        once.New(once.Settings{Store: s.Store}),
-		Table:       route.NewTable(route.Settings{}),
+		Table:       r.table,
 		Protocols: map[config.Kind]granitehoist.Protocol{
 			config.KindEngine: r.engines,
 			config.KindPlain:  upstream.NewPlain(upstream.Settings{}),
@@ -253,6 +257,7 @@
 	r.loops.Go(func() { r.agent.Run(ctx) })
 	r.loops.Go(func() { r.sender.Run(ctx) })
 	r.loops.Go(func() { r.settleOrphans(ctx) })
+	r.loops.Go(func() { r.watchLeaving(ctx) })
 	r.loops.Go(func() { r.serve("callers", r.callers, r.callersAt) })
 	r.loops.Go(func() { r.serve("admin", r.admin, r.adminAt) })
 	r.settings.Log.Info("started",
--- a/trial/site.go
+++ b/trial/site.go
@@ -152,6 +152,7 @@
 			Service: service.Name,
 			Place:   at[i%len(at)],
 			Address: address,
+			Box:     granitehoist.Box(fmt.Sprintf("%s-box-%d", service.Name, i+1)),
 		})
 	}
 	return nil
@@ -215,11 +216,8 @@
 	if len(faults) > 0 {
 		return faults
 	}
-	r, err := router.New(router.Settings{
-		Router: parsed,
-		Store:  store.NewHTTP(store.HTTPSettings{Address: s.storeURL}),
-		Log:    s.log.Named(string(file.Box)),
-	})
+	platform := store.NewHTTP(store.HTTPSettings{Address: s.storeURL})
+	r, err := router.New(router.Settings{Router: parsed, Store: platform, Platform: platform, Log: s.log.Named(string(file.Box))})
 	if err != nil {
 		return err
 	}
