--- a/cmd/granitehoist/main.go
+++ b/cmd/granitehoist/main.go
@@ -72,6 +72,7 @@
 		newMeasureBudgets(app, out),
 		newMeasureHistories(app, out),
 		newMeasureCapacity(app, out),
+		newMeasureRouting(app, out),
 		newVersion(app, out),
 	}
 	return app, commands
--- a/cmd/granitehoist/try.go
+++ b/cmd/granitehoist/try.go
@@ -21,9 +21,10 @@
 	hold := clause.Flag("hold", "Keep the routers serving for this long after the load.").Duration()
 	calm := clause.Flag("calm", "Leave out the stand-ins' failures.").Bool()
 	kill := clause.Flag("kill", "Kill a router halfway, and send requests to engines only.").Bool()
+	stops := clause.Flag("stops", "Number of planned stops of routers during the load.").Int()
 	verbose := clause.Flag("verbose", "Write the routers' log to standard error.").Bool()
 	return command{clause, func(ctx context.Context) error {
-		settings := trial.Settings{Requests: *requests, Seed: *seed, Listen: *listen, Hold: *hold, Calm: *calm, Kill: *kill, Out: out}
+		settings := trial.Settings{Requests: *requests, Seed: *seed, Listen: *listen, Hold: *hold, Calm: *calm, Kill: *kill, Stops: *stops, Out: out}
 		if *verbose {
 			log, err := newLog("debug")
 			if err != nil {
--- a/fleet/rpc.go
+++ b/fleet/rpc.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"sync"
 	"time"
@@ -81,7 +83,7 @@
 		return
 	}
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
-	c := jsonrpc2.NewConn(context.Background(), stream(conn), handler)
+	c := jsonrpc2.NewConn(context.Background(), stream(conn), handler, jsonrpc2.SetLogger(quiet))
 	s.conns[c] = struct{}{}
 	s.done.Go(func() {
 		<-c.DisconnectNotify()
@@ -91,6 +93,10 @@
 	})
 }
 
+// quiet keeps the library from writing lines of its own: what fails is told to
+// the caller.
+var quiet = log.New(io.Discard, "", 0)
+
 func stream(conn net.Conn) jsonrpc2.ObjectStream {
 	return jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
 }
@@ -168,7 +174,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "fleet: connect to %s", address)
 	}
-	conn = jsonrpc2.NewConn(context.Background(), stream(raw), refuseAll{})
+	conn = jsonrpc2.NewConn(context.Background(), stream(raw), refuseAll{}, jsonrpc2.SetLogger(quiet))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other, ok := c.conns[address]; ok {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -68,6 +68,7 @@
 	settings Settings
 	mux      *http.ServeMux
 	attempts atomic.Uint64
+	unready  atomic.Bool
 	draining atomic.Bool
 	retries  retryBudget
 	prepared targetCache
@@ -128,6 +129,9 @@
 	g.mux.ServeHTTP(w, r)
 }
 
+// Unready makes the gate say that it is not ready; it still takes requests.
+func (g *Gate) Unready() { g.unready.Store(true) }
+
 // Drain makes the gate unready and refuses new requests; those in progress go
 // on.
 func (g *Gate) Drain() { g.draining.Store(true) }
@@ -142,7 +146,7 @@
 
 func (g *Gate) serveReady(w http.ResponseWriter, _ *http.Request) {
 	switch {
-	case g.draining.Load():
+	case g.unready.Load() || g.draining.Load():
 		writeText(w, http.StatusServiceUnavailable, "draining\n")
 	case len(g.settings.View().Serials()) == 0:
 		writeText(w, http.StatusServiceUnavailable, "no documents yet\n")
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -132,6 +132,12 @@
 		Expect(s.send(http.MethodGet, gate.PathHealth, "").status).To(Equal(http.StatusOK))
 	})
 
+	It("still serves after it said that it is not ready", func() {
+		s.gate.Unready()
+		Expect(s.send(http.MethodGet, gate.PathReady, "").status).To(Equal(http.StatusServiceUnavailable))
+		Expect(s.chat(goodBody).status).To(Equal(http.StatusOK))
+	})
+
 	It("refuses while it drains", func() {
 		s.gate.Drain()
 		t := s.chat(goodBody)
--- a/router/router.go
+++ b/router/router.go
@@ -298,6 +298,12 @@
 // Incarnation returns the id of this run.
 func (r *Router) Incarnation() granitehoist.Incarnation { return r.self.Incarnation }
 
+// Partner returns whose router it is.
+func (r *Router) Partner() granitehoist.Partner { return r.self.Partner }
+
+// Place returns where the router is.
+func (r *Router) Place() granitehoist.Place { return r.self.Place }
+
 // View returns the documents in force.
 func (r *Router) View() *config.View { return r.follower.View() }
 
--- a/router/stop.go
+++ b/router/stop.go
@@ -6,17 +6,19 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"go.uber.org/zap"
 )
 
-// Stop ends the router without cutting a request: it becomes unready, refuses
-// new requests as not run, waits for those in progress, gives its tokens back
-// and brings its charges into the store. If ctx ends first it goes on with the
+// Stop ends the router without cutting a request: it says that it is not ready
+// and goes on serving until balancers have seen that, then refuses new requests
+// as not run, waits for those in progress, gives its tokens back and brings its
+// charges into the store. If ctx ends first it goes on with the
 // next step at once and returns what it left undone.
 func (r *Router) Stop(ctx context.Context) error {
 	r.settings.Log.Info("stopping")
-	r.gate.Drain()
+	r.gate.Unready()
 	r.registry.Leave()
 	var undone []error
 	step := func(name string, err error) {
@@ -26,6 +28,8 @@
 		}
 	}
 	step("leave", r.registry.Refresh(ctx))
+	r.waitUnready(ctx)
+	r.gate.Drain()
 	err := r.callers.Shutdown(ctx)
 	step("requests", err)
 	if err != nil {
@@ -43,6 +47,14 @@
 	return errors.Join(undone...)
 }
 
+// waitUnready gives balancers time to see that the router is not ready.
+func (r *Router) waitUnready(ctx context.Context) {
+	select {
+	case <-time.After(time.Duration(r.settings.Router.Limits.Unready)):
+	case <-ctx.Done():
+	}
+}
+
 // Kill ends the router at once, as a crash would: nothing is given back and no
 // charge is sent.
 func (r *Router) Kill() {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -85,6 +85,9 @@
 	Request Duration `toml:"request"`
 	// Drain bounds a planned stop.
 	Drain Duration `toml:"drain"`
+	// Unready is how long a stopping router goes on taking requests after it
+	// said that it is not ready, so that a balancer can leave it first.
+	Unready Duration `toml:"unready"`
 	// Bills bounds the unconfirmed charges.
 	Bills int `toml:"bills"`
 }
@@ -112,6 +115,7 @@
 	DefaultReadTimeout = Duration(10 * time.Second)
 	DefaultRequest     = Duration(5 * time.Minute)
 	DefaultDrain       = Duration(10 * time.Minute)
+	DefaultUnready     = Duration(3 * time.Second)
 	DefaultLevel       = "info"
 )
 
@@ -163,6 +167,7 @@
 	setDefault(&r.Limits.ReadTimeout, DefaultReadTimeout)
 	setDefault(&r.Limits.Request, DefaultRequest)
 	setDefault(&r.Limits.Drain, DefaultDrain)
+	setDefault(&r.Limits.Unready, DefaultUnready)
 	setDefault(&r.Budget.Shards, budget.DefaultShards)
 	setDefault(&r.Budget.Interval, Duration(budget.DefaultInterval))
 	setDefault(&r.Log.Level, DefaultLevel)
@@ -242,6 +247,7 @@
 	c.positive("limits.read_timeout", int64(r.Limits.ReadTimeout))
 	c.positive("limits.request", int64(r.Limits.Request))
 	c.positive("limits.drain", int64(r.Limits.Drain))
+	c.positive("limits.unready", int64(r.Limits.Unready))
 	c.positive("budget.shards", int64(r.Budget.Shards))
 	c.positive("budget.interval", int64(r.Budget.Interval))
 	switch r.Log.Level {
--- a/trial/judge.go
+++ b/trial/judge.go
@@ -36,17 +36,20 @@
 	Untrue int
 	// Cut is answers that broke off, whose callers were told so.
 	Cut int
+	// Stops is planned stops during the load, and StopsFailed those that left
+	// something undone.
+	Stops, StopsFailed int
 }
 
 // Held reports whether every promise was held.
 func (v Verdict) Held() bool {
-	return v.Overspend == 0 && v.Crossed == 0 && v.Doubled == 0 && v.Lost == 0 && v.Untrue == 0
+	return v.Overspend == 0 && v.Crossed == 0 && v.Doubled == 0 && v.Lost == 0 && v.Untrue == 0 && v.StopsFailed == 0
 }
 
 // String returns the verdict as one line of key=value pairs.
 func (v Verdict) String() string {
-	return fmt.Sprintf("requests=%d served=%d refused=%d not_run=%d billed=%d overspend=%d false_refusals=%d crossed=%d doubled=%d lost=%d untrue=%d cut=%d",
-		v.Requests, v.Served, v.Refused, v.NotRun, v.Billed, v.Overspend, v.FalseRefusals, v.Crossed, v.Doubled, v.Lost, v.Untrue, v.Cut)
+	return fmt.Sprintf("requests=%d served=%d refused=%d not_run=%d billed=%d overspend=%d false_refusals=%d crossed=%d doubled=%d lost=%d untrue=%d cut=%d stops=%d stops_failed=%d",
+		v.Requests, v.Served, v.Refused, v.NotRun, v.Billed, v.Overspend, v.FalseRefusals, v.Crossed, v.Doubled, v.Lost, v.Untrue, v.Cut, v.Stops, v.StopsFailed)
 }
 
 // execution is what the stand-ins have of one request.
--- a/trial/load.go
+++ b/trial/load.go
@@ -84,6 +84,9 @@
 	told := make([]*Told, s.Requests)
 	var group sync.WaitGroup
 	for i := range told {
+		if site.stopped < s.Stops && i > 0 && i%max(1, s.Requests/(s.Stops+1)) == 0 {
+			site.replaceOne(ctx, random.IntN(len(site.Routers)))
+		}
 		t := newTold(i, choose(random, shapes))
 		told[i] = t
 		first := site.Routers[random.IntN(len(site.Routers))].CallersAddress()
@@ -100,6 +103,7 @@
 		time.Sleep(s.Interval)
 	}
 	group.Wait()
+	site.stopping.Wait()
 	for _, t := range told {
 		t.Killed = t.Failed != nil && site.isDead(t.address)
 	}
--- a/trial/run.go
+++ b/trial/run.go
@@ -37,6 +37,9 @@
 	// requests to engines only: what a dead router sent to plain services can't
 	// be found again.
 	Kill bool
+	// Stops is the number of planned stops during the load, each of one router,
+	// which a new one replaces.
+	Stops int
 	// Calm leaves out the stand-ins' failures.
 	Calm bool
 }
@@ -91,6 +94,7 @@
 		charges = onlyTrial(charges, told)
 	}
 	verdict := Judge(site, told, charges)
+	verdict.Stops, verdict.StopsFailed = site.stopped, int(site.stopFailures.Load())
 	fmt.Fprint(s.Out, Summary(told))
 	return verdict, nil
 }
@@ -106,6 +110,47 @@
 	}
 }
 
+// replaceOne starts a router in the place of another, which it stops in good
+// order in the background. As a balancer that asks for readiness does, callers
+// leave the old one first.
+func (s *Site) replaceOne(ctx context.Context, i int) {
+	old := s.Routers[i]
+	s.stopped++
+	err := s.startRouter(old.Partner(), old.Place(), routersPerPlace+s.stopped, "", s.trust)
+	if err == nil {
+		fresh := s.Routers[len(s.Routers)-1]
+		s.Routers = s.Routers[:len(s.Routers)-1]
+		s.Routers[i] = fresh
+		err = s.waitReady(ctx, fresh)
+	}
+	if err != nil {
+		s.stopFailed(err)
+		return
+	}
+	s.stopping.Go(func() {
+		if err := old.Stop(ctx); err != nil {
+			s.stopFailed(err)
+		}
+	})
+}
+
+// stopFailed notes that a planned stop was not in good order.
+func (s *Site) stopFailed(err error) {
+	s.log.Error("stop_failed", zap.Error(err))
+	s.stopFailures.Add(1)
+}
+
+func (s *Site) waitReady(ctx context.Context, r *router.Router) error {
+	for len(r.View().Serials()) < len(s.documents) {
+		select {
+		case <-ctx.Done():
+			return eris.New("trial: a new router did not become ready")
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
 // killOne ends a router without warning.
 func (s *Site) killOne(i int) {
 	r := s.Routers[i]
--- a/trial/site.go
+++ b/trial/site.go
@@ -13,6 +13,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -55,6 +57,8 @@
 	largeBudget = 50_000_000
 	plainPrice  = 3
 	maxOutput   = 64
+	// unready is how long a stopping router still serves.
+	unready = 50 * time.Millisecond
 )
 
 // Site is a whole system in one process.
@@ -65,13 +69,19 @@
 	Routers []*router.Router
 
 	// dead holds the routers that were killed.
-	dead      []*router.Router
-	log       *zap.Logger
-	engine    standin.EngineSettings
-	servers   []*http.Server
-	documents map[granitehoist.Partner]*config.Document
-	keys      map[granitehoist.Partner]ed25519.PrivateKey
-	storeURL  string
+	dead  []*router.Router
+	trust []settings.Trust
+	// stopped counts planned stops during the load, and stopFailures those that
+	// left something undone.
+	stopped      int
+	stopping     sync.WaitGroup
+	stopFailures atomic.Int64
+	log          *zap.Logger
+	engine       standin.EngineSettings
+	servers      []*http.Server
+	documents    map[granitehoist.Partner]*config.Document
+	keys         map[granitehoist.Partner]ed25519.PrivateKey
+	storeURL     string
 }
 
 // NewSite starts the stand-ins and the routers, and puts the documents in
@@ -179,6 +189,7 @@
 		s.keys[partner] = private
 		trust = append(trust, settings.Trust{Partner: partner, Keys: []string{base64.StdEncoding.EncodeToString(public)}})
 	}
+	s.trust = trust
 	for _, partner := range []granitehoist.Partner{Tuul, Lima} {
 		for _, place := range places[granitehoist.Region(partner)] {
 			for i := range routersPerPlace {
@@ -206,6 +217,7 @@
 		Store:   s.storeURL,
 		Listen:  settings.Listen{Callers: listen, Peers: anyPort, Admin: anyPort},
 		Trust:   trust,
+		Limits:  settings.Limits{Unready: settings.Duration(unready)},
 		Splits:  []settings.Split{{Partner: Tuul, Weigh: "refusals"}, {Partner: Lima, Weigh: "overspend"}},
 	}
 	text, err := toml.Marshal(file)
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -23,6 +23,14 @@
 		}
 	})
 
+	It("cuts nothing by planned stops", func() {
+		verdict, err := trial.Run(context.Background(), trial.Settings{Requests: 300, Seed: 5, Stops: 12, Calm: true, Out: io.Discard})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(verdict.Held()).To(BeTrue(), verdict.String())
+		Expect(verdict.Stops).To(Equal(12))
+		Expect(verdict.Cut).To(BeZero(), verdict.String())
+	})
+
 	It("holds every promise while stand-ins fail", func() {
 		verdict, err := trial.Run(context.Background(), trial.Settings{Requests: 200, Seed: 7, Out: io.Discard})
 		Expect(err).NotTo(HaveOccurred())
