Say accepted only when every router that may serve has the document

Cause: acceptance asked the routers with a live lease. A router cut off from the store loses its lease and goes on serving by the older document, unasked. Change: a router enters itself without a lease before it reads documents or serves; the entry goes with a planned stop, an operator's word, or when the lease has ended and the platform no longer lists the box.

--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -16,8 +16,13 @@
 	"granitehoist.example/granitehoist/store"
 )
 
-// KeyPrefix is where routers enter themselves in the store.
-const KeyPrefix = "boxes/"
+// Where routers enter themselves in the store: under a lease in KeyPrefix, for
+// as long as they renew it, and in ServingPrefix for as long as they may serve.
+// A router that is cut off loses its lease and may serve all the same.
+const (
+	KeyPrefix     = "boxes/"
+	ServingPrefix = "serving/"
+)
 
 // RegistrySettings configure a Registry.
 type RegistrySettings struct {
@@ -79,18 +84,10 @@
 	if err := r.enter(ctx); err != nil {
 		return err
 	}
-	entries, _, err := r.settings.Store.List(ctx, KeyPrefix)
+	members, err := list(ctx, r.settings.Store, KeyPrefix)
 	if err != nil {
 		return err
 	}
-	var members []Member
-	for _, e := range entries {
-		var m Member
-		if err := json.Unmarshal(e.Value, &m); err != nil {
-			return eris.Wrapf(err, "fleet: entry %s can't be read", e.Key)
-		}
-		members = append(members, m)
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.view = NewView(members)
@@ -129,8 +126,54 @@
 	return nil
 }
 
-func (r *Registry) key() string {
-	return KeyPrefix + string(r.settings.Self.Region) + "/" + string(r.settings.Self.Box) + "/" + string(r.settings.Self.Incarnation)
+func (r *Registry) key() string { return KeyPrefix + memberKey(r.settings.Self) }
+
+func memberKey(m Member) string {
+	return string(m.Region) + "/" + string(m.Box) + "/" + string(m.Incarnation)
+}
+
+// Enroll enters the router among those that may serve. It must succeed before
+// the router serves its first request, and before it reads the documents by
+// which it does.
+func (r *Registry) Enroll(ctx context.Context) error {
+	raw, err := json.Marshal(r.settings.Self)
+	if err != nil {
+		return eris.Wrap(err, "fleet: entry does not encode")
+	}
+	key := ServingPrefix + memberKey(r.settings.Self)
+	current, err := r.settings.Store.Get(ctx, key)
+	if err != nil || current.Version != 0 {
+		return err
+	}
+	_, err = store.Create(ctx, r.settings.Store, key, raw)
+	return err
+}
+
+// Serving returns the routers that may serve, live or not.
+func Serving(ctx context.Context, s granitehoist.Store) ([]Member, error) {
+	return list(ctx, s, ServingPrefix)
+}
+
+// Withdraw removes a router from those that may serve. It is called by the
+// router itself when it has stopped, or when it is known to be gone.
+func Withdraw(ctx context.Context, s granitehoist.Store, m Member) error {
+	return remove(ctx, s, ServingPrefix+memberKey(m))
+}
+
+func list(ctx context.Context, s granitehoist.Store, prefix string) ([]Member, error) {
+	entries, _, err := s.List(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	var members []Member
+	for _, e := range entries {
+		var m Member
+		if err := json.Unmarshal(e.Value, &m); err != nil {
+			return nil, eris.Wrapf(err, "fleet: entry %s can't be read", e.Key)
+		}
+		members = append(members, m)
+	}
+	return members, nil
 }
 
 // write sets the entry. Only this incarnation writes its key.
@@ -154,20 +197,27 @@
 	r.self.Leaving = true
 }
 
-// removeTries bounds how often Remove reads the entry again after the answer
-// to its write was lost.
+// Remove deletes the router's entries, when it has stopped.
+func (r *Registry) Remove(ctx context.Context) error {
+	if err := remove(ctx, r.settings.Store, r.key()); err != nil {
+		return err
+	}
+	return Withdraw(ctx, r.settings.Store, r.settings.Self)
+}
+
+// removeTries bounds how often remove reads an entry again after the answer to
+// its write was lost.
 const removeTries = 3
 
-// Remove deletes the router's entry.
-func (r *Registry) Remove(ctx context.Context) error {
+func remove(ctx context.Context, s granitehoist.Store, key string) error {
 	var err error
 	for range removeTries {
 		var current granitehoist.Entry
-		current, err = r.settings.Store.Get(ctx, r.key())
+		current, err = s.Get(ctx, key)
 		if err != nil || current.Version == 0 {
 			return err
 		}
-		_, err = r.settings.Store.CompareAndSwap(ctx, granitehoist.Change{Key: r.key(), Expect: current.Version, Delete: true})
+		_, err = s.CompareAndSwap(ctx, granitehoist.Change{Key: key, Expect: current.Version, Delete: true})
 		if err == nil {
 			return nil
 		}
--- a/router/admin.go
+++ b/router/admin.go
@@ -129,16 +129,17 @@
 	return serialsResult{Serials: r.follower.View().Serials()}, nil
 }
 
-// documentState asks every router of a view read from the store just now.
+// documentState asks every router that may serve, by a list read from the
+// store after the document.
 func (r *Router) documentState(ctx context.Context, p granitehoist.Partner) (DocumentState, error) {
 	current, err := config.ReadCurrent(ctx, r.settings.Store, p)
 	if err != nil {
 		return DocumentState{}, err
 	}
-	if err := r.registry.Refresh(ctx); err != nil {
+	members, err := r.mayServe(ctx)
+	if err != nil {
 		return DocumentState{}, granitehoist.Wrap(granitehoist.StoreDown, err, "the list of routers")
 	}
-	members := r.registry.View().Members()
 	serials := make([]granitehoist.Serial, len(members))
 	var group errgroup.Group
 	for i, m := range members {
@@ -160,6 +161,45 @@
 	return state, nil
 }
 
+// mayServe returns the routers that are not known to serve nothing. One whose
+// lease has ended may be cut off and serve all the same; it is left out, and
+// its entry removed, only when the platform does not list its box any more.
+func (r *Router) mayServe(ctx context.Context) ([]fleet.Member, error) {
+	entered, err := fleet.Serving(ctx, r.settings.Store)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.registry.Refresh(ctx); err != nil {
+		return nil, err
+	}
+	live := map[granitehoist.Incarnation]bool{}
+	for _, m := range r.registry.View().Members() {
+		live[m.Incarnation] = true
+	}
+	listed, err := r.listedBoxes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var members []fleet.Member
+	for _, m := range entered {
+		_, known := listed[m.Box]
+		if live[m.Incarnation] || known || len(listed) == 0 {
+			members = append(members, m)
+			continue
+		}
+		// If this fails the next look removes it.
+		_ = fleet.Withdraw(ctx, r.settings.Store, m)
+	}
+	return members, nil
+}
+
+func (r *Router) listedBoxes(ctx context.Context) (map[granitehoist.Box]bool, error) {
+	if r.settings.Platform == nil {
+		return nil, nil
+	}
+	return r.settings.Platform.Boxes(ctx)
+}
+
 // serialAt returns the serial in force at a router, zero if it can't be asked.
 func (r *Router) serialAt(ctx context.Context, m fleet.Member, p granitehoist.Partner) granitehoist.Serial {
 	if m.Incarnation == r.self.Incarnation {
@@ -211,6 +251,9 @@
 		}
 	}
 	result, err := r.SettleOrphans(req.Context(), dead, true)
+	if err == nil {
+		err = r.withdraw(req.Context(), dead)
+	}
 	if err != nil {
 		writeError(w, granitehoist.Wrap(granitehoist.StoreDown, err, ""))
 		return
@@ -218,6 +261,20 @@
 	writeJSON(w, http.StatusOK, result)
 }
 
+// withdraw removes a router that is gone from those that may serve.
+func (r *Router) withdraw(ctx context.Context, dead granitehoist.Incarnation) error {
+	entered, err := fleet.Serving(ctx, r.settings.Store)
+	if err != nil {
+		return err
+	}
+	for _, m := range entered {
+		if m.Incarnation == dead {
+			return fleet.Withdraw(ctx, r.settings.Store, m)
+		}
+	}
+	return nil
+}
+
 func (r *Router) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	// A reader that has gone is no failure.
--- a/router/router.go
+++ b/router/router.go
@@ -252,7 +252,7 @@
 func (r *Router) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	r.loops.Go(func() { r.follower.Run(ctx) })
+	r.loops.Go(func() { r.follow(ctx) })
 	r.loops.Go(func() { r.refresh(ctx) })
 	r.loops.Go(func() { r.agent.Run(ctx) })
 	r.loops.Go(func() { r.sender.Run(ctx) })
@@ -267,6 +267,30 @@
 		zap.String("admin", r.AdminAddress()))
 }
 
+// enrollPause is the time between tries to enter the router in the store.
+const enrollPause = 500 * time.Millisecond
+
+// follow enters the router among those that may serve, and only then reads the
+// documents; before that it has none and serves nothing.
+func (r *Router) follow(ctx context.Context) {
+	for {
+		err := r.registry.Enroll(ctx)
+		if err == nil {
+			break
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		r.failed("fleet_failed", err)
+		select {
+		case <-time.After(enrollPause):
+		case <-ctx.Done():
+			return
+		}
+	}
+	r.follower.Run(ctx)
+}
+
 func (r *Router) serve(event string, server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		r.failed(event, err)
