Report service-level burn, and refuse large headers with a code

Cause: the users' house style asks for a report on service-level burn; headers over the limit got a bare 431 of the standard library, without code and fate; a caller that does not read its answer was waited for without bound. Answers have a write deadline. Callers of the trial choose their router when they send.

--- a/cmd/granitehoist/main.go
+++ b/cmd/granitehoist/main.go
@@ -69,6 +69,7 @@
 		newBudgets(app, out),
 		newBills(app, out),
 		newSettle(app, out),
+		newReportBurn(app, out),
 		newMeasureBudgets(app, out),
 		newMeasureHistories(app, out),
 		newMeasureCapacity(app, out),
--- a/cmd/granitehoist/operator.go
+++ b/cmd/granitehoist/operator.go
@@ -24,6 +24,7 @@
 	"granitehoist.example/granitehoist/budget"
 	"granitehoist.example/granitehoist/config"
 	"granitehoist.example/granitehoist/orphan"
+	"granitehoist.example/granitehoist/report"
 	"granitehoist.example/granitehoist/router"
 )
 
@@ -216,3 +217,15 @@
 		return nil
 	}}
 }
+
+func newReportBurn(app *kingpin.Application, out io.Writer) command {
+	clause := app.Command("report", "Reports on the fleet.").Command("burn", "Service-level burn by service, workspace and place over several windows.")
+	o := newOperator(clause)
+	return command{clause, func(ctx context.Context) error {
+		var burn report.Burn
+		if _, err := o.call(ctx, o.base().Get(router.PathBurn), &burn); err != nil {
+			return err
+		}
+		return report.WriteBurn(out, burn)
+	}}
+}
--- a/codes.go
+++ b/codes.go
@@ -32,6 +32,7 @@
 	MethodNotAllowed  Code = 1010
 	CallerGone        Code = 1011
 	DeadlineTooNear   Code = 1012
+	HeaderTooLarge    Code = 1013
 	MissingKey        Code = 2001
 	WrongKey          Code = 2002
 	PolicyDenied      Code = 2003
@@ -109,6 +110,7 @@
 	{MethodNotAllowed, "method_not_allowed", NotRun, http.StatusMethodNotAllowed, AdviceFix, "this path does not take this method"},
 	{CallerGone, "caller_gone", MayHaveRun, 499, AdviceCheck, "the caller left before the answer was whole"},
 	{DeadlineTooNear, "deadline", NotRun, http.StatusGatewayTimeout, AdviceLater, "the deadline passed before the request could start"},
+	{HeaderTooLarge, "header_too_large", NotRun, http.StatusRequestHeaderFieldsTooLarge, AdviceFix, "the headers are larger than the limit"},
 	{MissingKey, "missing_key", NotRun, http.StatusUnauthorized, AdviceFix, "no key was given"},
 	{WrongKey, "wrong_key", NotRun, http.StatusUnauthorized, AdviceFix, "the key is not known"},
 	{PolicyDenied, "policy_denied", NotRun, http.StatusForbidden, AdviceFix, "a policy does not permit the request"},
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -22,6 +22,7 @@
 	"granitehoist.example/granitehoist/bill"
 	"granitehoist.example/granitehoist/config"
 	"granitehoist.example/granitehoist/once"
+	"granitehoist.example/granitehoist/report"
 	"granitehoist.example/granitehoist/route"
 )
 
@@ -34,7 +35,8 @@
 	Settle(k granitehoist.BudgetID, bound, used granitehoist.Tokens)
 }
 
-// Settings configure a Gate. All fields but the limits are needed.
+// Settings configure a Gate. All fields but Burn and
+// the limits are needed.
 type Settings struct {
 	Place       granitehoist.Place
 	Incarnation granitehoist.Incarnation
@@ -49,8 +51,12 @@
 	Random    io.Reader
 	Log       *zap.Logger
 	Metrics   metrics.Registry
+	// Burn takes the counts of the burn report; nil goes without.
+	Burn *report.Recorder
 	// BodyBytes bounds a request's body; zero stands for 4 MiB.
 	BodyBytes int64
+	// HeaderBytes bounds a request's headers; zero stands for 32 KiB.
+	HeaderBytes int
 	// ReadTimeout bounds the reading of a body; zero stands for 10 seconds.
 	ReadTimeout time.Duration
 	// Request bounds a request without a deadline; zero stands for 5 minutes.
@@ -59,6 +65,7 @@
 
 const (
 	defaultBodyBytes   = 4 << 20
+	defaultHeaderBytes = 32 << 10
 	defaultReadTimeout = 10 * time.Second
 	defaultRequest     = 5 * time.Minute
 )
@@ -84,6 +91,9 @@
 	if s.BodyBytes == 0 {
 		s.BodyBytes = defaultBodyBytes
 	}
+	if s.HeaderBytes == 0 {
+		s.HeaderBytes = defaultHeaderBytes
+	}
 	if s.ReadTimeout == 0 {
 		s.ReadTimeout = defaultReadTimeout
 	}
@@ -126,12 +136,27 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if size := headerSize(r); size > g.settings.HeaderBytes {
+		g.refuse(w, g.requestID(r), granitehoist.Errorf(granitehoist.HeaderTooLarge, "%d bytes, the limit is %d", size, g.settings.HeaderBytes))
+		return
+	}
 	g.mux.ServeHTTP(w, r)
 }
 
 // Unready makes the gate say that it is not ready; it still takes requests.
 func (g *Gate) Unready() { g.unready.Store(true) }
 
+// headerSize returns the bytes of a request's line and headers.
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
 // Drain makes the gate unready and refuses new requests; those in progress go
 // on.
 func (g *Gate) Drain() { g.draining.Store(true) }
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -101,6 +101,7 @@
 			Expect(t.fate).To(Equal(granitehoist.NotRun))
 			nothingSpent()
 		},
+		Entry("headers over the limit", granitehoist.HeaderTooLarge, "X-Long", strings.Repeat("x", 40_000)),
 		Entry("no key", granitehoist.MissingKey, "Authorization", ""),
 		Entry("another scheme", granitehoist.MissingKey, "Authorization", "Basic eDp5"),
 		Entry("a wrong key", granitehoist.WrongKey, "Authorization", "Bearer nobody"),
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -15,6 +15,7 @@
 	"granitehoist.example/granitehoist/config"
 	"granitehoist.example/granitehoist/once"
 	"granitehoist.example/granitehoist/policy"
+	"granitehoist.example/granitehoist/report"
 	"granitehoist.example/granitehoist/route"
 	"granitehoist.example/granitehoist/upstream"
 )
@@ -45,8 +46,14 @@
 	sent   time.Time
 	pieces int
 	last   time.Time
+	// counts is what the burn report takes of the request.
+	counts report.Counts
 }
 
+// writeGrace is the time after a request's deadline in which its answer may
+// still be written.
+const writeGrace = 5 * time.Second
+
 func (g *Gate) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	req, err := g.begin(w, r)
 	if err == nil {
@@ -165,12 +172,16 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(r.Context(), req.wishes.deadline)
 		defer cancel()
+		// A caller that does not read its answer is not waited for longer. A
+		// writer that can't set deadlines is one of a test.
+		_ = http.NewResponseController(w).SetWriteDeadline(req.began.Add(req.wishes.deadline + writeGrace))
 		err = g.admit(ctx, req)
 	}
 	if r.Context().Err() != nil && err != nil && granitehoist.CodeOf(err).Info().Fate != granitehoist.NotRun {
 		err = granitehoist.Wrap(granitehoist.CallerGone, err, "")
 	}
 	g.log(req, err)
+	g.report(req, err)
 	switch {
 	case err == nil:
 		g.count(granitehoist.Served)
@@ -351,13 +362,34 @@
 	now := g.settings.Clock()
 	if req.pieces == 0 {
 		g.timer("first_token", now.Sub(req.began))
+		req.counts.First++
+		if now.Sub(req.began) > report.FirstTokenLevel {
+			req.counts.SlowFirst++
+		}
 	} else if req.sink.stream {
 		g.timer("between_tokens", now.Sub(req.last))
+		req.counts.Between++
+		if now.Sub(req.last) > report.BetweenLevel {
+			req.counts.SlowBetween++
+		}
 	}
 	req.pieces++
 	req.last = now
 }
 
+// report enters a request into the burn report. One that did not name a
+// service, or that nobody could serve as it was, is not entered.
+func (g *Gate) report(req *request, err error) {
+	if g.settings.Burn == nil || req.offer == nil {
+		return
+	}
+	counts := report.CountsOf(granitehoist.CodeOf(err))
+	counts.First, counts.SlowFirst = req.counts.First, req.counts.SlowFirst
+	counts.Between, counts.SlowBetween = req.counts.Between, req.counts.SlowBetween
+	key := report.Key{Service: req.offer.Name, Workspace: req.identity.Workspace, Place: g.settings.Place}
+	g.settings.Burn.Add(key, counts, g.settings.Clock())
+}
+
 func (g *Gate) log(req *request, err error) {
 	fields := []zap.Field{
 		zap.String("request", string(req.id)),
--- a/internal/pack/pack.go
+++ b/internal/pack/pack.go
@@ -12,6 +12,10 @@
 	"github.com/rotisserie/eris"
 )
 
+// windowSize is how far back the compression looks. Records are small, and a
+// small window costs little to begin with.
+const windowSize = 64 << 10
+
 // maxUnpacked bounds what a packed record may grow to.
 const maxUnpacked = 64 << 20
 
@@ -21,7 +25,7 @@
 )
 
 func newEncoder() *zstd.Encoder {
-	e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	e, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithWindowSize(windowSize), zstd.WithLowerEncoderMem(true))
 	if err != nil {
 		panic("pack: encoder: " + err.Error())
 	}
@@ -29,7 +33,7 @@
 }
 
 func newDecoder() *zstd.Decoder {
-	d, err := zstd.NewReader(nil, zstd.WithDecoderMaxMemory(maxUnpacked))
+	d, err := zstd.NewReader(nil, zstd.WithDecoderMaxMemory(maxUnpacked), zstd.WithDecoderConcurrency(0), zstd.WithDecoderLowmem(true))
 	if err != nil {
 		panic("pack: decoder: " + err.Error())
 	}
--- /dev/null
+++ b/internal/pack/pack_test.go
@@ -0,0 +1,92 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package pack_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist/internal/pack"
+)
+
+func TestPack(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "pack")
+}
+
+type record struct {
+	Names []string `json:"names"`
+}
+
+func sample(n int) record {
+	var r record
+	for i := range n {
+		r.Names = append(r.Names, fmt.Sprint("name-", i*7919))
+	}
+	return r
+}
+
+var _ = Describe("Pack", func() {
+	It("gives back what was packed, in less room", func() {
+		packed, err := pack.Pack(sample(1000))
+		Expect(err).NotTo(HaveOccurred())
+		var back record
+		Expect(pack.Unpack(packed, &back)).To(Succeed())
+		Expect(back).To(Equal(sample(1000)))
+		Expect(len(packed)).To(BeNumerically("<", len(strings.Join(back.Names, ""))))
+	})
+
+	It("is the same for the same value", func() {
+		a, _ := pack.Pack(sample(10))
+		b, _ := pack.Pack(sample(10))
+		Expect(a).To(Equal(b))
+	})
+
+	DescribeTable("does not read",
+		func(raw []byte) {
+			var back record
+			Expect(pack.Unpack(raw, &back)).NotTo(Succeed())
+		},
+		Entry("nothing", []byte{}),
+		Entry("plain JSON", []byte(`{"names":[]}`)),
+		Entry("half a frame", half()),
+	)
+
+	It("carries messages", func() {
+		m, err := pack.NewMessage(sample(3))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Value()).To(Equal(sample(3)))
+		_, err = pack.Message[record]{}.Value()
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+func half() []byte {
+	packed, _ := pack.Pack(sample(100))
+	return packed[:len(packed)/2]
+}
+
+// BenchmarkPack packs and reads a small and a large record.
+func BenchmarkPack(b *testing.B) {
+	for _, n := range []int{10, 1000} {
+		b.Run(fmt.Sprintf("names=%d", n), func(b *testing.B) {
+			r := sample(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				packed, err := pack.Pack(r)
+				if err != nil {
+					b.Fatal(err)
+				}
+				var back record
+				if err := pack.Unpack(packed, &back); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/router/admin.go
+++ b/router/admin.go
@@ -37,6 +37,7 @@
 	mux.HandleFunc("GET "+PathBills, r.serveBills)
 	mux.HandleFunc("GET "+PathMembers, r.serveMembers)
 	mux.HandleFunc("POST "+PathOrphans+"{incarnation}", r.serveOrphans)
+	mux.HandleFunc("GET "+PathBurn, r.serveBurn)
 	mux.HandleFunc("GET "+PathMetrics, r.serveMetrics)
 	return mux
 }
--- a/router/router.go
+++ b/router/router.go
@@ -25,6 +25,7 @@
 	"granitehoist.example/granitehoist/gate"
 	"granitehoist.example/granitehoist/once"
 	"granitehoist.example/granitehoist/orphan"
+	"granitehoist.example/granitehoist/report"
 	"granitehoist.example/granitehoist/route"
 	"granitehoist.example/granitehoist/settings"
 	"granitehoist.example/granitehoist/upstream"
@@ -60,6 +61,7 @@
 	sender   *bill.Sender
 	gate     *gate.Gate
 	table    *route.Table
+	burn     report.Recorder
 	orphans  *orphan.Settler
 	engines  granitehoist.Protocol
 	callers  *http.Server
@@ -168,6 +170,7 @@
 		budget.MethodBorrow: fleet.Handle(r.agent.ServeBorrow),
 		bill.MethodCollect:  fleet.Handle(r.sender.ServeCollect),
 		methodSerials:       fleet.Handle(r.serveSerials),
+		methodBurn:          fleet.Handle(r.serveBurnRows),
 	}})
 }
 
@@ -207,6 +210,10 @@
 	})
 }
 
+// hardHeaderBytes bounds the headers that are read at all. Below it the gate
+// refuses with a numbered code.
+const hardHeaderBytes = 1 << 20
+
 func (r *Router) buildGate() {
 	s := r.settings
 	limits := s.Router.Limits
@@ -227,13 +234,15 @@
 		Random:      s.Random,
 		Log:         s.Log,
 		Metrics:     r.metrics,
+		Burn:        &r.burn,
 		BodyBytes:   limits.BodyBytes,
+		HeaderBytes: limits.HeaderBytes,
 		ReadTimeout: time.Duration(limits.ReadTimeout),
 		Request:     time.Duration(limits.Request),
 	})
 	r.callers = &http.Server{
 		Handler:           r.gate,
-		MaxHeaderBytes:    limits.HeaderBytes,
+		MaxHeaderBytes:    hardHeaderBytes,
 		ReadHeaderTimeout: time.Duration(limits.ReadTimeout),
 		IdleTimeout:       time.Minute,
 		ErrorLog:          zap.NewStdLog(zap.NewNop()),
--- a/trial/load.go
+++ b/trial/load.go
@@ -89,12 +89,12 @@
 		}
 		t := newTold(i, choose(random, shapes))
 		told[i] = t
-		first := site.Routers[random.IntN(len(site.Routers))].CallersAddress()
-		second := site.Routers[random.IntN(len(site.Routers))].CallersAddress()
+		first, second := random.Int(), random.Int()
+		address := site.address(first)
 		group.Go(func() {
-			t.send(ctx, client, first)
+			t.send(ctx, client, address)
 			if t.shape.once {
-				t.send(ctx, client, second)
+				t.send(ctx, client, site.address(second))
 			}
 		})
 		if s.Kill && i == len(told)/2 {
@@ -110,6 +110,14 @@
 	return told
 }
 
+// address returns the callers' address of one of the routers that are ready, as
+// a balancer would choose it now.
+func (s *Site) address(n int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Routers[n%len(s.Routers)].CallersAddress()
+}
+
 func (s *Site) isDead(address string) bool {
 	for _, r := range s.dead {
 		if r.CallersAddress() == address {
--- a/trial/run.go
+++ b/trial/run.go
@@ -116,17 +116,17 @@
 func (s *Site) replaceOne(ctx context.Context, i int) {
 	old := s.Routers[i]
 	s.stopped++
-	err := s.startRouter(old.Partner(), old.Place(), routersPerPlace+s.stopped, "", s.trust)
+	fresh, err := s.startRouter(old.Partner(), old.Place(), routersPerPlace+s.stopped, "", s.trust)
 	if err == nil {
-		fresh := s.Routers[len(s.Routers)-1]
-		s.Routers = s.Routers[:len(s.Routers)-1]
-		s.Routers[i] = fresh
 		err = s.waitReady(ctx, fresh)
 	}
 	if err != nil {
 		s.stopFailed(err)
 		return
 	}
+	s.mu.Lock()
+	s.Routers[i] = fresh
+	s.mu.Unlock()
 	s.stopping.Go(func() {
 		if err := old.Stop(ctx); err != nil {
 			s.stopFailed(err)
@@ -153,8 +153,10 @@
 
 // killOne ends a router without warning.
 func (s *Site) killOne(i int) {
+	s.mu.Lock()
 	r := s.Routers[i]
 	s.Routers = append(append([]*router.Router(nil), s.Routers[:i]...), s.Routers[i+1:]...)
+	s.mu.Unlock()
 	s.dead = append(s.dead, r)
 	r.Kill()
 }
