Name the receiver in every call between routers

Charges went to the address of a collector that had stopped, where a router of another fleet now listened, which stored and confirmed them; another fleet's keeper answered for a page ('unknown incarnation'). Ruled out: segment keys, merging of batches. Change: calls carry the incarnation they are for, and another refuses them. A stop tries again to give tokens back; keepers that conflict wait a little.

--- a/bill/bill_test.go
+++ b/bill/bill_test.go
@@ -32,7 +32,7 @@
 	calls                int
 }
 
-func (f *fakeCaller) Call(ctx context.Context, _, _ string, params, result any) error {
+func (f *fakeCaller) Call(ctx context.Context, _ granitehoist.Peer, _ string, params, result any) error {
 	f.calls++
 	if f.loseCall {
 		return errors.New("lost")
@@ -99,7 +99,7 @@
 			Ledger:    ledger,
 			Collector: newCollector(store, "box-1"),
 			Caller:    caller,
-			Holder:    func() (string, bool) { return "box-2", true },
+			Holder:    func() (granitehoist.Peer, bool) { return granitehoist.Peer{Incarnation: "box-2"}, true },
 		})
 	})
 
--- a/bill/collector.go
+++ b/bill/collector.go
@@ -95,9 +95,9 @@
 	Ledger    *Ledger
 	Collector *Collector
 	Caller    granitehoist.Caller
-	// Holder returns the address of the region's collector, and false if it is
-	// this router or none is known.
-	Holder func() (string, bool)
+	// Holder returns the region's collector, and false if it is this router or
+	// none is known.
+	Holder func() (granitehoist.Peer, bool)
 	// Interval is the time between batches; zero stands for DefaultInterval.
 	Interval time.Duration
 	// Failed is told of errors; nil ignores them.
@@ -160,13 +160,13 @@
 // send hands a batch to the region's collector, or collects it here if that
 // fails. A batch may so be in two segments; readers count it once.
 func (s *Sender) send(ctx context.Context, b Batch) error {
-	if address, ok := s.settings.Holder(); ok {
+	if peer, ok := s.settings.Holder(); ok {
 		params, err := pack.NewMessage(b)
 		if err != nil {
 			return err
 		}
 		var result CollectResult
-		if err := s.settings.Caller.Call(ctx, address, MethodCollect, params, &result); err == nil && result.Segment != "" {
+		if err := s.settings.Caller.Call(ctx, peer, MethodCollect, params, &result); err == nil && result.Segment != "" {
 			return nil
 		}
 	}
--- a/budget/agent.go
+++ b/budget/agent.go
@@ -16,12 +16,6 @@
 	"granitehoist.example/granitehoist/internal/pack"
 )
 
-// Peer is another router of the region.
-type Peer struct {
-	Incarnation granitehoist.Incarnation
-	Address     string
-}
-
 // AgentSettings configure an Agent.
 type AgentSettings struct {
 	Box    granitehoist.Box
@@ -31,9 +25,9 @@
 	Caller granitehoist.Caller
 	// Holder returns the router that keeps a shard for this region, and false
 	// if it is this router or none is known.
-	Holder func(Shard) (Peer, bool)
+	Holder func(Shard) (granitehoist.Peer, bool)
 	// Peers returns the other routers of the region.
-	Peers func() []Peer
+	Peers func() []granitehoist.Peer
 	Clock granitehoist.Clock
 	// Interval is the time between messages; zero stands for
 	// DefaultInterval. A request that waits sends one at once.
@@ -65,7 +59,7 @@
 
 // unansweredLoan is a loan that the lender may have given.
 type unansweredLoan struct {
-	peer   Peer
+	peer   granitehoist.Peer
 	budget granitehoist.BudgetID
 }
 
@@ -221,13 +215,13 @@
 	return a.settings.Keeper.Sync(ctx, s, params, now)
 }
 
-func (a *Agent) call(ctx context.Context, peer Peer, message ShardSync) (SyncResult, error) {
+func (a *Agent) call(ctx context.Context, peer granitehoist.Peer, message ShardSync) (SyncResult, error) {
 	packed, err := pack.NewMessage(message)
 	if err != nil {
 		return SyncResult{}, err
 	}
 	var result pack.Message[SyncResult]
-	if err := a.settings.Caller.Call(ctx, peer.Address, MethodSync, packed, &result); err != nil {
+	if err := a.settings.Caller.Call(ctx, peer, MethodSync, packed, &result); err != nil {
 		return SyncResult{}, err
 	}
 	return result.Value()
@@ -253,9 +247,9 @@
 
 // borrowFrom makes one call. If its answer is lost the lender may have
 // deducted tokens, which askAgain fetches.
-func (a *Agent) borrowFrom(ctx context.Context, peer Peer, params BorrowParams) {
+func (a *Agent) borrowFrom(ctx context.Context, peer granitehoist.Peer, params BorrowParams) {
 	var result BorrowResult
-	if err := a.settings.Caller.Call(ctx, peer.Address, MethodBorrow, params, &result); err != nil {
+	if err := a.settings.Caller.Call(ctx, peer, MethodBorrow, params, &result); err != nil {
 		a.settings.Failed(fmt.Errorf("budget: borrow from %s: %w", peer.Incarnation, err))
 		if len(a.unanswered) < maxUnanswered {
 			a.unanswered = append(a.unanswered, unansweredLoan{peer, params.Budget})
@@ -299,13 +293,30 @@
 	return a.settings.Purse.Lend(b, a.settings.Clock()), nil
 }
 
+// Tries of returning all tokens, and the time between them.
+const (
+	closeTries = 10
+	closePause = 100 * time.Millisecond
+)
+
 // Close returns all tokens to the pages. It is called when no reservation is
 // left. An error means that some are still recorded as held by this router.
 func (a *Agent) Close(ctx context.Context) error {
 	a.running.Lock()
 	defer a.running.Unlock()
 	a.settings.Purse.Close()
-	now := a.settings.Clock()
-	asks, _ := a.settings.Purse.Asks(now)
-	return a.send(ctx, asks, SyncParams{Closing: true, Urgent: true}, now)
+	var err error
+	for range closeTries {
+		now := a.settings.Clock()
+		asks, _ := a.settings.Purse.Asks(now)
+		if err = a.send(ctx, asks, SyncParams{Closing: true, Urgent: true}, now); err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(closePause):
+		case <-ctx.Done():
+			return err
+		}
+	}
+	return err
 }
--- a/budget/keeper.go
+++ b/budget/keeper.go
@@ -54,6 +54,7 @@
 const (
 	conflictTries = 20
 	lostTries     = 3
+	conflictPause = time.Millisecond
 )
 
 // NewKeeper returns a Keeper. It panics if the settings lack the region, the
@@ -122,10 +123,12 @@
 		}
 	}
 	lost := 0
-	for range conflictTries {
+	for try := range conflictTries {
 		results, err := k.try(ctx, s, items, now)
 		switch {
 		case errors.Is(err, granitehoist.ErrConflict):
+			// Others write the page too. Each waits a little longer each time.
+			time.Sleep(time.Duration(try) * conflictPause)
 		case errors.Is(err, granitehoist.ErrUnknown) && lost < lostTries:
 			lost++
 		default:
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -28,10 +28,10 @@
 var _ = Describe("Client and Server", func() {
 	var server *fleet.Server
 	var client *fleet.Client
-	var address string
+	var me granitehoist.Peer
 	BeforeEach(func() {
 		before := goleak.IgnoreCurrent()
-		server = fleet.NewServer(fleet.ServerSettings{Methods: map[string]fleet.HandlerFunc{
+		server = fleet.NewServer(fleet.ServerSettings{Self: "me", Methods: map[string]fleet.HandlerFunc{
 			"echo": fleet.Handle(func(_ context.Context, e echo) (echo, error) { return e, nil }),
 			"fail": fleet.Handle(func(context.Context, echo) (echo, error) { return echo{}, errors.New("no") }),
 			"hang": fleet.Handle(func(_ context.Context, e echo) (echo, error) {
@@ -41,7 +41,7 @@
 		}})
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		address = listener.Addr().String()
+		me = granitehoist.Peer{Incarnation: "me", Address: listener.Addr().String()}
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -58,25 +58,32 @@
 
 	It("brings a call and its reply", func() {
 		var got echo
-		Expect(client.Call(ctx, address, "echo", echo{"x"}, &got)).To(Succeed())
+		Expect(client.Call(ctx, me, "echo", echo{"x"}, &got)).To(Succeed())
 		Expect(got.Text).To(Equal("x"))
 	})
 
 	It("tells errors, unknown methods and time-outs, and goes on", func() {
 		var got echo
-		Expect(client.Call(ctx, address, "fail", echo{}, &got)).To(MatchError(ContainSubstring("no")))
-		Expect(client.Call(ctx, address, "none", echo{}, &got)).To(MatchError(ContainSubstring("no such method")))
-		Expect(client.Call(ctx, address, "echo", []int{1}, &got)).NotTo(Succeed())
-		Expect(client.Call(ctx, address, "hang", echo{}, &got)).To(MatchError(context.DeadlineExceeded))
-		Expect(client.Call(ctx, address, "echo", echo{"y"}, &got)).To(Succeed())
+		Expect(client.Call(ctx, me, "fail", echo{}, &got)).To(MatchError(ContainSubstring("no")))
+		Expect(client.Call(ctx, me, "none", echo{}, &got)).To(MatchError(ContainSubstring("no such method")))
+		Expect(client.Call(ctx, me, "echo", []int{1}, &got)).NotTo(Succeed())
+		Expect(client.Call(ctx, me, "hang", echo{}, &got)).To(MatchError(context.DeadlineExceeded))
+		Expect(client.Call(ctx, me, "echo", echo{"y"}, &got)).To(Succeed())
+	})
+
+	It("is refused by a router that took over the address", func() {
+		var got echo
+		gone := granitehoist.Peer{Incarnation: "before-me", Address: me.Address}
+		Expect(client.Call(ctx, gone, "echo", echo{"x"}, &got)).To(MatchError(ContainSubstring("not before-me")))
+		Expect(got.Text).To(BeEmpty())
 	})
 
 	It("connects anew after the other side went away", func() {
 		var got echo
-		Expect(client.Call(ctx, address, "echo", echo{"x"}, &got)).To(Succeed())
+		Expect(client.Call(ctx, me, "echo", echo{"x"}, &got)).To(Succeed())
 		server.Close()
-		Expect(client.Call(ctx, address, "echo", echo{"x"}, &got)).NotTo(Succeed())
-		Expect(client.Call(ctx, "127.0.0.1:1", "echo", echo{"x"}, &got)).NotTo(Succeed())
+		Expect(client.Call(ctx, me, "echo", echo{"x"}, &got)).NotTo(Succeed())
+		Expect(client.Call(ctx, granitehoist.Peer{Incarnation: "me", Address: "127.0.0.1:1"}, "echo", echo{"x"}, &got)).NotTo(Succeed())
 	})
 })
 
--- a/fleet/rpc.go
+++ b/fleet/rpc.go
@@ -14,6 +14,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"granitehoist.example/granitehoist"
 )
 
 // HandlerFunc serves one method of a Server.
@@ -30,8 +32,20 @@
 	}
 }
 
+// envelope is what a call carries: whom it is for, and the method's own
+// parameters. An address may have passed to another router since the caller
+// learnt it, even to one of another fleet.
+type envelope struct {
+	To     granitehoist.Incarnation `json:"to"`
+	Params json.RawMessage          `json:"params"`
+}
+
+// codeNotMe is the JSON-RPC error code of a call for another incarnation.
+const codeNotMe = -32001
+
 // Server serves the calls of other routers.
 type Server struct {
+	self    granitehoist.Incarnation
 	methods map[string]HandlerFunc
 
 	mu       sync.Mutex
@@ -43,13 +57,19 @@
 
 // ServerSettings configure a Server.
 type ServerSettings struct {
+	// Self is the incarnation that is served; calls for others are refused.
+	Self granitehoist.Incarnation
 	// Methods holds the handlers by method name.
 	Methods map[string]HandlerFunc
 }
 
-// NewServer returns a server that does not listen yet.
+// NewServer returns a server that does not listen yet. It panics if the
+// settings have no incarnation.
 func NewServer(s ServerSettings) *Server {
-	return &Server{methods: s.Methods, conns: map[*jsonrpc2.Conn]struct{}{}}
+	if s.Self == "" {
+		panic("fleet: server without incarnation")
+	}
+	return &Server{self: s.Self, methods: s.Methods, conns: map[*jsonrpc2.Conn]struct{}{}}
 }
 
 // Serve takes connections from a listener until Close.
@@ -106,7 +126,14 @@
 	if !ok || r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method: " + r.Method}
 	}
-	return serve(ctx, *r.Params)
+	var e envelope
+	if err := json.Unmarshal(*r.Params, &e); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	if e.To != s.self {
+		return nil, &jsonrpc2.Error{Code: codeNotMe, Message: "this is router " + string(s.self) + " and not " + string(e.To)}
+	}
+	return serve(ctx, e.Params)
 }
 
 // Close ends the listener and all connections.
@@ -148,18 +175,22 @@
 }
 
 // Call implements granitehoist.Caller.
-func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
+func (c *Client) Call(ctx context.Context, to granitehoist.Peer, method string, params, result any) error {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return eris.Wrapf(err, "fleet: parameters of %s", method)
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.settings.Timeout)
 	defer cancel()
-	conn, err := c.conn(ctx, address)
+	conn, err := c.conn(ctx, to.Address)
 	if err != nil {
 		return err
 	}
-	err = conn.Call(ctx, method, params, result)
+	err = conn.Call(ctx, method, envelope{To: to.Incarnation, Params: raw}, result)
 	if _, answered := err.(*jsonrpc2.Error); err != nil && !answered {
-		c.drop(address, conn)
+		c.drop(to.Address, conn)
 	}
-	return eris.Wrapf(err, "fleet: call of %s at %s", method, address)
+	return eris.Wrapf(err, "fleet: call of %s at %s", method, to.Address)
 }
 
 func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -24,6 +24,11 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// Peer returns the member as the receiver of calls.
+func (m Member) Peer() granitehoist.Peer {
+	return granitehoist.Peer{Incarnation: m.Incarnation, Address: m.Peers}
+}
+
 // View is the routers that one router knows of. It is not changed after it
 // was made.
 type View struct {
--- a/router/admin.go
+++ b/router/admin.go
@@ -207,7 +207,7 @@
 		return r.follower.View().Serial(p)
 	}
 	var result serialsResult
-	if err := r.client.Call(ctx, m.Peers, methodSerials, serialsParams{}, &result); err != nil {
+	if err := r.client.Call(ctx, m.Peer(), methodSerials, serialsParams{}, &result); err != nil {
 		return 0
 	}
 	return result.Serials[p]
--- a/router/burn.go
+++ b/router/burn.go
@@ -59,6 +59,6 @@
 		return r.burn.Rows(r.settings.Clock()), true
 	}
 	var result burnResult
-	err := r.client.Call(ctx, m.Peers, methodBurn, burnParams{}, &result)
+	err := r.client.Call(ctx, m.Peer(), methodBurn, burnParams{}, &result)
 	return result.Rows, err == nil
 }
--- a/router/router.go
+++ b/router/router.go
@@ -165,7 +165,7 @@
 	r.buildBudget()
 	r.buildBills()
 	r.buildGate()
-	r.server = fleet.NewServer(fleet.ServerSettings{Methods: map[string]fleet.HandlerFunc{
+	r.server = fleet.NewServer(fleet.ServerSettings{Self: r.self.Incarnation, Methods: map[string]fleet.HandlerFunc{
 		budget.MethodSync:   fleet.Handle(r.agent.ServeSync),
 		budget.MethodBorrow: fleet.Handle(r.agent.ServeBorrow),
 		bill.MethodCollect:  fleet.Handle(r.sender.ServeCollect),
@@ -341,31 +341,28 @@
 func (r *Router) View() *config.View { return r.follower.View() }
 
 // budgetHolder returns the keeper of a shard.
-func (r *Router) budgetHolder(s budget.Shard) (budget.Peer, bool) {
-	m, ok := r.registry.View().Holder(r.self.Region, budget.PageKey(r.self.Region, s))
-	if !ok || m.Incarnation == r.self.Incarnation {
-		return budget.Peer{}, false
-	}
-	return budget.Peer{Incarnation: m.Incarnation, Address: m.Peers}, true
+func (r *Router) budgetHolder(s budget.Shard) (granitehoist.Peer, bool) {
+	return r.holder(budget.PageKey(r.self.Region, s))
+}
+
+const collectorRole = "bill/collector"
+
+func (r *Router) billHolder() (granitehoist.Peer, bool) { return r.holder(collectorRole) }
+
+// holder returns the other router of the region that has a role, and false if
+// it is this one or none is known.
+func (r *Router) holder(role string) (granitehoist.Peer, bool) {
+	m, ok := r.registry.View().Holder(r.self.Region, role)
+	return m.Peer(), ok && m.Incarnation != r.self.Incarnation
 }
 
 // budgetPeers returns the routers that this one may borrow from.
-func (r *Router) budgetPeers() []budget.Peer {
-	var peers []budget.Peer
+func (r *Router) budgetPeers() []granitehoist.Peer {
+	var peers []granitehoist.Peer
 	for _, m := range r.registry.View().Region(r.self.Region) {
 		if m.Incarnation != r.self.Incarnation {
-			peers = append(peers, budget.Peer{Incarnation: m.Incarnation, Address: m.Peers})
+			peers = append(peers, m.Peer())
 		}
 	}
 	return peers
 }
-
-const collectorRole = "bill/collector"
-
-func (r *Router) billHolder() (string, bool) {
-	m, ok := r.registry.View().Holder(r.self.Region, collectorRole)
-	if !ok || m.Incarnation == r.self.Incarnation {
-		return "", false
-	}
-	return m.Peers, true
-}
--- a/store.go
+++ b/store.go
@@ -85,11 +85,19 @@
 	Boxes(ctx context.Context) (map[Box]bool, error)
 }
 
+// Peer is another router.
+type Peer struct {
+	Incarnation Incarnation
+	// Address is where it takes calls of other routers.
+	Address string
+}
+
 // Caller sends one message to another router and waits for its reply.
 type Caller interface {
-	// Call sends params as method to the router at address and decodes the
-	// reply into result. An error leaves open whether the receiver acted.
-	Call(ctx context.Context, address, method string, params, result any) error
+	// Call sends params as method and decodes the reply into result. Whoever
+	// answers at the address but is another incarnation refuses the call. Other
+	// errors leave open whether the receiver acted.
+	Call(ctx context.Context, to Peer, method string, params, result any) error
 }
 
 // Clock tells the present time. Functions that decide take the time as an
