Split what had grown large, and set defaults in one place

Change: budget/report.go and loan.go, measure/historysteps.go, bill/sender.go, internal/defaults, sorted keys by the standard library, one sender.open. Conclusion: no change of behaviour in the product.

--- a/bill/ledger.go
+++ b/bill/ledger.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/defaults"
 )
 
 // Ledger holds an incarnation's charges until they are confirmed. It is safe
@@ -40,9 +41,7 @@
 	if s.Incarnation == "" {
 		panic("bill: ledger without incarnation")
 	}
-	if s.Most == 0 {
-		s.Most = DefaultMost
-	}
+	defaults.Set(&s.Most, DefaultMost)
 	return &Ledger{settings: s}
 }
 
--- /dev/null
+++ b/bill/sender.go
@@ -0,0 +1,121 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package bill
+
+import (
+	"context"
+	"time"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/defaults"
+	"granitehoist.example/granitehoist/internal/pack"
+)
+
+// SenderSettings configure a Sender.
+type SenderSettings struct {
+	Ledger    *Ledger
+	Collector *Collector
+	Caller    granitehoist.Caller
+	// Holder returns the region's collector, and false if it is this router or
+	// none is known.
+	Holder func() (granitehoist.Peer, bool)
+	// Interval is the time between batches; zero stands for DefaultInterval.
+	Interval time.Duration
+	// Failed is told of errors; nil ignores them.
+	Failed func(error)
+}
+
+// DefaultInterval is the time between a box's batches.
+const DefaultInterval = time.Second
+
+// Sender brings the charges of a Ledger into the store.
+type Sender struct {
+	settings SenderSettings
+}
+
+// NewSender returns a sender. It panics if a needed setting is missing.
+func NewSender(s SenderSettings) *Sender {
+	if s.Ledger == nil || s.Collector == nil || s.Caller == nil || s.Holder == nil {
+		panic("bill: sender lacks a setting")
+	}
+	defaults.Set(&s.Interval, DefaultInterval)
+	if s.Failed == nil {
+		s.Failed = func(error) {}
+	}
+	return &Sender{settings: s}
+}
+
+// Run sends batches until ctx ends.
+func (s *Sender) Run(ctx context.Context) {
+	ticker := time.NewTicker(s.settings.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := s.Flush(ctx); err != nil {
+			s.settings.Failed(err)
+		}
+	}
+}
+
+// Flush sends all charges that are unconfirmed now, and returns the first
+// error.
+func (s *Sender) Flush(ctx context.Context) error {
+	for {
+		b := s.settings.Ledger.Next(MaxBatch)
+		if len(b.Charges) == 0 {
+			return nil
+		}
+		if err := s.send(ctx, b); err != nil {
+			return err
+		}
+		s.settings.Ledger.Confirm(b)
+	}
+}
+
+// send hands a batch to the region's collector, or collects it here if that
+// fails. A batch may so be in two segments; readers count it once.
+func (s *Sender) send(ctx context.Context, b Batch) error {
+	if peer, ok := s.settings.Holder(); ok {
+		params, err := pack.NewMessage(b)
+		if err != nil {
+			return err
+		}
+		var result CollectResult
+		if err := s.settings.Caller.Call(ctx, peer, MethodCollect, params, &result); err == nil && result.Segment != "" {
+			return nil
+		}
+	}
+	_, err := s.settings.Collector.Collect(ctx, b)
+	return err
+}
+
+// Read returns all charges in the store, each once.
+func Read(ctx context.Context, s granitehoist.Store) ([]Charge, error) {
+	entries, _, err := s.List(ctx, KeyPrefix)
+	if err != nil {
+		return nil, err
+	}
+	segments := make([]Segment, 0, len(entries))
+	for _, e := range entries {
+		segment, err := DecodeSegment(e)
+		if err != nil {
+			return nil, err
+		}
+		segments = append(segments, segment)
+	}
+	return Merge(segments), nil
+}
+
+// ServeCollect serves MethodCollect.
+func (s *Sender) ServeCollect(ctx context.Context, p CollectParams) (CollectResult, error) {
+	b, err := p.Value()
+	if err != nil {
+		return CollectResult{}, err
+	}
+	return s.settings.Collector.Collect(ctx, b)
+}
--- a/budget/agent.go
+++ b/budget/agent.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/defaults"
 	"granitehoist.example/granitehoist/internal/pack"
 )
 
@@ -68,12 +69,8 @@
 	if s.Purse == nil || s.Keeper == nil || s.Caller == nil || s.Holder == nil || s.Peers == nil || s.Clock == nil {
 		panic("budget: agent lacks a setting")
 	}
-	if s.Interval == 0 {
-		s.Interval = DefaultInterval
-	}
-	if s.Shards == 0 {
-		s.Shards = DefaultShards
-	}
+	defaults.Set(&s.Interval, DefaultInterval)
+	defaults.Set(&s.Shards, DefaultShards)
 	if s.Failed == nil {
 		s.Failed = func(error) {}
 	}
--- a/budget/keeper.go
+++ b/budget/keeper.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"sort"
 	"sync"
 	"time"
 
@@ -206,18 +205,9 @@
 	}
 }
 
-func (a asksByBudget) budgets() []granitehoist.BudgetID {
-	budgets := make([]granitehoist.BudgetID, 0, len(a))
-	for budget := range a {
-		budgets = append(budgets, budget)
-	}
-	sort.Slice(budgets, func(i, j int) bool { return budgets[i] < budgets[j] })
-	return budgets
-}
-
 func (k *Keeper) grantAll(page *Page, asks asksByBudget, now time.Time) map[granitehoist.Incarnation][]Reply {
 	replies := map[granitehoist.Incarnation][]Reply{}
-	for _, budget := range asks.budgets() {
+	for _, budget := range sorted(asks) {
 		for id, reply := range page.Grant(budget, asks[budget], k.settings.Split(budget), now) {
 			replies[id] = append(replies[id], reply)
 		}
@@ -230,7 +220,7 @@
 func (k *Keeper) refill(ctx context.Context, s Shard, page *Page, asks asksByBudget, now time.Time) error {
 	var wishes []RegionAsk
 	worth := false
-	for _, budget := range asks.budgets() {
+	for _, budget := range sorted(asks) {
 		wish := page.Ask(budget, k.settings.Split(budget), now)
 		worth = worth || page.Accounts[budget].worthAsking(wish, now)
 		wishes = append(wishes, wish)
--- /dev/null
+++ b/budget/loan.go
@@ -0,0 +1,79 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package budget
+
+import (
+	"time"
+
+	"granitehoist.example/granitehoist"
+)
+
+// Lend gives part of what is free to another box and returns the total ever
+// lent to it. A doubled message lends nothing more. The lender keeps half.
+func (p *Purse) Lend(b BorrowParams, now time.Time) BorrowResult {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.account(b.Budget)
+	total := a.lent[b.Incarnation]
+	keep := a.waiting() + tokensFor(a.spending.rate(now), p.split(b.Budget).LeastCover)
+	spare := (a.free() - keep) / 2
+	more := min(b.Want-max(total, b.Known), spare)
+	if more > 0 && b.Known >= total && b.Incarnation != p.incarnation && !p.closing {
+		if a.lent == nil {
+			a.lent = map[granitehoist.Incarnation]granitehoist.Tokens{}
+		}
+		total += more
+		a.lent[b.Incarnation] = total
+		a.totals.Lent += more
+		a.changed = true
+	}
+	return BorrowResult{Incarnation: p.incarnation, Total: total}
+}
+
+// Borrowing returns the message that asks a lender for what requests of a
+// budget wait for, and false if none wait.
+func (p *Purse) Borrowing(k granitehoist.BudgetID, lender granitehoist.Incarnation) (BorrowParams, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a, ok := p.accounts[k]
+	if !ok {
+		return BorrowParams{}, false
+	}
+	missing := a.waiting() - a.free()
+	if missing <= 0 || p.closing {
+		return BorrowParams{}, false
+	}
+	known := a.borrowed[lender]
+	return BorrowParams{Incarnation: p.incarnation, Budget: k, Known: known, Want: known + missing + a.largest}, true
+}
+
+// Borrow takes in a lender's answer. An old or doubled answer changes nothing,
+// and neither does one that comes after Close: the page may have closed the
+// incarnation's rows by then, so that it could not give the tokens back.
+func (p *Purse) Borrow(k granitehoist.BudgetID, r BorrowResult) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.account(k)
+	more := r.Total - a.borrowed[r.Incarnation]
+	if more <= 0 || r.Incarnation == p.incarnation || p.closing {
+		return
+	}
+	if a.borrowed == nil {
+		a.borrowed = map[granitehoist.Incarnation]granitehoist.Tokens{}
+	}
+	a.borrowed[r.Incarnation] = r.Total
+	a.totals.Borrowed += more
+	a.changed = true
+	a.wake()
+}
+
+// Lenders returns the boxes that the Keeper last named for a budget.
+func (p *Purse) Lenders(k granitehoist.BudgetID) []granitehoist.Incarnation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a, ok := p.accounts[k]; ok {
+		return a.lenders
+	}
+	return nil
+}
--- a/budget/page.go
+++ b/budget/page.go
@@ -124,11 +124,7 @@
 // grants of their rows. The asks must have been heard.
 func (p *Page) Grant(k granitehoist.BudgetID, asks map[granitehoist.Incarnation]Ask, split Split, now time.Time) map[granitehoist.Incarnation]Reply {
 	a := p.account(k)
-	ids := make([]granitehoist.Incarnation, 0, len(asks))
-	for id := range asks {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	ids := sorted(asks)
 	claims := make([]*claim, len(ids))
 	for n, id := range ids {
 		claims[n] = a.claimOf(a.Rows[id], asks[id])
@@ -161,7 +157,7 @@
 
 // withLenders names the incarnations other than the asker that hold most.
 func withLenders(r Reply, a *PageAccount, asker granitehoist.Incarnation) Reply {
-	for _, id := range sortedIncarnations(a.Rows) {
+	for _, id := range sorted(a.Rows) {
 		if id != asker && a.Rows[id].Totals.Held() > 0 {
 			r.Lenders = append(r.Lenders, id)
 		}
@@ -189,7 +185,7 @@
 func (p *Page) live(a *PageAccount, now time.Time) (granitehoist.Tokens, float64) {
 	total := a.Stock()
 	var rate float64
-	for _, id := range sortedIncarnations(a.Rows) {
+	for _, id := range sorted(a.Rows) {
 		if now.Sub(time.Unix(p.Members[id].Seen, 0)) > DoubtAfter {
 			continue
 		}
@@ -220,7 +216,7 @@
 	a := p.account(k)
 	live, rate := p.live(a, now)
 	ask := RegionAsk{Budget: k, Spent: a.Spent(), Rate: rate}
-	for _, id := range sortedIncarnations(a.Rows) {
+	for _, id := range sorted(a.Rows) {
 		row := a.Rows[id]
 		ask.Need += row.Need
 		ask.Largest = max(ask.Largest, row.Largest)
--- a/budget/record.go
+++ b/budget/record.go
@@ -4,8 +4,10 @@
 package budget
 
 import (
+	"cmp"
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -249,12 +251,6 @@
 	return left
 }
 
-// sortedIncarnations returns the keys of rows in a fixed order.
-func sortedIncarnations(rows map[granitehoist.Incarnation]Row) []granitehoist.Incarnation {
-	ids := make([]granitehoist.Incarnation, 0, len(rows))
-	for id := range rows {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
+// sorted returns the keys of a map in order, so that what is worked out from
+// it does not depend on chance.
+func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/budget/report.go
@@ -0,0 +1,140 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package budget
+
+import (
+	"sort"
+	"time"
+
+	"granitehoist.example/granitehoist"
+)
+
+// Times between messages about one account while no request waits for tokens.
+const (
+	// refreshAfter is how long the Keeper goes without word of an account that
+	// holds tokens or has changed.
+	refreshAfter = 10 * time.Second
+	// lowAfter is how long an account that runs low waits to ask again.
+	lowAfter = time.Second
+)
+
+// Asks returns the message about every account that the Keeper should hear of
+// now, and whether requests wait for its answer here or elsewhere. What is
+// beyond an account's target is given back by it.
+func (p *Purse) Asks(now time.Time) (asks []Ask, urgent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for k, a := range p.accounts {
+		if !p.due(a, now) {
+			continue
+		}
+		surplus := a.hasIdle()
+		ask := p.ask(k, a, now)
+		asks = append(asks, ask)
+		urgent = urgent || surplus || ask.Need > ask.Totals.Granted
+	}
+	sort.Slice(asks, func(i, j int) bool { return asks[i].Budget < asks[j].Budget })
+	return asks, urgent || p.closing
+}
+
+// due reports whether the Keeper should hear of an account now.
+func (p *Purse) due(a *account, now time.Time) bool {
+	silent := now.Sub(a.heard)
+	switch {
+	case p.closing || len(a.waiters) > 0 || a.hasIdle():
+		return true
+	case a.told && a.free() < a.target/2:
+		return silent >= lowAfter
+	}
+	return silent >= refreshAfter && (a.changed || a.totals.Held() != 0)
+}
+
+func (p *Purse) ask(k granitehoist.BudgetID, a *account, now time.Time) Ask {
+	a.giveBack(p.closing)
+	a.heard = now
+	granted := a.totals.Granted
+	ask := Ask{Budget: k, Totals: a.totals, Rate: a.spending.rate(now), Largest: a.largest, Want: granted, Need: granted, Least: granted}
+	if p.closing {
+		return ask
+	}
+	missing := a.waiting() - a.free()
+	ask.Need += max(0, missing)
+	ask.Least += max(0, a.leastWaiting()-a.free())
+	ask.Want += max(0, missing+max(tokensFor(ask.Rate, p.split(k).Cover), a.largest))
+	return ask
+}
+
+// giveBack returns what is free beyond the target and beyond what requests
+// wait for, if it is worth a message. A box that stops returns all that is
+// free.
+func (a *account) giveBack(closing bool) {
+	if closing {
+		a.putBack(a.free())
+		return
+	}
+	surplus := a.free() - max(a.target, a.waiting())
+	switch {
+	case !a.told:
+	case a.low() && a.free() < a.leastWaiting():
+		// Parts that serve nobody here may serve somebody elsewhere.
+		a.putBack(a.free())
+	case a.low() || surplus > a.target/8:
+		a.putBack(surplus)
+	}
+}
+
+// low reports whether the budget is so low that a box is not to keep what one
+// request needs.
+func (a *account) low() bool { return a.told && a.target < a.largest }
+
+// hasIdle reports whether the account has tokens that it is not to keep and
+// that others may wait for.
+func (a *account) hasIdle() bool {
+	return a.low() && a.free() > max(a.target, a.waiting())
+}
+
+// leastWaiting returns the smallest bound that a request waits for, zero if
+// none waits.
+func (a *account) leastWaiting() granitehoist.Tokens {
+	var least granitehoist.Tokens
+	for i, w := range a.waiters {
+		if i == 0 || w.bound < least {
+			least = w.bound
+		}
+	}
+	return least
+}
+
+func (a *account) putBack(surplus granitehoist.Tokens) {
+	if surplus <= 0 {
+		return
+	}
+	a.totals.Returned += surplus
+	a.changed = true
+}
+
+// Apply takes in the Keeper's replies to asks. A reply that is old or doubled
+// changes nothing but the target.
+func (p *Purse) Apply(asks []Ask, replies []Reply, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	told := make(map[granitehoist.BudgetID]Totals, len(asks))
+	for _, ask := range asks {
+		told[ask.Budget] = ask.Totals
+	}
+	for _, r := range replies {
+		a := p.account(r.Budget)
+		if !p.closing {
+			a.totals.Granted = max(a.totals.Granted, r.Granted)
+		}
+		a.target, a.told = r.Target, true
+		a.left, a.leftAt = r.Left, now
+		a.lenders = r.Lenders
+		a.wake()
+		a.refuse()
+		before := told[r.Budget]
+		before.Granted = a.totals.Granted
+		a.changed = a.totals != before || len(a.waiters) > 0
+	}
+}
--- a/budget/root.go
+++ b/budget/root.go
@@ -4,7 +4,6 @@
 package budget
 
 import (
-	"sort"
 	"time"
 
 	"granitehoist.example/granitehoist"
@@ -94,7 +93,7 @@
 func (a *RootAccount) others(region granitehoist.Region, now time.Time) (granitehoist.Tokens, float64) {
 	var held granitehoist.Tokens
 	var rate float64
-	for _, name := range sortedRegions(a.Regions) {
+	for _, name := range sorted(a.Regions) {
 		row := a.Regions[name]
 		if name == region {
 			continue
@@ -114,12 +113,3 @@
 	s.Share = (1 + s.Share) / 2
 	return s
 }
-
-func sortedRegions(rows map[granitehoist.Region]RegionRow) []granitehoist.Region {
-	names := make([]granitehoist.Region, 0, len(rows))
-	for name := range rows {
-		names = append(names, name)
-	}
-	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	return names
-}
--- a/budget/split.go
+++ b/budget/split.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/defaults"
 )
 
 // Split tells how the tokens of a partner's budgets are spread. Its zero value
@@ -61,18 +62,10 @@
 }
 
 func (s Split) withDefaults() Split {
-	if s.Cover == 0 {
-		s.Cover = DefaultCover
-	}
-	if s.LeastCover == 0 {
-		s.LeastCover = DefaultLeastCover
-	}
-	if s.Share == 0 {
-		s.Share = DefaultShare
-	}
-	if s.Wait == 0 {
-		s.Wait = DefaultWait
-	}
+	defaults.Set(&s.Cover, DefaultCover)
+	defaults.Set(&s.LeastCover, DefaultLeastCover)
+	defaults.Set(&s.Share, DefaultShare)
+	defaults.Set(&s.Wait, DefaultWait)
 	return s
 }
 
--- a/config/follower.go
+++ b/config/follower.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/defaults"
 )
 
 // FollowerSettings configure a Follower.
@@ -48,9 +49,7 @@
 	if s.Changed == nil {
 		s.Changed = func(*View) {}
 	}
-	if s.Pause == 0 {
-		s.Pause = defaultPause
-	}
+	defaults.Set(&s.Pause, defaultPause)
 	f := &Follower{settings: s}
 	f.view.Store(NewView())
 	return f
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/defaults"
 	"granitehoist.example/granitehoist/store"
 )
 
@@ -56,9 +57,7 @@
 	if s.Store == nil || s.Self.Incarnation == "" {
 		panic("fleet: registry without store or incarnation")
 	}
-	if s.TTL == 0 {
-		s.TTL = DefaultTTL
-	}
+	defaults.Set(&s.TTL, DefaultTTL)
 	return &Registry{settings: s, self: s.Self, view: NewView([]Member{s.Self})}
 }
 
--- a/fleet/rpc.go
+++ b/fleet/rpc.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/defaults"
 )
 
 // HandlerFunc serves one method of a Server.
@@ -168,9 +169,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(s ClientSettings) *Client {
-	if s.Timeout == 0 {
-		s.Timeout = defaultCallTimeout
-	}
+	defaults.Set(&s.Timeout, defaultCallTimeout)
 	return &Client{settings: s, conns: map[string]*jsonrpc2.Conn{}}
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -21,6 +21,7 @@
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/bill"
 	"granitehoist.example/granitehoist/config"
+	"granitehoist.example/granitehoist/internal/defaults"
 	"granitehoist.example/granitehoist/once"
 	"granitehoist.example/granitehoist/report"
 	"granitehoist.example/granitehoist/route"
@@ -88,18 +89,10 @@
 	if s.View == nil || s.Funds == nil || s.Ledger == nil || s.Once == nil || s.Table == nil || s.Protocols == nil || s.Clock == nil || s.Random == nil || s.Log == nil || s.Metrics == nil || s.Incarnation == "" {
 		panic("gate: a setting is missing")
 	}
-	if s.BodyBytes == 0 {
-		s.BodyBytes = defaultBodyBytes
-	}
-	if s.HeaderBytes == 0 {
-		s.HeaderBytes = defaultHeaderBytes
-	}
-	if s.ReadTimeout == 0 {
-		s.ReadTimeout = defaultReadTimeout
-	}
-	if s.Request == 0 {
-		s.Request = defaultRequest
-	}
+	defaults.Set(&s.BodyBytes, defaultBodyBytes)
+	defaults.Set(&s.HeaderBytes, defaultHeaderBytes)
+	defaults.Set(&s.ReadTimeout, defaultReadTimeout)
+	defaults.Set(&s.Request, defaultRequest)
 	g := &Gate{settings: s, mux: http.NewServeMux(), retries: retryBudget{allowed: retryMost / 2}}
 	g.mux.HandleFunc("POST "+pathChat, g.serveCompletion)
 	g.mux.HandleFunc("POST "+pathCompletions, g.serveCompletion)
--- /dev/null
+++ b/internal/defaults/defaults.go
@@ -0,0 +1,10 @@
+// Package defaults fills in the settings that nobody set.
+package defaults
+
+// Set gives a setting that has its zero value the standard one.
+func Set[T comparable](setting *T, standard T) {
+	var unset T
+	if *setting == unset {
+		*setting = standard
+	}
+}
--- /dev/null
+++ b/measure/historysteps.go
@@ -0,0 +1,186 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package measure
+
+import (
+	"context"
+	"time"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/budget"
+	"granitehoist.example/granitehoist/standin"
+)
+
+func (h *History) reserve() {
+	b := h.box()
+	bound := granitehoist.Tokens(h.choose(historyMost))
+	if b.purse.Reserve(historyBudget, bound) {
+		b.open = append(b.open, bound)
+	}
+}
+
+func (h *History) wait() {
+	b := h.box()
+	bound := granitehoist.Tokens(h.choose(historyMost))
+	b.waiters = append(b.waiters, historyWaiter{b.purse.Wait(historyBudget, bound, h.now), bound})
+}
+
+func (h *History) settle() {
+	b := h.box()
+	h.endWaits(b)
+	if len(b.open) == 0 {
+		return
+	}
+	i := h.choose(len(b.open))
+	bound := b.open[i]
+	b.open = append(b.open[:i], b.open[i+1:]...)
+	b.purse.Settle(historyBudget, bound, granitehoist.Tokens(h.choose(int(bound)+1)), h.now)
+}
+
+func (h *History) endWaits(b *historyBox) {
+	for _, w := range b.waiters {
+		if b.purse.Abandon(historyBudget, w.waiter, h.now) == budget.Granted {
+			b.open = append(b.open, w.bound)
+		}
+	}
+	b.waiters = nil
+}
+
+// saved bounds the messages that are kept for later.
+const saved = 20
+
+func keep[T any](list []T, item T) []T {
+	list = append(list, item)
+	return list[max(0, len(list)-saved):]
+}
+
+// sync sends a box's message, which arrives or is kept for later, and so is
+// the reply.
+func (h *History) sync(b *historyBox, arrives, answered bool) {
+	asks, urgent := b.purse.Asks(h.now)
+	params := budget.SyncParams{Box: "box", Incarnation: b.purse.Incarnation(), Asks: asks, Urgent: urgent}
+	h.syncs = keep(h.syncs, savedSync{b, params})
+	if arrives {
+		h.serve(b, params, answered)
+	}
+}
+
+func (h *History) serve(b *historyBox, params budget.SyncParams, answered bool) {
+	results, err := h.keepers[b.region].SyncAll(context.Background(), 0, []budget.SyncParams{params}, h.now)
+	if err != nil {
+		return
+	}
+	h.replies = keep(h.replies, savedReply{b, params.Asks, results[0].Replies})
+	if answered {
+		b.purse.Apply(params.Asks, results[0].Replies, h.now)
+	}
+}
+
+// deliver brings an old message, perhaps once more.
+func (h *History) deliver() {
+	if len(h.syncs) > 0 {
+		m := h.syncs[h.choose(len(h.syncs))]
+		h.serve(m.box, m.params, h.choose(2) == 0)
+	}
+}
+
+func (h *History) apply() {
+	if len(h.replies) > 0 {
+		r := h.replies[h.choose(len(h.replies))]
+		r.box.purse.Apply(r.asks, r.replies, h.now)
+	}
+}
+
+func (h *History) borrow() {
+	borrower, lender := h.box(), h.box()
+	params, short := borrower.purse.Borrowing(historyBudget, lender.purse.Incarnation())
+	if !short || borrower == lender {
+		return
+	}
+	h.loans = keep(h.loans, savedLoan{lender, borrower, params})
+	result := lender.purse.Lend(params, h.now)
+	h.results = keep(h.results, savedResult{borrower, result})
+	if h.choose(2) == 0 {
+		borrower.purse.Borrow(historyBudget, result)
+	}
+}
+
+func (h *History) lendAgain() {
+	if len(h.loans) > 0 {
+		l := h.loans[h.choose(len(h.loans))]
+		h.results = keep(h.results, savedResult{l.borrower, l.lender.purse.Lend(l.params, h.now)})
+	}
+}
+
+func (h *History) takeAgain() {
+	if len(h.results) > 0 {
+		r := h.results[h.choose(len(h.results))]
+		r.borrower.purse.Borrow(historyBudget, r.result)
+	}
+}
+
+// kill ends a box with whatever it holds and has open, and replaces it.
+func (h *History) kill() {
+	if h.choose(4) != 0 {
+		return
+	}
+	h.replaceBox(func(b *historyBox) { b.dead = true })
+}
+
+// closeBox stops a box in good order: its last message may be lost.
+func (h *History) closeBox() {
+	if h.choose(4) != 0 {
+		return
+	}
+	h.replaceBox(func(b *historyBox) {
+		h.endWaits(b)
+		for _, bound := range b.open {
+			b.purse.Settle(historyBudget, bound, bound/2, h.now)
+		}
+		b.open = nil
+		b.purse.Close()
+		b.closed = true
+		h.sendClosing(b)
+	})
+}
+
+func (h *History) sendClosing(b *historyBox) {
+	asks, _ := b.purse.Asks(h.now)
+	params := budget.SyncParams{Box: "box", Incarnation: b.purse.Incarnation(), Asks: asks, Closing: true}
+	h.syncs = keep(h.syncs, savedSync{b, params})
+	if h.choose(2) == 0 {
+		h.serve(b, params, true)
+	}
+}
+
+func (h *History) replaceBox(end func(*historyBox)) {
+	i := h.choose(len(h.boxes))
+	old := h.boxes[i]
+	h.boxes[i] = h.newBox(old.region)
+	h.ended = append(h.ended, old)
+	end(old)
+}
+
+func (h *History) disturbStore() {
+	faults := []standin.StoreFaults{{}, {}, {Down: true}, {Silent: true}, {LoseEvery: 2}, {DropEvery: 2}, {LoseEvery: 3, DropEvery: 2}}
+	h.store.Fail(faults[h.choose(len(faults))])
+}
+
+func (h *History) cutRegion() {
+	h.cut[h.choose(2)] = h.choose(2) == 0
+}
+
+func (h *History) pass() {
+	h.now = h.now.Add(time.Duration(h.choose(40)) * time.Second)
+}
+
+// prepay tops the budget up or reduces it.
+func (h *History) prepay() {
+	if h.choose(4) != 0 {
+		return
+	}
+	h.prepaid = granitehoist.Tokens(h.choose(2 * historyPrepaid))
+	h.most = max(h.most, h.prepaid)
+	h.serial++
+}
--- a/route/table.go
+++ b/route/table.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/defaults"
 )
 
 // Target is an upstream that may be chosen.
@@ -59,15 +60,9 @@
 
 // NewTable returns an empty table.
 func NewTable(s Settings) *Table {
-	if s.Slack == 0 {
-		s.Slack = DefaultSlack
-	}
-	if s.Eject == 0 {
-		s.Eject = DefaultEject
-	}
-	if s.QueueLimit == 0 {
-		s.QueueLimit = DefaultQueueLimit
-	}
+	defaults.Set(&s.Slack, DefaultSlack)
+	defaults.Set(&s.Eject, DefaultEject)
+	defaults.Set(&s.QueueLimit, DefaultQueueLimit)
 	return &Table{
 		settings: s,
 		random:   rand.New(rand.NewPCG(s.Seed, 0)),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -17,6 +17,7 @@
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/budget"
 	"granitehoist.example/granitehoist/config"
+	"granitehoist.example/granitehoist/internal/defaults"
 )
 
 // Duration is a time.Duration written as "1.5s".
@@ -162,22 +163,15 @@
 }
 
 func (r *Router) setDefaults() {
-	setDefault(&r.Limits.BodyBytes, DefaultBodyBytes)
-	setDefault(&r.Limits.HeaderBytes, DefaultHeaderBytes)
-	setDefault(&r.Limits.ReadTimeout, DefaultReadTimeout)
-	setDefault(&r.Limits.Request, DefaultRequest)
-	setDefault(&r.Limits.Drain, DefaultDrain)
-	setDefault(&r.Limits.Unready, DefaultUnready)
-	setDefault(&r.Budget.Shards, budget.DefaultShards)
-	setDefault(&r.Budget.Interval, Duration(budget.DefaultInterval))
-	setDefault(&r.Log.Level, DefaultLevel)
-}
-
-func setDefault[T comparable](value *T, standard T) {
-	var unset T
-	if *value == unset {
-		*value = standard
-	}
+	defaults.Set(&r.Limits.BodyBytes, DefaultBodyBytes)
+	defaults.Set(&r.Limits.HeaderBytes, DefaultHeaderBytes)
+	defaults.Set(&r.Limits.ReadTimeout, DefaultReadTimeout)
+	defaults.Set(&r.Limits.Request, DefaultRequest)
+	defaults.Set(&r.Limits.Drain, DefaultDrain)
+	defaults.Set(&r.Limits.Unready, DefaultUnready)
+	defaults.Set(&r.Budget.Shards, budget.DefaultShards)
+	defaults.Set(&r.Budget.Interval, Duration(budget.DefaultInterval))
+	defaults.Set(&r.Log.Level, DefaultLevel)
 }
 
 type checker struct {
--- a/store/http.go
+++ b/store/http.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/defaults"
 )
 
 // The paths of the service's protocol.
@@ -86,12 +87,8 @@
 	if s.Address == "" {
 		panic("store: no address")
 	}
-	if s.Timeout == 0 {
-		s.Timeout = DefaultTimeout
-	}
-	if s.Watch == 0 {
-		s.Watch = DefaultWatch
-	}
+	defaults.Set(&s.Timeout, DefaultTimeout)
+	defaults.Set(&s.Watch, DefaultWatch)
 	if s.Client == nil {
 		s.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}}
 	}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -18,6 +18,7 @@
 	"github.com/dghubble/sling"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/defaults"
 )
 
 // HeaderAttempt carries the attempt id to an upstream and back.
@@ -42,15 +43,9 @@
 )
 
 func (s Settings) withDefaults() Settings {
-	if s.Connect == 0 {
-		s.Connect = defaultConnect
-	}
-	if s.Stop == 0 {
-		s.Stop = defaultStop
-	}
-	if s.MaxAnswer == 0 {
-		s.MaxAnswer = defaultMaxAnswer
-	}
+	defaults.Set(&s.Connect, defaultConnect)
+	defaults.Set(&s.Stop, defaultStop)
+	defaults.Set(&s.MaxAnswer, defaultMaxAnswer)
 	return s
 }
 
@@ -117,6 +112,27 @@
 	return nil, granitehoist.Wrap(granitehoist.UpstreamLost, err, "")
 }
 
+// open sends a call and returns the response if it names no other attempt. The
+// caller ends it with end.
+func (s *sender) open(ctx context.Context, c granitehoist.Call) (response *http.Response, end func(), err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	response, err = s.send(ctx, c)
+	if err != nil {
+		cancel()
+		return nil, nil, err
+	}
+	end = func() {
+		// An answer that was not read to its end takes its connection with it.
+		cancel()
+		_ = response.Body.Close()
+	}
+	if crossed(response, c.Attempt) {
+		end()
+		return nil, nil, granitehoist.Errorf(granitehoist.AnswerCrossed, "")
+	}
+	return response, end, nil
+}
+
 // onlyReader hides the type of the body, so that the standard library can't
 // take it as one that may be sent again.
 type onlyReader struct{ io.Reader }
@@ -135,13 +151,6 @@
 	return echoed != "" && echoed != string(attempt)
 }
 
-// discard ends a response whose connection is not to be used again.
-func discard(r *http.Response, cancel context.CancelFunc) {
-	cancel()
-	// The error is of a connection that is being given up.
-	_ = r.Body.Close()
-}
-
 // hopHeaders belong to one connection and are not passed on.
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
