--- a/internal/defaults/defaults.go
+++ b/internal/defaults/defaults.go
@@ -1,3 +1,6 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
 // Package defaults fills in the settings that nobody set.
 package defaults
 
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -11,6 +11,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/dghubble/sling"
@@ -23,6 +24,8 @@
 const (
 	// PathCancel ends an attempt and answers what it cost.
 	PathCancel = "/v1/cancel"
+	// PathResume goes on with a stream that was broken off.
+	PathResume = "/v1/resume"
 	// PathAttempts lists attempts whose ids begin with a prefix.
 	PathAttempts = "/v1/attempts"
 )
@@ -86,7 +89,7 @@
 		return granitehoist.Usage{}, refusal(response)
 	}
 	if c.Stream {
-		return e.stream(response, c, sink)
+		return e.stream(ctx, response, c, sink)
 	}
 	return e.whole(response, c, sink)
 }
@@ -143,15 +146,58 @@
 
 const maxEventSize = 1 << 20
 
+// maxResumes bounds how often one stream is resumed.
+const maxResumes = 3
+
 // stream passes on the events of an answer. The end mark is passed on only if
-// every choice that was begun has a finish reason.
-func (e *Engine) stream(r *http.Response, c granitehoist.Call, sink granitehoist.Sink) (granitehoist.Usage, error) {
-	reader := bufio.NewReader(r.Body)
+// every choice that was begun has a finish reason. A stream that breaks off is
+// resumed at the engine, from the event after the last that came whole.
+func (e *Engine) stream(ctx context.Context, r *http.Response, c granitehoist.Call, sink granitehoist.Sink) (granitehoist.Usage, error) {
 	state := streamState{attempt: c.Attempt, open: map[int]bool{}}
+	err := e.pass(r, c, sink, &state)
+	for range maxResumes {
+		if !errors.Is(err, errBrokenOff) || ctx.Err() != nil || !state.begun {
+			break
+		}
+		resumed, end, failed := e.resume(ctx, c, state.events)
+		if failed != nil {
+			break
+		}
+		err = e.pass(resumed, c, sink, &state)
+		end()
+	}
+	return state.usage, err
+}
+
+// errBrokenOff is the cause of an error that a resumed stream may mend.
+var errBrokenOff = errors.New("upstream: the stream broke off")
+
+// resume asks the engine to go on with a stream after a number of events.
+func (e *Engine) resume(ctx context.Context, c granitehoist.Call, events int) (*http.Response, func(), error) {
+	again := granitehoist.Call{
+		Attempt: c.Attempt,
+		Address: c.Address,
+		Method:  http.MethodGet,
+		Path:    PathResume + "?from=" + strconv.Itoa(events),
+	}
+	response, end, err := e.sender.open(ctx, again)
+	if err != nil {
+		return nil, nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		end()
+		return nil, nil, refusal(response)
+	}
+	return response, end, nil
+}
+
+// pass passes on the events of one response until its end mark.
+func (e *Engine) pass(r *http.Response, c granitehoist.Call, sink granitehoist.Sink, state *streamState) error {
+	reader := bufio.NewReader(r.Body)
 	for {
 		line, err := readLine(reader)
 		if err != nil {
-			return state.usage, granitehoist.Wrap(granitehoist.UpstreamCut, err, "")
+			return granitehoist.Wrap(granitehoist.UpstreamCut, errors.Join(errBrokenOff, err), "")
 		}
 		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), dataField)
 		if !ok {
@@ -161,7 +207,7 @@
 		done := bytes.Equal(data, endMark)
 		hidden, err := state.take(data, done)
 		if err != nil {
-			return state.usage, err
+			return err
 		}
 		if hidden && c.HideUsage {
 			continue
@@ -169,17 +215,17 @@
 		if !state.started {
 			state.started = true
 			if err := sink.Start(r.StatusCode, CopyHeader(r.Header, HeaderAttempt, "Content-Length")); err != nil {
-				return state.usage, granitehoist.Wrap(granitehoist.CallerGone, err, "")
+				return granitehoist.Wrap(granitehoist.CallerGone, err, "")
 			}
 		}
 		if err := sink.Write(event(data)); err != nil {
-			return state.usage, granitehoist.Wrap(granitehoist.CallerGone, err, "")
+			return granitehoist.Wrap(granitehoist.CallerGone, err, "")
 		}
 		if done {
 			// What follows the end mark is read so that the connection can be
 			// used again; it is bounded and its error is of no matter.
 			_, _ = io.CopyN(io.Discard, reader, maxEventSize)
-			return state.usage, nil
+			return nil
 		}
 	}
 }
@@ -214,8 +260,10 @@
 	attempt granitehoist.AttemptID
 	started bool
 	begun   bool
-	open    map[int]bool
-	usage   granitehoist.Usage
+	// events counts those with a part of the answer.
+	events int
+	open   map[int]bool
+	usage  granitehoist.Usage
 }
 
 // take checks one event, and reports whether it holds usage and no choices.
@@ -236,8 +284,11 @@
 	if !a.belongsTo(s.attempt) {
 		return false, granitehoist.Errorf(granitehoist.AnswerCrossed, "")
 	}
-	for _, choice := range a.Choices {
+	if len(a.Choices) > 0 {
 		s.begun = true
+		s.events++
+	}
+	for _, choice := range a.Choices {
 		s.open[choice.Index] = true
 		if choice.FinishReason != nil && *choice.FinishReason != "" {
 			delete(s.open, choice.Index)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -113,7 +113,7 @@
 			)
 
 			It("finds out that an answer was cut, and what it cost", func() {
-				stand.Fail(standin.EngineFaults{CutEvery: 1})
+				stand.Fail(standin.EngineFaults{CutEvery: 1, Forget: true})
 				var s sink
 				_, err := engine.Do(ctx, call(address, stream), &s)
 				Expect(granitehoist.CodeOf(err).Info().Fate).To(Equal(granitehoist.MayHaveRun))
@@ -132,6 +132,19 @@
 		})
 	}
 
+	It("resumes a stream that broke off, without a word twice or missing", func() {
+		stand := standin.NewEngine(standin.EngineSettings{})
+		stand.Fail(standin.EngineFaults{CutEvery: 1})
+		var whole, resumed sink
+		usage, err := engine.Do(ctx, call(serve(stand.Handler()), true), &resumed)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(usage.Total()).To(Equal(standin.Cost(prompt, 16)))
+		_, err = engine.Do(ctx, call(serve(standin.NewEngine(standin.EngineSettings{}).Handler()), true), &whole)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resumed.body.String()).To(Equal(whole.body.String()))
+		Expect(stand.Books()[0].Runs).To(Equal(1))
+	})
+
 	It("keeps the usage from callers that did not ask for it", func() {
 		address := serve(standin.NewEngine(standin.EngineSettings{}).Handler())
 		c := call(address, true)
