Keep requests in hand at quiet boxes, and stop a server that has not begun

Cause: with the example site and the store taken away, a kiosk on a budget of two million tokens was refused from its second request on: a box whose forecast is small held nothing. The router tests hung 2 of 3 times: a Close that came before Serve left the listener open, so a stop right after a start never ended. Change: a quiet holder keeps up to 16 of its largest requests, all together at most a tenth of what is left. Serve after Close returns. Code 6006 for 'settle' of a live router; the capacity page has the burn report's memory. The kiosk is served while the store is down.

--- a/budget/allot.go
+++ b/budget/allot.go
@@ -18,9 +18,14 @@
 	endRequests = 20
 )
 
-// smallPart is the number of largest requests that a budget must have left for
-// a quiet holder to keep one in hand.
-const smallPart = 100
+// A quiet holder, whose forecast is smaller, keeps some of its largest requests
+// in hand, so that it goes on for a while when it is cut off: at most
+// quietRequests, and all quiet holders together at most one part in quietParts
+// of the budget.
+const (
+	quietRequests = 16
+	quietParts    = 10
+)
 
 // claim is one holder's wish to an amount that several share: an incarnation's
 // to its region's stock, or a region's to what is unallocated.
@@ -33,26 +38,28 @@
 	least, need, want granitehoist.Tokens
 	// rate is the forecast in tokens a second.
 	rate float64
-	// largest is the largest bound of a request there.
-	largest granitehoist.Tokens
+	// largest is the largest bound of a request there, and each the sum of the
+	// largest bounds of all boxes there.
+	largest, each granitehoist.Tokens
 	// give is the answer: the addition. limit is what the holder should hold.
 	give, limit granitehoist.Tokens
 }
 
 // allot divides stock among claims. total is what all holders and the stock
 // have together, and rate the forecast of all holders, those without a claim
-// included. First each holder gets what lets its smallest waiting request run,
+// included; quiet is the most that a
+// quiet holder may have. First each holder gets what lets its smallest waiting request run,
 // smallest first and never a part of it; then what its others wait for, as far
 // as it goes; then wishes up to its limit. The sum of the gifts never exceeds
 // stock.
-func allot(claims []*claim, stock, total granitehoist.Tokens, rate float64, split Split) {
+func allot(claims []*claim, stock, total granitehoist.Tokens, rate float64, quiet granitehoist.Tokens, split Split) {
 	var largest granitehoist.Tokens
 	for _, c := range claims {
 		largest = max(largest, c.largest)
 	}
 	hold := horizon(total, largest, rate, split)
 	for _, c := range claims {
-		c.limit = c.limitAt(hold, total)
+		c.limit = c.limitAt(hold, quiet)
 	}
 	needy := byLeast(claims)
 	for _, c := range needy {
@@ -94,13 +101,19 @@
 	return time.Duration(shrink * hold * float64(time.Second))
 }
 
-// limitAt returns what the holder should hold. A holder whose forecast is
-// smaller than one request holds one request, as long as that is a small part
-// of the budget.
-func (c *claim) limitAt(hold time.Duration, total granitehoist.Tokens) granitehoist.Tokens {
+// quietShare returns the most that each of some quiet holders may have of what a
+// budget has left.
+func quietShare(left granitehoist.Tokens, holders int) granitehoist.Tokens {
+	return left / granitehoist.Tokens(quietParts*max(1, holders))
+}
+
+// limitAt returns what the holder should hold, of which quiet is the most that a
+// quiet holder may have.
+func (c *claim) limitAt(hold time.Duration, quiet granitehoist.Tokens) granitehoist.Tokens {
 	limit := tokensFor(c.rate, hold)
-	if c.largest > limit && c.rate > 0 && c.largest <= total/smallPart {
-		return c.largest
+	inHand := min(quietRequests*c.each, quiet)
+	if inHand >= c.largest {
+		limit = max(limit, inHand)
 	}
 	return limit
 }
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -121,6 +121,18 @@
 		Expect(p.Reserve(k, 1)).To(BeFalse())
 	})
 
+	It("keeps some requests in hand though it is quiet, if the budget has many", func() {
+		b.prepaid = 2_000_000
+		w := p.Wait(k, 300, b.now)
+		Expect(b.sync(keeper, p)).To(Succeed())
+		Expect(p.Abandon(k, w, b.now)).To(Equal(budget.Granted))
+		p.Settle(k, 300, 10, b.now)
+		b.store.Fail(standin.StoreFaults{Down: true})
+		for range 10 {
+			Expect(p.Reserve(k, 300)).To(BeTrue())
+		}
+	})
+
 	It("charges a use beyond the bound and owes it", func() {
 		w := p.Wait(k, 100, b.now)
 		Expect(b.sync(keeper, p)).To(Succeed())
--- a/budget/page.go
+++ b/budget/page.go
@@ -135,8 +135,9 @@
 		// The root wants everything back.
 		share = 0
 	}
-	allot(claims, a.Stock(), share, rate, split.withDefaults())
 	left := live + a.Elsewhere + a.Sent - a.Confirmed
+	quiet := min(quietShare(left, len(a.Rows)), share/granitehoist.Tokens(max(1, len(a.Rows))))
+	allot(claims, a.Stock(), share, rate, quiet, split.withDefaults())
 	replies := make(map[granitehoist.Incarnation]Reply, len(ids))
 	for n, id := range ids {
 		row := a.Rows[id]
@@ -178,6 +179,7 @@
 		want:    max(0, ask.Want-row.Totals.Granted),
 		rate:    row.Rate,
 		largest: row.Largest,
+		each:    row.Largest,
 	}
 }
 
@@ -204,7 +206,9 @@
 	Spent          granitehoist.Tokens
 	Live           granitehoist.Tokens
 	Rate           float64
-	Largest        granitehoist.Tokens
+	// Largest is the largest bound of a request, and Each the sum of the largest
+	// of every box.
+	Largest, Each granitehoist.Tokens
 	// Least, Need and Want are additions to what the region has.
 	Least, Need, Want granitehoist.Tokens
 }
@@ -220,6 +224,7 @@
 		row := a.Rows[id]
 		ask.Need += row.Need
 		ask.Largest = max(ask.Largest, row.Largest)
+		ask.Each += row.Largest
 		if row.Least > 0 && (ask.Least == 0 || row.Least < ask.Least) {
 			ask.Least = row.Least
 		}
@@ -230,7 +235,7 @@
 	ask.Least = min(ask.Need, max(0, ask.Least-stock))
 	ask.Live = live
 	ask.Received, ask.Back = a.Received, a.Sent
-	wish := max(tokensFor(rate, 2*split.withDefaults().Cover), ask.Largest)
+	wish := max(tokensFor(rate, 2*split.withDefaults().Cover), quietRequests*ask.Each)
 	ask.Want = max(ask.Need, wish-ask.Live)
 	if ask.Need == 0 || stock < least {
 		a.giveBack(live)
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -130,6 +130,7 @@
 		w.end(false)
 	default:
 		a.waiters = append(a.waiters, w)
+		a.largest = max(a.largest, bound)
 		a.changed = true
 	}
 	return w
--- a/budget/report.go
+++ b/budget/report.go
@@ -61,7 +61,7 @@
 	missing := a.waiting() - a.free()
 	ask.Need += max(0, missing)
 	ask.Least += max(0, a.leastWaiting()-a.free())
-	ask.Want += max(0, missing+max(tokensFor(ask.Rate, p.split(k).Cover), a.largest))
+	ask.Want += max(0, missing+max(tokensFor(ask.Rate, p.split(k).Cover), quietRequests*a.largest))
 	return ask
 }
 
--- a/budget/root.go
+++ b/budget/root.go
@@ -70,9 +70,10 @@
 		want:    max(0, ask.Want-onTheWay),
 		rate:    row.Rate,
 		largest: row.Largest,
+		each:    ask.Each,
 	}
 	total := unallocated + elsewhere + c.held
-	allot([]*claim{c}, unallocated, total, rate+row.Rate, split.withDefaults().forRegions())
+	allot([]*claim{c}, unallocated, total, rate+row.Rate, quietShare(total, len(a.Regions)), split.withDefaults().forRegions())
 	row.Given += c.give
 	row.Live += c.give
 	a.Regions[region] = row
--- a/codes.go
+++ b/codes.go
@@ -54,6 +54,7 @@
 	OnceUnavailable   Code = 6003
 	Internal          Code = 6004
 	NotReady          Code = 6005
+	RouterLive        Code = 6006
 	NotAuthorised     Code = 7001
 	DocumentBad       Code = 7002
 	DocumentConflict  Code = 7003
@@ -132,6 +133,7 @@
 	{OnceUnavailable, "once_unavailable", NotRun, http.StatusServiceUnavailable, AdviceLater, "a request not to be repeated can't be bound now"},
 	{Internal, "internal", MayHaveRun, http.StatusInternalServerError, AdviceCheck, "the router failed"},
 	{NotReady, "not_ready", NotRun, http.StatusServiceUnavailable, AdviceLater, "the router has not read its documents yet"},
+	{RouterLive, "router_live", NotRun, http.StatusConflict, AdviceLater, "the router is in the list of live routers"},
 	{NotAuthorised, "not_authorised", NotRun, http.StatusForbidden, AdviceFix, "the document is not signed by its partner"},
 	{DocumentBad, "document_bad", NotRun, http.StatusUnprocessableEntity, AdviceFix, "the document has faults"},
 	{DocumentConflict, "document_conflict", NotRun, http.StatusConflict, AdviceFix, "the document was changed meanwhile"},
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -87,6 +87,20 @@
 	})
 })
 
+var _ = Describe("Server", func() {
+	It("does not listen when it was closed before it served", func() {
+		server := fleet.NewServer(fleet.ServerSettings{Self: "me"})
+		server.Close()
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		done := make(chan error, 1)
+		go func() { done <- server.Serve(listener) }()
+		Eventually(done).Should(Receive(BeNil()))
+		_, err = net.Dial("tcp", listener.Addr().String())
+		Expect(err).To(HaveOccurred())
+	})
+})
+
 func members(n int) []fleet.Member {
 	members := make([]fleet.Member, n)
 	for i := range members {
--- a/fleet/rpc.go
+++ b/fleet/rpc.go
@@ -73,11 +73,16 @@
 	return &Server{self: s.Self, methods: s.Methods, conns: map[*jsonrpc2.Conn]struct{}{}}
 }
 
-// Serve takes connections from a listener until Close.
+// Serve takes connections from a listener until Close. After Close it closes
+// the listener and returns.
 func (s *Server) Serve(listener net.Listener) error {
 	s.mu.Lock()
 	s.listener = listener
+	closed := s.closed
 	s.mu.Unlock()
+	if closed {
+		return listener.Close()
+	}
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
--- a/measure/capacity.go
+++ b/measure/capacity.go
@@ -18,6 +18,7 @@
 	"granitehoist.example/granitehoist/config"
 	"granitehoist.example/granitehoist/fleet"
 	"granitehoist.example/granitehoist/internal/pack"
+	"granitehoist.example/granitehoist/report"
 	"granitehoist.example/granitehoist/route"
 	"granitehoist.example/granitehoist/standin"
 )
@@ -97,6 +98,7 @@
 			return heapOf(func() any { return config.NewView().With(d, 1) })
 		}),
 		newSlope("document-bytes", "B", "budget", 100, 1000, documentBytes),
+		newSlope("burn-memory", "B", "key", 100, 1000, burnMemory),
 		newSlope("member-bytes", "B", "member", 100, 1100, memberBytes),
 		newSlope("choice-time", "ns", "upstream", 200, 10000, choiceTime),
 		newSlope("choice-memory", "B", "upstream", 200, 10000, choiceMemory),
@@ -265,6 +267,18 @@
 	return float64(total)
 }
 
+// burnMemory is what a router's burn report takes for n services, workspaces
+// and places.
+func burnMemory(n int) float64 {
+	return heapOf(func() any {
+		var r report.Recorder
+		for i := range n {
+			r.Add(report.Key{Service: "granite-pool", Workspace: granitehoist.Workspace(fmt.Sprint(i))}, report.Counts{Requests: 1}, capacityStart)
+		}
+		return &r
+	})
+}
+
 func memberBytes(n int) float64 {
 	var members []fleet.Member
 	for i := range n {
--- a/measure/loads.go
+++ b/measure/loads.go
@@ -13,7 +13,10 @@
 	// Budgets are drawn on by requests, and Upstreams served by.
 	Budgets   float64
 	Upstreams float64
-	Shards    float64
+	// Keys is the pairs of service and workspace that one router serves in a
+	// day.
+	Keys   float64
+	Shards float64
 	// Changes is configuration changes a second.
 	Changes float64
 	// Restarts is starts of routers a second.
@@ -27,8 +30,8 @@
 
 // Sizes are those of docs/CAPACITY.md.
 var Sizes = []FleetSize{
-	{Name: "full", Nodes: 1100, Regions: 6, Places: 19, Requests: 63000, Budgets: 14000, Upstreams: 10000, Shards: 64, Changes: 15000.0 / secondsPerDay, Restarts: 2000.0 / secondsPerDay, Gathered: true},
-	{Name: "small", Nodes: 6, Regions: 1, Places: 3, Requests: 60, Budgets: 20, Upstreams: 25, Shards: 8, Changes: 20.0 / secondsPerDay, Restarts: 6.0 / secondsPerDay},
+	{Name: "full", Nodes: 1100, Regions: 6, Places: 19, Requests: 63000, Budgets: 14000, Upstreams: 10000, Keys: 2000, Shards: 64, Changes: 15000.0 / secondsPerDay, Restarts: 2000.0 / secondsPerDay, Gathered: true},
+	{Name: "small", Nodes: 6, Regions: 1, Places: 3, Requests: 60, Budgets: 20, Upstreams: 25, Keys: 80, Shards: 8, Changes: 20.0 / secondsPerDay, Restarts: 6.0 / secondsPerDay},
 }
 
 // Load is what a role costs each node that has it. Writes and Reads are of the
@@ -114,5 +117,9 @@
 			Cores:  nano * perNode * by["choice-time"].At(f.Upstreams),
 			Memory: by["choice-memory"].At(f.Upstreams),
 		},
+		{
+			Role:   "report-burn",
+			Memory: by["burn-memory"].At(f.Keys),
+		},
 	}
 }
--- a/router/admin.go
+++ b/router/admin.go
@@ -247,7 +247,7 @@
 	dead := granitehoist.Incarnation(req.PathValue("incarnation"))
 	for _, m := range r.registry.View().Members() {
 		if m.Incarnation == dead {
-			writeError(w, granitehoist.Errorf(granitehoist.DocumentConflict, "router %s is in the list of live routers", dead))
+			writeError(w, granitehoist.Errorf(granitehoist.RouterLive, "%s", dead))
 			return
 		}
 	}
