--- a/bill/suite_test.go
+++ b/bill/suite_test.go
@@ -4,13 +4,21 @@
 package bill_test
 
 import (
+	"flag"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
+// patience is how long an eventual thing may take on a busy machine.
+const patience = 20 * time.Second
+
 func TestBill(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(patience)
+	// Properties are checked on the same cases each time.
+	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
 	RunSpecs(t, "bill")
 }
--- a/internal/pack/pack_test.go
+++ b/internal/pack/pack_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -14,8 +15,12 @@
 	"granitehoist.example/granitehoist/internal/pack"
 )
 
+// patience is how long an eventual thing may take on a busy machine.
+const patience = 20 * time.Second
+
 func TestPack(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(patience)
 	RunSpecs(t, "pack")
 }
 
--- a/orphan/suite_test.go
+++ b/orphan/suite_test.go
@@ -5,12 +5,17 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
+// patience is how long an eventual thing may take on a busy machine.
+const patience = 20 * time.Second
+
 func TestOrphan(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(patience)
 	RunSpecs(t, "orphan")
 }
--- a/settings/suite_test.go
+++ b/settings/suite_test.go
@@ -5,12 +5,17 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
+// patience is how long an eventual thing may take on a busy machine.
+const patience = 20 * time.Second
+
 func TestSettings(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(patience)
 	RunSpecs(t, "settings")
 }
