--- a/gate/fakes_test.go
+++ b/gate/fakes_test.go
@@ -149,13 +149,14 @@
 
 // site is a gate between fakes.
 type site struct {
-	gate   *gate.Gate
-	funds  *fakeFunds
-	engine *fakeProtocol
-	plain  *fakeProtocol
-	ledger *bill.Ledger
-	store  *standin.Store
-	view   *config.View
+	settings gate.Settings
+	gate     *gate.Gate
+	funds    *fakeFunds
+	engine   *fakeProtocol
+	plain    *fakeProtocol
+	ledger   *bill.Ledger
+	store    *standin.Store
+	view     *config.View
 }
 
 func newSite() *site {
@@ -167,7 +168,7 @@
 		store:  standin.NewStore(standin.StoreSettings{}),
 		view:   config.NewView().With(document(), 1),
 	}
-	s.gate = gate.New(gate.Settings{
+	s.settings = gate.Settings{
 		Place:       "gachuurt",
 		Incarnation: "box-1",
 		View:        func() *config.View { return s.view },
@@ -181,7 +182,8 @@
 		Log:         zap.NewNop(),
 		Metrics:     metrics.NewRegistry(),
 		BodyBytes:   10_000,
-	})
+	}
+	s.gate = gate.New(s.settings)
 	return s
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -129,6 +129,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	setReadDeadline(w, g.settings.Clock().Add(g.settings.ReadTimeout))
 	if size := headerSize(r); size > g.settings.HeaderBytes {
 		g.refuse(w, g.requestID(r), granitehoist.Errorf(granitehoist.HeaderTooLarge, "%d bytes, the limit is %d", size, g.settings.HeaderBytes))
 		return
@@ -260,13 +261,12 @@
 	return true
 }
 
-// readBody reads a request's body within the size and time limits.
+// readBody reads a request's body within the size limit and the read deadline
+// that ServeHTTP has set. The deadline is lifted only when the body is whole:
+// the standard library reads what is left of a body before it answers, and
+// would wait for a slow caller without end.
 func (g *Gate) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	control := http.NewResponseController(w)
-	// A writer that can't set deadlines is one of a test.
-	_ = control.SetReadDeadline(g.settings.Clock().Add(g.settings.ReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.settings.BodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -274,9 +274,15 @@
 	case err != nil:
 		return nil, granitehoist.Wrap(granitehoist.SlowCaller, err, "")
 	}
+	setReadDeadline(w, time.Time{})
 	return body, nil
 }
 
+func setReadDeadline(w http.ResponseWriter, at time.Time) {
+	// A writer that can't set deadlines is one of a test.
+	_ = http.NewResponseController(w).SetReadDeadline(at)
+}
+
 // wishes is what a caller's headers ask for.
 type wishes struct {
 	priority granitehoist.Priority
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -4,9 +4,14 @@
 package gate_test
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -342,6 +347,43 @@
 		Expect(s.chat(goodBody).body).NotTo(ContainSubstring("10.0.0.1"))
 	})
 
+	DescribeTable("answers a caller whose body does not arrive in time", func(key string, code string) {
+		s.settings.ReadTimeout = 50 * time.Millisecond
+		server := httptest.NewServer(gate.New(s.settings))
+		defer server.Close()
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", key)
+		Expect(err).NotTo(HaveOccurred())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		Expect(response.Header.Get(gate.HeaderCode)).To(Equal(code))
+		Expect(response.Header.Get(gate.HeaderFate)).To(Equal(string(granitehoist.NotRun)))
+		nothingSpent()
+	},
+		Entry("as slow", key, "1005"),
+		Entry("whose key is wrong, before the body is read", "nobody", "2002"),
+	)
+
+	It("lets an answer take longer than a body may", func() {
+		s.settings.ReadTimeout = 50 * time.Millisecond
+		s.engine.steps = []step{func(c granitehoist.Call, sink granitehoist.Sink) (granitehoist.Usage, error) {
+			time.Sleep(200 * time.Millisecond)
+			return answers(c, sink)
+		}}
+		server := httptest.NewServer(gate.New(s.settings))
+		defer server.Close()
+		request, err := http.NewRequest(http.MethodPost, server.URL+"/v1/chat/completions", strings.NewReader(goodBody))
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("Authorization", "Bearer "+key)
+		response, err := server.Client().Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+	})
+
 	It("panics without its parts", func() {
 		Expect(func() { gate.New(gate.Settings{}) }).To(Panic())
 	})
