--- a/cmd/granitehoist/operator.go
+++ b/cmd/granitehoist/operator.go
@@ -163,7 +163,7 @@
 }
 
 func newBudgets(app *kingpin.Application, out io.Writer) command {
-	clause := app.Command("budgets", "Show where the tokens of each budget are.")
+	clause := app.Command("budget", "Look at budgets.").Command("show", "Show where the tokens of each budget are.")
 	o := newOperator(clause)
 	return command{clause, func(ctx context.Context) error {
 		var budgets []budget.Overview
--- a/examples/try-site.sh
+++ b/examples/try-site.sh
@@ -59,6 +59,6 @@
 sleep 2
 echo "--- bills and budgets"
 ./granitehoist bills --router http://127.0.0.1:8082
-./granitehoist budgets --router http://127.0.0.1:8382
+./granitehoist budget show --router http://127.0.0.1:8382
 echo "--- service-level burn"
 ./granitehoist report burn --router http://127.0.0.1:8082 | tail -4
