Never say not run after an attempt that may have run

Cause: read once more as a caller: a repeatable request whose first attempt was lost, and whose retry was refused or found no upstream left, was told 'not run' (5001 or 4001), though the first attempt may have run. Change: the doubt of an earlier attempt outlasts later ones that did not run. Ruled out: requests not to be repeated, which are not sent again after such an attempt.

--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -224,6 +224,23 @@
 			Expect(reserved).To(BeZero())
 		})
 
+		DescribeTable("never says not run after an attempt that may have run",
+			func(retry step, upstreams int) {
+				document := document()
+				document.Upstreams = document.Upstreams[:upstreams]
+				document.Services = document.Services[:1]
+				s.view = config.NewView().With(document, 2)
+				s.engine.steps = []step{fails(granitehoist.UpstreamLost), retry}
+				s.engine.stopped = &granitehoist.Usage{Prompt: 4, Output: 1, Reported: true}
+				t := s.chat(goodBody)
+				Expect(t.code).To(Equal(granitehoist.UpstreamLost))
+				Expect(t.fate).To(Equal(granitehoist.MayHaveRun))
+				Expect(s.ledger.Next(10).Charges[0].Tokens).To(Equal(granitehoist.Tokens(5)))
+			},
+			Entry("when the retry is refused", fails(granitehoist.UpstreamRefused), 3),
+			Entry("when nothing is left to retry at", answers, 1),
+		)
+
 		It("ends a broken stream with an error event and no end mark", func() {
 			s.engine.steps = []step{breaks}
 			s.engine.stopped = &granitehoist.Usage{Prompt: 4, Output: 1, Reported: true}
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -244,10 +244,11 @@
 	}
 	g.retries.request()
 	var binding *once.Binding
+	var doubt error
 	for attempt := 1; ; attempt++ {
 		slot, err := g.settings.Table.Acquire(ctx, want, g.settings.Clock())
 		if err != nil {
-			return g.release(ctx, binding, err)
+			return g.release(ctx, binding, truthful(doubt, err))
 		}
 		id := granitehoist.NewAttemptID(g.settings.Incarnation, g.attempts.Add(1), req.budget, req.id)
 		if req.wishes.once && binding == nil {
@@ -262,6 +263,10 @@
 			g.finishBinding(ctx, req, binding)
 			return nil
 		}
+		err = truthful(doubt, err)
+		if granitehoist.CodeOf(err).Info().Fate != granitehoist.NotRun {
+			doubt = err
+		}
 		if !g.mayRetry(ctx, req, s, err, attempt) {
 			return g.release(ctx, binding, err)
 		}
@@ -274,6 +279,15 @@
 	return g.settings.Once.Bind(ctx, subject, id, g.settings.Clock())
 }
 
+// truthful returns what the caller is to be told of the last error: after an
+// attempt that may have run, a later one that did not run changes nothing.
+func truthful(doubt, last error) error {
+	if doubt != nil && granitehoist.CodeOf(last).Info().Fate == granitehoist.NotRun {
+		return doubt
+	}
+	return last
+}
+
 const bindingTimeout = 2 * time.Second
 
 // finishBinding records that a request not to be repeated has been answered.
