Charge nothing for an attempt that the engine never had

An attempt that is stopped before it arrives stands in the engine's list as ended with no cost; both the live router and the settling of orphans made a charge of 0 tokens for it. Change: no charge of an engine's attempt that cost nothing; the trial settles until every engine was asked, and says so if it can't.

--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -212,6 +212,16 @@
 			Expect(charges[0].Estimated).To(BeFalse())
 		})
 
+		It("charges nothing for a lost attempt that the engine never had", func() {
+			s.engine.steps = []step{fails(granitehoist.UpstreamLost)}
+			s.engine.stopped = &granitehoist.Usage{Reported: true}
+			Expect(s.chat(goodBody).fate).To(Equal(granitehoist.MayHaveRun))
+			Expect(s.ledger.Pending()).To(BeZero())
+			left, reserved := s.funds.state()
+			Expect(left).To(Equal(granitehoist.Tokens(10_000)))
+			Expect(reserved).To(BeZero())
+		})
+
 		It("charges the bound, marked as estimated, when nobody can tell", func() {
 			s.engine.steps = []step{fails(granitehoist.UpstreamLost)}
 			t := s.chat(goodBody)
--- a/gate/spend.go
+++ b/gate/spend.go
@@ -112,9 +112,11 @@
 	s.use(s.request.bound)
 }
 
-// enter makes the charge of the request, or none if it did not run.
+// enter makes the charge of the request, or none if it did not run: no attempt
+// can have, or the engine that was in doubt says that it cost nothing.
 func (s *spend) enter() {
-	if !s.ran {
+	neverArrived := s.request.model != "" && len(s.doubts) > 0 && s.charge.Tokens == 0
+	if !s.ran || neverArrived {
 		s.gate.settings.Ledger.Drop()
 		return
 	}
--- a/orphan/orphan.go
+++ b/orphan/orphan.go
@@ -139,6 +139,10 @@
 				result.Running++
 				continue
 			}
+			if a.Usage.Total() == 0 {
+				// It was stopped before it reached the engine.
+				continue
+			}
 			if c, ok := newCharge(a, e, names, now); ok {
 				charges = append(charges, c)
 			}
--- a/orphan/orphan_test.go
+++ b/orphan/orphan_test.go
@@ -100,6 +100,15 @@
 		Expect(c.Owner).To(Equal(granitehoist.Partner("tuul")))
 	})
 
+	It("charges nothing for an attempt that was stopped before it arrived", func() {
+		_, ok := protocol.Stop(ctx, address, attempt(1))
+		Expect(ok).To(BeTrue())
+		result, err := settler.Settle(ctx, dead, true, now)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Charged).To(BeZero())
+		Expect(charges()).To(BeEmpty())
+	})
+
 	It("charges nothing that a segment holds", func() {
 		cost := serve(attempt(1))
 		write(bill.SegmentKey("tuul", "box-2", 1), bill.Charge{Incarnation: dead, Seq: 1, Attempts: []granitehoist.AttemptID{attempt(1)}, Budget: k, Tokens: cost})
--- a/trial/run.go
+++ b/trial/run.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/bill"
 	"granitehoist.example/granitehoist/internal/defaults"
 	"granitehoist.example/granitehoist/router"
@@ -158,16 +159,36 @@
 	r.Kill()
 }
 
-// settleDead lets a router charge the orphans of the dead.
+// Tries of settling a dead router, and the time between them. An engine may be
+// too busy to answer at first; routers ask again in the same way.
+const (
+	settleTries = 50
+	settlePause = 100 * time.Millisecond
+)
+
+// settleDead lets a router charge the orphans of the dead, until every engine
+// has been asked and no attempt runs.
 func (s *Site) settleDead(ctx context.Context) error {
 	for _, r := range s.dead {
-		if _, err := s.Routers[0].SettleOrphans(ctx, r.Incarnation(), true); err != nil {
-			return eris.Wrap(err, "trial: orphans")
+		if err := s.settleOne(ctx, r.Incarnation()); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+func (s *Site) settleOne(ctx context.Context, dead granitehoist.Incarnation) error {
+	for range settleTries {
+		result, err := s.Routers[0].SettleOrphans(ctx, dead, true)
+		if err == nil && len(result.Unreached) == 0 && result.Running == 0 {
+			return nil
+		}
+		s.log.Info("settle_incomplete", zap.Any("result", result), zap.Error(err))
+		time.Sleep(settlePause)
+	}
+	return eris.Errorf("trial: router %s could not be settled", dead)
+}
+
 // onlyTrial leaves out the charges of requests that a person sent meanwhile.
 func onlyTrial(charges []bill.Charge, told []*Told) []bill.Charge {
 	ours := map[string]bool{}
