--- /dev/null
+++ b/bill/bill.go
@@ -0,0 +1,145 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package bill
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"granitehoist.example/granitehoist"
+)
+
+// Charge is the cost of one attempt.
+type Charge struct {
+	// Incarnation made the charge and Seq numbers its charges from 1.
+	Incarnation granitehoist.Incarnation `json:"incarnation"`
+	Seq         uint64                   `json:"seq"`
+
+	Request granitehoist.RequestID `json:"request"`
+	Attempt granitehoist.AttemptID `json:"attempt"`
+	Budget  granitehoist.BudgetID  `json:"budget"`
+	// Owner is the partner whose capacity served the request.
+	Owner    granitehoist.Partner  `json:"owner"`
+	Service  granitehoist.Service  `json:"service"`
+	Upstream granitehoist.Upstream `json:"upstream"`
+	Tokens   granitehoist.Tokens   `json:"tokens"`
+	// Estimated says that the upstream reported no use, and that the reserved
+	// upper bound was charged.
+	Estimated bool `json:"estimated,omitempty"`
+	// At is when the charge was made.
+	At time.Time `json:"at"`
+}
+
+// Batch is consecutive charges of one incarnation.
+type Batch struct {
+	Charges []Charge `json:"charges"`
+}
+
+// MethodCollect hands a Batch to a collector.
+const MethodCollect = "bill.collect"
+
+// CollectResult confirms that a batch is in the store.
+type CollectResult struct {
+	Segment string `json:"segment"`
+}
+
+const segmentFormat = 1
+
+// Segment is a record of charges in the store.
+type Segment struct {
+	Format  int      `json:"format"`
+	ID      string   `json:"id"`
+	Charges []Charge `json:"charges"`
+}
+
+// KeyPrefix is where segments stand in the store.
+const KeyPrefix = "bills/"
+
+// SegmentKey returns the store's key of a collector's n-th segment.
+func SegmentKey(r granitehoist.Region, collector granitehoist.Incarnation, n uint64) string {
+	return fmt.Sprintf("%s%s/%s/%08d", KeyPrefix, r, collector, n)
+}
+
+// DecodeSegment reads a stored segment. What can't be read is an error and
+// never an empty segment.
+func DecodeSegment(e granitehoist.Entry) (Segment, error) {
+	var s Segment
+	if err := json.Unmarshal(e.Value, &s); err != nil {
+		return s, eris.Wrapf(err, "bill: segment %s can't be read", e.Key)
+	}
+	if s.Format != segmentFormat || len(s.Charges) == 0 {
+		return s, eris.Errorf("bill: segment %s has format %d and %d charges", e.Key, s.Format, len(s.Charges))
+	}
+	return s, nil
+}
+
+// Summary is what was charged to one budget.
+type Summary struct {
+	Budget   granitehoist.BudgetID
+	Requests int
+	Tokens   granitehoist.Tokens
+	// Estimated is the part of Tokens that no upstream reported.
+	Estimated granitehoist.Tokens
+	// Lent is the part that another partner's capacity served.
+	Lent granitehoist.Tokens
+}
+
+type chargeID struct {
+	incarnation granitehoist.Incarnation
+	seq         uint64
+}
+
+// Merge returns each charge once, by incarnation and number, however often and
+// in however many segments it stands.
+func Merge(segments []Segment) []Charge {
+	seen := map[chargeID]bool{}
+	var charges []Charge
+	for _, s := range segments {
+		for _, c := range s.Charges {
+			id := chargeID{c.Incarnation, c.Seq}
+			if seen[id] {
+				continue
+			}
+			seen[id] = true
+			charges = append(charges, c)
+		}
+	}
+	sort.Slice(charges, func(i, j int) bool {
+		if charges[i].Incarnation != charges[j].Incarnation {
+			return charges[i].Incarnation < charges[j].Incarnation
+		}
+		return charges[i].Seq < charges[j].Seq
+	})
+	return charges
+}
+
+// Summarise returns the sums by budget, in the order of their names.
+func Summarise(charges []Charge) []Summary {
+	sums := map[granitehoist.BudgetID]*Summary{}
+	for _, c := range charges {
+		s, ok := sums[c.Budget]
+		if !ok {
+			s = &Summary{Budget: c.Budget}
+			sums[c.Budget] = s
+		}
+		s.Requests++
+		s.Tokens += c.Tokens
+		if c.Estimated {
+			s.Estimated += c.Tokens
+		}
+		if c.Owner != c.Budget.Partner() {
+			s.Lent += c.Tokens
+		}
+	}
+	all := make([]Summary, 0, len(sums))
+	for _, s := range sums {
+		all = append(all, *s)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Budget < all[j].Budget })
+	return all
+}
--- /dev/null
+++ b/budget/agent.go
@@ -0,0 +1,234 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package budget
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"granitehoist.example/granitehoist"
+)
+
+// Peer is another router of the region.
+type Peer struct {
+	Incarnation granitehoist.Incarnation
+	Address     string
+}
+
+// AgentSettings configure an Agent.
+type AgentSettings struct {
+	Box    granitehoist.Box
+	Purse  *Purse
+	Keeper *Keeper
+	// Caller reaches other routers.
+	Caller granitehoist.Caller
+	// Holder returns the router that keeps a shard for this region, and false
+	// if it is this router or none is known.
+	Holder func(Shard) (Peer, bool)
+	// Peers returns the other routers of the region.
+	Peers func() []Peer
+	Clock granitehoist.Clock
+	// Interval is the time between messages; zero stands for
+	// DefaultInterval. A request that waits sends one at once.
+	Interval time.Duration
+	// Failed is told of errors; nil ignores them.
+	Failed func(error)
+	// Shards is the number of shards; zero stands for DefaultShards.
+	Shards int
+}
+
+// DefaultInterval is the time between a box's messages to its keepers, and
+// waitingInterval the time while requests wait.
+const (
+	DefaultInterval = time.Second
+	waitingInterval = 100 * time.Millisecond
+)
+
+// Agent keeps a Purse filled: it sends its messages to the keepers of the
+// region, acts as keeper itself if they can't be reached, and borrows from
+// other boxes while the store is away.
+type Agent struct {
+	settings AgentSettings
+	kick     chan struct{}
+}
+
+// NewAgent returns an agent. It panics if a needed setting is missing.
+func NewAgent(s AgentSettings) *Agent {
+	if s.Purse == nil || s.Keeper == nil || s.Caller == nil || s.Holder == nil || s.Peers == nil || s.Clock == nil {
+		panic("budget: agent lacks a setting")
+	}
+	if s.Interval == 0 {
+		s.Interval = DefaultInterval
+	}
+	if s.Shards == 0 {
+		s.Shards = DefaultShards
+	}
+	if s.Failed == nil {
+		s.Failed = func(error) {}
+	}
+	return &Agent{settings: s, kick: make(chan struct{}, 1)}
+}
+
+// Reserve sets bound tokens aside. If the box holds too few it waits for more
+// until the split's limit, or until ctx ends. Its errors are *Error with codes
+// BudgetExhausted, BudgetUnreachable and DeadlineTooNear; nothing is reserved
+// then.
+func (a *Agent) Reserve(ctx context.Context, k granitehoist.BudgetID, bound granitehoist.Tokens) error {
+	purse := a.settings.Purse
+	if purse.Reserve(k, bound) {
+		return nil
+	}
+	waiter := purse.Wait(k, bound, a.settings.Clock())
+	a.Kick()
+	timer := time.NewTimer(purse.split(k).Wait)
+	defer timer.Stop()
+	select {
+	case <-waiter.Done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return outcomeError(ctx, purse.Abandon(k, waiter, a.settings.Clock()), k)
+}
+
+func outcomeError(ctx context.Context, o Outcome, k granitehoist.BudgetID) error {
+	switch {
+	case o == Granted:
+		return nil
+	case o == Exhausted:
+		return granitehoist.Errorf(granitehoist.BudgetExhausted, "budget %s", k)
+	case ctx.Err() != nil:
+		return granitehoist.Errorf(granitehoist.DeadlineTooNear, "while waiting for tokens of budget %s", k)
+	}
+	e := granitehoist.Errorf(granitehoist.BudgetUnreachable, "budget %s", k)
+	e.RetryAfter = 5 * time.Second
+	return e
+}
+
+// Settle ends a reservation. What is left of a budget that runs low is given
+// back at once.
+func (a *Agent) Settle(k granitehoist.BudgetID, bound, used granitehoist.Tokens) {
+	if a.settings.Purse.Settle(k, bound, used, a.settings.Clock()) {
+		a.Kick()
+	}
+}
+
+// Kick sends the next messages at once.
+func (a *Agent) Kick() {
+	select {
+	case a.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends messages until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	timer := time.NewTimer(a.settings.Interval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-a.kick:
+		}
+		a.Step(ctx)
+		timer.Reset(a.pause())
+	}
+}
+
+// pause returns the time until the next message.
+func (a *Agent) pause() time.Duration {
+	if len(a.settings.Purse.Short()) > 0 {
+		return min(waitingInterval, a.settings.Interval)
+	}
+	return a.settings.Interval
+}
+
+// Step sends one round of messages and takes in the replies.
+func (a *Agent) Step(ctx context.Context) {
+	now := a.settings.Clock()
+	if err := a.send(ctx, a.settings.Purse.Asks(now), false, now); err != nil {
+		a.settings.Failed(err)
+		a.borrow(ctx)
+	}
+}
+
+// send sends asks to the keepers, shard by shard at the same time.
+func (a *Agent) send(ctx context.Context, asks []Ask, closing bool, now time.Time) error {
+	byShard := map[Shard][]Ask{}
+	for _, ask := range asks {
+		s := ShardOf(ask.Budget, a.settings.Shards)
+		byShard[s] = append(byShard[s], ask)
+	}
+	var group errgroup.Group
+	for s, part := range byShard {
+		group.Go(func() error {
+			params := SyncParams{Box: a.settings.Box, Incarnation: a.settings.Purse.Incarnation(), Asks: part, Closing: closing}
+			result, err := a.sync(ctx, s, params, now)
+			if err != nil {
+				return err
+			}
+			a.settings.Purse.Apply(part, result.Replies, a.settings.Clock())
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+// ShardSync is the message between routers: a SyncParams and its shard.
+type ShardSync struct {
+	Shard  Shard      `json:"shard"`
+	Params SyncParams `json:"params"`
+}
+
+// sync reaches the shard's keeper, or acts as keeper if that fails.
+func (a *Agent) sync(ctx context.Context, s Shard, params SyncParams, now time.Time) (SyncResult, error) {
+	if peer, ok := a.settings.Holder(s); ok {
+		var result SyncResult
+		err := a.settings.Caller.Call(ctx, peer.Address, MethodSync, ShardSync{Shard: s, Params: params}, &result)
+		if err == nil && !result.Unknown {
+			return result, nil
+		}
+	}
+	return a.settings.Keeper.Sync(ctx, s, params, now)
+}
+
+// borrow asks other boxes for what requests wait for.
+func (a *Agent) borrow(ctx context.Context) {
+	for _, k := range a.settings.Purse.Short() {
+		for _, peer := range a.settings.Peers() {
+			params, short := a.settings.Purse.Borrowing(k, peer.Incarnation)
+			if !short {
+				break
+			}
+			var result BorrowResult
+			if err := a.settings.Caller.Call(ctx, peer.Address, MethodBorrow, params, &result); err != nil {
+				a.settings.Failed(fmt.Errorf("budget: borrow from %s: %w", peer.Incarnation, err))
+				continue
+			}
+			a.settings.Purse.Borrow(k, result)
+		}
+	}
+}
+
+// ServeSync serves MethodSync.
+func (a *Agent) ServeSync(ctx context.Context, s ShardSync) (SyncResult, error) {
+	return a.settings.Keeper.Sync(ctx, s.Shard, s.Params, a.settings.Clock())
+}
+
+// ServeBorrow serves MethodBorrow.
+func (a *Agent) ServeBorrow(_ context.Context, b BorrowParams) (BorrowResult, error) {
+	return a.settings.Purse.Lend(b, a.settings.Clock()), nil
+}
+
+// Close returns all tokens to the pages. It is called when no reservation is
+// left. An error means that some are still recorded as held by this router.
+func (a *Agent) Close(ctx context.Context) error {
+	a.settings.Purse.Close()
+	now := a.settings.Clock()
+	return a.send(ctx, a.settings.Purse.Asks(now), true, now)
+}
--- /dev/null
+++ b/budget/allot.go
@@ -0,0 +1,94 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package budget
+
+import (
+	"sort"
+	"time"
+
+	"granitehoist.example/granitehoist"
+)
+
+// endGame is the remaining life of a budget, at its forecast, below which
+// holdings shrink faster than the budget does. At the very end each request
+// is decided at the page.
+const endGame = 60 * time.Second
+
+// claim is one holder's wish to an amount that several share: an incarnation's
+// to its region's stock, or a region's to what is unallocated.
+type claim struct {
+	// held is what the holder has.
+	held granitehoist.Tokens
+	// need is what requests wait for and want all that the holder wishes,
+	// need included; both are additions to held.
+	need, want granitehoist.Tokens
+	// rate is the forecast in tokens a second.
+	rate float64
+	// largest is the largest bound of a request there.
+	largest granitehoist.Tokens
+	// give is the answer: the addition. limit is what the holder should hold.
+	give, limit granitehoist.Tokens
+}
+
+// allot divides stock among claims. total is what all holders and the stock
+// have together, and rate the forecast of all holders, those without a claim
+// included. Needs are met first, smallest first, so that as many requests as
+// possible run; then wishes up to each holder's limit, in the given order. The
+// sum of the gifts never exceeds stock.
+func allot(claims []*claim, stock, total granitehoist.Tokens, rate float64, split Split) {
+	hold := horizon(total, rate, split)
+	for _, c := range claims {
+		c.limit = c.limitAt(hold, total)
+	}
+	for _, c := range byNeed(claims) {
+		if c.need <= stock {
+			c.give = c.need
+			stock -= c.need
+		}
+	}
+	for _, c := range claims {
+		more := min(c.want-c.give, c.limit-c.held-c.give, stock)
+		if more > 0 {
+			c.give += more
+			stock -= more
+		}
+	}
+}
+
+// horizon returns how long a holding may last, from what a budget has left.
+func horizon(total granitehoist.Tokens, rate float64, split Split) time.Duration {
+	if rate <= 0 || total <= 0 {
+		return 0
+	}
+	life := float64(total) / rate
+	shrink := min(1, life/endGame.Seconds())
+	return min(split.Cover, time.Duration(split.Share*shrink*life*float64(time.Second)))
+}
+
+// limitAt returns what the holder should hold. A holder whose forecast is
+// smaller than one request holds one request, as long as that is a small part
+// of the budget.
+func (c *claim) limitAt(hold time.Duration, total granitehoist.Tokens) granitehoist.Tokens {
+	limit := tokensFor(c.rate, hold)
+	if c.largest > limit && c.rate > 0 && c.largest <= total/smallPart {
+		return c.largest
+	}
+	return limit
+}
+
+// smallPart is the number of largest requests that a budget must have left for
+// a quiet holder to keep one in hand.
+const smallPart = 100
+
+// byNeed returns the claims that need something, smallest need first.
+func byNeed(claims []*claim) []*claim {
+	var needy []*claim
+	for _, c := range claims {
+		if c.need > 0 {
+			needy = append(needy, c)
+		}
+	}
+	sort.SliceStable(needy, func(i, j int) bool { return needy[i].need < needy[j].need })
+	return needy
+}
--- /dev/null
+++ b/budget/keeper.go
@@ -0,0 +1,279 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package budget
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/batch"
+)
+
+// Keeper acts on the pages of one region and on the roots, for the boxes of
+// the region. Any number of Keepers may act on the same records; more than one
+// a shard costs conflicts only. Messages that arrive while a page is being
+// written are served together by the next write.
+type Keeper struct {
+	settings KeeperSettings
+	mu       sync.Mutex
+	shards   map[Shard]*batch.Group[syncItem, SyncResult]
+}
+
+type syncItem struct {
+	params SyncParams
+	now    time.Time
+}
+
+// KeeperSettings configure a Keeper.
+type KeeperSettings struct {
+	Region granitehoist.Region
+	Store  granitehoist.Store
+	// Prepaid returns the prepaid total of a budget and the serial of the
+	// document that says so.
+	Prepaid func(granitehoist.BudgetID) (granitehoist.Tokens, granitehoist.Serial, bool)
+	// Split returns the split of a budget; nil stands for the zero Split.
+	Split func(granitehoist.BudgetID) Split
+}
+
+// DefaultShards serves some thousands of budgets.
+const DefaultShards = 8
+
+// conflictTries bounds how often a Keeper reads a record anew after others
+// changed it, and lostTries how often after the answer to a write was lost.
+const (
+	conflictTries = 20
+	lostTries     = 3
+)
+
+// NewKeeper returns a Keeper. It panics if the settings lack the region, the
+// store or the prepaid totals.
+func NewKeeper(s KeeperSettings) *Keeper {
+	if s.Region == "" || s.Store == nil || s.Prepaid == nil {
+		panic("budget: keeper without region, store or prepaid totals")
+	}
+	if s.Split == nil {
+		s.Split = func(granitehoist.BudgetID) Split { return Split{} }
+	}
+	return &Keeper{settings: s, shards: map[Shard]*batch.Group[syncItem, SyncResult]{}}
+}
+
+// Sync serves a box's message: it records the reports and grants tokens. All
+// asks must be of one shard. An error means that nothing is known to be
+// granted; asking again is safe.
+func (k *Keeper) Sync(ctx context.Context, s Shard, params SyncParams, now time.Time) (SyncResult, error) {
+	result, err := k.group(s).Do(ctx, syncItem{params: params, now: now})
+	if err != nil {
+		return SyncResult{}, err
+	}
+	if result.Unknown {
+		return SyncResult{}, ErrUnknownIncarnation
+	}
+	return result, nil
+}
+
+// ErrUnknownIncarnation says that a page does not take an incarnation's
+// message: it has closed, or speaks of grants that the page never made.
+var ErrUnknownIncarnation = eris.New("budget: unknown incarnation")
+
+func (k *Keeper) group(s Shard) *batch.Group[syncItem, SyncResult] {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	g, ok := k.shards[s]
+	if !ok {
+		g = batch.New(batch.Settings[syncItem, SyncResult]{
+			Commit: func(ctx context.Context, items []syncItem) ([]SyncResult, error) {
+				return k.serve(ctx, s, items)
+			},
+		})
+		k.shards[s] = g
+	}
+	return g
+}
+
+func (k *Keeper) serve(ctx context.Context, s Shard, items []syncItem) ([]SyncResult, error) {
+	now := items[0].now
+	for _, item := range items {
+		if item.now.After(now) {
+			now = item.now
+		}
+	}
+	lost := 0
+	for range conflictTries {
+		results, err := k.try(ctx, s, items, now)
+		switch {
+		case errors.Is(err, granitehoist.ErrConflict):
+		case errors.Is(err, granitehoist.ErrUnknown) && lost < lostTries:
+			lost++
+		default:
+			return results, err
+		}
+	}
+	return nil, granitehoist.ErrConflict
+}
+
+// try reads the page, serves the batch and writes the page. Grants are told
+// only after the write is confirmed. A write whose answer is lost is not
+// confirmed: the next try reads what it did, and totals make that harmless.
+func (k *Keeper) try(ctx context.Context, s Shard, items []syncItem, now time.Time) ([]SyncResult, error) {
+	entry, err := k.settings.Store.Get(ctx, PageKey(k.settings.Region, s))
+	if err != nil {
+		return nil, err
+	}
+	page, err := DecodePage(entry)
+	if err != nil {
+		return nil, err
+	}
+	results := make([]SyncResult, len(items))
+	asks := asksByBudget{}
+	for i, item := range items {
+		if !page.Hear(item.params, now) {
+			results[i].Unknown = true
+			continue
+		}
+		asks.add(item.params)
+	}
+	asks.addReturning(page)
+	if err := k.refill(ctx, s, page, asks, now); err != nil {
+		return nil, err
+	}
+	replies := k.grantAll(page, asks, now)
+	if err := k.write(ctx, entry, page); err != nil {
+		return nil, err
+	}
+	if page.returning() && len(items) > 0 {
+		// Other regions may wait for what was given back. If this fails, the
+		// next message of a box brings it to the root.
+		_, _ = k.try(ctx, s, nil, now)
+	}
+	for i, item := range items {
+		if !results[i].Unknown {
+			results[i].Replies = replies[item.params.Incarnation]
+		}
+	}
+	return results, nil
+}
+
+type asksByBudget map[granitehoist.BudgetID]map[granitehoist.Incarnation]Ask
+
+// add enters a message's asks. An incarnation that is closing is granted
+// nothing.
+func (a asksByBudget) add(s SyncParams) {
+	if s.Closing {
+		return
+	}
+	for _, ask := range s.Asks {
+		if a[ask.Budget] == nil {
+			a[ask.Budget] = map[granitehoist.Incarnation]Ask{}
+		}
+		a[ask.Budget][s.Incarnation] = ask
+	}
+}
+
+// addReturning enters the budgets of which the root has to hear that tokens
+// were given back.
+func (a asksByBudget) addReturning(page *Page) {
+	for budget, account := range page.Accounts {
+		if account.Sent > account.Confirmed && a[budget] == nil {
+			a[budget] = map[granitehoist.Incarnation]Ask{}
+		}
+	}
+}
+
+func (a asksByBudget) budgets() []granitehoist.BudgetID {
+	budgets := make([]granitehoist.BudgetID, 0, len(a))
+	for budget := range a {
+		budgets = append(budgets, budget)
+	}
+	sort.Slice(budgets, func(i, j int) bool { return budgets[i] < budgets[j] })
+	return budgets
+}
+
+func (k *Keeper) grantAll(page *Page, asks asksByBudget, now time.Time) map[granitehoist.Incarnation][]Reply {
+	replies := map[granitehoist.Incarnation][]Reply{}
+	for _, budget := range asks.budgets() {
+		for id, reply := range page.Grant(budget, asks[budget], k.settings.Split(budget), now) {
+			replies[id] = append(replies[id], reply)
+		}
+	}
+	return replies
+}
+
+// refill asks the root for the budgets that the region has too little of, and
+// gives back what it has too much of.
+func (k *Keeper) refill(ctx context.Context, s Shard, page *Page, asks asksByBudget, now time.Time) error {
+	var wishes []RegionAsk
+	for _, budget := range asks.budgets() {
+		wish := page.Ask(budget, k.settings.Split(budget), now)
+		if page.Accounts[budget].worthAsking(wish) {
+			wishes = append(wishes, wish)
+		}
+	}
+	if len(wishes) == 0 {
+		return nil
+	}
+	for range conflictTries {
+		replies, err := k.askRoot(ctx, s, wishes, now)
+		if errors.Is(err, granitehoist.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		for _, r := range replies {
+			page.Take(r)
+		}
+		return nil
+	}
+	return granitehoist.ErrConflict
+}
+
+// worthAsking reports whether the root should hear of an account: requests
+// wait, the region's holding has fallen to three quarters of what it wishes or
+// may hold, or it has given tokens back.
+func (a *PageAccount) worthAsking(wish RegionAsk) bool {
+	if wish.Need > 0 || wish.Back > a.Confirmed {
+		return true
+	}
+	aim := min(wish.Live+wish.Want, max(a.Limit, wish.Largest))
+	return a.Received == 0 || wish.Live < aim-aim/4
+}
+
+func (k *Keeper) askRoot(ctx context.Context, s Shard, wishes []RegionAsk, now time.Time) ([]RegionReply, error) {
+	entry, err := k.settings.Store.Get(ctx, RootKey(s))
+	if err != nil {
+		return nil, err
+	}
+	root, err := DecodeRoot(entry)
+	if err != nil {
+		return nil, err
+	}
+	replies := make([]RegionReply, 0, len(wishes))
+	for _, wish := range wishes {
+		if prepaid, at, ok := k.settings.Prepaid(wish.Budget); ok {
+			root.Prepay(wish.Budget, prepaid, at)
+		}
+		replies = append(replies, root.Serve(k.settings.Region, wish, k.settings.Split(wish.Budget), now))
+	}
+	return replies, k.write(ctx, entry, root)
+}
+
+// write stores a record if it differs from the entry that it was read from.
+func (k *Keeper) write(ctx context.Context, entry granitehoist.Entry, record any) error {
+	raw, err := encodeRecord(entry.Key, record)
+	if err != nil {
+		return err
+	}
+	if bytes.Equal(raw, entry.Value) {
+		return nil
+	}
+	_, err = k.settings.Store.CompareAndSwap(ctx, granitehoist.Change{Key: entry.Key, Value: raw, Expect: entry.Version})
+	return err
+}
--- /dev/null
+++ b/budget/messages.go
@@ -0,0 +1,101 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package budget
+
+import "granitehoist.example/granitehoist"
+
+// Totals is what an incarnation reports of one budget. Each grows only.
+type Totals struct {
+	// Granted is the total it has received from its region's page.
+	Granted granitehoist.Tokens `json:"g,omitempty"`
+	// Returned is the total it has given back to the page.
+	Returned granitehoist.Tokens `json:"r,omitempty"`
+	// Spent is the total it has charged.
+	Spent granitehoist.Tokens `json:"s,omitempty"`
+	// Lent and Borrowed are the totals given to and received from other boxes.
+	Lent     granitehoist.Tokens `json:"l,omitempty"`
+	Borrowed granitehoist.Tokens `json:"b,omitempty"`
+}
+
+// Held returns the tokens that the incarnation has, reserved ones included.
+func (t Totals) Held() granitehoist.Tokens {
+	return t.Granted - t.Returned - t.Spent - t.Lent + t.Borrowed
+}
+
+// merge returns the larger of each total.
+func (t Totals) merge(u Totals) Totals {
+	return Totals{
+		Granted:  max(t.Granted, u.Granted),
+		Returned: max(t.Returned, u.Returned),
+		Spent:    max(t.Spent, u.Spent),
+		Lent:     max(t.Lent, u.Lent),
+		Borrowed: max(t.Borrowed, u.Borrowed),
+	}
+}
+
+// Ask is what a box tells the Keeper of its region about one budget, and what
+// it wishes. The wishes are totals, so a doubled Ask is granted once.
+type Ask struct {
+	Budget granitehoist.BudgetID `json:"k"`
+	// Totals is the box's own record.
+	Totals Totals `json:"t"`
+	// Want is the total grant that the box wishes, and Need the part of it
+	// that requests wait for.
+	Want granitehoist.Tokens `json:"w"`
+	Need granitehoist.Tokens `json:"n"`
+	// Rate is the forecast in tokens a second, and Largest the largest bound
+	// of a request seen.
+	Rate    float64             `json:"f"`
+	Largest granitehoist.Tokens `json:"m"`
+}
+
+// SyncParams is the message of a box to the Keeper.
+type SyncParams struct {
+	Box         granitehoist.Box         `json:"box"`
+	Incarnation granitehoist.Incarnation `json:"incarnation"`
+	Asks        []Ask                    `json:"asks"`
+	// Closing says that the box holds nothing any more and stops.
+	Closing bool `json:"closing,omitempty"`
+}
+
+// Reply is the Keeper's answer about one budget.
+type Reply struct {
+	Budget granitehoist.BudgetID `json:"k"`
+	// Granted is the total that the page has granted to the incarnation.
+	Granted granitehoist.Tokens `json:"g"`
+	// Target is what the box should hold; it returns what is beyond.
+	Target granitehoist.Tokens `json:"t"`
+	// Left is what the whole budget has left, as far as is known. It is never
+	// less than what the box could still get.
+	Left granitehoist.Tokens `json:"x"`
+}
+
+// SyncResult is the Keeper's answer to a box.
+type SyncResult struct {
+	Replies []Reply `json:"replies"`
+	// Unknown says that the page does not take the incarnation's message.
+	Unknown bool `json:"unknown,omitempty"`
+}
+
+// BorrowParams asks another box of the region to lend.
+type BorrowParams struct {
+	Incarnation granitehoist.Incarnation `json:"incarnation"`
+	Budget      granitehoist.BudgetID    `json:"k"`
+	// Known is the total that the asker has seen from this lender, and Want
+	// the total that it wishes.
+	Known granitehoist.Tokens `json:"known"`
+	Want  granitehoist.Tokens `json:"want"`
+}
+
+// BorrowResult tells what the lender has ever lent to the asker.
+type BorrowResult struct {
+	Incarnation granitehoist.Incarnation `json:"incarnation"`
+	Total       granitehoist.Tokens      `json:"total"`
+}
+
+// The methods of the messages between routers.
+const (
+	MethodSync   = "budget.sync"
+	MethodBorrow = "budget.borrow"
+)
--- /dev/null
+++ b/budget/page.go
@@ -0,0 +1,223 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package budget
+
+import (
+	"sort"
+	"time"
+
+	"granitehoist.example/granitehoist"
+)
+
+// seenStep is how much older, in seconds, a member's Seen may be than its last
+// report. Without it each report would change the page.
+const seenStep = 10
+
+// Hear takes the reports of a message into the page. It reports false if the
+// message is of an incarnation that has closed or that the page can't know:
+// one that speaks of grants this page never made.
+func (p *Page) Hear(s SyncParams, now time.Time) bool {
+	if p.Members[s.Incarnation].Closed {
+		// The answer to the first closing message was lost.
+		return s.Closing
+	}
+	for _, ask := range s.Asks {
+		if !p.knows(s.Incarnation, ask) {
+			return false
+		}
+	}
+	for _, ask := range s.Asks {
+		p.hear(s.Incarnation, ask)
+	}
+	member := Member{Box: s.Box, Seen: p.Members[s.Incarnation].Seen}
+	if now.Unix()-member.Seen >= seenStep {
+		member.Seen = now.Unix()
+	}
+	if s.Closing && p.empty(s.Incarnation) {
+		p.fold(s.Incarnation)
+		member.Closed = true
+	}
+	p.Members[s.Incarnation] = member
+	return true
+}
+
+// knows reports whether an ask can be of an incarnation in the state that the
+// page has of it. A message that outlived its incarnation's row would
+// otherwise be counted a second time.
+func (p *Page) knows(i granitehoist.Incarnation, ask Ask) bool {
+	var granted granitehoist.Tokens
+	if a, ok := p.Accounts[ask.Budget]; ok {
+		granted = a.Rows[i].Totals.Granted
+	}
+	return ask.Totals.Granted <= granted
+}
+
+func (p *Page) hear(i granitehoist.Incarnation, ask Ask) {
+	a := p.account(ask.Budget)
+	row := a.Rows[i]
+	row.Totals = row.Totals.merge(ask.Totals)
+	row.Rate = ask.Rate
+	row.Largest = ask.Largest
+	row.Need = max(0, ask.Need-row.Totals.Granted)
+	a.Rows[i] = row
+}
+
+func (p *Page) account(k granitehoist.BudgetID) *PageAccount {
+	a, ok := p.Accounts[k]
+	if !ok {
+		a = &PageAccount{}
+		p.Accounts[k] = a
+	}
+	if a.Rows == nil {
+		a.Rows = map[granitehoist.Incarnation]Row{}
+	}
+	return a
+}
+
+// empty reports whether an incarnation holds nothing of any budget.
+func (p *Page) empty(i granitehoist.Incarnation) bool {
+	for _, a := range p.Accounts {
+		if a.Rows[i].Totals.Held() != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// fold removes an incarnation's rows and keeps their sums.
+func (p *Page) fold(i granitehoist.Incarnation) {
+	for _, a := range p.Accounts {
+		row, ok := a.Rows[i]
+		if !ok {
+			continue
+		}
+		a.Folded = a.Folded.plus(row.Totals)
+		delete(a.Rows, i)
+	}
+}
+
+func (t Totals) plus(u Totals) Totals {
+	return Totals{
+		Granted:  t.Granted + u.Granted,
+		Returned: t.Returned + u.Returned,
+		Spent:    t.Spent + u.Spent,
+		Lent:     t.Lent + u.Lent,
+		Borrowed: t.Borrowed + u.Borrowed,
+	}
+}
+
+// Grant divides the stock of one budget among the asks about it and raises the
+// grants of their rows. The asks must have been heard.
+func (p *Page) Grant(k granitehoist.BudgetID, asks map[granitehoist.Incarnation]Ask, split Split, now time.Time) map[granitehoist.Incarnation]Reply {
+	a := p.account(k)
+	ids := make([]granitehoist.Incarnation, 0, len(asks))
+	for id := range asks {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	claims := make([]*claim, len(ids))
+	for n, id := range ids {
+		claims[n] = a.claimOf(a.Rows[id], asks[id])
+	}
+	live, rate := p.live(a, now)
+	allot(claims, a.Stock(), live, rate, split.withDefaults())
+	left := live + a.Elsewhere + a.Sent - a.Confirmed
+	replies := make(map[granitehoist.Incarnation]Reply, len(ids))
+	for n, id := range ids {
+		row := a.Rows[id]
+		row.Totals.Granted += claims[n].give
+		a.Rows[id] = row
+		replies[id] = Reply{Budget: k, Granted: row.Totals.Granted, Target: claims[n].limit, Left: left}
+	}
+	return replies
+}
+
+// claimOf states an ask as additions to what the row has been granted.
+func (a *PageAccount) claimOf(row Row, ask Ask) *claim {
+	return &claim{
+		held:    row.Totals.Held(),
+		need:    max(0, ask.Need-row.Totals.Granted),
+		want:    max(0, ask.Want-row.Totals.Granted),
+		rate:    row.Rate,
+		largest: row.Largest,
+	}
+}
+
+// live returns what the region has that is not in doubt, and its forecast.
+func (p *Page) live(a *PageAccount, now time.Time) (granitehoist.Tokens, float64) {
+	total := a.Stock()
+	var rate float64
+	for _, id := range sortedIncarnations(a.Rows) {
+		if now.Sub(time.Unix(p.Members[id].Seen, 0)) > DoubtAfter {
+			continue
+		}
+		total += a.Rows[id].Totals.Held()
+		rate += a.Rows[id].Rate
+	}
+	return total, rate
+}
+
+// RegionAsk is what a region reports to the root of one budget, and wishes.
+type RegionAsk struct {
+	Budget granitehoist.BudgetID
+	// Received and Back are the totals that the page has seen of what the
+	// root gave, and has given back.
+	Received, Back granitehoist.Tokens
+	Spent          granitehoist.Tokens
+	Live           granitehoist.Tokens
+	Rate           float64
+	Largest        granitehoist.Tokens
+	// Need and Want are additions to what the region has.
+	Need, Want granitehoist.Tokens
+}
+
+// Ask states what the region has of a budget and wishes from the root. What is
+// in stock beyond the root's limit is deducted after the statement is made: the
+// root may hear of it only once the page is written.
+func (p *Page) Ask(k granitehoist.BudgetID, split Split, now time.Time) RegionAsk {
+	a := p.account(k)
+	live, rate := p.live(a, now)
+	ask := RegionAsk{Budget: k, Spent: a.Spent(), Rate: rate}
+	for _, id := range sortedIncarnations(a.Rows) {
+		ask.Need += a.Rows[id].Need
+		ask.Largest = max(ask.Largest, a.Rows[id].Largest)
+	}
+	ask.Need = max(0, ask.Need-a.Stock())
+	ask.Live = live
+	ask.Received, ask.Back = a.Received, a.Sent
+	wish := max(tokensFor(rate, 2*split.withDefaults().Cover), ask.Largest)
+	ask.Want = max(ask.Need, wish-ask.Live)
+	a.giveBack(live, ask.Need)
+	return ask
+}
+
+// giveBack returns stock beyond the root's limit, in steps that are worth a
+// write: an eighth of what the region has.
+func (a *PageAccount) giveBack(live, need granitehoist.Tokens) {
+	surplus := min(a.Stock(), live-a.Limit)
+	if need > 0 || surplus <= live/8 {
+		return
+	}
+	a.Sent += surplus
+}
+
+// returning reports whether tokens were given back that the root has not heard
+// of.
+func (p *Page) returning() bool {
+	for _, a := range p.Accounts {
+		if a.Sent > a.Confirmed {
+			return true
+		}
+	}
+	return false
+}
+
+// Take takes the root's answer into the page.
+func (p *Page) Take(r RegionReply) {
+	a := p.account(r.Budget)
+	a.Confirmed = max(a.Confirmed, r.Back)
+	a.Received = max(a.Received, r.Given)
+	a.Limit = r.Limit
+	a.Elsewhere = r.Elsewhere
+}
--- /dev/null
+++ b/budget/purse.go
@@ -0,0 +1,426 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package budget
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"granitehoist.example/granitehoist"
+)
+
+// Purse is what one incarnation of a box holds of each budget. It is safe for
+// concurrent use and makes no calls.
+type Purse struct {
+	incarnation granitehoist.Incarnation
+	split       func(granitehoist.BudgetID) Split
+
+	mu       sync.Mutex
+	accounts map[granitehoist.BudgetID]*account
+	closing  bool
+}
+
+// PurseSettings configure a Purse.
+type PurseSettings struct {
+	// Incarnation is the id of this run of the router.
+	Incarnation granitehoist.Incarnation
+	// Split returns the split of a budget; nil stands for the zero Split.
+	Split func(granitehoist.BudgetID) Split
+}
+
+type account struct {
+	totals   Totals
+	reserved granitehoist.Tokens
+	// target is the last one told by the Keeper; told is false before that.
+	target granitehoist.Tokens
+	told   bool
+	// changed is set when the Keeper has to hear of the account.
+	changed bool
+	// heard is when the Keeper last heard of the account.
+	heard time.Time
+	// left is what the whole budget had left, as told at leftAt.
+	left     granitehoist.Tokens
+	leftAt   time.Time
+	spending forecast
+	largest  granitehoist.Tokens
+	waiters  []*Waiter
+	lent     map[granitehoist.Incarnation]granitehoist.Tokens
+	borrowed map[granitehoist.Incarnation]granitehoist.Tokens
+}
+
+// Waiter is a request that waits for tokens. Done is closed when they are
+// reserved for it or when the budget is known to have too few.
+type Waiter struct {
+	Done    chan struct{}
+	bound   granitehoist.Tokens
+	ended   bool
+	granted bool
+}
+
+// NewPurse returns an empty purse. It panics if the settings have no
+// incarnation.
+func NewPurse(s PurseSettings) *Purse {
+	if s.Incarnation == "" {
+		panic("budget: purse without incarnation")
+	}
+	if s.Split == nil {
+		s.Split = func(granitehoist.BudgetID) Split { return Split{} }
+	}
+	split := s.Split
+	return &Purse{
+		incarnation: s.Incarnation,
+		split:       func(k granitehoist.BudgetID) Split { return split(k).withDefaults() },
+		accounts:    map[granitehoist.BudgetID]*account{},
+	}
+}
+
+// Incarnation returns the incarnation that owns the purse.
+func (p *Purse) Incarnation() granitehoist.Incarnation { return p.incarnation }
+
+func (a *account) free() granitehoist.Tokens { return a.totals.Held() - a.reserved }
+
+func (p *Purse) account(k granitehoist.BudgetID) *account {
+	a, ok := p.accounts[k]
+	if !ok {
+		a = &account{}
+		p.accounts[k] = a
+	}
+	return a
+}
+
+// Reserve sets bound tokens of a budget aside, and reports whether the box
+// holds that many. It panics if bound is negative. Each successful Reserve is
+// to be followed by one Settle.
+func (p *Purse) Reserve(k granitehoist.BudgetID, bound granitehoist.Tokens) bool {
+	mustNotBeNegative(bound)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.account(k).reserve(bound)
+}
+
+func (a *account) reserve(bound granitehoist.Tokens) bool {
+	if a.free() < bound {
+		return false
+	}
+	a.reserved += bound
+	return true
+}
+
+// leftFresh is how long the Keeper's word that a budget has too few tokens is
+// taken for true without asking again.
+const leftFresh = time.Second
+
+// Wait reserves as Reserve does, or enters a Waiter that ends when tokens
+// arrive or when the budget is known to have too few. The caller ends the wait
+// with Abandon.
+func (p *Purse) Wait(k granitehoist.BudgetID, bound granitehoist.Tokens, now time.Time) *Waiter {
+	mustNotBeNegative(bound)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := &Waiter{Done: make(chan struct{}), bound: bound}
+	a := p.account(k)
+	switch {
+	case a.reserve(bound):
+		w.end(true)
+	case a.told && bound > a.left && now.Sub(a.leftAt) < leftFresh:
+		w.end(false)
+	default:
+		a.waiters = append(a.waiters, w)
+		a.changed = true
+	}
+	return w
+}
+
+func (w *Waiter) end(granted bool) {
+	w.ended = true
+	w.granted = granted
+	close(w.Done)
+}
+
+// Outcome tells how a wait ended.
+type Outcome int
+
+// The outcomes of a wait.
+const (
+	// Granted says that the tokens are reserved and are to be settled.
+	Granted Outcome = iota
+	// Exhausted says that the budget has too few tokens left.
+	Exhausted
+	// Unreachable says that no answer came while the request waited.
+	Unreachable
+)
+
+// Abandon ends a wait and returns its outcome.
+func (p *Purse) Abandon(k granitehoist.BudgetID, w *Waiter, now time.Time) Outcome {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.account(k)
+	switch {
+	case w.ended && w.granted:
+		return Granted
+	case w.ended:
+		return Exhausted
+	}
+	a.drop(w)
+	if a.told && now.Sub(a.leftAt) < p.split(k).Wait {
+		return Exhausted
+	}
+	return Unreachable
+}
+
+func (a *account) drop(w *Waiter) {
+	for i, other := range a.waiters {
+		if other == w {
+			a.waiters = append(a.waiters[:i], a.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// Settle ends a reservation of bound tokens with the use that the upstream
+// reported. If used is larger than bound the whole use is charged, and the
+// box's free tokens may be below zero until more arrive. It reports whether the
+// box now has tokens to give back that others may wait for. It panics if there
+// is no such reservation or if used is negative.
+func (p *Purse) Settle(k granitehoist.BudgetID, bound, used granitehoist.Tokens, now time.Time) (hurry bool) {
+	mustNotBeNegative(used)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.account(k)
+	if a.reserved < bound {
+		panic("budget: settlement without reservation")
+	}
+	a.reserved -= bound
+	a.totals.Spent += used
+	a.spending.add(used, now)
+	a.largest = max(a.largest, bound)
+	a.changed = true
+	a.wake()
+	return a.told && a.target < a.largest && a.free() > a.target
+}
+
+// wake reserves for each waiter that fits, in the order of arrival.
+func (a *account) wake() {
+	kept := a.waiters[:0]
+	for _, w := range a.waiters {
+		if a.reserve(w.bound) {
+			w.end(true)
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(a.waiters[len(kept):])
+	a.waiters = kept
+}
+
+// refuse ends the waits that the whole budget can't serve.
+func (a *account) refuse() {
+	kept := a.waiters[:0]
+	for _, w := range a.waiters {
+		if w.bound > a.left {
+			w.end(false)
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(a.waiters[len(kept):])
+	a.waiters = kept
+}
+
+// waiting returns the sum of the bounds that requests wait for.
+func (a *account) waiting() granitehoist.Tokens {
+	var sum granitehoist.Tokens
+	for _, w := range a.waiters {
+		sum += w.bound
+	}
+	return sum
+}
+
+// refreshAfter is how long the Keeper goes without word of an account that
+// holds tokens.
+const refreshAfter = 5 * time.Second
+
+// Asks returns the message about every account that has changed, should hold
+// more, or holds tokens and was not mentioned for a while. What is beyond the
+// target is given back by it.
+func (p *Purse) Asks(now time.Time) []Ask {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var asks []Ask
+	for k, a := range p.accounts {
+		if ask, ok := p.ask(k, a, now); ok {
+			asks = append(asks, ask)
+		}
+	}
+	sort.Slice(asks, func(i, j int) bool { return asks[i].Budget < asks[j].Budget })
+	return asks
+}
+
+func (p *Purse) ask(k granitehoist.BudgetID, a *account, now time.Time) (Ask, bool) {
+	split := p.split(k)
+	rate := a.spending.rate(now)
+	a.giveBack(p.closing)
+	ask := Ask{Budget: k, Totals: a.totals, Rate: rate, Largest: a.largest, Want: a.totals.Granted, Need: a.totals.Granted}
+	if !p.closing {
+		missing := a.waiting() - a.free()
+		ask.Need += max(0, missing)
+		ask.Want += max(0, missing+max(tokensFor(rate, split.Cover), a.largest))
+	}
+	due := a.totals.Held() > 0 && now.Sub(a.heard) >= refreshAfter
+	if !a.changed && !due && ask.Need <= a.totals.Granted {
+		return ask, false
+	}
+	a.heard = now
+	return ask, true
+}
+
+// giveBack returns what is free beyond the target and beyond what requests
+// wait for. A box that stops returns all that is free.
+func (a *account) giveBack(closing bool) {
+	if closing {
+		a.putBack(a.free())
+		return
+	}
+	if a.told {
+		a.putBack(a.free() - max(a.target, a.waiting()))
+	}
+}
+
+func (a *account) putBack(surplus granitehoist.Tokens) {
+	if surplus <= 0 {
+		return
+	}
+	a.totals.Returned += surplus
+	a.changed = true
+}
+
+// Apply takes in the Keeper's replies to asks. A reply that is old or doubled
+// changes nothing but the target.
+func (p *Purse) Apply(asks []Ask, replies []Reply, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	told := make(map[granitehoist.BudgetID]Totals, len(asks))
+	for _, ask := range asks {
+		told[ask.Budget] = ask.Totals
+	}
+	for _, r := range replies {
+		a := p.account(r.Budget)
+		a.totals.Granted = max(a.totals.Granted, r.Granted)
+		a.target, a.told = r.Target, true
+		a.left, a.leftAt = r.Left, now
+		a.wake()
+		a.refuse()
+		before := told[r.Budget]
+		before.Granted = a.totals.Granted
+		a.changed = a.totals != before || len(a.waiters) > 0
+	}
+}
+
+// Lend gives part of what is free to another box and returns the total ever
+// lent to it. A doubled message lends nothing more. The lender keeps half.
+func (p *Purse) Lend(b BorrowParams, now time.Time) BorrowResult {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.account(b.Budget)
+	total := a.lent[b.Incarnation]
+	keep := a.waiting() + tokensFor(a.spending.rate(now), p.split(b.Budget).LeastCover)
+	spare := (a.free() - keep) / 2
+	more := min(b.Want-max(total, b.Known), spare)
+	if more > 0 && b.Known >= total && b.Incarnation != p.incarnation && !p.closing {
+		if a.lent == nil {
+			a.lent = map[granitehoist.Incarnation]granitehoist.Tokens{}
+		}
+		total += more
+		a.lent[b.Incarnation] = total
+		a.totals.Lent += more
+		a.changed = true
+	}
+	return BorrowResult{Incarnation: p.incarnation, Total: total}
+}
+
+// Borrowing returns the message that asks a lender for what requests of a
+// budget wait for, and false if none wait.
+func (p *Purse) Borrowing(k granitehoist.BudgetID, lender granitehoist.Incarnation) (BorrowParams, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a, ok := p.accounts[k]
+	if !ok {
+		return BorrowParams{}, false
+	}
+	missing := a.waiting() - a.free()
+	if missing <= 0 || p.closing {
+		return BorrowParams{}, false
+	}
+	known := a.borrowed[lender]
+	return BorrowParams{Incarnation: p.incarnation, Budget: k, Known: known, Want: known + missing + a.largest}, true
+}
+
+// Borrow takes in a lender's answer. An old or doubled answer changes nothing.
+func (p *Purse) Borrow(k granitehoist.BudgetID, r BorrowResult) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.account(k)
+	more := r.Total - a.borrowed[r.Incarnation]
+	if more <= 0 || r.Incarnation == p.incarnation {
+		return
+	}
+	if a.borrowed == nil {
+		a.borrowed = map[granitehoist.Incarnation]granitehoist.Tokens{}
+	}
+	a.borrowed[r.Incarnation] = r.Total
+	a.totals.Borrowed += more
+	a.changed = true
+	a.wake()
+}
+
+// Short returns the budgets for which requests wait.
+func (p *Purse) Short() []granitehoist.BudgetID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var short []granitehoist.BudgetID
+	for k, a := range p.accounts {
+		if len(a.waiters) > 0 {
+			short = append(short, k)
+		}
+	}
+	sort.Slice(short, func(i, j int) bool { return short[i] < short[j] })
+	return short
+}
+
+// Close makes the following Asks return everything that is free.
+func (p *Purse) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closing = true
+	for _, a := range p.accounts {
+		a.changed = true
+	}
+}
+
+// State is what a purse has of one budget.
+type State struct {
+	Totals   Totals
+	Reserved granitehoist.Tokens
+	Free     granitehoist.Tokens
+	Waiting  int
+	Rate     float64
+}
+
+// State returns the state of one budget.
+func (p *Purse) State(k granitehoist.BudgetID, now time.Time) State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a, ok := p.accounts[k]
+	if !ok {
+		return State{}
+	}
+	return State{Totals: a.totals, Reserved: a.reserved, Free: a.free(), Waiting: len(a.waiters), Rate: a.spending.rate(now)}
+}
+
+func mustNotBeNegative(t granitehoist.Tokens) {
+	if t < 0 {
+		panic("budget: negative amount")
+	}
+}
--- /dev/null
+++ b/budget/root.go
@@ -0,0 +1,123 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package budget
+
+import (
+	"sort"
+	"time"
+
+	"granitehoist.example/granitehoist"
+)
+
+// RegionReply is the root's answer about one budget.
+type RegionReply struct {
+	Budget granitehoist.BudgetID
+	// Given is the total that the root has given to the region.
+	Given granitehoist.Tokens
+	// Back is the total that the root has taken back.
+	Back granitehoist.Tokens
+	// Limit is what the region should hold; it gives back what is beyond.
+	Limit granitehoist.Tokens
+	// Elsewhere is what the budget has left outside the region.
+	Elsewhere granitehoist.Tokens
+}
+
+// Prepay sets the prepaid total of a budget as the document of a serial has
+// it. An older document changes nothing. A total below what regions hold takes
+// force as their tokens come back.
+func (r *Root) Prepay(k granitehoist.BudgetID, prepaid granitehoist.Tokens, at granitehoist.Serial) {
+	a := r.account(k)
+	if at <= a.PrepaidAt {
+		return
+	}
+	a.Prepaid = prepaid
+	a.PrepaidAt = at
+}
+
+func (r *Root) account(k granitehoist.BudgetID) *RootAccount {
+	a, ok := r.Accounts[k]
+	if !ok {
+		a = &RootAccount{}
+		r.Accounts[k] = a
+	}
+	if a.Regions == nil {
+		a.Regions = map[granitehoist.Region]RegionRow{}
+	}
+	return a
+}
+
+// regionSilentAfter is how long a region may be silent before its forecast is
+// left out when tokens are divided.
+const regionSilentAfter = 10 * time.Minute
+
+// Serve takes in a region's report and gives it what the budget allows.
+func (r *Root) Serve(region granitehoist.Region, ask RegionAsk, split Split, now time.Time) RegionReply {
+	a := r.account(ask.Budget)
+	row := a.Regions[region]
+	row.Back = max(row.Back, ask.Back)
+	row.Spent = max(row.Spent, ask.Spent)
+	row.Live, row.Rate, row.Largest, row.Seen = ask.Live, ask.Rate, ask.Largest, now.Unix()
+	// What was given before and the page has not seen yet is on its way.
+	onTheWay := row.Given - ask.Received
+	a.Regions[region] = row
+
+	unallocated := max(0, a.Unallocated())
+	elsewhere, rate := a.others(region, now)
+	c := &claim{
+		held:    row.Live + onTheWay,
+		need:    max(0, ask.Need-onTheWay),
+		want:    max(0, ask.Want-onTheWay),
+		rate:    row.Rate,
+		largest: row.Largest,
+	}
+	total := unallocated + elsewhere + c.held
+	allot([]*claim{c}, unallocated, total, rate+row.Rate, split.withDefaults().forRegions())
+	row.Given += c.give
+	row.Live += c.give
+	a.Regions[region] = row
+	limit := c.limit
+	if a.Unallocated() < 0 {
+		limit = 0
+	}
+	return RegionReply{
+		Budget:    ask.Budget,
+		Given:     row.Given,
+		Back:      row.Back,
+		Limit:     limit,
+		Elsewhere: unallocated - c.give + elsewhere,
+	}
+}
+
+// others returns what the other regions hold and their forecast.
+func (a *RootAccount) others(region granitehoist.Region, now time.Time) (granitehoist.Tokens, float64) {
+	var held granitehoist.Tokens
+	var rate float64
+	for _, name := range sortedRegions(a.Regions) {
+		row := a.Regions[name]
+		if name == region {
+			continue
+		}
+		held += max(0, row.Live)
+		if now.Sub(time.Unix(row.Seen, 0)) <= regionSilentAfter {
+			rate += row.Rate
+		}
+	}
+	return held, rate
+}
+
+// forRegions returns the split between regions: they hold for longer than
+// boxes, since a write at the root is dearer.
+func (s Split) forRegions() Split {
+	s.Cover *= 2
+	return s
+}
+
+func sortedRegions(rows map[granitehoist.Region]RegionRow) []granitehoist.Region {
+	names := make([]granitehoist.Region, 0, len(rows))
+	for name := range rows {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
--- /dev/null
+++ b/budget/states.go
@@ -0,0 +1,108 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package budget
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"granitehoist.example/granitehoist"
+)
+
+// Overview is where the tokens of one budget are, as the store has it.
+type Overview struct {
+	Budget      granitehoist.BudgetID                       `json:"budget"`
+	Prepaid     granitehoist.Tokens                         `json:"prepaid"`
+	Unallocated granitehoist.Tokens                         `json:"unallocated"`
+	Stock       map[granitehoist.Region]granitehoist.Tokens `json:"stock"`
+	Held        map[granitehoist.Region]granitehoist.Tokens `json:"held"`
+	InDoubt     granitehoist.Tokens                         `json:"in_doubt"`
+	Charged     granitehoist.Tokens                         `json:"charged"`
+	// OnTheWay is given and not yet received, between root and regions.
+	OnTheWay granitehoist.Tokens `json:"on_the_way"`
+}
+
+const (
+	pagePrefix = "budget/page/"
+	rootPrefix = "budget/root/"
+)
+
+// States holds the records of all budgets.
+type States struct {
+	shards int
+	now    time.Time
+	roots  map[Shard]*Root
+	pages  map[Shard]map[granitehoist.Region]*Page
+}
+
+// ReadStates reads all records from the store.
+func ReadStates(ctx context.Context, s granitehoist.Store, shards int, now time.Time) (*States, error) {
+	states := &States{shards: shards, now: now, roots: map[Shard]*Root{}, pages: map[Shard]map[granitehoist.Region]*Page{}}
+	for shard := range Shard(shards) {
+		entry, err := s.Get(ctx, RootKey(shard))
+		if err != nil {
+			return nil, err
+		}
+		if states.roots[shard], err = DecodeRoot(entry); err != nil {
+			return nil, err
+		}
+		states.pages[shard] = map[granitehoist.Region]*Page{}
+	}
+	entries, _, err := s.List(ctx, pagePrefix)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		page, err := DecodePage(e)
+		if err != nil {
+			return nil, err
+		}
+		region, _, _ := strings.Cut(strings.TrimPrefix(e.Key, pagePrefix), "/")
+		for shard := range Shard(shards) {
+			if e.Key == PageKey(granitehoist.Region(region), shard) {
+				states.pages[shard][granitehoist.Region(region)] = page
+			}
+		}
+	}
+	return states, nil
+}
+
+// Of returns the overviews of budgets. prepaid tells what was prepaid on a
+// budget that no root has yet.
+func (s *States) Of(ids []granitehoist.BudgetID, prepaid func(granitehoist.BudgetID) (granitehoist.Tokens, granitehoist.Serial, bool)) []Overview {
+	overviews := make([]Overview, len(ids))
+	for i, k := range ids {
+		overviews[i] = s.overview(k)
+		if s.roots[ShardOf(k, s.shards)].Accounts[k] == nil {
+			tokens, _, _ := prepaid(k)
+			overviews[i].Prepaid, overviews[i].Unallocated = tokens, tokens
+		}
+	}
+	return overviews
+}
+
+func (s *States) overview(k granitehoist.BudgetID) Overview {
+	o := Overview{Budget: k, Stock: map[granitehoist.Region]granitehoist.Tokens{}, Held: map[granitehoist.Region]granitehoist.Tokens{}}
+	shard := ShardOf(k, s.shards)
+	root := s.roots[shard].Accounts[k]
+	if root != nil {
+		o.Prepaid, o.Unallocated = root.Prepaid, root.Unallocated()
+		for _, row := range root.Regions {
+			o.OnTheWay += row.Given - row.Back
+		}
+	}
+	for region, page := range s.pages[shard] {
+		a := page.Accounts[k]
+		if a == nil {
+			continue
+		}
+		o.OnTheWay -= a.Received - a.Sent
+		o.Stock[region] = a.Stock()
+		o.Held[region] = a.Held()
+		o.Charged += a.Spent()
+		o.InDoubt += page.InDoubt(k, s.now)
+	}
+	return o
+}
--- /dev/null
+++ b/cmd/granitehoist/check.go
@@ -0,0 +1,68 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"granitehoist.example/granitehoist/config"
+	"granitehoist.example/granitehoist/settings"
+)
+
+func newCheck(app *kingpin.Application, out io.Writer) command {
+	clause := app.Command("check", "Check settings files and partners' documents, and tell all faults at once.")
+	files := clause.Arg("file", "Files to check; a file with a [listen] table is taken as a router's settings.").Required().Strings()
+	return command{clause, func(context.Context) error {
+		sound := true
+		for _, file := range *files {
+			faults, err := checkFile(file)
+			if err != nil {
+				return err
+			}
+			for _, fault := range faults {
+				fmt.Fprintln(out, fault)
+			}
+			if len(faults) == 0 {
+				fmt.Fprintf(out, "%s: sound\n", file)
+			}
+			sound = sound && len(faults) == 0
+		}
+		if !sound {
+			return failed{}
+		}
+		return nil
+	}}
+}
+
+func checkFile(file string) (config.Faults, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	if isSettings(string(text)) {
+		_, faults := settings.Parse(file, text)
+		return faults, nil
+	}
+	_, err = config.Parse(file, text)
+	if faults, ok := err.(config.Faults); ok {
+		return faults, nil
+	}
+	return nil, err
+}
+
+// isSettings reports whether a file is a router's settings and no document.
+func isSettings(text string) bool {
+	for line := range strings.Lines(text) {
+		if strings.HasPrefix(strings.TrimSpace(line), "[listen]") {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/cmd/granitehoist/main.go
@@ -0,0 +1,82 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+// Command granitehoist runs a router, the stand-ins, a trial of the whole
+// system, and the operators' tools.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// version is set by the release build.
+var version = "development"
+
+const description = "A router fleet for prepaid token budgets that partners share."
+
+// command is one subcommand. run returns an error that ends the program with
+// status 1.
+type command struct {
+	clause *kingpin.CmdClause
+	run    func(ctx context.Context) error
+}
+
+// failed ends the program with status 1 when what was wrong has been told.
+type failed struct{}
+
+// Error implements error.
+func (failed) Error() string { return "failed" }
+
+func main() {
+	app, commands := newApp(os.Stdout)
+	chosen, err := app.Parse(os.Args[1:])
+	app.FatalIfError(err, "")
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	for _, c := range commands {
+		if c.clause.FullCommand() != chosen {
+			continue
+		}
+		if err := c.run(ctx); err != nil {
+			fmt.Fprintf(os.Stderr, "granitehoist: %v\n", err)
+			os.Exit(1)
+		}
+	}
+}
+
+// newApp returns the command line with all its commands.
+func newApp(out io.Writer) (*kingpin.Application, []command) {
+	app := kingpin.New("granitehoist", description)
+	app.HelpFlag.Short('h')
+	commands := []command{
+		newTry(app, out),
+		newRouter(app),
+		newStandinStore(app),
+		newStandinEngine(app),
+		newStandinService(app),
+		newCheck(app, out),
+		newKeysPartner(app, out),
+		newKeysCaller(app, out),
+		newApply(app, out),
+		newShow(app, out),
+		newBudgets(app, out),
+		newBills(app, out),
+		newVersion(app, out),
+	}
+	return app, commands
+}
+
+func newVersion(app *kingpin.Application, out io.Writer) command {
+	clause := app.Command("version", "Print the version.")
+	return command{clause, func(context.Context) error {
+		fmt.Fprintln(out, "granitehoist", version)
+		return nil
+	}}
+}
--- /dev/null
+++ b/cmd/granitehoist/standin.go
@@ -0,0 +1,62 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package main
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"granitehoist.example/granitehoist/standin"
+)
+
+func newStandinStore(app *kingpin.Application) command {
+	clause := standinCommand(app).Command("store", "Serve the stand-in of the platform's store.")
+	listen := clause.Flag("listen", "Address.").Default("127.0.0.1:7000").String()
+	return command{clause, func(ctx context.Context) error {
+		return serve(ctx, *listen, standin.NewStore(standin.StoreSettings{}).Handler())
+	}}
+}
+
+func newStandinEngine(app *kingpin.Application) command {
+	clause := standinCommand(app).Command("engine", "Serve the stand-in of a model engine.")
+	listen := clause.Flag("listen", "Address.").Default("127.0.0.1:9001").String()
+	first := clause.Flag("first", "Time to the first token.").Default("50ms").Duration()
+	token := clause.Flag("token", "Time for each further token.").Default("10ms").Duration()
+	return command{clause, func(ctx context.Context) error {
+		engine := standin.NewEngine(standin.EngineSettings{FirstDelay: *first, TokenDelay: *token})
+		return serve(ctx, *listen, engine.Handler())
+	}}
+}
+
+func newStandinService(app *kingpin.Application) command {
+	clause := standinCommand(app).Command("service", "Serve the stand-in of a plain service.")
+	listen := clause.Flag("listen", "Address.").Default("127.0.0.1:9101").String()
+	return command{clause, func(ctx context.Context) error {
+		return serve(ctx, *listen, standin.NewPlain().Handler())
+	}}
+}
+
+// standinCommand returns the parent of the stand-ins' commands.
+func standinCommand(app *kingpin.Application) *kingpin.CmdClause {
+	const name = "standin"
+	if clause := app.GetCommand(name); clause != nil {
+		return clause
+	}
+	return app.Command(name, "Run a stand-in of an outside system.")
+}
+
+// serve serves a handler until ctx ends.
+func serve(ctx context.Context, listen string, h http.Handler) error {
+	server := &http.Server{Addr: listen, Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	stopped := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stopped()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/granitehoist/try.go
@@ -0,0 +1,43 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"granitehoist.example/granitehoist/trial"
+)
+
+func newTry(app *kingpin.Application, out io.Writer) command {
+	clause := app.Command("try", "Run the whole system on loopback with stand-ins, send a mixed load and judge it. Exits with 1 if a promise was broken.")
+	requests := clause.Flag("requests", "Number of requests.").Default("500").Int()
+	seed := clause.Flag("seed", "Seed of the load.").Default("1").Uint64()
+	listen := clause.Flag("listen", "Callers' address of the first router, such as 127.0.0.1:8080.").String()
+	hold := clause.Flag("hold", "Keep the routers serving for this long after the load.").Duration()
+	calm := clause.Flag("calm", "Leave out the stand-ins' failures.").Bool()
+	verbose := clause.Flag("verbose", "Write the routers' log to standard error.").Bool()
+	return command{clause, func(ctx context.Context) error {
+		settings := trial.Settings{Requests: *requests, Seed: *seed, Listen: *listen, Hold: *hold, Calm: *calm, Out: out}
+		if *verbose {
+			log, err := newLog("debug")
+			if err != nil {
+				return err
+			}
+			settings.Log = log
+		}
+		verdict, err := trial.Run(ctx, settings)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(out, verdict)
+		if !verdict.Held() {
+			return failed{}
+		}
+		return nil
+	}}
+}
--- /dev/null
+++ b/codes.go
@@ -0,0 +1,221 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package granitehoist
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Code is the numbered result of a request, told to the caller. The numbers
+// are stable: 1 is success, 10xx what the caller sent, 20xx permission, 30xx
+// budgets, 40xx overload and choice of upstream, 50xx upstreams, 60xx the
+// fleet itself, 70xx operators' documents. docs/CODES.md lists them.
+type Code int
+
+// The result codes.
+const (
+	Served Code = 1
+
+	BadRequest        Code = 1001
+	UnknownModel      Code = 1002
+	UnknownService    Code = 1003
+	BodyTooLarge      Code = 1004
+	SlowCaller        Code = 1005
+	BadTokenCount     Code = 1006
+	Unsupported       Code = 1007
+	BadHeader         Code = 1008
+	NotFound          Code = 1009
+	MethodNotAllowed  Code = 1010
+	CallerGone        Code = 1011
+	DeadlineTooNear   Code = 1012
+	MissingKey        Code = 2001
+	WrongKey          Code = 2002
+	PolicyDenied      Code = 2003
+	PolicyFailed      Code = 2004
+	BudgetExhausted   Code = 3001
+	BudgetUnknown     Code = 3002
+	BudgetUnreachable Code = 3003
+	BillsFull         Code = 3004
+	NoUpstream        Code = 4001
+	Overloaded        Code = 4002
+	Draining          Code = 4003
+	UpstreamRefused   Code = 5001
+	UpstreamLost      Code = 5002
+	UpstreamCut       Code = 5003
+	AnswerCrossed     Code = 5004
+	UpstreamBadAnswer Code = 5005
+	AlreadyRun        Code = 6001
+	OnceUnsure        Code = 6002
+	OnceUnavailable   Code = 6003
+	Internal          Code = 6004
+	NotReady          Code = 6005
+	NotAuthorised     Code = 7001
+	DocumentBad       Code = 7002
+	DocumentConflict  Code = 7003
+	StoreDown         Code = 7004
+	DocumentPending   Code = 7005
+	DocumentUnsettled Code = 7006
+)
+
+// Fate says what is known about the execution of a request.
+type Fate string
+
+// The fates. NotRun is said only when no byte of the request can have
+// reached an upstream, or the upstream said that it did not run it.
+const (
+	NotRun     Fate = "not run"
+	Ran        Fate = "ran"
+	MayHaveRun Fate = "may have run"
+)
+
+// Advice tells the caller what to do next.
+type Advice string
+
+// The advice values.
+const (
+	AdviceNone   Advice = "none"
+	AdviceFix    Advice = "change the request"
+	AdviceLater  Advice = "retry later"
+	AdviceNow    Advice = "retry at once"
+	AdviceSameID Advice = "ask again with the same request id"
+	AdviceCheck  Advice = "check what happened before a retry"
+)
+
+// CodeInfo describes a Code.
+type CodeInfo struct {
+	Code    Code
+	Name    string
+	Fate    Fate
+	Status  int
+	Advice  Advice
+	Message string
+}
+
+var codeTable = []CodeInfo{
+	{Served, "served", Ran, http.StatusOK, AdviceNone, "the whole answer was given"},
+	{BadRequest, "bad_request", NotRun, http.StatusBadRequest, AdviceFix, "the request body can't be read"},
+	{UnknownModel, "unknown_model", NotRun, http.StatusNotFound, AdviceFix, "no service offers this model"},
+	{UnknownService, "unknown_service", NotRun, http.StatusNotFound, AdviceFix, "no such service"},
+	{BodyTooLarge, "body_too_large", NotRun, http.StatusRequestEntityTooLarge, AdviceFix, "the body is larger than the limit"},
+	{SlowCaller, "slow_caller", NotRun, http.StatusRequestTimeout, AdviceNow, "the body did not arrive in time"},
+	{BadTokenCount, "bad_token_count", NotRun, http.StatusBadRequest, AdviceFix, "a token count is out of range"},
+	{Unsupported, "unsupported", NotRun, http.StatusBadRequest, AdviceFix, "the request uses a feature whose cost has no upper bound"},
+	{BadHeader, "bad_header", NotRun, http.StatusBadRequest, AdviceFix, "a header has a wrong value"},
+	{NotFound, "not_found", NotRun, http.StatusNotFound, AdviceFix, "nothing is served under this path"},
+	{MethodNotAllowed, "method_not_allowed", NotRun, http.StatusMethodNotAllowed, AdviceFix, "this path does not take this method"},
+	{CallerGone, "caller_gone", MayHaveRun, 499, AdviceCheck, "the caller left before the answer was whole"},
+	{DeadlineTooNear, "deadline", NotRun, http.StatusGatewayTimeout, AdviceLater, "the deadline passed before the request could start"},
+	{MissingKey, "missing_key", NotRun, http.StatusUnauthorized, AdviceFix, "no key was given"},
+	{WrongKey, "wrong_key", NotRun, http.StatusUnauthorized, AdviceFix, "the key is not known"},
+	{PolicyDenied, "policy_denied", NotRun, http.StatusForbidden, AdviceFix, "a policy does not permit the request"},
+	{PolicyFailed, "policy_failed", NotRun, http.StatusForbidden, AdviceFix, "a policy could not be evaluated"},
+	{BudgetExhausted, "budget_exhausted", NotRun, http.StatusPaymentRequired, AdviceLater, "the budget can't pay for the request"},
+	{BudgetUnknown, "budget_unknown", NotRun, http.StatusPaymentRequired, AdviceFix, "the workspace has no such budget"},
+	{BudgetUnreachable, "budget_unreachable", NotRun, http.StatusServiceUnavailable, AdviceLater, "no tokens of the budget can be had here now"},
+	{BillsFull, "bills_full", NotRun, http.StatusServiceUnavailable, AdviceLater, "unconfirmed charges have reached their limit"},
+	{NoUpstream, "no_upstream", NotRun, http.StatusServiceUnavailable, AdviceLater, "no upstream of the service takes requests"},
+	{Overloaded, "overloaded", NotRun, http.StatusTooManyRequests, AdviceLater, "the upstreams have no room before the deadline"},
+	{Draining, "draining", NotRun, http.StatusServiceUnavailable, AdviceNow, "this router is stopping"},
+	{UpstreamRefused, "upstream_refused", NotRun, http.StatusBadGateway, AdviceLater, "the upstreams refused the request"},
+	{UpstreamLost, "upstream_lost", MayHaveRun, http.StatusBadGateway, AdviceCheck, "the upstream gave no answer"},
+	{UpstreamCut, "upstream_cut", MayHaveRun, http.StatusBadGateway, AdviceCheck, "the answer of the upstream ended early"},
+	{AnswerCrossed, "answer_crossed", MayHaveRun, http.StatusBadGateway, AdviceCheck, "the upstream gave the answer of another request"},
+	{UpstreamBadAnswer, "upstream_bad_answer", MayHaveRun, http.StatusBadGateway, AdviceCheck, "the answer of the upstream can't be read"},
+	{AlreadyRun, "already_run", Ran, http.StatusConflict, AdviceNone, "this request has already run"},
+	{OnceUnsure, "once_unsure", MayHaveRun, http.StatusConflict, AdviceCheck, "an earlier attempt of this request may have run"},
+	{OnceUnavailable, "once_unavailable", NotRun, http.StatusServiceUnavailable, AdviceLater, "a request not to be repeated can't be bound now"},
+	{Internal, "internal", MayHaveRun, http.StatusInternalServerError, AdviceCheck, "the router failed"},
+	{NotReady, "not_ready", NotRun, http.StatusServiceUnavailable, AdviceLater, "the router has not read its documents yet"},
+	{NotAuthorised, "not_authorised", NotRun, http.StatusForbidden, AdviceFix, "the document is not signed by its partner"},
+	{DocumentBad, "document_bad", NotRun, http.StatusUnprocessableEntity, AdviceFix, "the document has faults"},
+	{DocumentConflict, "document_conflict", NotRun, http.StatusConflict, AdviceFix, "the document was changed meanwhile"},
+	{StoreDown, "store_down", NotRun, http.StatusServiceUnavailable, AdviceLater, "the platform's store does not answer"},
+	{DocumentPending, "document_pending", Ran, http.StatusAccepted, AdviceSameID, "the document is stored and not yet in force everywhere"},
+	{DocumentUnsettled, "document_unsettled", MayHaveRun, http.StatusAccepted, AdviceCheck, "the store's answer was lost and could not be read back"},
+}
+
+var codeIndex = func() map[Code]CodeInfo {
+	index := make(map[Code]CodeInfo, len(codeTable))
+	for _, info := range codeTable {
+		index[info.Code] = info
+	}
+	return index
+}()
+
+// Codes returns the table of all result codes, by number.
+func Codes() []CodeInfo {
+	return append([]CodeInfo(nil), codeTable...)
+}
+
+// Info returns the description of a code. It panics for a number that is not
+// in the table.
+func (c Code) Info() CodeInfo {
+	info, ok := codeIndex[c]
+	if !ok {
+		panic(fmt.Sprintf("granitehoist: no such code: %d", int(c)))
+	}
+	return info
+}
+
+// String returns the name of the code.
+func (c Code) String() string { return c.Info().Name }
+
+// Error is a result that is not Served.
+type Error struct {
+	// Code is the numbered result.
+	Code Code
+	// Detail says in plain words what was wrong in this case.
+	Detail string
+	// RetryAfter, if set, tells when a retry may succeed.
+	RetryAfter time.Duration
+	// Cause is the error below, which is logged and never told to callers.
+	Cause error
+}
+
+// Errorf returns an Error with a formatted detail.
+func Errorf(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an Error with the given cause. The cause is not told to
+// callers.
+func Wrap(code Code, cause error, detail string) *Error {
+	return &Error{Code: code, Detail: detail, Cause: cause}
+}
+
+// Error returns the number, the name and the detail.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%d %s: %s", int(e.Code), e.Code, e.Message())
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Message returns what callers are told: the table's sentence and the detail.
+func (e *Error) Message() string {
+	if e.Detail == "" {
+		return e.Code.Info().Message
+	}
+	return e.Code.Info().Message + ": " + e.Detail
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// CodeOf returns the code of an error: Served for nil, and Internal for an
+// error that is no *Error.
+func CodeOf(err error) Code {
+	if err == nil {
+		return Served
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return Internal
+}
--- /dev/null
+++ b/codes_test.go
@@ -0,0 +1,77 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package granitehoist_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist"
+)
+
+// codesPage returns the table of docs/CODES.md as the code has it.
+func codesPage() string {
+	var page strings.Builder
+	page.WriteString("| number | name | fate | HTTP status | advice | message |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, info := range granitehoist.Codes() {
+		fmt.Fprintf(&page, "| %d | %s | %s | %d | %s | %s |\n", info.Code, info.Name, info.Fate, info.Status, info.Advice, info.Message)
+	}
+	return page.String()
+}
+
+var _ = Describe("Codes", func() {
+	It("stand in docs/CODES.md as in the code", func() {
+		page, err := os.ReadFile("docs/CODES.md")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(page)).To(ContainSubstring(codesPage()))
+	})
+
+	It("have one number and one name each", func() {
+		names := map[string]bool{}
+		numbers := map[granitehoist.Code]bool{}
+		for _, info := range granitehoist.Codes() {
+			Expect(names[info.Name]).To(BeFalse(), info.Name)
+			Expect(numbers[info.Code]).To(BeFalse(), info.Name)
+			names[info.Name], numbers[info.Code] = true, true
+		}
+	})
+
+	It("panic for a number that is not in the table", func() {
+		Expect(func() { granitehoist.Code(9999).Info() }).To(Panic())
+	})
+
+	DescribeTable("are read off an error",
+		func(err error, code granitehoist.Code) { Expect(granitehoist.CodeOf(err)).To(Equal(code)) },
+		Entry("nil", nil, granitehoist.Served),
+		Entry("another error", errors.New("other"), granitehoist.Internal),
+		Entry("an Error", granitehoist.Errorf(granitehoist.WrongKey, ""), granitehoist.WrongKey),
+		Entry("a wrapped Error", fmt.Errorf("while: %w", granitehoist.Errorf(granitehoist.WrongKey, "")), granitehoist.WrongKey),
+	)
+
+	It("keep the cause from callers", func() {
+		err := granitehoist.Wrap(granitehoist.StoreDown, errors.New("secret address"), "")
+		Expect(err.Message()).NotTo(ContainSubstring("secret"))
+		Expect(err.Error()).To(ContainSubstring("secret"))
+	})
+})
+
+var _ = Describe("BudgetID", func() {
+	It("gives back its parts", func() {
+		id := granitehoist.NewBudgetID("tuul", "kiosk", "a/b")
+		Expect(id.Partner()).To(Equal(granitehoist.Partner("tuul")))
+		Expect(id.Workspace()).To(Equal(granitehoist.Workspace("kiosk")))
+		Expect(id.Name()).To(Equal("a/b"))
+	})
+
+	It("has no parts if it is malformed", func() {
+		Expect(granitehoist.BudgetID("x").Partner()).To(BeEmpty())
+		Expect(granitehoist.BudgetID("x/y").Workspace()).To(BeEmpty())
+		Expect(granitehoist.BudgetID("x/y").Name()).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/config/follower.go
@@ -0,0 +1,188 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"granitehoist.example/granitehoist"
+)
+
+// FollowerSettings configure a Follower.
+type FollowerSettings struct {
+	Store granitehoist.Store
+	Trust Trust
+	// Failed is told of documents and store calls that failed; nil ignores
+	// them.
+	Failed func(error)
+	// Changed is told of each new view; nil ignores it.
+	Changed func(*View)
+	// Pause is the time before a failed watch is tried again; zero stands for
+	// half a second.
+	Pause time.Duration
+}
+
+const defaultPause = 500 * time.Millisecond
+
+// Follower keeps a router's view in step with the store. A document that can't
+// be read, or that its partner did not sign, leaves the one before in force.
+type Follower struct {
+	settings FollowerSettings
+	view     atomic.Pointer[View]
+}
+
+// NewFollower returns a follower with an empty view. It panics if the settings
+// lack the store or the trusted keys.
+func NewFollower(s FollowerSettings) *Follower {
+	if s.Store == nil || s.Trust == nil {
+		panic("config: follower lacks a setting")
+	}
+	if s.Failed == nil {
+		s.Failed = func(error) {}
+	}
+	if s.Changed == nil {
+		s.Changed = func(*View) {}
+	}
+	if s.Pause == 0 {
+		s.Pause = defaultPause
+	}
+	f := &Follower{settings: s}
+	f.view.Store(NewView())
+	return f
+}
+
+// View returns the documents in force.
+func (f *Follower) View() *View { return f.view.Load() }
+
+// Run reads the documents and then watches for changes until ctx ends. Only
+// one Run may be in progress.
+func (f *Follower) Run(ctx context.Context) {
+	var after granitehoist.Version
+	for ctx.Err() == nil {
+		entries, version, err := f.settings.Store.Watch(ctx, KeyPrefix, after)
+		if err != nil {
+			f.pause(ctx, err)
+			continue
+		}
+		f.take(entries)
+		after = max(after, version)
+	}
+}
+
+func (f *Follower) pause(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.settings.Failed(err)
+	select {
+	case <-time.After(f.settings.Pause):
+	case <-ctx.Done():
+	}
+}
+
+// take puts entries in force that are newer than what is.
+func (f *Follower) take(entries []granitehoist.Entry) {
+	view := f.View()
+	next := view
+	for _, e := range entries {
+		if e.Deleted {
+			continue
+		}
+		signed, document, err := f.settings.Trust.Verify(e.Value)
+		if err == nil && StoreKey(signed.Partner) != e.Key {
+			err = granitehoist.Errorf(granitehoist.NotAuthorised, "key %s holds a document of partner %q", e.Key, signed.Partner)
+		}
+		if err != nil {
+			f.settings.Failed(err)
+			continue
+		}
+		next = next.With(document, signed.Serial)
+	}
+	if next != view {
+		f.view.Store(next)
+		f.settings.Changed(next)
+	}
+}
+
+// Current is the document of a partner as it stands in the store.
+type Current struct {
+	Signed  Signed               `json:"signed"`
+	Version granitehoist.Version `json:"version"`
+}
+
+// ReadCurrent returns a partner's document from the store; its version is zero
+// if there is none.
+func ReadCurrent(ctx context.Context, s granitehoist.Store, p granitehoist.Partner) (Current, error) {
+	e, err := s.Get(ctx, StoreKey(p))
+	if err != nil {
+		return Current{}, granitehoist.Wrap(granitehoist.StoreDown, err, "")
+	}
+	c := Current{Version: e.Version}
+	if e.Version == 0 {
+		return c, nil
+	}
+	if err := json.Unmarshal(e.Value, &c.Signed); err != nil {
+		return Current{}, granitehoist.Wrap(granitehoist.DocumentBad, err, "the stored record can't be read")
+	}
+	return c, nil
+}
+
+// applyTries bounds how often a write whose answer was lost is looked for.
+const applyTries = 5
+
+// Apply writes a signed document over the one that it names as previous. Its
+// errors are *Error: NotAuthorised, DocumentBad, DocumentConflict if another
+// document came between, StoreDown if nothing was written, and
+// DocumentUnsettled if it is not known whether it was.
+func Apply(ctx context.Context, s granitehoist.Store, t Trust, raw []byte) (Signed, error) {
+	signed, _, err := t.Verify(raw)
+	if err != nil {
+		return signed, err
+	}
+	current, err := ReadCurrent(ctx, s, signed.Partner)
+	if err != nil {
+		return signed, err
+	}
+	if current.Signed.ChangeID == signed.ChangeID {
+		return signed, nil
+	}
+	if signed.Previous != current.Signed.ChangeID || signed.Serial != current.Signed.Serial+1 {
+		return signed, conflict(current.Signed, signed)
+	}
+	_, err = s.CompareAndSwap(ctx, granitehoist.Change{Key: StoreKey(signed.Partner), Value: raw, Expect: current.Version})
+	switch {
+	case err == nil:
+		return signed, nil
+	case errors.Is(err, granitehoist.ErrUnavailable):
+		return signed, granitehoist.Wrap(granitehoist.StoreDown, err, "")
+	}
+	return signed, settle(ctx, s, signed)
+}
+
+func conflict(current, ours Signed) error {
+	return granitehoist.Errorf(granitehoist.DocumentConflict, "serial %d stands in the store; this document is serial %d and follows another", current.Serial, ours.Serial)
+}
+
+// settle finds out whether a write that got no answer, or a conflict, took
+// effect.
+func settle(ctx context.Context, s granitehoist.Store, ours Signed) error {
+	for range applyTries {
+		current, err := ReadCurrent(ctx, s, ours.Partner)
+		if err != nil {
+			continue
+		}
+		switch {
+		case current.Signed.ChangeID == ours.ChangeID, current.Signed.Previous == ours.ChangeID:
+			return nil
+		case current.Signed.Serial >= ours.Serial:
+			return conflict(current.Signed, ours)
+		}
+		break
+	}
+	return granitehoist.Errorf(granitehoist.DocumentUnsettled, "serial %d of partner %s", ours.Serial, ours.Partner)
+}
--- /dev/null
+++ b/fleet/registry.go
@@ -0,0 +1,176 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/store"
+)
+
+// KeyPrefix is where routers enter themselves in the store.
+const KeyPrefix = "boxes/"
+
+// RegistrySettings configure a Registry.
+type RegistrySettings struct {
+	Self  Member
+	Store granitehoist.Store
+	// TTL is how long an entry outlives its router; zero stands for
+	// DefaultTTL. It is renewed three times as often.
+	TTL time.Duration
+}
+
+// DefaultTTL bounds how long a dead router stays in the views of others.
+const DefaultTTL = 15 * time.Second
+
+const renewalsPerTTL = 3
+
+// Registry keeps a router's own entry in the store and its view of the others.
+// While the store is away the last view stands.
+type Registry struct {
+	settings RegistrySettings
+
+	mu      sync.Mutex
+	self    Member
+	view    View
+	lease   granitehoist.LeaseID
+	written Member
+}
+
+// NewRegistry returns a registry whose view holds the router alone. It panics
+// if the settings lack the store or the incarnation.
+func NewRegistry(s RegistrySettings) *Registry {
+	if s.Store == nil || s.Self.Incarnation == "" {
+		panic("fleet: registry without store or incarnation")
+	}
+	if s.TTL == 0 {
+		s.TTL = DefaultTTL
+	}
+	return &Registry{settings: s, self: s.Self, view: NewView([]Member{s.Self})}
+}
+
+// View returns the last view.
+func (r *Registry) View() View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view
+}
+
+// Self returns the router's own entry.
+func (r *Registry) Self() Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.self
+}
+
+// Interval returns how often Refresh is to be called.
+func (r *Registry) Interval() time.Duration { return r.settings.TTL / renewalsPerTTL }
+
+// Refresh renews the router's entry and reads the others'.
+func (r *Registry) Refresh(ctx context.Context) error {
+	if err := r.enter(ctx); err != nil {
+		return err
+	}
+	entries, _, err := r.settings.Store.List(ctx, KeyPrefix)
+	if err != nil {
+		return err
+	}
+	var members []Member
+	for _, e := range entries {
+		var m Member
+		if err := json.Unmarshal(e.Value, &m); err != nil {
+			return eris.Wrapf(err, "fleet: entry %s can't be read", e.Key)
+		}
+		members = append(members, m)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.view = NewView(members)
+	return nil
+}
+
+// enter renews the lease, and writes the entry if it is new or has changed.
+func (r *Registry) enter(ctx context.Context) error {
+	r.mu.Lock()
+	lease, self, written := r.lease, r.self, r.written
+	r.mu.Unlock()
+	if lease != "" {
+		err := r.settings.Store.RenewLease(ctx, lease)
+		switch {
+		case errors.Is(err, granitehoist.ErrNoLease):
+			lease = ""
+		case err != nil:
+			return err
+		case self == written:
+			return nil
+		}
+	}
+	if lease == "" {
+		granted, err := r.settings.Store.GrantLease(ctx, r.settings.TTL)
+		if err != nil {
+			return err
+		}
+		lease = granted
+	}
+	if err := r.write(ctx, lease, self); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease, r.written = lease, self
+	return nil
+}
+
+func (r *Registry) key() string {
+	return KeyPrefix + string(r.settings.Self.Region) + "/" + string(r.settings.Self.Box) + "/" + string(r.settings.Self.Incarnation)
+}
+
+// write sets the entry. Only this incarnation writes its key.
+func (r *Registry) write(ctx context.Context, lease granitehoist.LeaseID, self Member) error {
+	raw, err := json.Marshal(self)
+	if err != nil {
+		return eris.Wrap(err, "fleet: entry does not encode")
+	}
+	current, err := r.settings.Store.Get(ctx, r.key())
+	if err != nil {
+		return err
+	}
+	_, err = store.Swap(ctx, r.settings.Store, granitehoist.Change{Key: r.key(), Value: raw, Expect: current.Version, Lease: lease})
+	return err
+}
+
+// Leave marks the router as stopping, for the next Refresh.
+func (r *Registry) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.self.Leaving = true
+}
+
+// removeTries bounds how often Remove reads the entry again after the answer
+// to its write was lost.
+const removeTries = 3
+
+// Remove deletes the router's entry.
+func (r *Registry) Remove(ctx context.Context) error {
+	var err error
+	for range removeTries {
+		var current granitehoist.Entry
+		current, err = r.settings.Store.Get(ctx, r.key())
+		if err != nil || current.Version == 0 {
+			return err
+		}
+		_, err = r.settings.Store.CompareAndSwap(ctx, granitehoist.Change{Key: r.key(), Expect: current.Version, Delete: true})
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/fleet/rpc.go
@@ -0,0 +1,209 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// HandlerFunc serves one method of a Server.
+type HandlerFunc func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Handle returns a HandlerFunc that decodes the parameters for serve.
+func Handle[Params, Result any](serve func(context.Context, Params) (Result, error)) HandlerFunc {
+	return func(ctx context.Context, raw json.RawMessage) (any, error) {
+		var params Params
+		if err := json.Unmarshal(raw, &params); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		return serve(ctx, params)
+	}
+}
+
+// Server serves the calls of other routers.
+type Server struct {
+	methods map[string]HandlerFunc
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*jsonrpc2.Conn]struct{}
+	closed   bool
+	done     sync.WaitGroup
+}
+
+// ServerSettings configure a Server.
+type ServerSettings struct {
+	// Methods holds the handlers by method name.
+	Methods map[string]HandlerFunc
+}
+
+// NewServer returns a server that does not listen yet.
+func NewServer(s ServerSettings) *Server {
+	return &Server{methods: s.Methods, conns: map[*jsonrpc2.Conn]struct{}{}}
+}
+
+// Serve takes connections from a listener until Close.
+func (s *Server) Serve(listener net.Listener) error {
+	s.mu.Lock()
+	s.listener = listener
+	s.mu.Unlock()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if s.isClosed() {
+				return nil
+			}
+			return eris.Wrap(err, "fleet: accept")
+		}
+		s.start(conn)
+	}
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+func (s *Server) start(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return
+	}
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
+	c := jsonrpc2.NewConn(context.Background(), stream(conn), handler)
+	s.conns[c] = struct{}{}
+	s.done.Go(func() {
+		<-c.DisconnectNotify()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	})
+}
+
+func stream(conn net.Conn) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+}
+
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	serve, ok := s.methods[r.Method]
+	if !ok || r.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method: " + r.Method}
+	}
+	return serve(ctx, *r.Params)
+}
+
+// Close ends the listener and all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for c := range s.conns {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	s.done.Wait()
+}
+
+// Client calls other routers and keeps one connection to each. It implements
+// granitehoist.Caller.
+type Client struct {
+	settings ClientSettings
+	mu       sync.Mutex
+	conns    map[string]*jsonrpc2.Conn
+}
+
+// ClientSettings configure a Client. The zero value works.
+type ClientSettings struct {
+	// Timeout bounds a call, connecting included; zero stands for one second.
+	Timeout time.Duration
+}
+
+const defaultCallTimeout = time.Second
+
+// NewClient returns a client without connections.
+func NewClient(s ClientSettings) *Client {
+	if s.Timeout == 0 {
+		s.Timeout = defaultCallTimeout
+	}
+	return &Client{settings: s, conns: map[string]*jsonrpc2.Conn{}}
+}
+
+// Call implements granitehoist.Caller.
+func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.Timeout)
+	defer cancel()
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		return err
+	}
+	err = conn.Call(ctx, method, params, result)
+	if _, answered := err.(*jsonrpc2.Error); err != nil && !answered {
+		c.drop(address, conn)
+	}
+	return eris.Wrapf(err, "fleet: call of %s at %s", method, address)
+}
+
+func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	conn, ok := c.conns[address]
+	c.mu.Unlock()
+	if ok {
+		return conn, nil
+	}
+	var dialer net.Dialer
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "fleet: connect to %s", address)
+	}
+	conn = jsonrpc2.NewConn(context.Background(), stream(raw), refuseAll{})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other, ok := c.conns[address]; ok {
+		_ = conn.Close()
+		return other, nil
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+func (c *Client) drop(address string, conn *jsonrpc2.Conn) {
+	c.mu.Lock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+	c.mu.Unlock()
+	_ = conn.Close()
+}
+
+// Close ends all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		_ = conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+// refuseAll is the handler of a connection on which only this side calls.
+type refuseAll struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (refuseAll) Handle(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if !r.Notif {
+		_ = c.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this side serves no calls"})
+	}
+}
--- /dev/null
+++ b/fleet/view.go
@@ -0,0 +1,71 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package fleet
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"granitehoist.example/granitehoist"
+)
+
+// Member is a router as it enters itself in the store.
+type Member struct {
+	Box         granitehoist.Box         `json:"box"`
+	Incarnation granitehoist.Incarnation `json:"incarnation"`
+	Partner     granitehoist.Partner     `json:"partner"`
+	Region      granitehoist.Region      `json:"region"`
+	Place       granitehoist.Place       `json:"place"`
+	// Peers is the address for calls between routers.
+	Peers string `json:"peers"`
+	// Leaving says that the router is stopping and takes no roles.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// View is the routers that one router knows of. It is not changed after it
+// was made.
+type View struct {
+	members []Member
+}
+
+// NewView returns a view of members, in a fixed order.
+func NewView(members []Member) View {
+	sorted := append([]Member(nil), members...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Incarnation < sorted[j].Incarnation })
+	return View{members: sorted}
+}
+
+// Members returns all members.
+func (v View) Members() []Member { return v.members }
+
+// Region returns the members of a region.
+func (v View) Region(r granitehoist.Region) []Member {
+	var members []Member
+	for _, m := range v.members {
+		if m.Region == r {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// Holder returns the member of a region that acts in a role, by rendezvous
+// hashing (D. Thaler and C. Ravishankar, "Using Name-Based Mappings to Increase
+// Hit Rates", 1998). It returns false if the region has no member that stays.
+func (v View) Holder(r granitehoist.Region, role string) (Member, bool) {
+	var best Member
+	var bestWeight uint64
+	found := false
+	for _, m := range v.members {
+		if m.Region != r || m.Leaving {
+			continue
+		}
+		weight := xxhash.Sum64String(role + "\x00" + string(m.Incarnation))
+		if !found || weight > bestWeight {
+			best, bestWeight, found = m, weight, true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/ids.go
@@ -0,0 +1,116 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package granitehoist
+
+import (
+	"encoding/hex"
+	"io"
+	"strings"
+)
+
+// Partner names one of the organisations that share the fleet.
+type Partner string
+
+// Region names a set of places that is cut off, or reachable, as a whole.
+type Region string
+
+// Place names an availability zone.
+type Place string
+
+// Box names a machine that runs one router.
+type Box string
+
+// Incarnation names one run of a router process. A box has a new incarnation
+// each time its router starts; an incarnation is never used twice.
+type Incarnation string
+
+// Workspace names a customer of a partner. Workspace names are unique within
+// their partner only.
+type Workspace string
+
+// Service names a group of upstreams that offer the same thing.
+type Service string
+
+// Model names a language model as callers write it.
+type Model string
+
+// Upstream names one back end of a service.
+type Upstream string
+
+// RequestID names a request of a caller. All attempts of one request share it.
+type RequestID string
+
+// AttemptID names one sending of a request to one upstream.
+type AttemptID string
+
+// Serial numbers the documents of one partner, from 1. A later document has a
+// larger one.
+type Serial uint64
+
+// Tokens counts prepaid tokens. It is the unit of every budget and charge.
+type Tokens int64
+
+// Priority orders requests that wait for the same upstream; a larger number is
+// served first.
+type Priority int
+
+// The range of a Priority and the value given where nobody chose one.
+const (
+	MinPriority     Priority = 0
+	DefaultPriority Priority = 5
+	MaxPriority     Priority = 9
+)
+
+// BudgetID names a prepaid budget across the fleet, as
+// "partner/workspace/name".
+type BudgetID string
+
+const idSeparator = "/"
+
+// NewBudgetID returns the fleet-wide name of a workspace's budget.
+func NewBudgetID(p Partner, w Workspace, name string) BudgetID {
+	return BudgetID(string(p) + idSeparator + string(w) + idSeparator + name)
+}
+
+// Partner returns the partner that owns the budget, or "" if the id is not
+// of the form that NewBudgetID makes.
+func (b BudgetID) Partner() Partner {
+	p, _, ok := strings.Cut(string(b), idSeparator)
+	if !ok {
+		return ""
+	}
+	return Partner(p)
+}
+
+// Workspace returns the workspace that owns the budget, or "" if the id is
+// not of the form that NewBudgetID makes.
+func (b BudgetID) Workspace() Workspace {
+	parts := strings.SplitN(string(b), idSeparator, 3)
+	if len(parts) < 3 {
+		return ""
+	}
+	return Workspace(parts[1])
+}
+
+// Name returns the budget's name within its workspace, or "" if the id is not
+// of the form that NewBudgetID makes.
+func (b BudgetID) Name() string {
+	parts := strings.SplitN(string(b), idSeparator, 3)
+	if len(parts) < 3 {
+		return ""
+	}
+	return parts[2]
+}
+
+const randomIDBytes = 12
+
+// NewID returns a random identifier with the given prefix, drawn from random.
+// It panics if random fails, since no safe identifier can be made then.
+func NewID(prefix string, random io.Reader) string {
+	var raw [randomIDBytes]byte
+	if _, err := io.ReadFull(random, raw[:]); err != nil {
+		panic("granitehoist: random source failed: " + err.Error())
+	}
+	return prefix + hex.EncodeToString(raw[:])
+}
--- /dev/null
+++ b/report/metrics.go
@@ -0,0 +1,66 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package report
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Quantiles that are written of each timer.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+const metricPrefix = "granitehoist_"
+
+// WriteMetrics writes a registry in the text form that collectors read. Timers
+// are in seconds.
+func WriteMetrics(w io.Writer, registry metrics.Registry) error {
+	var lines []string
+	registry.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case metrics.Counter:
+			lines = append(lines, counterLine(name, m.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s%s %d", metricPrefix, flat(name), m.Value()))
+		case metrics.Timer:
+			lines = append(lines, timerLines(name, m.Snapshot())...)
+		}
+	})
+	sort.Strings(lines)
+	for _, line := range lines {
+		if _, err := fmt.Fprintln(w, line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func flat(name string) string {
+	return strings.NewReplacer(".", "_", "-", "_").Replace(name)
+}
+
+const codeCounter = "requests.code."
+
+func counterLine(name string, count int64) string {
+	if code, ok := strings.CutPrefix(name, codeCounter); ok {
+		return fmt.Sprintf("%srequests_total{code=%q} %d", metricPrefix, code, count)
+	}
+	return fmt.Sprintf("%s%s_total %d", metricPrefix, flat(name), count)
+}
+
+func timerLines(name string, t metrics.Timer) []string {
+	base := metricPrefix + flat(name) + "_seconds"
+	lines := []string{
+		fmt.Sprintf("%s_count %d", base, t.Count()),
+		fmt.Sprintf("%s_sum %g", base, float64(t.Sum())/1e9),
+	}
+	for i, value := range t.Percentiles(quantiles) {
+		lines = append(lines, fmt.Sprintf("%s{quantile=\"%g\"} %g", base, quantiles[i], value/1e9))
+	}
+	return lines
+}
--- /dev/null
+++ b/router/admin.go
@@ -0,0 +1,210 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+
+	"golang.org/x/sync/errgroup"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/bill"
+	"granitehoist.example/granitehoist/budget"
+	"granitehoist.example/granitehoist/config"
+	"granitehoist.example/granitehoist/fleet"
+	"granitehoist.example/granitehoist/report"
+)
+
+// Paths of the operators' surface.
+const (
+	PathDocuments = "/admin/documents/"
+	PathBudgets   = "/admin/budgets"
+	PathBills     = "/admin/bills"
+	PathMembers   = "/admin/members"
+	PathMetrics   = "/metrics"
+)
+
+func (r *Router) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathDocuments+"{partner}", r.serveDocument)
+	mux.HandleFunc("PUT "+PathDocuments+"{partner}", r.serveApply)
+	mux.HandleFunc("GET "+PathBudgets, r.serveBudgets)
+	mux.HandleFunc("GET "+PathBills, r.serveBills)
+	mux.HandleFunc("GET "+PathMembers, r.serveMembers)
+	mux.HandleFunc("GET "+PathMetrics, r.serveMetrics)
+	return mux
+}
+
+// AdminError is the body of a refusal.
+type AdminError struct {
+	Code    int               `json:"code"`
+	Name    string            `json:"name"`
+	Message string            `json:"message"`
+	Fate    granitehoist.Fate `json:"fate"`
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	code := granitehoist.CodeOf(err)
+	info := code.Info()
+	message := info.Message
+	if e, ok := err.(*granitehoist.Error); ok {
+		message = e.Message()
+	}
+	writeJSON(w, info.Status, AdminError{Code: int(code), Name: info.Name, Message: message, Fate: info.Fate})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	// A reader that has gone is no failure.
+	_ = encoder.Encode(value)
+}
+
+// DocumentState tells where a partner's document is in force.
+type DocumentState struct {
+	Partner granitehoist.Partner `json:"partner"`
+	// Current is what stands in the store.
+	Current config.Current `json:"current"`
+	// InForce lists the boxes that serve by it and Waiting those that do not or
+	// can't be asked. The document is accepted when Waiting is empty.
+	InForce  []granitehoist.Box `json:"in_force"`
+	Waiting  []granitehoist.Box `json:"waiting"`
+	Accepted bool               `json:"accepted"`
+}
+
+func (r *Router) serveDocument(w http.ResponseWriter, req *http.Request) {
+	state, err := r.documentState(req.Context(), granitehoist.Partner(req.PathValue("partner")))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, state)
+}
+
+func (r *Router) serveApply(w http.ResponseWriter, req *http.Request) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, req.Body, granitehoist.MaxValueSize))
+	if err != nil {
+		writeError(w, granitehoist.Wrap(granitehoist.BodyTooLarge, err, ""))
+		return
+	}
+	trust, err := r.settings.Router.TrustedKeys()
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	signed, err := config.Apply(req.Context(), r.settings.Store, trust, raw)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	state, err := r.documentState(req.Context(), signed.Partner)
+	if err != nil {
+		writeError(w, granitehoist.Wrap(granitehoist.DocumentPending, err, ""))
+		return
+	}
+	status := http.StatusOK
+	if !state.Accepted {
+		status = http.StatusAccepted
+	}
+	writeJSON(w, status, state)
+}
+
+const methodSerials = "config.serials"
+
+type serialsParams struct{}
+
+type serialsResult struct {
+	Serials map[granitehoist.Partner]granitehoist.Serial `json:"serials"`
+}
+
+func (r *Router) serveSerials(context.Context, serialsParams) (serialsResult, error) {
+	return serialsResult{Serials: r.follower.View().Serials()}, nil
+}
+
+// documentState asks every router of a view read from the store just now.
+func (r *Router) documentState(ctx context.Context, p granitehoist.Partner) (DocumentState, error) {
+	current, err := config.ReadCurrent(ctx, r.settings.Store, p)
+	if err != nil {
+		return DocumentState{}, err
+	}
+	if err := r.registry.Refresh(ctx); err != nil {
+		return DocumentState{}, granitehoist.Wrap(granitehoist.StoreDown, err, "the list of routers")
+	}
+	members := r.registry.View().Members()
+	serials := make([]granitehoist.Serial, len(members))
+	var group errgroup.Group
+	for i, m := range members {
+		group.Go(func() error {
+			serials[i] = r.serialAt(ctx, m, p)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	state := DocumentState{Partner: p, Current: current, InForce: []granitehoist.Box{}, Waiting: []granitehoist.Box{}}
+	for i, m := range members {
+		if serials[i] >= current.Signed.Serial {
+			state.InForce = append(state.InForce, m.Box)
+		} else {
+			state.Waiting = append(state.Waiting, m.Box)
+		}
+	}
+	state.Accepted = current.Version != 0 && len(state.Waiting) == 0
+	return state, nil
+}
+
+// serialAt returns the serial in force at a router, zero if it can't be asked.
+func (r *Router) serialAt(ctx context.Context, m fleet.Member, p granitehoist.Partner) granitehoist.Serial {
+	if m.Incarnation == r.self.Incarnation {
+		return r.follower.View().Serial(p)
+	}
+	var result serialsResult
+	if err := r.client.Call(ctx, m.Peers, methodSerials, serialsParams{}, &result); err != nil {
+		return 0
+	}
+	return result.Serials[p]
+}
+
+func (r *Router) serveBudgets(w http.ResponseWriter, req *http.Request) {
+	var ids []granitehoist.BudgetID
+	for k := range r.follower.View().Budgets() {
+		ids = append(ids, k)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	states, err := budget.ReadStates(req.Context(), r.settings.Store, r.settings.Router.Budget.Shards, r.settings.Clock())
+	if err != nil {
+		writeError(w, granitehoist.Wrap(granitehoist.StoreDown, err, ""))
+		return
+	}
+	writeJSON(w, http.StatusOK, states.Of(ids, r.prepaid))
+}
+
+func (r *Router) serveBills(w http.ResponseWriter, req *http.Request) {
+	charges, err := bill.Read(req.Context(), r.settings.Store)
+	if err != nil {
+		writeError(w, granitehoist.Wrap(granitehoist.StoreDown, err, ""))
+		return
+	}
+	if strings.HasSuffix(req.URL.Query().Get("form"), "charges") {
+		writeJSON(w, http.StatusOK, charges)
+		return
+	}
+	writeJSON(w, http.StatusOK, bill.Summarise(charges))
+}
+
+func (r *Router) serveMembers(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, r.registry.View().Members())
+}
+
+func (r *Router) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	// A reader that has gone is no failure.
+	_ = report.WriteMetrics(w, r.metrics)
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,268 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package settings
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"net"
+	"net/url"
+	"strings"
+	"time"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/budget"
+	"granitehoist.example/granitehoist/config"
+)
+
+// Duration is a time.Duration written as "1.5s".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	value, err := time.ParseDuration(string(text))
+	*d = Duration(value)
+	return err
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Router is the settings of one router.
+type Router struct {
+	Partner granitehoist.Partner `toml:"partner"`
+	Region  granitehoist.Region  `toml:"region"`
+	Place   granitehoist.Place   `toml:"place"`
+	Box     granitehoist.Box     `toml:"box"`
+	// Store is the base URL of the platform's service.
+	Store  string  `toml:"store"`
+	Listen Listen  `toml:"listen"`
+	Trust  []Trust `toml:"trust"`
+	Splits []Split `toml:"split"`
+	Limits Limits  `toml:"limits"`
+	Budget Budget  `toml:"budget"`
+	Log    Log     `toml:"log"`
+}
+
+// Listen holds the addresses that a router listens on, as IP number and port.
+type Listen struct {
+	Callers string `toml:"callers"`
+	Peers   string `toml:"peers"`
+	Admin   string `toml:"admin"`
+}
+
+// Trust holds the public keys with which a partner signs its documents.
+type Trust struct {
+	Partner granitehoist.Partner `toml:"partner"`
+	// Keys are Ed25519 public keys in base64.
+	Keys []string `toml:"keys"`
+}
+
+// Split chooses how a partner's budgets are spread.
+type Split struct {
+	Partner granitehoist.Partner `toml:"partner"`
+	Weigh   budget.Weighting     `toml:"weigh"`
+	// Wait bounds how long a request waits for tokens; unset takes the
+	// weighting's.
+	Wait Duration `toml:"wait"`
+}
+
+// Limits bound what one request may use. Unset values take the defaults.
+type Limits struct {
+	BodyBytes   int64    `toml:"body_bytes"`
+	HeaderBytes int      `toml:"header_bytes"`
+	ReadTimeout Duration `toml:"read_timeout"`
+	// Request bounds a request whose caller names no deadline.
+	Request Duration `toml:"request"`
+	// Drain bounds a planned stop.
+	Drain Duration `toml:"drain"`
+	// Bills bounds the unconfirmed charges.
+	Bills int `toml:"bills"`
+}
+
+// Budget tunes the messages about budgets.
+type Budget struct {
+	// Shards must be the same on all routers.
+	Shards   int      `toml:"shards"`
+	Interval Duration `toml:"interval"`
+}
+
+// Log tunes the log.
+type Log struct {
+	// Level is "debug", "info", "warn" or "error".
+	Level string `toml:"level"`
+}
+
+// Defaults of unset values.
+const (
+	DefaultBodyBytes   = 4 << 20
+	DefaultHeaderBytes = 32 << 10
+	DefaultReadTimeout = Duration(10 * time.Second)
+	DefaultRequest     = Duration(5 * time.Minute)
+	DefaultDrain       = Duration(10 * time.Minute)
+	DefaultLevel       = "info"
+)
+
+// Parse reads a settings file. file is used in faults only. It returns all
+// faults at once.
+func Parse(file string, text []byte) (*Router, config.Faults) {
+	var r Router
+	if faults := config.Decode(file, text, &r); len(faults) > 0 {
+		return nil, faults
+	}
+	r.setDefaults()
+	c := checker{file: file, lines: strings.Split(string(text), "\n")}
+	c.router(&r)
+	return &r, c.faults
+}
+
+func (r *Router) setDefaults() {
+	setDefault(&r.Limits.BodyBytes, DefaultBodyBytes)
+	setDefault(&r.Limits.HeaderBytes, DefaultHeaderBytes)
+	setDefault(&r.Limits.ReadTimeout, DefaultReadTimeout)
+	setDefault(&r.Limits.Request, DefaultRequest)
+	setDefault(&r.Limits.Drain, DefaultDrain)
+	setDefault(&r.Budget.Shards, budget.DefaultShards)
+	setDefault(&r.Budget.Interval, Duration(budget.DefaultInterval))
+	setDefault(&r.Log.Level, DefaultLevel)
+}
+
+func setDefault[T comparable](value *T, standard T) {
+	var unset T
+	if *value == unset {
+		*value = standard
+	}
+}
+
+type checker struct {
+	file   string
+	lines  []string
+	faults config.Faults
+}
+
+// add records a fault at the line where the last part of the key is written.
+func (c *checker) add(key, reason, remedy string) {
+	c.faults = append(c.faults, config.Fault{File: c.file, Line: c.line(key), Key: key, Reason: reason, Remedy: remedy})
+}
+
+func (c *checker) line(key string) int {
+	table, name := "", key
+	if at := strings.LastIndex(key, "."); at >= 0 {
+		table, name = key[:at], key[at+1:]
+	}
+	current, heading := "", 0
+	for i, raw := range c.lines {
+		text := strings.TrimSpace(raw)
+		if strings.HasPrefix(text, "[") {
+			current = strings.Trim(text, "[] ")
+			if current == table {
+				heading = i + 1
+			}
+			continue
+		}
+		written, _, ok := strings.Cut(text, "=")
+		if ok && current == table && strings.TrimSpace(written) == name {
+			return i + 1
+		}
+	}
+	return heading
+}
+
+func (c *checker) router(r *Router) {
+	c.present("partner", string(r.Partner))
+	c.present("region", string(r.Region))
+	c.present("place", string(r.Place))
+	c.present("box", string(r.Box))
+	c.url("store", r.Store)
+	c.address("listen.callers", r.Listen.Callers)
+	c.address("listen.peers", r.Listen.Peers)
+	c.address("listen.admin", r.Listen.Admin)
+	if _, err := r.TrustedKeys(); err != nil {
+		c.add("trust.keys", err.Error(), `write public keys as "granitehoist keys partner" prints them`)
+	}
+	if len(r.Trust) == 0 {
+		c.add("trust.keys", "no partner is trusted", "add a [[trust]] table for each partner")
+	}
+	for _, s := range r.Splits {
+		if _, ok := budget.NewSplit(s.Weigh); !ok {
+			c.add("split.weigh", fmt.Sprintf("%q is no weighting", s.Weigh), `use "refusals" or "overspend"`)
+		}
+	}
+	c.limits(r)
+}
+
+func (c *checker) limits(r *Router) {
+	c.positive("limits.body_bytes", r.Limits.BodyBytes)
+	c.positive("limits.header_bytes", int64(r.Limits.HeaderBytes))
+	c.positive("limits.read_timeout", int64(r.Limits.ReadTimeout))
+	c.positive("limits.request", int64(r.Limits.Request))
+	c.positive("limits.drain", int64(r.Limits.Drain))
+	c.positive("budget.shards", int64(r.Budget.Shards))
+	c.positive("budget.interval", int64(r.Budget.Interval))
+	switch r.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		c.add("log.level", fmt.Sprintf("%q is no level", r.Log.Level), `use "debug", "info", "warn" or "error"`)
+	}
+}
+
+func (c *checker) present(key, value string) {
+	if value == "" || strings.ContainsAny(value, "/ \t\"") {
+		c.add(key, fmt.Sprintf("%q is not a name", value), "write a name without spaces, slashes and quotes")
+	}
+}
+
+func (c *checker) positive(key string, value int64) {
+	if value <= 0 {
+		c.add(key, "is not above zero", "use a value above zero, or leave it out")
+	}
+}
+
+func (c *checker) url(key, value string) {
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.add(key, fmt.Sprintf("%q is no address", value), `write it as "http://127.0.0.1:7000"`)
+	}
+}
+
+func (c *checker) address(key, value string) {
+	host, _, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		c.add(key, fmt.Sprintf("%q is no IP number and port", value), `write it as "127.0.0.1:8080"`)
+	}
+}
+
+// TrustedKeys returns the public keys of each partner, or an error that names
+// the key that can't be read.
+func (r *Router) TrustedKeys() (config.Trust, error) {
+	trust := config.Trust{}
+	for _, t := range r.Trust {
+		for i, text := range t.Keys {
+			raw, err := base64.StdEncoding.DecodeString(text)
+			if err != nil || len(raw) != ed25519.PublicKeySize {
+				return nil, fmt.Errorf("key %d of partner %q is no Ed25519 public key in base64", i+1, t.Partner)
+			}
+			trust[t.Partner] = append(trust[t.Partner], ed25519.PublicKey(raw))
+		}
+	}
+	return trust, nil
+}
+
+// SplitOf returns the split of a budget, by its partner's weighting.
+func (r *Router) SplitOf(k granitehoist.BudgetID) budget.Split {
+	for _, s := range r.Splits {
+		if s.Partner != k.Partner() {
+			continue
+		}
+		split, _ := budget.NewSplit(s.Weigh)
+		if s.Wait > 0 {
+			split.Wait = time.Duration(s.Wait)
+		}
+		return split
+	}
+	return budget.Split{}
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,397 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/upstream"
+)
+
+// EngineSettings configure an Engine. The zero value works.
+type EngineSettings struct {
+	// TokenDelay is the time for one output token.
+	TokenDelay time.Duration
+	// FirstDelay is the time to the first token.
+	FirstDelay time.Duration
+}
+
+// EngineFaults are the failures that an Engine shows on command. A count n
+// lets every n-th request fail; zero lets none.
+type EngineFaults struct {
+	// RefuseEvery answers status 503 and does not run the request.
+	RefuseEvery int
+	// CutEvery ends the connection in the middle of an answer.
+	CutEvery int
+	// CrossEvery gives the answer the id of another attempt.
+	CrossEvery int
+	// NoUsageEvery leaves the usage out.
+	NoUsageEvery int
+	// Leaving refuses every request.
+	Leaving bool
+}
+
+// Execution is what an Engine has in its books of one attempt.
+type Execution struct {
+	Attempt granitehoist.AttemptID
+	// Text is the beginning of the prompt.
+	Text   string
+	Prompt granitehoist.Tokens
+	Output granitehoist.Tokens
+	// Ended is set when the attempt produces no more.
+	Ended bool
+	// Runs counts how often the attempt was executed.
+	Runs int
+}
+
+// Engine is a stand-in of a model engine. Its answer to a prompt is Answer.
+type Engine struct {
+	settings EngineSettings
+
+	mu       sync.Mutex
+	faults   EngineFaults
+	requests int
+	refused  int
+	books    map[granitehoist.AttemptID]*Execution
+}
+
+// NewEngine returns an engine.
+func NewEngine(s EngineSettings) *Engine {
+	return &Engine{settings: s, books: map[granitehoist.AttemptID]*Execution{}}
+}
+
+// Fail sets the failures from now on.
+func (e *Engine) Fail(f EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Books returns all executions.
+func (e *Engine) Books() []Execution {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	books := make([]Execution, 0, len(e.books))
+	for _, execution := range e.books {
+		books = append(books, *execution)
+	}
+	return books
+}
+
+// Handler serves the engine's protocol.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveCompletion)
+	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
+	mux.HandleFunc("POST "+upstream.PathCancel, e.serveCancel)
+	mux.HandleFunc("GET "+upstream.PathAttempts, e.serveAttempts)
+	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		var faults EngineFaults
+		if read(w, r, &faults) {
+			e.Fail(faults)
+			reply(w, faults, nil)
+		}
+	})
+	return mux
+}
+
+// CompletionRequest is what an engine reads of a request.
+type CompletionRequest struct {
+	Model         string        `json:"model"`
+	Prompt        string        `json:"prompt"`
+	Messages      []ChatMessage `json:"messages"`
+	MaxTokens     int           `json:"max_tokens"`
+	Stream        bool          `json:"stream"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// ChatMessage is one message of a chat.
+type ChatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Tokens of a chat message beyond its text, and bytes of text a token.
+const (
+	messageTokens = 4
+	bytesPerToken = 4
+)
+
+// prompt returns the text that the answer depends on, and its tokens.
+func (c *CompletionRequest) prompt() (string, granitehoist.Tokens) {
+	text := c.Prompt
+	tokens := 0
+	for _, m := range c.Messages {
+		text += m.Content
+		tokens += messageTokens
+	}
+	tokens += (len(text) + bytesPerToken - 1) / bytesPerToken
+	return text, granitehoist.Tokens(max(1, tokens))
+}
+
+// Cost returns what an engine counts for a prompt of one chat message.
+func Cost(prompt string, limit int) granitehoist.Tokens {
+	request := CompletionRequest{Messages: []ChatMessage{{Content: prompt}}}
+	_, tokens := request.prompt()
+	return tokens + granitehoist.Tokens(len(Answer(prompt, limit)))
+}
+
+// Answer returns the words that an engine answers to a prompt: one token each,
+// at most limit. It depends on nothing else, so a caller can check it.
+func Answer(prompt string, limit int) []string {
+	seed := xxhash.Sum64String(prompt)
+	count := min(limit, 4+int(seed%28))
+	words := make([]string, count)
+	for i := range words {
+		words[i] = fmt.Sprintf("w%04x", (seed>>(i%48))&0xffff)
+	}
+	return words
+}
+
+// plan is how the engine will serve one request.
+type plan struct {
+	cut, cross, noUsage, refuse bool
+}
+
+// textKept bounds the part of a prompt that the books keep.
+const textKept = 128
+
+func (e *Engine) begin(attempt granitehoist.AttemptID, text string, prompt granitehoist.Tokens) (*Execution, plan) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.requests++
+	p := plan{
+		refuse:  e.faults.Leaving || every(e.faults.RefuseEvery, e.requests),
+		cut:     every(e.faults.CutEvery, e.requests),
+		cross:   every(e.faults.CrossEvery, e.requests),
+		noUsage: every(e.faults.NoUsageEvery, e.requests),
+	}
+	x, ok := e.books[attempt]
+	if p.refuse || (ok && x.Ended) {
+		p.refuse = true
+		e.refused++
+		return nil, p
+	}
+	if !ok {
+		x = &Execution{Attempt: attempt, Text: text[:min(len(text), textKept)]}
+		e.books[attempt] = x
+	}
+	x.Runs++
+	x.Prompt += prompt
+	return x, p
+}
+
+// produce counts one output token, unless the attempt was ended.
+func (e *Engine) produce(x *Execution) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if x.Ended {
+		return false
+	}
+	x.Output++
+	return true
+}
+
+func (e *Engine) end(x *Execution) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	x.Ended = true
+}
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	var request CompletionRequest
+	if !read(w, r, &request) {
+		return
+	}
+	attempt := granitehoist.AttemptID(r.Header.Get(upstream.HeaderAttempt))
+	prompt, tokens := request.prompt()
+	x, p := e.begin(attempt, prompt, tokens)
+	if p.refuse {
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	defer e.end(x)
+	shown := string(attempt)
+	if p.cross {
+		shown = "of-another-request"
+	}
+	w.Header().Set(upstream.HeaderAttempt, string(attempt))
+	a := answering{engine: e, execution: x, plan: p, request: &request, id: "cmpl-" + shown, chat: strings.Contains(r.URL.Path, "chat"), words: Answer(prompt, request.MaxTokens)}
+	if request.Stream {
+		a.stream(w, r)
+	} else {
+		a.whole(w, r)
+	}
+}
+
+// answering is one answer in progress.
+type answering struct {
+	engine    *Engine
+	execution *Execution
+	plan      plan
+	request   *CompletionRequest
+	id        string
+	chat      bool
+	words     []string
+}
+
+// next waits for the next word's time and counts it. It returns false when the
+// attempt has been ended or its reader has gone.
+func (a *answering) next(i int, r *http.Request) bool {
+	delay := a.engine.settings.TokenDelay
+	if i == 0 {
+		delay = a.engine.settings.FirstDelay
+	}
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	return r.Context().Err() == nil && a.engine.produce(a.execution)
+}
+
+func (a *answering) usage() *upstream.EngineUsage {
+	if a.plan.noUsage {
+		return nil
+	}
+	a.engine.mu.Lock()
+	defer a.engine.mu.Unlock()
+	return a.execution.usage()
+}
+
+func (x *Execution) usage() *upstream.EngineUsage {
+	return &upstream.EngineUsage{PromptTokens: x.Prompt, CompletionTokens: x.Output, TotalTokens: x.Prompt + x.Output}
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Text         string   `json:"text,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *message `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type completion struct {
+	ID      string                `json:"id"`
+	Object  string                `json:"object"`
+	Model   string                `json:"model"`
+	Choices []choice              `json:"choices"`
+	Usage   *upstream.EngineUsage `json:"usage,omitempty"`
+}
+
+var finishStop = "stop"
+
+func (a *answering) whole(w http.ResponseWriter, r *http.Request) {
+	for i := range a.words {
+		if !a.next(i, r) {
+			panic(http.ErrAbortHandler)
+		}
+		if a.plan.cut && i == len(a.words)/2 {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	c := choice{FinishReason: &finishStop}
+	text := strings.Join(a.words, " ")
+	if a.chat {
+		c.Message = &message{Role: "assistant", Content: text}
+	} else {
+		c.Text = text
+	}
+	reply(w, completion{ID: a.id, Object: "completion", Model: a.request.Model, Choices: []choice{c}, Usage: a.usage()}, nil)
+}
+
+func (a *answering) stream(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i, word := range a.words {
+		if !a.next(i, r) {
+			panic(http.ErrAbortHandler)
+		}
+		if a.plan.cut && i == len(a.words)/2 {
+			panic(http.ErrAbortHandler)
+		}
+		if i > 0 {
+			word = " " + word
+		}
+		c := choice{}
+		if a.chat {
+			c.Delta = &message{Content: word}
+		} else {
+			c.Text = word
+		}
+		if i == len(a.words)-1 {
+			c.FinishReason = &finishStop
+		}
+		a.send(w, completion{ID: a.id, Object: "chunk", Model: a.request.Model, Choices: []choice{c}})
+	}
+	if a.request.StreamOptions.IncludeUsage && !a.plan.noUsage {
+		a.send(w, completion{ID: a.id, Object: "chunk", Model: a.request.Model, Choices: []choice{}, Usage: a.usage()})
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func (a *answering) send(w http.ResponseWriter, c completion) {
+	raw, err := json.Marshal(c)
+	if err != nil {
+		panic("standin: answer does not encode: " + err.Error())
+	}
+	fmt.Fprintf(w, "data: %s\n\n", raw)
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// serveCancel ends an attempt and tells its cost. An attempt that it does not
+// know is entered as ended without cost, so that a request that is still on
+// its way does not run.
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var request upstream.CancelRequest
+	if !read(w, r, &request) {
+		return
+	}
+	e.mu.Lock()
+	x, ok := e.books[request.ID]
+	if !ok {
+		x = &Execution{Attempt: request.ID}
+		e.books[request.ID] = x
+	}
+	x.Ended = true
+	record := upstream.AttemptRecord{ID: x.Attempt, Ended: true, Usage: x.usage()}
+	e.mu.Unlock()
+	reply(w, record, nil)
+}
+
+// AttemptList answers a query for attempts.
+type AttemptList struct {
+	Attempts []upstream.AttemptRecord `json:"attempts"`
+}
+
+func (e *Engine) serveAttempts(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("prefix")
+	var list AttemptList
+	e.mu.Lock()
+	for id, x := range e.books {
+		if strings.HasPrefix(string(id), prefix) {
+			list.Attempts = append(list.Attempts, upstream.AttemptRecord{ID: id, Ended: x.Ended, Usage: x.usage()})
+		}
+	}
+	e.mu.Unlock()
+	reply(w, list, nil)
+}
--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,314 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package standin
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"granitehoist.example/granitehoist"
+)
+
+// Store is a stand-in of the platform's service in memory. It implements
+// granitehoist.Store and granitehoist.Platform. Its zero value is not usable;
+// see NewStore.
+type Store struct {
+	now granitehoist.Clock
+
+	mu      sync.Mutex
+	version granitehoist.Version
+	entries map[string]storedEntry
+	leases  map[granitehoist.LeaseID]storedLease
+	boxes   map[granitehoist.Box]bool
+	changed chan struct{}
+	faults  StoreFaults
+	calls   StoreCalls
+	watch   time.Duration
+}
+
+type storedEntry struct {
+	granitehoist.Entry
+	lease granitehoist.LeaseID
+}
+
+type storedLease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// StoreFaults are the failures that a Store shows on command.
+type StoreFaults struct {
+	// Down refuses every call.
+	Down bool
+	// Silent answers no call: calls fail with an unknown outcome and have no
+	// effect.
+	Silent bool
+	// LoseEvery makes every n-th write take effect and lose its answer; zero
+	// loses none.
+	LoseEvery int
+	// DropEvery makes every n-th write lose its answer without effect; zero
+	// drops none.
+	DropEvery int
+	// Delay is added to each call.
+	Delay time.Duration
+}
+
+// StoreCalls counts the calls that a Store has had.
+type StoreCalls struct {
+	Reads, Writes, Watches, Conflicts int
+}
+
+// StoreSettings configure a Store. The zero value works.
+type StoreSettings struct {
+	// Clock ends leases; nil stands for time.Now.
+	Clock granitehoist.Clock
+	// Watch bounds the wait of a watch; zero stands for 20 seconds.
+	Watch time.Duration
+}
+
+const defaultStoreWatch = 20 * time.Second
+
+// NewStore returns an empty store.
+func NewStore(s StoreSettings) *Store {
+	if s.Clock == nil {
+		s.Clock = time.Now
+	}
+	if s.Watch == 0 {
+		s.Watch = defaultStoreWatch
+	}
+	return &Store{
+		now:     s.Clock,
+		watch:   s.Watch,
+		entries: map[string]storedEntry{},
+		leases:  map[granitehoist.LeaseID]storedLease{},
+		boxes:   map[granitehoist.Box]bool{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Fail sets the failures from now on.
+func (s *Store) Fail(f StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Calls returns the counts of calls.
+func (s *Store) Calls() StoreCalls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ListBox sets what the platform's list says of a box.
+func (s *Store) ListBox(b granitehoist.Box, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.boxes[b] = leaving
+}
+
+// Boxes implements granitehoist.Platform.
+func (s *Store) Boxes(ctx context.Context) (map[granitehoist.Box]bool, error) {
+	if err := s.enter(ctx); err != nil {
+		return nil, err
+	}
+	defer s.mu.Unlock()
+	boxes := make(map[granitehoist.Box]bool, len(s.boxes))
+	for b, leaving := range s.boxes {
+		boxes[b] = leaving
+	}
+	return boxes, nil
+}
+
+// enter delays and refuses as the faults say. Without an error it leaves the
+// store locked.
+func (s *Store) enter(ctx context.Context) error {
+	s.mu.Lock()
+	if delay := s.faults.Delay; delay > 0 {
+		s.mu.Unlock()
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return granitehoist.ErrUnknown
+		}
+		s.mu.Lock()
+	}
+	switch {
+	case ctx.Err() != nil:
+		s.mu.Unlock()
+		return granitehoist.ErrUnknown
+	case s.faults.Down:
+		s.mu.Unlock()
+		return granitehoist.ErrUnavailable
+	case s.faults.Silent:
+		s.mu.Unlock()
+		return granitehoist.ErrUnknown
+	}
+	s.expire()
+	return nil
+}
+
+// expire removes the leases that have ended, and their entries.
+func (s *Store) expire() {
+	now := s.now()
+	for id, lease := range s.leases {
+		if now.Before(lease.ends) {
+			continue
+		}
+		delete(s.leases, id)
+		for key, e := range s.entries {
+			if e.lease == id && !e.Deleted {
+				s.put(key, storedEntry{Entry: granitehoist.Entry{Deleted: true}})
+			}
+		}
+	}
+}
+
+func (s *Store) put(key string, e storedEntry) granitehoist.Version {
+	s.version++
+	e.Key = key
+	e.Version = s.version
+	s.entries[key] = e
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.version
+}
+
+// Get implements granitehoist.Store.
+func (s *Store) Get(ctx context.Context, key string) (granitehoist.Entry, error) {
+	if err := s.enter(ctx); err != nil {
+		return granitehoist.Entry{}, err
+	}
+	defer s.mu.Unlock()
+	s.calls.Reads++
+	e, ok := s.entries[key]
+	if !ok || e.Deleted {
+		return granitehoist.Entry{Key: key}, nil
+	}
+	return e.Entry, nil
+}
+
+// List implements granitehoist.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]granitehoist.Entry, granitehoist.Version, error) {
+	if err := s.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	defer s.mu.Unlock()
+	s.calls.Reads++
+	found := s.newer(prefix, 0)
+	live := found[:0]
+	for _, e := range found {
+		if !e.Deleted {
+			live = append(live, e)
+		}
+	}
+	return live, s.version, nil
+}
+
+// newer returns the entries under a prefix with a version above after, by key.
+func (s *Store) newer(prefix string, after granitehoist.Version) []granitehoist.Entry {
+	var found []granitehoist.Entry
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) && e.Version > after {
+			found = append(found, e.Entry)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	return found
+}
+
+// CompareAndSwap implements granitehoist.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, c granitehoist.Change) (granitehoist.Version, error) {
+	if err := s.enter(ctx); err != nil {
+		return 0, err
+	}
+	defer s.mu.Unlock()
+	s.calls.Writes++
+	if every(s.faults.DropEvery, s.calls.Writes) {
+		return 0, granitehoist.ErrUnknown
+	}
+	version, err := s.change(c)
+	if err == nil && every(s.faults.LoseEvery, s.calls.Writes) {
+		return 0, granitehoist.ErrUnknown
+	}
+	return version, err
+}
+
+func every(n, count int) bool { return n > 0 && count%n == 0 }
+
+func (s *Store) change(c granitehoist.Change) (granitehoist.Version, error) {
+	var current granitehoist.Version
+	if e, ok := s.entries[c.Key]; ok && !e.Deleted {
+		current = e.Version
+	}
+	if current != c.Expect {
+		s.calls.Conflicts++
+		return 0, granitehoist.ErrConflict
+	}
+	if len(c.Value) > granitehoist.MaxValueSize {
+		return 0, fmt.Errorf("standin: value of %d bytes", len(c.Value))
+	}
+	if _, ok := s.leases[c.Lease]; c.Lease != "" && !ok {
+		return 0, granitehoist.ErrNoLease
+	}
+	e := storedEntry{Entry: granitehoist.Entry{Value: append([]byte(nil), c.Value...), Deleted: c.Delete}, lease: c.Lease}
+	return s.put(c.Key, e), nil
+}
+
+// Watch implements granitehoist.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after granitehoist.Version) ([]granitehoist.Entry, granitehoist.Version, error) {
+	timer := time.NewTimer(s.watch)
+	defer timer.Stop()
+	for {
+		if err := s.enter(ctx); err != nil {
+			return nil, 0, err
+		}
+		s.calls.Watches++
+		found, version, changed := s.newer(prefix, after), s.version, s.changed
+		s.mu.Unlock()
+		if len(found) > 0 {
+			return found, version, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, version, nil
+		case <-ctx.Done():
+			return nil, 0, granitehoist.ErrUnknown
+		}
+	}
+}
+
+// GrantLease implements granitehoist.Store.
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (granitehoist.LeaseID, error) {
+	if err := s.enter(ctx); err != nil {
+		return "", err
+	}
+	defer s.mu.Unlock()
+	s.calls.Writes++
+	s.version++
+	id := granitehoist.LeaseID(fmt.Sprintf("lease-%d", s.version))
+	s.leases[id] = storedLease{ttl: ttl, ends: s.now().Add(ttl)}
+	return id, nil
+}
+
+// RenewLease implements granitehoist.Store.
+func (s *Store) RenewLease(ctx context.Context, id granitehoist.LeaseID) error {
+	if err := s.enter(ctx); err != nil {
+		return err
+	}
+	defer s.mu.Unlock()
+	s.calls.Writes++
+	lease, ok := s.leases[id]
+	if !ok {
+		return granitehoist.ErrNoLease
+	}
+	lease.ends = s.now().Add(lease.ttl)
+	s.leases[id] = lease
+	return nil
+}
--- /dev/null
+++ b/trial/load.go
@@ -0,0 +1,248 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package trial
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/gate"
+	"granitehoist.example/granitehoist/standin"
+)
+
+// shape is a kind of request in the mix.
+type shape struct {
+	workspace granitehoist.Workspace
+	partner   granitehoist.Partner
+	model     granitehoist.Model
+	service   granitehoist.Service
+	stream    bool
+	once      bool
+	method    string
+	weight    int
+}
+
+// mix is the load: what the users' pages tell of.
+var mix = []shape{
+	{workspace: "lock-kiosks", partner: Tuul, model: TuulModel, stream: true, weight: 5},
+	{workspace: "lock-kiosks", partner: Tuul, model: LimaModel, weight: 1},
+	{workspace: "booking-clerks", partner: Tuul, service: "booking-desk", method: http.MethodGet, weight: 3},
+	{workspace: "booking-clerks", partner: Tuul, service: "booking-desk", method: http.MethodPost, once: true, weight: 2},
+	{workspace: "boat-club", partner: Tuul, model: TuulModel, weight: 3},
+	{workspace: "archive", partner: Tuul, model: TuulModel, weight: 1},
+	{workspace: "drivers", partner: Lima, service: "estacion-api", method: http.MethodPost, once: true, weight: 2},
+	{workspace: "dispatch", partner: Lima, model: LimaModel, weight: 3},
+	{workspace: "accountants", partner: Lima, model: LimaModel, stream: true, weight: 2},
+}
+
+// Told is what the caller of one request was told.
+type Told struct {
+	ID     string
+	Budget granitehoist.BudgetID
+	shape  shape
+	Prompt string
+	// Status, Code and Fate are of the last answer; Fates of all answers, since
+	// a request not to be repeated is sent twice.
+	Status int
+	Code   granitehoist.Code
+	Fates  []granitehoist.Fate
+	// Whole says that the answer was whole and its own; Answered that there
+	// was one.
+	Whole, Answered bool
+	// Failed is an error of the connection to the router.
+	Failed error
+}
+
+// Load sends requests requests, one each interval, to the routers in turn, and
+// returns what each caller was told, in the order of sending.
+func Load(ctx context.Context, s *Site, requests int, seed uint64, interval time.Duration) []*Told {
+	random := rand.New(rand.NewPCG(seed, 1))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	defer client.CloseIdleConnections()
+	told := make([]*Told, requests)
+	var group sync.WaitGroup
+	for i := range told {
+		t := newTold(i, choose(random))
+		told[i] = t
+		first := s.Routers[random.IntN(len(s.Routers))].CallersAddress()
+		second := s.Routers[random.IntN(len(s.Routers))].CallersAddress()
+		group.Go(func() {
+			t.send(ctx, client, first)
+			if t.shape.once {
+				t.send(ctx, client, second)
+			}
+		})
+		time.Sleep(interval)
+	}
+	group.Wait()
+	return told
+}
+
+func choose(random *rand.Rand) shape {
+	total := 0
+	for _, s := range mix {
+		total += s.weight
+	}
+	n := random.IntN(total)
+	for _, s := range mix {
+		if n < s.weight {
+			return s
+		}
+		n -= s.weight
+	}
+	panic("trial: weights do not add up")
+}
+
+func newTold(i int, s shape) *Told {
+	id := fmt.Sprintf("trial-%06d", i)
+	budget := granitehoist.NewBudgetID(s.partner, s.workspace, budgetName)
+	return &Told{ID: id, Budget: budget, shape: s, Prompt: fmt.Sprintf("%s %s what is the way?", id, budget)}
+}
+
+const plainPath = "/berths"
+
+func (t *Told) request(address string) (*http.Request, error) {
+	base := sling.New().Base("http://"+address).
+		Set("Authorization", "Bearer "+Key(t.shape.workspace)).
+		Set(gate.HeaderRequest, t.ID)
+	if t.shape.model != "" {
+		body := map[string]any{
+			"model":      t.shape.model,
+			"max_tokens": maxOutput,
+			"stream":     t.shape.stream,
+			"messages":   []standin.ChatMessage{{Role: "user", Content: t.Prompt}},
+		}
+		return base.Post("/v1/chat/completions").BodyJSON(body).Request()
+	}
+	path := "/services/" + string(t.shape.service) + plainPath
+	if t.shape.once {
+		base = base.Set(gate.HeaderOnce, "true")
+	}
+	request, err := base.Post(path).Body(strings.NewReader(t.Prompt)).Request()
+	if err == nil {
+		request.Method = t.shape.method
+	}
+	return request, err
+}
+
+// send makes the request and takes in the answer.
+func (t *Told) send(ctx context.Context, client *http.Client, address string) {
+	request, err := t.request(address)
+	if err != nil {
+		t.Failed = err
+		return
+	}
+	response, err := client.Do(request.WithContext(ctx))
+	if err != nil {
+		t.Failed = err
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	t.Status = response.StatusCode
+	if response.StatusCode != http.StatusOK {
+		t.takeFailure(response)
+		return
+	}
+	t.Code = granitehoist.Served
+	whole, broken := t.check(response)
+	if broken != nil {
+		t.Code = granitehoist.Code(broken.Error.Code)
+		t.Fates = append(t.Fates, broken.Error.Fate)
+		return
+	}
+	t.Fates = append(t.Fates, granitehoist.Ran)
+	t.Answered = true
+	t.Whole = whole
+}
+
+func (t *Told) takeFailure(response *http.Response) {
+	var failure gate.Failure
+	if err := json.NewDecoder(response.Body).Decode(&failure); err != nil {
+		t.Failed = err
+		return
+	}
+	if t.Answered && failure.Error.Fate == granitehoist.Ran {
+		// The second sending of a request that was answered already.
+		t.Fates = append(t.Fates, failure.Error.Fate)
+		return
+	}
+	t.Code = granitehoist.Code(failure.Error.Code)
+	t.Fates = append(t.Fates, failure.Error.Fate)
+}
+
+// check reports whether a successful answer is whole and the request's own, or
+// returns what a stream that was broken off told.
+func (t *Told) check(response *http.Response) (whole bool, broken *gate.Failure) {
+	if t.shape.model == "" {
+		var answer standin.PlainAnswer
+		err := json.NewDecoder(response.Body).Decode(&answer)
+		return err == nil && answer.Body == t.Prompt && answer.Path == plainPath, nil
+	}
+	var text string
+	var ended bool
+	if t.shape.stream {
+		text, ended, broken = readStream(response.Body)
+	} else {
+		text, ended = readWhole(response.Body)
+	}
+	return ended && text == strings.Join(standin.Answer(t.Prompt, maxOutput), " "), broken
+}
+
+type answerChoice struct {
+	Message struct {
+		Content string `json:"content"`
+	} `json:"message"`
+	Delta struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+}
+
+type answer struct {
+	Choices []answerChoice `json:"choices"`
+}
+
+func readWhole(body io.Reader) (string, bool) {
+	var a answer
+	if err := json.NewDecoder(body).Decode(&a); err != nil || len(a.Choices) != 1 {
+		return "", false
+	}
+	return a.Choices[0].Message.Content, true
+}
+
+// readStream returns the text of a stream and whether its end mark came, or the
+// error that stands in its place.
+func readStream(body io.Reader) (string, bool, *gate.Failure) {
+	var text strings.Builder
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text.String(), true, nil
+		}
+		var failure gate.Failure
+		if err := json.Unmarshal([]byte(data), &failure); err == nil && failure.Error.Code != 0 {
+			return text.String(), false, &failure
+		}
+		var a answer
+		if err := json.Unmarshal([]byte(data), &a); err != nil || len(a.Choices) != 1 {
+			return text.String(), false, nil
+		}
+		text.WriteString(a.Choices[0].Delta.Content)
+	}
+	return text.String(), false, nil
+}
--- /dev/null
+++ b/trial/run.go
@@ -0,0 +1,126 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package trial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"granitehoist.example/granitehoist/bill"
+	"granitehoist.example/granitehoist/standin"
+)
+
+// Settings configure a trial. The zero value works.
+type Settings struct {
+	// Requests is the number of requests; zero stands for DefaultRequests.
+	Requests int
+	// Seed chooses the load.
+	Seed uint64
+	// Interval is the time between requests; zero stands for 4 ms.
+	Interval time.Duration
+	// Listen is the callers' address of the first router; empty chooses one.
+	Listen string
+	// Hold keeps the site up after the load.
+	Hold time.Duration
+	// Log takes the routers' events; nil discards them.
+	Log *zap.Logger
+	// Out takes the summary.
+	Out io.Writer
+	// Calm leaves out the stand-ins' failures.
+	Calm bool
+}
+
+// DefaultRequests is the length of a trial.
+const DefaultRequests = 500
+
+const (
+	defaultInterval = 4 * time.Millisecond
+	startLimit      = 30 * time.Second
+	stopLimit       = time.Minute
+)
+
+// Run starts a site, sends the load, stops the routers and judges.
+func Run(ctx context.Context, s Settings) (Verdict, error) {
+	if s.Requests == 0 {
+		s.Requests = DefaultRequests
+	}
+	if s.Interval == 0 {
+		s.Interval = defaultInterval
+	}
+	if s.Log == nil {
+		s.Log = zap.NewNop()
+	}
+	starting, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	site, err := NewSite(starting, s.Listen, s.Log)
+	if err != nil {
+		return Verdict{}, err
+	}
+	defer site.Close()
+	if !s.Calm {
+		site.disturb()
+	}
+	told := Load(ctx, site, s.Requests, s.Seed, s.Interval)
+	if s.Hold > 0 {
+		hold(ctx, site, s)
+	}
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
+	defer cancel()
+	if err := site.StopRouters(stopping); err != nil {
+		return Verdict{}, eris.Wrap(err, "trial: stop")
+	}
+	charges, err := bill.Read(stopping, site.Store)
+	if err != nil {
+		return Verdict{}, err
+	}
+	if s.Hold > 0 {
+		charges = onlyTrial(charges, told)
+	}
+	verdict := Judge(site, told, charges)
+	fmt.Fprint(s.Out, Summary(told))
+	return verdict, nil
+}
+
+// disturb lets the stand-ins fail now and then: the store takes writes and
+// loses its answer, engines refuse, cut and cross answers.
+func (s *Site) disturb() {
+	s.Store.Fail(standin.StoreFaults{LoseEvery: 7})
+	for _, engines := range s.Engines {
+		engines[0].Fail(standin.EngineFaults{RefuseEvery: 11})
+		engines[1].Fail(standin.EngineFaults{CutEvery: 13})
+		engines[2].Fail(standin.EngineFaults{CrossEvery: 17, NoUsageEvery: 19})
+	}
+}
+
+// onlyTrial leaves out the charges of requests that a person sent meanwhile.
+func onlyTrial(charges []bill.Charge, told []*Told) []bill.Charge {
+	ours := map[string]bool{}
+	for _, t := range told {
+		ours[t.ID] = true
+	}
+	var kept []bill.Charge
+	for _, c := range charges {
+		if ours[string(c.Request)] {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// hold tells a person how to use the site, and waits.
+func hold(ctx context.Context, site *Site, s Settings) {
+	address := site.Routers[0].CallersAddress()
+	key := Key("lock-kiosks")
+	fmt.Fprintf(s.Out, "address=http://%s key=%s model=%s service=booking-desk admin=http://%s\n", address, key, TuulModel, site.Routers[0].AdminAddress())
+	fmt.Fprintf(s.Out, "curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n", address, key, TuulModel)
+	select {
+	case <-ctx.Done():
+	case <-time.After(s.Hold):
+	}
+}
--- /dev/null
+++ b/trial/trial_test.go
@@ -0,0 +1,24 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package trial_test
+
+import (
+	"context"
+	"io"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist/trial"
+)
+
+var _ = Describe("Run", func() {
+	It("holds every promise while stand-ins fail", func() {
+		verdict, err := trial.Run(context.Background(), trial.Settings{Requests: 200, Seed: 7, Out: io.Discard})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(verdict.Held()).To(BeTrue(), verdict.String())
+		Expect(verdict.Served).To(BeNumerically(">", 100), verdict.String())
+		Expect(verdict.NotRun).To(BeNumerically(">", 0), verdict.String())
+	})
+})
--- /dev/null
+++ b/upstream/plain.go
@@ -0,0 +1,63 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"granitehoist.example/granitehoist"
+)
+
+// Plain is the protocol of plain services: any method, body and status is
+// passed through. It implements granitehoist.Protocol.
+//
+// A service that echoes the attempt id has its answers checked for belonging
+// to the attempt. An answer is held back until it is whole, so that a caller
+// never takes a part for the whole.
+type Plain struct {
+	sender *sender
+}
+
+// NewPlain returns the protocol.
+func NewPlain(s Settings) *Plain { return &Plain{sender: newSender(s)} }
+
+// Do implements granitehoist.Protocol. Any status that the service answers is
+// the answer.
+func (p *Plain) Do(ctx context.Context, c granitehoist.Call, sink granitehoist.Sink) (granitehoist.Usage, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	response, err := p.sender.send(ctx, c)
+	if err != nil {
+		return granitehoist.Usage{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if crossed(response, c.Attempt) {
+		discard(response, cancel)
+		return granitehoist.Usage{}, granitehoist.Errorf(granitehoist.AnswerCrossed, "")
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, p.sender.settings.MaxAnswer+1))
+	if err != nil {
+		return granitehoist.Usage{}, granitehoist.Wrap(granitehoist.UpstreamCut, err, "")
+	}
+	if int64(len(body)) > p.sender.settings.MaxAnswer {
+		return granitehoist.Usage{}, granitehoist.Errorf(granitehoist.UpstreamBadAnswer, "the answer is too large")
+	}
+	if err := sink.Start(response.StatusCode, CopyHeader(response.Header, HeaderAttempt)); err != nil {
+		return granitehoist.Usage{}, granitehoist.Wrap(granitehoist.CallerGone, err, "")
+	}
+	if c.Method == http.MethodHead || len(body) == 0 {
+		return granitehoist.Usage{}, nil
+	}
+	if err := sink.Write(body); err != nil {
+		return granitehoist.Usage{}, granitehoist.Wrap(granitehoist.CallerGone, err, "")
+	}
+	return granitehoist.Usage{}, nil
+}
+
+// Stop implements granitehoist.Protocol; plain services have no way to.
+func (p *Plain) Stop(context.Context, string, granitehoist.AttemptID) (granitehoist.Usage, bool) {
+	return granitehoist.Usage{}, false
+}
--- /dev/null
+++ b/upstream/transport.go
@@ -0,0 +1,161 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"granitehoist.example/granitehoist"
+)
+
+// HeaderAttempt carries the attempt id to an upstream and back.
+const HeaderAttempt = "X-Request-Id"
+
+// Settings configure a protocol. The zero value works.
+type Settings struct {
+	// Connect bounds the making of a connection; zero stands for one second.
+	Connect time.Duration
+	// Stop bounds a call of Stop; zero stands for one second.
+	Stop time.Duration
+	// MaxAnswer bounds the size of a whole answer in bytes; zero stands for
+	// 32 MiB.
+	MaxAnswer int64
+}
+
+const (
+	defaultConnect   = time.Second
+	defaultStop      = time.Second
+	defaultMaxAnswer = 32 << 20
+	idlePerUpstream  = 64
+)
+
+func (s Settings) withDefaults() Settings {
+	if s.Connect == 0 {
+		s.Connect = defaultConnect
+	}
+	if s.Stop == 0 {
+		s.Stop = defaultStop
+	}
+	if s.MaxAnswer == 0 {
+		s.MaxAnswer = defaultMaxAnswer
+	}
+	return s
+}
+
+// sender makes HTTP calls and tells whether a byte may have left.
+type sender struct {
+	settings Settings
+	// kept reuses connections; fresh makes one for each call, since the
+	// standard library may send a call again on a reused connection.
+	kept, fresh *http.Client
+}
+
+func newSender(s Settings) *sender {
+	s = s.withDefaults()
+	dialer := &net.Dialer{Timeout: s.Connect}
+	client := func(alone bool) *http.Client {
+		return &http.Client{
+			Transport: &http.Transport{
+				DialContext:         dialer.DialContext,
+				MaxIdleConnsPerHost: idlePerUpstream,
+				IdleConnTimeout:     time.Minute,
+				DisableKeepAlives:   alone,
+				DisableCompression:  true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
+	}
+	return &sender{settings: s, kept: client(false), fresh: client(true)}
+}
+
+// send returns the upstream's response. Its errors have code UpstreamRefused
+// if no byte can have left, and UpstreamLost otherwise.
+func (s *sender) send(ctx context.Context, c granitehoist.Call) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	client := s.kept
+	if c.Once {
+		client = s.fresh
+	}
+	base, path, err := splitPath(c)
+	if err != nil {
+		return nil, granitehoist.Wrap(granitehoist.UpstreamRefused, err, "the address is wrong")
+	}
+	builder := sling.New().Client(client).Base(base).Path(path)
+	if len(c.Body) > 0 {
+		builder = builder.Body(onlyReader{bytes.NewReader(c.Body)})
+	}
+	request, err := builder.Request()
+	if err != nil {
+		return nil, granitehoist.Wrap(granitehoist.UpstreamRefused, err, "the request can't be made")
+	}
+	request.ContentLength = int64(len(c.Body))
+	request.Method = c.Method
+	for name, values := range c.Header {
+		request.Header[name] = values
+	}
+	request.Header.Set(HeaderAttempt, string(c.Attempt))
+	response, err := client.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err == nil {
+		return response, nil
+	}
+	if !connected.Load() {
+		return nil, granitehoist.Wrap(granitehoist.UpstreamRefused, err, "no connection to the upstream")
+	}
+	return nil, granitehoist.Wrap(granitehoist.UpstreamLost, err, "")
+}
+
+// onlyReader hides the type of the body, so that the standard library can't
+// take it as one that may be sent again.
+type onlyReader struct{ io.Reader }
+
+// splitPath returns the parts that a request URL is made of.
+func splitPath(c granitehoist.Call) (string, string, error) {
+	if !strings.HasPrefix(c.Path, "/") {
+		return "", "", errors.New("upstream: path does not begin with a slash")
+	}
+	return strings.TrimRight(c.Address, "/"), c.Path, nil
+}
+
+// crossed reports whether a response names another attempt.
+func crossed(r *http.Response, attempt granitehoist.AttemptID) bool {
+	echoed := r.Header.Get(HeaderAttempt)
+	return echoed != "" && echoed != string(attempt)
+}
+
+// discard ends a response whose connection is not to be used again.
+func discard(r *http.Response, cancel context.CancelFunc) {
+	cancel()
+	// The error is of a connection that is being given up.
+	_ = r.Body.Close()
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// CopyHeader returns a header without what belongs to one connection and
+// without the given names.
+func CopyHeader(h http.Header, without ...string) http.Header {
+	kept := h.Clone()
+	for _, named := range h.Values("Connection") {
+		for name := range strings.SplitSeq(named, ",") {
+			kept.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range append(without, hopHeaders...) {
+		kept.Del(name)
+	}
+	return kept
+}
