Do not end a broken stream with the failure of the worker that should resume it

Ruled out: a lost reset on the way; the log shows the 500. Change: a status that is no success never follows a part of an answer.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -55,7 +55,14 @@
 	}
 	defer response.Close()
 	e := w.judge(response)
-	if e.err != nil || e.failed {
+	switch {
+	case e.refused, e.moved:
+		// The rest of a short refusal frees the connection for others.
+		_, _ = io.Copy(io.Discard, io.LimitReader(response, maxRefusal))
+		return e
+	case e.err != nil:
+		return e
+	case e.failed:
 		return w.passFailure(ctx, response, e)
 	}
 	if w.route.Kind == catalog.Stream && response.Status < http.StatusMultipleChoices {
@@ -113,6 +120,10 @@
 			refusal.RetryAfter = verdict.RetryAfter
 		}
 		e.err = refusal
+	case w.started && response.Status >= http.StatusMultipleChoices:
+		// A part of another worker's answer has been passed on, which this
+		// can't complete.
+		e.err = granitehoist.Errorf(granitehoist.UpstreamBadAnswer, "status %d to a stream that was to go on", response.Status)
 	case !verdict.Usable:
 		e.err = granitehoist.Errorf(granitehoist.UpstreamBadAnswer, "status %d", response.Status)
 	case response.Status >= http.StatusInternalServerError:
@@ -127,13 +138,6 @@
 // passFailure passes an upstream's own failure on unless another attempt may
 // do better.
 func (w *work) passFailure(ctx context.Context, response *exchange.Response, e ending) ending {
-	if e.err != nil {
-		if e.refused || e.moved {
-			// The rest of a short refusal frees the connection for others.
-			_, _ = io.Copy(io.Discard, io.LimitReader(response, maxRefusal))
-		}
-		return e
-	}
 	body, err := readWhole(response)
 	if err != nil {
 		e.err = err
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -274,11 +274,14 @@
 func (w *work) forward(ctx context.Context) error {
 	now := w.path.settings.Clock()
 	w.path.retries.request(w.service.Name, now)
-	var doubt error
+	var doubt, last error
 	for {
 		lease, err := w.path.settings.Table.Pick(w.want(), w.path.settings.Clock())
+		if err != nil && last != nil {
+			return truthful(doubt, last)
+		}
 		if err != nil {
-			return truthful(doubt, err)
+			return err
 		}
 		w.tried[lease.ID] = true
 		w.attempts++
@@ -294,6 +297,7 @@
 			doubt = ended.err
 			w.runs++
 		}
+		last = ended.err
 		if !w.again(ctx, ended) {
 			return truthful(doubt, ended.err)
 		}
