--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -32,23 +32,27 @@
 
 // DefaultCover lasts through most outages of the store and loses little with a
 // router that dies.
-const DefaultCover = 5 * time.Second
+const DefaultCover = 9 * time.Second
 
 // Parts of a budget.
 const (
 	// sharePart of what is left is what all routers together may hold ahead of
 	// requests.
-	sharePart = 0.5
+	sharePart = 0.75
 	// refillBelow is the part of the holding under which more is asked for.
-	refillBelow = 0.5
+	refillBelow = 0.75
+	// joinBelow is the part under which a holding is filled when the record is
+	// written anyway.
+	joinBelow = 0.9
 	// returnAbove is the multiple of the holding above which tokens are given
 	// back.
 	returnAbove = 2.0
 	// keptLargest bounds what is held for single requests.
 	keptLargest = 1.0
-	// startPart of a budget is what all routers together hold before the first
-	// requests tell the demand.
-	startPart = 0.04
+	// startPart of what is left is what all routers together hold before
+	// requests tell the demand. Operators prepay in the proportions of the demand that
+	// they expect.
+	startPart = 0.2
 )
 
 // restFresh is how long the last known rest of a budget is taken for true.
@@ -59,6 +63,9 @@
 	returned granitehoist.Tokens
 	spent    granitehoist.Tokens
 	reserved granitehoist.Tokens
+	// lent and borrowed are the sums of loans by the other's incarnation.
+	lent     map[granitehoist.Incarnation]granitehoist.Tokens
+	borrowed map[granitehoist.Incarnation]granitehoist.Tokens
 	// limit is the prepaid total in force.
 	limit granitehoist.Tokens
 	// frozen says that the limit was reduced and the free tokens may no longer
@@ -85,7 +92,15 @@
 }
 
 func (a *account) owned() granitehoist.Tokens {
-	return a.granted - a.returned - a.spent - a.reserved
+	return a.granted - a.returned - a.spent - a.reserved + sum(a.borrowed) - sum(a.lent)
+}
+
+func sum(loans map[granitehoist.Incarnation]granitehoist.Tokens) granitehoist.Tokens {
+	var total granitehoist.Tokens
+	for _, loan := range loans {
+		total += loan
+	}
+	return total
 }
 
 // waiter is a request that waits for tokens.
@@ -301,12 +316,14 @@
 	perSecond float64
 	sum       float64
 	began     time.Time
+	// seen is the time that the mean covers, up to rateTime.
+	seen time.Duration
 }
 
 // Times of the estimate.
 const (
 	rateStep = 500 * time.Millisecond
-	rateTime = 2 * time.Second
+	rateTime = 5 * time.Second
 )
 
 func (r *rate) add(t granitehoist.Tokens, now time.Time) {
@@ -324,7 +341,10 @@
 	if elapsed < rateStep {
 		return
 	}
-	weight := 1 - math.Exp(-elapsed.Seconds()/rateTime.Seconds())
+	// The first steps weigh as much as they are of what has been seen, so that
+	// the mean does not begin at zero.
+	r.seen = min(rateTime, r.seen+elapsed)
+	weight := max(1-math.Exp(-elapsed.Seconds()/rateTime.Seconds()), min(1, elapsed.Seconds()/r.seen.Seconds()))
 	r.perSecond += (r.sum/elapsed.Seconds() - r.perSecond) * weight
 	r.sum = 0
 	r.began = now
@@ -334,3 +354,6 @@
 	r.roll(now)
 	return r.perSecond
 }
+
+// certainty grows from 0 to 1 as the mean comes to cover rateTime.
+func (r *rate) certainty() float64 { return r.seen.Seconds() / rateTime.Seconds() }
--- /dev/null
+++ b/escrow/loan.go
@@ -0,0 +1,145 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package escrow
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"granitehoist.example/granitehoist"
+)
+
+// MethodLend asks a neighbour for a loan.
+const MethodLend = "escrow.lend"
+
+// LendParams asks for tokens that requests of the borrower wait for.
+type LendParams struct {
+	Borrower  granitehoist.Incarnation `json:"borrower"`
+	Workspace granitehoist.Workspace   `json:"workspace"`
+	// Need is what one request lacks, Want what would serve for a while.
+	Need granitehoist.Tokens `json:"need"`
+	Want granitehoist.Tokens `json:"want"`
+}
+
+// LendResult tells the sum of all loans of the lender to the borrower. It only
+// grows, so that a reply which is lost is made good by the next one.
+type LendResult struct {
+	Total granitehoist.Tokens `json:"total"`
+}
+
+// lendPart of its free tokens is what a lender parts with beyond the need.
+const lendPart = 0.5
+
+// Lend serves a neighbour: it takes tokens off what this ledger owns.
+func (l *Ledger) Lend(p LendParams) LendResult {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(p.Workspace)
+	free := a.free()
+	if !l.closing && p.Need > 0 && free >= p.Need && len(a.waiters) == 0 {
+		give := max(p.Need, min(p.Want, granitehoist.Tokens(lendPart*float64(free))))
+		if a.lent == nil {
+			a.lent = map[granitehoist.Incarnation]granitehoist.Tokens{}
+		}
+		a.lent[p.Borrower] += give
+	}
+	return LendResult{Total: a.lent[p.Borrower]}
+}
+
+// Borrowed takes in a lender's reply, and reports whether it brought tokens.
+func (l *Ledger) Borrowed(w granitehoist.Workspace, lender granitehoist.Incarnation, r LendResult) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(w)
+	if r.Total <= a.borrowed[lender] {
+		return false
+	}
+	if a.borrowed == nil {
+		a.borrowed = map[granitehoist.Incarnation]granitehoist.Tokens{}
+	}
+	a.borrowed[lender] = r.Total
+	a.wake()
+	return true
+}
+
+// shortage is what requests of a workspace wait for.
+type shortage struct {
+	workspace granitehoist.Workspace
+	need      granitehoist.Tokens
+	want      granitehoist.Tokens
+}
+
+// shortages returns the workspaces for which requests wait.
+func (l *Ledger) shortages(now time.Time) []shortage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var short []shortage
+	for w, a := range l.accounts {
+		if len(a.waiters) == 0 || a.frozen {
+			continue
+		}
+		first := a.waiters[0].bound
+		for _, waiting := range a.waiters {
+			first = min(first, waiting.bound)
+		}
+		var sum granitehoist.Tokens
+		for _, waiting := range a.waiters {
+			sum += waiting.bound
+		}
+		free := max(0, a.owned())
+		short = append(short, shortage{
+			workspace: w,
+			need:      max(1, first-free),
+			want:      sum - free + granitehoist.Tokens(a.rate.value(now)*loanCover.Seconds()),
+		})
+	}
+	return short
+}
+
+// Times of borrowing.
+const (
+	// loanCover is how long a loan should last.
+	loanCover = 2 * time.Second
+	// borrowAfter is how long a sync may take before neighbours are asked.
+	borrowAfter = 20 * time.Millisecond
+	lendTimeout = 50 * time.Millisecond
+	// lendersAtMost bounds the neighbours that are asked for one shortage.
+	lendersAtMost = 6
+)
+
+// borrow asks neighbours, one after the other, until no request waits.
+func (s *Syncer) borrow(ctx context.Context) {
+	if s.settings.Caller == nil || s.settings.Lenders == nil {
+		return
+	}
+	for i, lender := range s.settings.Lenders() {
+		short := s.settings.Ledger.shortages(s.settings.Clock())
+		if len(short) == 0 || i >= lendersAtMost || ctx.Err() != nil {
+			return
+		}
+		for _, missing := range short {
+			s.borrowFrom(ctx, lender, missing)
+		}
+	}
+}
+
+func (s *Syncer) borrowFrom(ctx context.Context, lender granitehoist.Peer, missing shortage) {
+	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
+	defer cancel()
+	params := LendParams{Borrower: s.settings.Ledger.settings.Incarnation, Workspace: missing.workspace, Need: missing.need, Want: missing.want}
+	var result LendResult
+	if err := s.settings.Caller.Call(ctx, lender, MethodLend, params, &result); err != nil {
+		return
+	}
+	if s.settings.Ledger.Borrowed(missing.workspace, lender.Incarnation, result) {
+		s.settings.Log.Info("budget_loan", zap.String("workspace", string(missing.workspace)), zap.String("lender", string(lender.Incarnation)), zap.Int64("total", int64(result.Total)))
+	}
+}
+
+// ServeLend answers a neighbour's call of MethodLend.
+func (s *Syncer) ServeLend(_ context.Context, p LendParams) (LendResult, error) {
+	return s.settings.Ledger.Lend(p), nil
+}
--- a/escrow/plan.go
+++ b/escrow/plan.go
@@ -16,6 +16,8 @@
 	changed bool
 	// rows holds the rows as they are to be written.
 	rows map[granitehoist.Workspace]Row
+	// rests holds what the store has left after the write.
+	rests map[granitehoist.Workspace]granitehoist.Tokens
 }
 
 // prepare enters the ledger's wishes into a record that was just read. routers
@@ -23,7 +25,11 @@
 func (l *Ledger) prepare(r *Record, routers int, now time.Time) plan {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := plan{rows: map[granitehoist.Workspace]Row{}}
+	p := plan{rows: map[granitehoist.Workspace]Row{}, rests: map[granitehoist.Workspace]granitehoist.Tokens{}}
+	below := refillBelow
+	if l.low(routers, now) {
+		below = joinBelow
+	}
 	for w, a := range l.accounts {
 		stored := r.account(w)
 		row := stored.Rows[l.settings.Incarnation]
@@ -35,7 +41,7 @@
 		a.returned += give
 		next.Returned = a.returned
 		if !l.closing {
-			next.Granted += a.wish(rest+next.Returned-row.Returned, routers, l.settings.Cover, now)
+			next.Granted += a.wish(rest+next.Returned-row.Returned, routers, l.settings.Cover, below, now)
 		}
 		next.Idle = max(0, a.owned()+next.Granted-row.Granted)
 		if next.Granted != row.Granted || next.Returned != row.Returned {
@@ -45,6 +51,7 @@
 		}
 		a.known = true
 		a.rest = rest - (next.Granted - row.Granted) + (next.Returned - row.Returned)
+		p.rests[w] = a.rest
 		a.idle = stored.IdleElsewhere(l.settings.Incarnation)
 		a.restAt = now
 	}
@@ -61,21 +68,22 @@
 	want := a.rate.value(now) * cover.Seconds()
 	want = max(want, keptLargest*float64(a.largest))
 	parts := float64(max(1, routers))
-	want = max(want, startPart*float64(a.limit)/parts)
-	share := float64(max(0, rest+max(0, a.owned()))) * sharePart / parts
+	left := float64(max(0, rest+max(0, a.owned())))
+	want = max(want, startPart*left/parts*(1-a.rate.certainty()))
+	share := left * sharePart / parts
 	return granitehoist.Tokens(min(want, share))
 }
 
 // wish returns the tokens to be granted now: what waiting requests need and, if
 // the holding is low, enough to fill it.
-func (a *account) wish(rest granitehoist.Tokens, routers int, cover time.Duration, now time.Time) granitehoist.Tokens {
+func (a *account) wish(rest granitehoist.Tokens, routers int, cover time.Duration, below float64, now time.Time) granitehoist.Tokens {
 	if rest <= 0 {
 		return 0
 	}
 	need := a.need(rest)
 	target := a.target(rest, routers, cover, now)
 	free := a.owned()
-	if need == 0 && float64(free) >= refillBelow*float64(target) {
+	if need == 0 && float64(free) >= below*float64(target) {
 		return 0
 	}
 	return max(0, min(rest, need+max(0, target-max(0, free))))
@@ -149,6 +157,17 @@
 	return false
 }
 
+// low reports whether a holding is low or requests wait.
+func (l *Ledger) low(routers int, now time.Time) bool {
+	for _, a := range l.accounts {
+		target := a.target(a.rest, routers, l.settings.Cover, now)
+		if len(a.waiters) > 0 || float64(a.owned()) < refillBelow*float64(target) {
+			return true
+		}
+	}
+	return false
+}
+
 // due reports whether a sync is worth a call: a holding is low, or free tokens
 // may be missed elsewhere.
 func (l *Ledger) due(routers int, now time.Time) bool {
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -27,6 +27,10 @@
 	Store  granitehoist.Store
 	// Routers returns the number of routers that share the budgets.
 	Routers func() int
+	// Lenders returns the neighbours that may lend, the likeliest first, and
+	// Caller reaches them; nil borrows from nobody.
+	Lenders func() []granitehoist.Peer
+	Caller  granitehoist.Caller
 	// Interval is how often the holdings are looked at; zero stands for
 	// DefaultInterval.
 	Interval time.Duration
@@ -119,7 +123,12 @@
 		if !s.settings.Ledger.urgent() && !s.settings.Ledger.due(s.settings.Routers(), s.settings.Clock()) {
 			continue
 		}
-		if err := s.Sync(ctx); err != nil && ctx.Err() == nil {
+		borrower := time.AfterFunc(borrowAfter, func() { s.borrow(ctx) })
+		err := s.Sync(ctx)
+		if err == nil {
+			borrower.Stop()
+		}
+		if err != nil && ctx.Err() == nil {
 			s.settings.Log.Warn("budget_sync_failed", zap.Error(err))
 			pause(ctx, failurePause)
 		}
@@ -174,7 +183,7 @@
 		return err
 	}
 	for w, row := range planned.rows {
-		s.settings.Log.Info("budget_grant", zap.String("workspace", string(w)), zap.Int64("granted", int64(row.Granted)), zap.Int64("returned", int64(row.Returned)), zap.Int64("idle", int64(row.Idle)), zap.Uint64("version", uint64(version)))
+		s.settings.Log.Info("budget_grant", zap.String("workspace", string(w)), zap.Int64("granted", int64(row.Granted)), zap.Int64("returned", int64(row.Returned)), zap.Int64("spent", int64(row.Spent)), zap.Int64("idle", int64(row.Idle)), zap.Int64("rest", int64(planned.rests[w])), zap.Uint64("version", uint64(version)))
 	}
 	s.settings.Ledger.confirm(record)
 	return nil
--- a/node/node.go
+++ b/node/node.go
@@ -102,13 +102,14 @@
 	n.table = balance.New(balance.Settings{Place: n.config.Place, Seed: uint64(time.Now().UnixNano())})
 	n.pool = exchange.NewPool(exchange.Settings{Opened: n.counter("upstream_connections")})
 	n.peers = newPeers(peersSettings{
-		self:  peerEntry{Incarnation: n.incarnation, Box: n.config.Box, Address: n.peersAt.Addr().String()},
+		self:  peerEntry{Incarnation: n.incarnation, Box: n.config.Box, Place: n.config.Place, Address: n.peersAt.Addr().String()},
 		store: n.adapter.Store,
 		log:   n.log,
 	})
 	n.ledger = escrow.NewLedger(escrow.LedgerSettings{Incarnation: n.incarnation})
 	n.syncer = escrow.NewSyncer(escrow.SyncerSettings{
 		Box: n.config.Box, Ledger: n.ledger, Store: n.adapter.Store, Routers: n.peers.routers, Clock: time.Now, Log: n.log,
+		Lenders: n.peers.lenders, Caller: n.peers.client,
 	})
 	n.path = forward.New(forward.Settings{
 		Catalog: &n.catalog, Funds: n.syncer, Table: n.table, Pool: n.pool, Dialect: n.adapter.Dialect,
@@ -121,7 +122,8 @@
 		Store: n.adapter.Store, Prefix: n.adapter.InstancesPrefix, Neighbours: n.peers.newer, Changed: n.instancesChanged, Clock: time.Now, Log: n.log,
 	})
 	n.server = fleet.NewServer(fleet.ServerSettings{Self: n.incarnation, Methods: map[string]fleet.HandlerFunc{
-		methodNewer: fleet.Handle(n.serveNewer),
+		methodNewer:       fleet.Handle(n.serveNewer),
+		escrow.MethodLend: fleet.Handle(n.syncer.ServeLend),
 	}})
 	n.buildServers()
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -24,7 +24,7 @@
 
 // Times of the exchange with neighbours.
 const (
-	peersInterval = 4 * time.Second
+	peersInterval = 8 * time.Second
 	peersPause    = 300 * time.Millisecond
 	askTimeout    = 400 * time.Millisecond
 	// askAtMost bounds the neighbours that are asked at a time.
@@ -35,6 +35,7 @@
 type peerEntry struct {
 	Incarnation granitehoist.Incarnation `json:"incarnation"`
 	Box         granitehoist.Box         `json:"box"`
+	Place       granitehoist.Place       `json:"place"`
 	Address     string                   `json:"address"`
 }
 
@@ -148,6 +149,24 @@
 	return chosen
 }
 
+// lenders returns all neighbours, those in the node's own place first.
+func (p *peers) lenders() []granitehoist.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var near, far []granitehoist.Peer
+	for i := range p.others {
+		other := p.others[(p.next+i)%len(p.others)]
+		peer := granitehoist.Peer{Incarnation: other.Incarnation, Address: other.Address}
+		if other.Place == p.settings.self.Place {
+			near = append(near, peer)
+			continue
+		}
+		far = append(far, peer)
+	}
+	p.next++
+	return append(near, far...)
+}
+
 // newerParams asks for a copy of a prefix that is newer than a version.
 type newerParams struct {
 	Prefix string               `json:"prefix"`
