--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -327,14 +327,16 @@
 )
 
 func (r *rate) add(t granitehoist.Tokens, now time.Time) {
+	if r.began.IsZero() {
+		r.began = now
+	}
 	r.roll(now)
 	r.sum += float64(t)
 }
 
-// roll closes the steps that have passed.
+// roll closes the steps that have passed since the first tokens were spent.
 func (r *rate) roll(now time.Time) {
 	if r.began.IsZero() {
-		r.began = now
 		return
 	}
 	elapsed := now.Sub(r.began)
