Tell callers when tokens may be there again

Change: a silent store is told apart from a scarce budget, and Retry-After is 4.5 s for it and 5 s for a spent budget, within what the caller's patience leaves.

--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -20,6 +20,8 @@
 	mu       sync.Mutex
 	accounts map[granitehoist.Workspace]*account
 	closing  bool
+	// reached is when the store last answered.
+	reached time.Time
 }
 
 // LedgerSettings configure a Ledger.
@@ -121,11 +123,13 @@
 	// Scarce says that too few can be had here now, though the budget may have
 	// enough.
 	Scarce
+	// Unreachable says that too few are here and the store does not answer.
+	Unreachable
 )
 
 // String returns the name of an outcome as logs show it.
 func (o Outcome) String() string {
-	return [...]string{"granted", "exhausted", "scarce"}[o]
+	return [...]string{"granted", "exhausted", "scarce", "unreachable"}[o]
 }
 
 // NewLedger returns an empty ledger. It panics if the settings have no
@@ -210,7 +214,7 @@
 }
 
 // abandon ends a wait that nothing answered in time.
-func (l *Ledger) abandon(w granitehoist.Workspace, gone *waiter) Outcome {
+func (l *Ledger) abandon(w granitehoist.Workspace, gone *waiter, now time.Time) Outcome {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	select {
@@ -225,9 +229,16 @@
 			break
 		}
 	}
+	if now.Sub(l.reached) > unreachableAfter {
+		return Unreachable
+	}
 	return Scarce
 }
 
+// unreachableAfter is how long the store may be silent while requests wait
+// before it is said not to answer.
+const unreachableAfter = 100 * time.Millisecond
+
 // Settle ends a reservation of bound tokens with what was used. It panics if
 // there is no such reservation or if used is negative.
 func (l *Ledger) Settle(w granitehoist.Workspace, bound, used granitehoist.Tokens, now time.Time) {
--- a/escrow/plan.go
+++ b/escrow/plan.go
@@ -184,3 +184,10 @@
 	}
 	return false
 }
+
+// heard notes that the store has answered.
+func (l *Ledger) heard(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reached = now
+}
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -91,7 +91,7 @@
 	case outcome := <-entered.ended:
 		return outcome
 	case <-ctx.Done():
-		return s.settings.Ledger.abandon(w, entered)
+		return s.settings.Ledger.abandon(w, entered, s.settings.Clock())
 	}
 }
 
@@ -167,6 +167,7 @@
 	if err != nil {
 		return err
 	}
+	s.settings.Ledger.heard(s.settings.Clock())
 	record.Enter(s.settings.Box, s.settings.Ledger.settings.Incarnation)
 	now := s.settings.Clock()
 	planned := s.settings.Ledger.prepare(record, s.settings.Routers(), now)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -194,7 +194,13 @@
 const (
 	notReadyRetry = 500 * time.Millisecond
 	drainingRetry = 50 * time.Millisecond
-	scarceRetry   = 700 * time.Millisecond
+	// scarceRetry is when neighbours will have returned what they don't need.
+	scarceRetry = 900 * time.Millisecond
+	// unreachableRetry is when a store that does not answer may be back: its
+	// outages last for some seconds.
+	unreachableRetry = 4500 * time.Millisecond
+	// exhaustedRetry is when a spent budget may have been topped up.
+	exhaustedRetry = 5 * time.Second
 	refusedRetry  = 300 * time.Millisecond
 )
 
@@ -239,15 +245,28 @@
 	w.outcome = w.path.settings.Funds.Reserve(ctx, w.workspace.Name, w.bound)
 	switch w.outcome {
 	case escrow.Exhausted:
-		return granitehoist.Errorf(granitehoist.BudgetExhausted, "")
+		return later(granitehoist.BudgetExhausted, w.within(exhaustedRetry))
 	case escrow.Scarce:
-		return later(granitehoist.BudgetUnreachable, scarceRetry)
+		return later(granitehoist.BudgetUnreachable, w.within(scarceRetry))
+	case escrow.Unreachable:
+		return later(granitehoist.BudgetUnreachable, w.within(unreachableRetry))
 	case escrow.Granted:
 	}
 	w.paid = true
 	return nil
 }
 
+// comeBackPart of its patience is the latest that a caller can use to come
+// back and still be served.
+const comeBackPart = 0.3
+
+// within shortens a time to come back so that the caller can still be served
+// then.
+func (w *work) within(after time.Duration) time.Duration {
+	left := time.Duration(comeBackPart * float64(w.deadline.Sub(w.path.settings.Clock())))
+	return max(drainingRetry, min(after, left))
+}
+
 // settle ends the reservation with what the caller can have got. What the
 // prompt cost is charged once, unless nothing can have run.
 func (w *work) settle(err error) {
