While the store is silent keep tokens for requests of a higher priority

Cause: in an outage the least urgent requests (a fifth of the tokens, a fourteenth of the worth) spent what the others then lacked.

--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -22,6 +22,8 @@
 	closing  bool
 	// reached is when the store last answered.
 	reached time.Time
+	// silentSince is when a call to the store first failed since then.
+	silentSince time.Time
 }
 
 // LedgerSettings configure a Ledger.
@@ -79,6 +81,11 @@
 	restAt time.Time
 	known  bool
 
+	// holding is the target at the last sync, and urgent the highest priority
+	// of a request so far.
+	holding granitehoist.Tokens
+	urgent  granitehoist.Priority
+
 	rate    rate
 	largest granitehoist.Tokens
 	waiters []*waiter
@@ -107,8 +114,9 @@
 
 // waiter is a request that waits for tokens.
 type waiter struct {
-	bound granitehoist.Tokens
-	ended chan Outcome
+	bound    granitehoist.Tokens
+	priority granitehoist.Priority
+	ended    chan Outcome
 }
 
 // Outcome tells how a reservation ended.
@@ -168,32 +176,56 @@
 }
 
 // Reserve sets bound tokens aside, and reports whether the router owns that
-// many. Each success is to be followed by one Settle. It panics if bound is
-// negative.
-func (l *Ledger) Reserve(w granitehoist.Workspace, bound granitehoist.Tokens) bool {
+// many. While the store is silent, a part of what is left is kept for requests
+// of a higher priority. Each success is to be followed by one Settle. It panics
+// if bound is negative.
+func (l *Ledger) Reserve(w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority, now time.Time) bool {
 	mustNotBeNegative(bound)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.account(w).reserve(bound)
+	a := l.account(w)
+	a.largest = max(a.largest, bound)
+	a.urgent = max(a.urgent, priority)
+	return a.reserve(bound, a.kept(priority, l.outageLeft(now)))
 }
 
-func (a *account) reserve(bound granitehoist.Tokens) bool {
-	a.largest = max(a.largest, bound)
-	if a.free() < bound {
+func (a *account) reserve(bound, kept granitehoist.Tokens) bool {
+	if a.free() < bound+kept {
 		return false
 	}
 	a.reserved += bound
 	return true
 }
 
+// expectedOutage is how long a silent store is expected to stay so.
+const expectedOutage = 10 * time.Second
+
+// outageLeft returns the part of an expected outage that is still to come, zero
+// while the store answers.
+func (l *Ledger) outageLeft(now time.Time) float64 {
+	if l.silentSince.IsZero() {
+		return 0
+	}
+	return max(0, 1-now.Sub(l.silentSince).Seconds()/expectedOutage.Seconds())
+}
+
+// keptPart of a holding is kept for each step of priority.
+const keptPart = 0.3
+
+// kept returns the tokens that a request of a priority leaves to higher ones.
+func (a *account) kept(priority granitehoist.Priority, outageLeft float64) granitehoist.Tokens {
+	steps := float64(max(0, a.urgent-priority))
+	return granitehoist.Tokens(min(1, keptPart*steps) * outageLeft * float64(a.holding))
+}
+
 // wait enters a request that waits for tokens. If the budget is known to have
 // too few it ends at once.
-func (l *Ledger) wait(w granitehoist.Workspace, bound granitehoist.Tokens, now time.Time) *waiter {
+func (l *Ledger) wait(w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority, now time.Time) *waiter {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(w)
-	added := &waiter{bound: bound, ended: make(chan Outcome, 1)}
-	if a.reserve(bound) {
+	added := &waiter{bound: bound, priority: priority, ended: make(chan Outcome, 1)}
+	if a.reserve(bound, a.kept(priority, l.outageLeft(now))) {
 		added.ended <- Granted
 		return added
 	}
@@ -252,15 +284,14 @@
 	a.reserved -= bound
 	a.spent += used
 	a.rate.add(used, now)
-	a.wake()
+	a.wake(l.outageLeft(now))
 }
 
 // wake reserves for the waiters that fit, the earlier ones first.
-func (a *account) wake() {
+func (a *account) wake(outageLeft float64) {
 	kept := a.waiters[:0]
 	for _, w := range a.waiters {
-		if a.free() >= w.bound {
-			a.reserved += w.bound
+		if a.reserve(w.bound, a.kept(w.priority, outageLeft)) {
 			w.ended <- Granted
 			continue
 		}
@@ -282,7 +313,7 @@
 	}
 	clear(a.waiters[len(kept):])
 	a.waiters = kept
-	a.wake()
+	a.wake(0)
 }
 
 // Close makes the following syncs return everything that is free, and grants
--- a/escrow/loan.go
+++ b/escrow/loan.go
@@ -50,7 +50,7 @@
 }
 
 // Borrowed takes in a lender's reply, and reports whether it brought tokens.
-func (l *Ledger) Borrowed(w granitehoist.Workspace, lender granitehoist.Incarnation, r LendResult) bool {
+func (l *Ledger) Borrowed(w granitehoist.Workspace, lender granitehoist.Incarnation, r LendResult, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(w)
@@ -61,7 +61,7 @@
 		a.borrowed = map[granitehoist.Incarnation]granitehoist.Tokens{}
 	}
 	a.borrowed[lender] = r.Total
-	a.wake()
+	a.wake(l.outageLeft(now))
 	return true
 }
 
@@ -134,7 +134,7 @@
 	if err := s.settings.Caller.Call(ctx, lender, MethodLend, params, &result); err != nil {
 		return
 	}
-	if s.settings.Ledger.Borrowed(missing.workspace, lender.Incarnation, result) {
+	if s.settings.Ledger.Borrowed(missing.workspace, lender.Incarnation, result, s.settings.Clock()) {
 		s.settings.Log.Info("budget_loan", zap.String("workspace", string(missing.workspace)), zap.String("lender", string(lender.Incarnation)), zap.Int64("total", int64(result.Total)))
 	}
 }
--- a/escrow/plan.go
+++ b/escrow/plan.go
@@ -50,6 +50,7 @@
 			p.changed = true
 		}
 		a.known = true
+		a.holding = a.target(rest, routers, l.settings.Cover, now)
 		a.rest = rest - (next.Granted - row.Granted) + (next.Returned - row.Returned)
 		p.rests[w] = a.rest
 		a.idle = stored.IdleElsewhere(l.settings.Incarnation)
@@ -139,7 +140,7 @@
 			a.frozen = false
 		}
 		a.changed = false
-		a.wake()
+		a.wake(0)
 		a.refuse()
 	}
 }
@@ -190,4 +191,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reached = now
+	l.silentSince = time.Time{}
+}
+
+// silent notes that the store has not answered.
+func (l *Ledger) silent(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.silentSince.IsZero() {
+		l.silentSince = now
+	}
 }
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -81,11 +81,11 @@
 
 // Reserve sets bound tokens of a workspace aside, waiting for a sync until ctx
 // ends if the router owns too few.
-func (s *Syncer) Reserve(ctx context.Context, w granitehoist.Workspace, bound granitehoist.Tokens) Outcome {
-	if s.settings.Ledger.Reserve(w, bound) {
+func (s *Syncer) Reserve(ctx context.Context, w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority) Outcome {
+	if s.settings.Ledger.Reserve(w, bound, priority, s.settings.Clock()) {
 		return Granted
 	}
-	entered := s.settings.Ledger.wait(w, bound, s.settings.Clock())
+	entered := s.settings.Ledger.wait(w, bound, priority, s.settings.Clock())
 	s.Kick()
 	select {
 	case outcome := <-entered.ended:
@@ -161,6 +161,7 @@
 	defer cancel()
 	entry, err := s.settings.Store.Get(ctx, RecordKey)
 	if err != nil {
+		s.settings.Ledger.silent(s.settings.Clock())
 		return err
 	}
 	record, err := DecodeRecord(entry)
--- a/forward/fakes_test.go
+++ b/forward/fakes_test.go
@@ -41,7 +41,7 @@
 	used     granitehoist.Tokens
 }
 
-func (f *fakeFunds) Reserve(_ context.Context, _ granitehoist.Workspace, bound granitehoist.Tokens) escrow.Outcome {
+func (f *fakeFunds) Reserve(_ context.Context, _ granitehoist.Workspace, bound granitehoist.Tokens, _ granitehoist.Priority) escrow.Outcome {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.outcome == escrow.Granted {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -22,7 +22,7 @@
 // Funds pays for requests.
 type Funds interface {
 	// Reserve sets tokens of a workspace aside, waiting until ctx ends.
-	Reserve(ctx context.Context, w granitehoist.Workspace, bound granitehoist.Tokens) escrow.Outcome
+	Reserve(ctx context.Context, w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority) escrow.Outcome
 	// Settle ends a reservation with what was used.
 	Settle(w granitehoist.Workspace, bound, used granitehoist.Tokens)
 }
@@ -201,7 +201,7 @@
 	unreachableRetry = 4500 * time.Millisecond
 	// exhaustedRetry is when a spent budget may have been topped up.
 	exhaustedRetry = 5 * time.Second
-	refusedRetry  = 300 * time.Millisecond
+	refusedRetry   = 300 * time.Millisecond
 )
 
 // later returns an error that tells when to come back.
@@ -242,7 +242,7 @@
 	wait := max(payAtLeast, time.Duration(payPart*float64(w.route.Target)))
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	w.outcome = w.path.settings.Funds.Reserve(ctx, w.workspace.Name, w.bound)
+	w.outcome = w.path.settings.Funds.Reserve(ctx, w.workspace.Name, w.bound, w.priority)
 	switch w.outcome {
 	case escrow.Exhausted:
 		return later(granitehoist.BudgetExhausted, w.within(exhaustedRetry))
