--- /dev/null
+++ b/escrow/escrow_test.go
@@ -0,0 +1,191 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package escrow_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/escrow"
+	"granitehoist.example/granitehoist/standin"
+)
+
+const (
+	kiosk  = granitehoist.Workspace("kiosk")
+	normal = granitehoist.MaxPriority
+)
+
+// box is one router's books over a store.
+type box struct {
+	ledger *escrow.Ledger
+	syncer *escrow.Syncer
+}
+
+func newBox(name, incarnation string, store granitehoist.Store, routers int, clock granitehoist.Clock) *box {
+	ledger := escrow.NewLedger(escrow.LedgerSettings{Incarnation: granitehoist.Incarnation(incarnation)})
+	syncer := escrow.NewSyncer(escrow.SyncerSettings{
+		Box: granitehoist.Box(name), Ledger: ledger, Store: store, Routers: func() int { return routers }, Clock: clock,
+	})
+	return &box{ledger, syncer}
+}
+
+func (b *box) sync() error { return b.syncer.Sync(context.Background()) }
+
+func recordOf(store granitehoist.Store) *escrow.Record {
+	entry, err := store.Get(context.Background(), escrow.RecordKey)
+	Expect(err).NotTo(HaveOccurred())
+	record, err := escrow.DecodeRecord(entry)
+	Expect(err).NotTo(HaveOccurred())
+	return record
+}
+
+var _ = Describe("Prepaid tokens", func() {
+	var store *standin.Store
+	var now time.Time
+	clock := func() time.Time { return now }
+	BeforeEach(func() {
+		now = time.Unix(1000, 0)
+		store = standin.NewStore(standin.StoreSettings{Clock: clock})
+	})
+
+	reserve := func(b *box, bound granitehoist.Tokens) bool {
+		return b.ledger.Reserve(kiosk, bound, normal, now)
+	}
+	spend := func(b *box, tokens granitehoist.Tokens) {
+		Expect(reserve(b, tokens)).To(BeTrue())
+		b.ledger.Settle(kiosk, tokens, tokens, now)
+	}
+
+	It("are owned only once the store has said so", func() {
+		b := newBox("a", "a1", store, 1, clock)
+		b.ledger.SetLimit(kiosk, 1000)
+		Expect(reserve(b, 1)).To(BeFalse())
+		Expect(b.sync()).To(Succeed())
+		Expect(reserve(b, 100)).To(BeTrue())
+	})
+
+	It("survive a write whose answer was lost", func() {
+		b := newBox("a", "a1", store, 1, clock)
+		b.ledger.SetLimit(kiosk, 1000)
+		store.Fail(standin.StoreFaults{LoseEvery: 1})
+		Expect(b.sync()).NotTo(Succeed())
+		Expect(b.ledger.State(kiosk).Granted).To(BeZero())
+		store.Fail(standin.StoreFaults{})
+		Expect(b.sync()).To(Succeed())
+		Expect(b.ledger.State(kiosk).Granted).To(Equal(recordOf(store).Accounts[kiosk].Rows["a1"].Granted))
+	})
+
+	It("of a dead incarnation are never granted again", func() {
+		dead := newBox("a", "a1", store, 1, clock)
+		dead.ledger.SetLimit(kiosk, 1000)
+		Expect(dead.sync()).To(Succeed())
+		held := dead.ledger.State(kiosk).Granted
+		next := newBox("a", "a2", store, 1, clock)
+		next.ledger.SetLimit(kiosk, 1000)
+		Expect(next.sync()).To(Succeed())
+		record := recordOf(store)
+		Expect(record.Accounts[kiosk].Folded).To(Equal(held))
+		Expect(record.Accounts[kiosk].Taken()).To(BeNumerically("<=", 1000))
+		Expect(record.Accounts[kiosk].Rows).NotTo(HaveKey(granitehoist.Incarnation("a1")))
+	})
+
+	It("go back to the store at a stop in good order", func() {
+		b := newBox("a", "a1", store, 1, clock)
+		b.ledger.SetLimit(kiosk, 1000)
+		Expect(b.sync()).To(Succeed())
+		spend(b, 30)
+		b.ledger.Close()
+		Expect(b.sync()).To(Succeed())
+		Expect(recordOf(store).Accounts[kiosk].Taken()).To(Equal(granitehoist.Tokens(30)))
+		Expect(reserve(b, 1)).To(BeFalse())
+	})
+
+	It("are not spent from a holding after the budget was cut below it", func() {
+		b := newBox("a", "a1", store, 1, clock)
+		b.ledger.SetLimit(kiosk, 1000)
+		Expect(b.sync()).To(Succeed())
+		spend(b, 40)
+		b.ledger.SetLimit(kiosk, 50)
+		Expect(reserve(b, 1)).To(BeFalse())
+		Expect(b.sync()).To(Succeed())
+		Expect(recordOf(store).Accounts[kiosk].Taken()).To(BeNumerically("<=", 50))
+		Expect(reserve(b, 11)).To(BeFalse())
+	})
+
+	It("can all be spent, request by request, when little is left", func() {
+		a, b := newBox("a", "a1", store, 2, clock), newBox("b", "b1", store, 2, clock)
+		var spent granitehoist.Tokens
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for _, each := range []*box{a, b} {
+			each.ledger.SetLimit(kiosk, 1000)
+			go each.syncer.Run(ctx)
+		}
+		for i := range 100 {
+			each := []*box{a, b}[i%2]
+			wait, done := context.WithTimeout(ctx, time.Second)
+			if each.syncer.Reserve(wait, kiosk, 10, normal) == escrow.Granted {
+				each.syncer.Settle(kiosk, 10, 10)
+				spent += 10
+			}
+			done()
+		}
+		Expect(spent).To(BeNumerically(">=", 970))
+		Expect(spent).To(BeNumerically("<=", 1000))
+	})
+
+	It("are told to be spent only if no router has enough of them", func() {
+		a, b := newBox("a", "a1", store, 2, clock), newBox("b", "b1", store, 2, clock)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for _, each := range []*box{a, b} {
+			each.ledger.SetLimit(kiosk, 1000)
+			Expect(each.sync()).To(Succeed())
+			go each.syncer.Run(ctx)
+		}
+		Expect(a.syncer.Reserve(ctx, kiosk, 990, normal)).To(Equal(escrow.Scarce))
+		Expect(a.syncer.Reserve(ctx, kiosk, 1001, normal)).To(Equal(escrow.Exhausted))
+	})
+
+	It("pass between neighbours by totals that a lost message can't double", func() {
+		a, b := newBox("a", "a1", store, 2, clock), newBox("b", "b1", store, 2, clock)
+		a.ledger.SetLimit(kiosk, 1000)
+		Expect(a.sync()).To(Succeed())
+		before := a.ledger.State(kiosk).Free
+		ask := escrow.LendParams{Borrower: "b1", Workspace: kiosk, Need: 20, Want: 20}
+		a.ledger.Lend(ask)
+		second := a.ledger.Lend(ask)
+		Expect(b.ledger.Borrowed(kiosk, "a1", second, now)).To(BeTrue())
+		Expect(b.ledger.Borrowed(kiosk, "a1", second, now)).To(BeFalse())
+		Expect(b.ledger.State(kiosk).Free).To(Equal(granitehoist.Tokens(40)))
+		Expect(a.ledger.State(kiosk).Free).To(Equal(before - 40))
+	})
+
+	It("are kept for more urgent requests while the store is silent", func() {
+		b := newBox("a", "a1", store, 1, clock)
+		b.ledger.SetLimit(kiosk, 1000)
+		Expect(b.sync()).To(Succeed())
+		Expect(b.ledger.Reserve(kiosk, 10, normal, now)).To(BeTrue())
+		free := b.ledger.State(kiosk).Free
+		Expect(b.ledger.Reserve(kiosk, free, normal-2, now)).To(BeTrue())
+		b.ledger.Settle(kiosk, free, 0, now)
+		store.Fail(standin.StoreFaults{Down: true})
+		Expect(b.sync()).NotTo(Succeed())
+		Expect(b.ledger.Reserve(kiosk, free, normal-2, now)).To(BeFalse())
+		Expect(b.ledger.Reserve(kiosk, free, normal, now)).To(BeTrue())
+	})
+
+	It("of a record that can't be read are not touched", func() {
+		_, err := store.CompareAndSwap(context.Background(), granitehoist.Change{Key: escrow.RecordKey, Value: []byte("{")})
+		Expect(err).NotTo(HaveOccurred())
+		b := newBox("a", "a1", store, 1, clock)
+		b.ledger.SetLimit(kiosk, 1000)
+		Expect(b.sync()).To(MatchError(ContainSubstring(escrow.RecordKey)))
+		Expect(reserve(b, 1)).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/escrow/history_test.go
@@ -0,0 +1,252 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package escrow_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/escrow"
+	"granitehoist.example/granitehoist/standin"
+)
+
+// lateStore is a store that loses answers, refuses calls, and performs writes
+// later if their condition still holds.
+type lateStore struct {
+	granitehoist.Store
+	fault string
+	late  []granitehoist.Change
+}
+
+func (s *lateStore) Get(ctx context.Context, key string) (granitehoist.Entry, error) {
+	switch s.fault {
+	case "down":
+		return granitehoist.Entry{}, granitehoist.ErrUnavailable
+	case "silent":
+		return granitehoist.Entry{}, granitehoist.ErrUnknown
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *lateStore) CompareAndSwap(ctx context.Context, change granitehoist.Change) (granitehoist.Version, error) {
+	switch s.fault {
+	case "down":
+		return 0, granitehoist.ErrUnavailable
+	case "silent", "late":
+		s.late = append(s.late, change)
+		return 0, granitehoist.ErrUnknown
+	case "lost":
+		if _, err := s.Store.CompareAndSwap(ctx, change); err != nil {
+			return 0, err
+		}
+		return 0, granitehoist.ErrUnknown
+	}
+	return s.Store.CompareAndSwap(ctx, change)
+}
+
+// arrive performs the writes that were held.
+func (s *lateStore) arrive() {
+	for _, change := range s.late {
+		_, _ = s.Store.CompareAndSwap(context.Background(), change)
+	}
+	s.late = nil
+}
+
+// history is a run of boxes over one store.
+type history struct {
+	now    time.Time
+	store  *lateStore
+	boxes  []*box
+	alive  []string
+	starts int
+	limit  granitehoist.Tokens
+	most   granitehoist.Tokens
+	// paid counts the tokens of requests that ended; open those in progress of
+	// boxes that died, at their most.
+	paid granitehoist.Tokens
+	open [][]granitehoist.Tokens
+	// waiting holds the requests of each box that wait for tokens.
+	waiting [][]waitingRequest
+}
+
+type waitingRequest struct {
+	bound granitehoist.Tokens
+	ended <-chan escrow.Outcome
+}
+
+const boxCount = 3
+
+func newHistory(limit granitehoist.Tokens) *history {
+	h := &history{now: time.Unix(1000, 0), limit: limit, most: limit}
+	h.store = &lateStore{Store: standin.NewStore(standin.StoreSettings{Clock: h.clock})}
+	for i := range boxCount {
+		h.boxes = append(h.boxes, nil)
+		h.alive = append(h.alive, "")
+		h.open = append(h.open, nil)
+		h.waiting = append(h.waiting, nil)
+		h.start(i)
+	}
+	return h
+}
+
+func (h *history) clock() time.Time { return h.now }
+
+func (h *history) start(i int) {
+	h.starts++
+	h.alive[i] = fmt.Sprintf("box%d-%d", i, h.starts)
+	h.boxes[i] = newBox(fmt.Sprintf("box%d", i), h.alive[i], h.store, boxCount, h.clock)
+	h.boxes[i].ledger.SetLimit(kiosk, h.limit)
+}
+
+// kill loses a box. What its requests in progress got is taken at the most.
+func (h *history) kill(i int) {
+	h.collect()
+	h.waiting[i] = nil
+	for _, bound := range h.open[i] {
+		h.paid += bound
+	}
+	h.open[i] = nil
+	h.start(i)
+}
+
+func (h *history) reserve(i int, bound granitehoist.Tokens) {
+	if h.boxes[i].ledger.Reserve(kiosk, bound, normal, h.now) {
+		h.open[i] = append(h.open[i], bound)
+		return
+	}
+	ended := h.boxes[i].ledger.Enter(kiosk, bound, normal, h.now)
+	h.waiting[i] = append(h.waiting[i], waitingRequest{bound, ended})
+}
+
+// collect starts the waiting requests that were granted their tokens.
+func (h *history) collect() {
+	for i := range h.waiting {
+		var still []waitingRequest
+		for _, w := range h.waiting[i] {
+			select {
+			case outcome := <-w.ended:
+				if outcome == escrow.Granted {
+					h.open[i] = append(h.open[i], w.bound)
+				}
+			default:
+				still = append(still, w)
+			}
+		}
+		h.waiting[i] = still
+	}
+}
+
+func (h *history) settle(i int, part int) {
+	if len(h.open[i]) == 0 {
+		return
+	}
+	bound := h.open[i][0]
+	h.open[i] = h.open[i][1:]
+	used := bound * granitehoist.Tokens(part) / 4
+	h.boxes[i].ledger.Settle(kiosk, bound, used, h.now)
+	h.paid += used
+}
+
+// lend passes a loan, and loses the reply if told so.
+func (h *history) lend(from, to int, need granitehoist.Tokens, lost bool) {
+	if from == to {
+		return
+	}
+	result := h.boxes[from].ledger.Lend(escrow.LendParams{Borrower: granitehoist.Incarnation(h.alive[to]), Workspace: kiosk, Need: need, Want: 2 * need})
+	if !lost {
+		h.boxes[to].ledger.Borrowed(kiosk, granitehoist.Incarnation(h.alive[from]), result, h.now)
+	}
+}
+
+func (h *history) setLimit(limit granitehoist.Tokens) {
+	h.limit = limit
+	h.most = max(h.most, limit)
+	for _, b := range h.boxes {
+		b.ledger.SetLimit(kiosk, limit)
+	}
+}
+
+// outstanding returns what was or may still be paid for.
+func (h *history) outstanding() granitehoist.Tokens {
+	total := h.paid
+	for _, bounds := range h.open {
+		for _, bound := range bounds {
+			total += bound
+		}
+	}
+	return total
+}
+
+// step is one thing that happens, drawn as often as its weight says.
+type step struct {
+	weight int
+	run    func(t *rapid.T, h *history)
+}
+
+var (
+	index  = rapid.IntRange(0, boxCount-1)
+	amount = rapid.IntRange(1, 200)
+)
+
+var steps = []step{
+	{10, func(t *rapid.T, h *history) {
+		h.reserve(index.Draw(t, "box"), granitehoist.Tokens(amount.Draw(t, "bound")))
+	}},
+	{8, func(t *rapid.T, h *history) { h.settle(index.Draw(t, "box"), rapid.IntRange(0, 4).Draw(t, "part")) }},
+	{8, func(t *rapid.T, h *history) { _ = h.boxes[index.Draw(t, "box")].sync() }},
+	{1, func(t *rapid.T, h *history) { h.kill(index.Draw(t, "box")) }},
+	{1, func(t *rapid.T, h *history) {
+		i := index.Draw(t, "box")
+		h.boxes[i].ledger.Close()
+		_ = h.boxes[i].sync()
+		h.kill(i)
+	}},
+	{4, func(t *rapid.T, h *history) {
+		h.lend(index.Draw(t, "from"), index.Draw(t, "to"), granitehoist.Tokens(amount.Draw(t, "need")), rapid.Bool().Draw(t, "lost"))
+	}},
+	{2, func(t *rapid.T, h *history) {
+		h.store.fault = rapid.SampledFrom([]string{"", "", "", "down", "silent", "late", "lost"}).Draw(t, "fault")
+	}},
+	{2, func(_ *rapid.T, h *history) { h.store.arrive() }},
+	{1, func(t *rapid.T, h *history) {
+		h.setLimit(granitehoist.Tokens(rapid.IntRange(50, 1500).Draw(t, "limit")))
+	}},
+	{3, func(t *rapid.T, h *history) {
+		h.now = h.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+	}},
+}
+
+// stepsOf returns the steps, each as often as its weight.
+func stepsOf() []step {
+	var all []step
+	for _, s := range steps {
+		for range s.weight {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+const historyLength = 150
+
+// TestHistories checks random histories of spending, syncs, loans, kills,
+// faults of the store and changes of the budget for tokens spent beyond it.
+func TestHistories(t *testing.T) {
+	all := stepsOf()
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHistory(granitehoist.Tokens(rapid.IntRange(100, 1500).Draw(t, "limit")))
+		for range historyLength {
+			all[rapid.IntRange(0, len(all)-1).Draw(t, "step")].run(t, h)
+			h.collect()
+			if total := h.outstanding(); total > h.most {
+				t.Fatalf("%d tokens may be spent of a budget that was never above %d", total, h.most)
+			}
+		}
+	})
+}
