--- a/balance/balance.go
+++ b/balance/balance.go
@@ -60,6 +60,13 @@
 	otherPlaceMS = 1.0
 	// failureWeight is that of the newest attempt in the mean of failures.
 	failureWeight = 0.2
+	// strayWeight is what sending a beginning away from its home costs besides
+	// reading it there, as a part of that.
+	strayWeight = 0.5
+	// cacheTime is how long a beginning is taken to be in a cache.
+	cacheTime = 20 * time.Second
+	// sentAtMost bounds the beginnings that are remembered of an instance.
+	sentAtMost = 512
 	// goneGrace is how long an instance whose announcement has gone may be
 	// used when its service has no other.
 	goneGrace = 1500 * time.Millisecond
@@ -85,6 +92,8 @@
 	until    time.Time
 	goneAt   time.Time
 	seed     uint64
+	// sent holds when beginnings were sent here that have their home elsewhere.
+	sent map[uint64]time.Time
 }
 
 // New returns an empty table.
@@ -198,13 +207,13 @@
 	}
 	home := homeOf(candidates, w.Affinity)
 	best := candidates[0]
-	least := t.cost(best, w, home)
+	least := t.cost(best, w, home, now)
 	for _, m := range candidates[1:] {
-		if cost := t.cost(m, w, home); cost < least {
+		if cost := t.cost(m, w, home, now); cost < least {
 			best, least = m, cost
 		}
 	}
-	return t.take(best, w, home), nil
+	return t.take(best, w, home, now), nil
 }
 
 // noneRetry is when a caller should come back if there is no instance.
@@ -263,12 +272,17 @@
 }
 
 // cost estimates the wait at a member in milliseconds.
-func (t *Table) cost(m *member, w Want, home *member) float64 {
+func (t *Table) cost(m *member, w Want, home *member, now time.Time) float64 {
 	read := w.Prompt
-	if m == home {
+	if t.cached(m, w, home, now) {
 		read -= w.Shared
 	}
 	cost := float64(m.prefill+read) / tokensPerMS
+	if m != home {
+		// Reading a beginning at yet another instance takes memory there, and
+		// the home will go on to be asked for it by other routers.
+		cost += strayWeight * float64(w.Shared) / tokensPerMS
+	}
 	cost += perRequestMS * float64(m.inFlight) * t.scale(m)
 	cost += failureMS * m.failing
 	if m.Place != t.settings.Place {
@@ -287,17 +301,41 @@
 	return smallCapacity / float64(m.Capacity)
 }
 
-func (t *Table) take(m *member, w Want, home *member) *Lease {
-	work := w.Prompt
+// cached reports whether the beginning of a prompt is likely in a member's
+// cache: it is the home, or this router sent it there a short while ago.
+func (t *Table) cached(m *member, w Want, home *member, now time.Time) bool {
+	if w.Affinity == 0 {
+		return false
+	}
 	if m == home {
+		return true
+	}
+	last, ok := m.sent[w.Affinity]
+	return ok && now.Sub(last) < cacheTime
+}
+
+func (t *Table) take(m *member, w Want, home *member, now time.Time) *Lease {
+	work := w.Prompt
+	if t.cached(m, w, home, now) {
 		work -= w.Shared
 	}
+	if w.Affinity != 0 && m != home {
+		m.remember(w.Affinity, now)
+	}
 	lease := &Lease{Instance: m.Instance, Home: m == home, Load: m.inFlight, table: t, held: m, work: work}
 	m.inFlight++
 	m.prefill += work
 	return lease
 }
 
+// remember notes that a beginning was sent to a member.
+func (m *member) remember(affinity uint64, now time.Time) {
+	if m.sent == nil || len(m.sent) >= sentAtMost {
+		m.sent = map[uint64]time.Time{}
+	}
+	m.sent[affinity] = now
+}
+
 // Read says that the prompt has been read: the first event has come.
 func (l *Lease) Read() {
 	l.table.mu.Lock()
--- a/cmd/granitehoist-edge/main.go
+++ b/cmd/granitehoist-edge/main.go
@@ -28,6 +28,7 @@
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/catalog"
 	"granitehoist.example/granitehoist/forward"
+	"granitehoist.example/granitehoist/internal/event"
 	"granitehoist.example/granitehoist/internal/logsink"
 	"granitehoist.example/granitehoist/node"
 	"granitehoist.example/granitehoist/platform"
@@ -89,10 +90,10 @@
 // file that can't be read changes nothing.
 func reload(file string, log *zap.Logger) {
 	if _, err := platform.ReadSettings(file); err != nil {
-		log.Error("reload_failed", zap.Error(err))
+		log.Error(event.ReloadFailed, zap.Error(err))
 		return
 	}
-	log.Info("reload", zap.String("file", file))
+	log.Info(event.Reload, zap.String("file", file))
 }
 
 func adapter(c *node.Config) node.Adapter {
--- /dev/null
+++ b/cmd/granitehoist/explain.go
@@ -0,0 +1,27 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/explain"
+)
+
+func newExplain(app *kingpin.Application, out io.Writer) command {
+	clause := app.Command("explain", "Tell the story of one request from the nodes' log lines on standard input.")
+	id := clause.Arg("request", "The request's id.").Required().String()
+	return command{clause, func(context.Context) error {
+		story, err := explain.Read(os.Stdin, granitehoist.RequestID(*id))
+		if err != nil {
+			return err
+		}
+		return story.Write(out)
+	}}
+}
--- a/cmd/granitehoist/main.go
+++ b/cmd/granitehoist/main.go
@@ -74,6 +74,7 @@
 		newMeasureHistories(app, out),
 		newMeasureCapacity(app, out),
 		newMeasureRouting(app, out),
+		newExplain(app, out),
 		newVersion(app, out),
 	}
 	return app, commands
--- a/escrow/escrow_test.go
+++ b/escrow/escrow_test.go
@@ -129,7 +129,7 @@
 		for i := range 100 {
 			each := []*box{a, b}[i%2]
 			wait, done := context.WithTimeout(ctx, time.Second)
-			if each.syncer.Reserve(wait, kiosk, 10, normal) == escrow.Granted {
+			if each.syncer.Reserve(wait, kiosk, 10, normal).Outcome == escrow.Granted {
 				each.syncer.Settle(kiosk, 10, 10)
 				spent += 10
 			}
@@ -148,8 +148,8 @@
 			Expect(each.sync()).To(Succeed())
 			go each.syncer.Run(ctx)
 		}
-		Expect(a.syncer.Reserve(ctx, kiosk, 990, normal)).To(Equal(escrow.Scarce))
-		Expect(a.syncer.Reserve(ctx, kiosk, 1001, normal)).To(Equal(escrow.Exhausted))
+		Expect(a.syncer.Reserve(ctx, kiosk, 990, normal).Outcome).To(Equal(escrow.Scarce))
+		Expect(a.syncer.Reserve(ctx, kiosk, 1001, normal).Outcome).To(Equal(escrow.Exhausted))
 	})
 
 	It("pass between neighbours by totals that a lost message can't double", func() {
--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -42,7 +42,7 @@
 const (
 	// sharePart of what is left is what all routers together may hold ahead of
 	// requests.
-	sharePart = 0.75
+	sharePart = 0.6
 	// refillBelow is the part of the holding under which more is asked for.
 	refillBelow = 0.75
 	// joinBelow is the part under which a holding is filled when the record is
@@ -60,7 +60,7 @@
 )
 
 // restFresh is how long the last known rest of a budget is taken for true.
-const restFresh = 250 * time.Millisecond
+const restFresh = 800 * time.Millisecond
 
 type account struct {
 	granted  granitehoist.Tokens
@@ -131,13 +131,27 @@
 	// Scarce says that too few can be had here now, though the budget may have
 	// enough.
 	Scarce
+	// Withheld says that the request is too large for the little that is left.
+	Withheld
 	// Unreachable says that too few are here and the store does not answer.
 	Unreachable
 )
 
 // String returns the name of an outcome as logs show it.
 func (o Outcome) String() string {
-	return [...]string{"granted", "exhausted", "scarce", "unreachable"}[o]
+	return [...]string{"granted", "exhausted", "scarce", "withheld", "unreachable"}[o]
+}
+
+// Answer is what a request for tokens was told, and what was known then.
+type Answer struct {
+	Outcome Outcome
+	// Free is what the router still owns, Rest what the store had left when it
+	// was last read, Age ago.
+	Free granitehoist.Tokens
+	Rest granitehoist.Tokens
+	Age  time.Duration
+	// Silent is how long the store has not answered, zero if it does.
+	Silent time.Duration
 }
 
 // NewLedger returns an empty ledger. It panics if the settings have no
@@ -186,9 +200,26 @@
 	a := l.account(w)
 	a.largest = max(a.largest, bound)
 	a.urgent = max(a.urgent, priority)
+	if a.tapered(bound) {
+		return false
+	}
 	return a.reserve(bound, a.kept(priority, l.outageLeft(now)))
 }
 
+// The end of a budget. Below taperBelow of the prepaid total a request may take
+// no more than taperShare of what is left, so that a few large requests don't
+// leave nothing for many small ones.
+const (
+	taperBelow = 0.08
+	taperShare = 0.33
+)
+
+// tapered reports whether a request is too large for the little that is left.
+func (a *account) tapered(bound granitehoist.Tokens) bool {
+	left := float64(max(0, a.rest) + max(0, a.owned()) + a.idle)
+	return a.known && left < taperBelow*float64(a.limit) && float64(bound) > taperShare*left
+}
+
 func (a *account) reserve(bound, kept granitehoist.Tokens) bool {
 	if a.free() < bound+kept {
 		return false
@@ -229,6 +260,10 @@
 		added.ended <- Granted
 		return added
 	}
+	if a.known && now.Sub(a.restAt) < restFresh && a.tapered(bound) {
+		added.ended <- a.refusal(bound)
+		return added
+	}
 	if a.known && now.Sub(a.restAt) < restFresh && bound > a.rest+max(0, a.owned()) {
 		added.ended <- a.refusal(bound)
 		return added
@@ -239,8 +274,11 @@
 
 // refusal tells why a bound can't be had.
 func (a *account) refusal(bound granitehoist.Tokens) Outcome {
-	if bound > max(0, a.rest)+max(0, a.owned())+a.idle {
+	switch {
+	case bound > max(0, a.rest)+max(0, a.owned())+a.idle:
 		return Exhausted
+	case a.tapered(bound):
+		return Withheld
 	}
 	return Scarce
 }
@@ -291,7 +329,7 @@
 func (a *account) wake(outageLeft float64) {
 	kept := a.waiters[:0]
 	for _, w := range a.waiters {
-		if a.reserve(w.bound, a.kept(w.priority, outageLeft)) {
+		if !a.tapered(w.bound) && a.reserve(w.bound, a.kept(w.priority, outageLeft)) {
 			w.ended <- Granted
 			continue
 		}
@@ -305,7 +343,7 @@
 func (a *account) refuse() {
 	kept := a.waiters[:0]
 	for _, w := range a.waiters {
-		if w.bound > a.rest+max(0, a.free()) {
+		if a.tapered(w.bound) || w.bound > a.rest+max(0, a.free()) {
 			w.ended <- a.refusal(w.bound)
 			continue
 		}
@@ -324,6 +362,21 @@
 	l.closing = true
 }
 
+// answer returns what is known of a workspace beside an outcome.
+func (l *Ledger) answer(w granitehoist.Workspace, o Outcome, now time.Time) Answer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(w)
+	answer := Answer{Outcome: o, Free: a.free(), Rest: a.rest}
+	if !a.restAt.IsZero() {
+		answer.Age = now.Sub(a.restAt)
+	}
+	if !l.silentSince.IsZero() {
+		answer.Silent = now.Sub(l.silentSince)
+	}
+	return answer
+}
+
 // State is what the router has of a workspace's tokens.
 type State struct {
 	Granted, Returned, Spent, Reserved granitehoist.Tokens
--- a/escrow/loan.go
+++ b/escrow/loan.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/event"
 )
 
 // MethodLend asks a neighbour for a loan.
@@ -135,7 +136,7 @@
 		return
 	}
 	if s.settings.Ledger.Borrowed(missing.workspace, lender.Incarnation, result, s.settings.Clock()) {
-		s.settings.Log.Info("budget_loan", zap.String("workspace", string(missing.workspace)), zap.String("lender", string(lender.Incarnation)), zap.Int64("total", int64(result.Total)))
+		s.settings.Log.Info(event.BudgetLoan, zap.String("workspace", string(missing.workspace)), zap.String("lender", string(lender.Incarnation)), zap.Int64("total", int64(result.Total)))
 	}
 }
 
--- a/escrow/plan.go
+++ b/escrow/plan.go
@@ -94,6 +94,9 @@
 func (a *account) need(rest granitehoist.Tokens) granitehoist.Tokens {
 	bounds := make([]granitehoist.Tokens, 0, len(a.waiters))
 	for _, w := range a.waiters {
+		if a.tapered(w.bound) {
+			continue
+		}
 		bounds = append(bounds, w.bound)
 	}
 	sort.Slice(bounds, func(i, j int) bool { return bounds[i] < bounds[j] })
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -6,18 +6,26 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/defaults"
+	"granitehoist.example/granitehoist/internal/event"
 )
 
 // Syncer keeps a Ledger and the record in the store in step. Run drives it.
 type Syncer struct {
 	settings SyncerSettings
 	kick     chan struct{}
+
+	// mu is held during a sync. seen is the record as it last was in the store
+	// if seenKnown is set.
+	mu        sync.Mutex
+	seen      granitehoist.Entry
+	seenKnown bool
 }
 
 // SyncerSettings configure a Syncer.
@@ -52,6 +60,8 @@
 const (
 	conflictTries = 8
 	failurePause  = 150 * time.Millisecond
+	// maxFailurePause bounds the pause while the store fails for long.
+	maxFailurePause = 900 * time.Millisecond
 	// gather lets requests that arrive together share a sync.
 	gather = 3 * time.Millisecond
 )
@@ -81,7 +91,12 @@
 
 // Reserve sets bound tokens of a workspace aside, waiting for a sync until ctx
 // ends if the router owns too few.
-func (s *Syncer) Reserve(ctx context.Context, w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority) Outcome {
+func (s *Syncer) Reserve(ctx context.Context, w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority) Answer {
+	outcome := s.reserve(ctx, w, bound, priority)
+	return s.settings.Ledger.answer(w, outcome, s.settings.Clock())
+}
+
+func (s *Syncer) reserve(ctx context.Context, w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority) Outcome {
 	if s.settings.Ledger.Reserve(w, bound, priority, s.settings.Clock()) {
 		return Granted
 	}
@@ -112,6 +127,8 @@
 func (s *Syncer) Run(ctx context.Context) {
 	ticker := time.NewTicker(s.settings.Interval)
 	defer ticker.Stop()
+	var retryAt time.Time
+	wait := failurePause
 	for {
 		select {
 		case <-ctx.Done():
@@ -120,21 +137,35 @@
 			pause(ctx, gather)
 		case <-ticker.C:
 		}
-		if !s.settings.Ledger.urgent() && !s.settings.Ledger.due(s.settings.Routers(), s.settings.Clock()) {
-			continue
-		}
-		borrower := time.AfterFunc(borrowAfter, func() { s.borrow(ctx) })
-		err := s.Sync(ctx)
-		if err == nil {
-			borrower.Stop()
-		}
-		if err != nil && ctx.Err() == nil {
-			s.settings.Log.Warn("budget_sync_failed", zap.Error(err))
-			pause(ctx, failurePause)
+		now := s.settings.Clock()
+		switch {
+		case !s.settings.Ledger.urgent() && !s.settings.Ledger.due(s.settings.Routers(), now):
+		case now.Before(retryAt):
+			s.borrow(ctx)
+		case s.syncOrBorrow(ctx):
+			wait = failurePause
+		default:
+			retryAt = s.settings.Clock().Add(wait)
+			wait = min(2*wait, maxFailurePause)
 		}
 	}
 }
 
+// syncOrBorrow syncs, asks neighbours as well if that takes long, and reports
+// whether the store answered.
+func (s *Syncer) syncOrBorrow(ctx context.Context) bool {
+	borrower := time.AfterFunc(borrowAfter, func() { s.borrow(ctx) })
+	err := s.Sync(ctx)
+	if err == nil {
+		borrower.Stop()
+		return true
+	}
+	if ctx.Err() == nil {
+		s.settings.Log.Warn(event.BudgetSyncFailed, zap.Error(err))
+	}
+	return false
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -144,9 +175,13 @@
 	}
 }
 
-// Sync reads the record, enters what the ledger wishes and writes it back. An
-// error leaves the ledger with what it is known to own.
+// Sync enters what the ledger wishes into the record. It begins with the record
+// as it was last seen: if that is no longer the newest, the store refuses the
+// write and tells the newest. An error leaves the ledger with what it is known
+// to own.
 func (s *Syncer) Sync(ctx context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	err := granitehoist.ErrConflict
 	for try := 0; try < conflictTries && errors.Is(err, granitehoist.ErrConflict); try++ {
 		pause(ctx, time.Duration(try)*time.Millisecond)
@@ -159,34 +194,88 @@
 func (s *Syncer) try(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.settings.Timeout)
 	defer cancel()
-	entry, err := s.settings.Store.Get(ctx, RecordKey)
+	fresh := !s.seenKnown
+	if fresh {
+		if err := s.read(ctx); err != nil {
+			return err
+		}
+	}
+	record, planned, err := s.plan()
 	if err != nil {
-		s.settings.Ledger.silent(s.settings.Clock())
 		return err
 	}
-	record, err := DecodeRecord(entry)
+	if !planned.changed && !fresh {
+		// Nothing can be had by what was seen last; the newest may differ.
+		if err := s.read(ctx); err != nil {
+			return err
+		}
+		if record, planned, err = s.plan(); err != nil {
+			return err
+		}
+	}
+	if planned.changed {
+		if err := s.write(ctx, record); err != nil {
+			return err
+		}
+		s.logGrants(planned)
+	}
+	s.settings.Ledger.confirm(record)
+	return nil
+}
+
+// read reads the record from the store.
+func (s *Syncer) read(ctx context.Context) error {
+	entry, err := s.settings.Store.Get(ctx, RecordKey)
 	if err != nil {
+		s.settings.Ledger.silent(s.settings.Clock())
 		return err
 	}
 	s.settings.Ledger.heard(s.settings.Clock())
-	record.Enter(s.settings.Box, s.settings.Ledger.settings.Incarnation)
-	now := s.settings.Clock()
-	planned := s.settings.Ledger.prepare(record, s.settings.Routers(), now)
-	if !planned.changed {
-		s.settings.Ledger.confirm(record)
-		return nil
+	s.seen, s.seenKnown = entry, true
+	return nil
+}
+
+// plan enters the ledger's wishes into a copy of the record last seen.
+func (s *Syncer) plan() (*Record, plan, error) {
+	record, err := DecodeRecord(s.seen)
+	if err != nil {
+		s.seenKnown = false
+		return nil, plan{}, err
 	}
+	record.Enter(s.settings.Box, s.settings.Ledger.settings.Incarnation)
+	return record, s.settings.Ledger.prepare(record, s.settings.Routers(), s.settings.Clock()), nil
+}
+
+// write writes the record in place of the one last seen.
+func (s *Syncer) write(ctx context.Context, record *Record) error {
 	value, err := record.Encode()
 	if err != nil {
 		return err
 	}
-	version, err := s.settings.Store.CompareAndSwap(ctx, granitehoist.Change{Key: RecordKey, Value: value, Expect: entry.Version})
-	if err != nil {
+	version, err := s.settings.Store.CompareAndSwap(ctx, granitehoist.Change{Key: RecordKey, Value: value, Expect: s.seen.Version})
+	var conflict *granitehoist.Conflict
+	switch {
+	case err == nil:
+		s.settings.Ledger.heard(s.settings.Clock())
+		s.seen = granitehoist.Entry{Key: RecordKey, Value: value, Version: version}
+		return nil
+	case errors.As(err, &conflict):
+		s.settings.Ledger.heard(s.settings.Clock())
+		s.seen = conflict.Current
 		return err
+	case errors.Is(err, granitehoist.ErrConflict):
+	default:
+		s.settings.Ledger.silent(s.settings.Clock())
 	}
+	s.seenKnown = false
+	return err
+}
+
+func (s *Syncer) logGrants(planned plan) {
 	for w, row := range planned.rows {
-		s.settings.Log.Info("budget_grant", zap.String("workspace", string(w)), zap.Int64("granted", int64(row.Granted)), zap.Int64("returned", int64(row.Returned)), zap.Int64("spent", int64(row.Spent)), zap.Int64("idle", int64(row.Idle)), zap.Int64("rest", int64(planned.rests[w])), zap.Uint64("version", uint64(version)))
+		s.settings.Log.Info(event.BudgetGrant,
+			zap.String("workspace", string(w)), zap.Int64("granted", int64(row.Granted)), zap.Int64("returned", int64(row.Returned)),
+			zap.Int64("spent", int64(row.Spent)), zap.Int64("idle", int64(row.Idle)), zap.Int64("rest", int64(planned.rests[w])),
+			zap.Uint64("version", uint64(s.seen.Version)))
 	}
-	s.settings.Ledger.confirm(record)
-	return nil
 }
--- /dev/null
+++ b/explain/explain.go
@@ -0,0 +1,199 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package explain
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/event"
+)
+
+// ErrNoRequest says that the log has no line of the request.
+var ErrNoRequest = eris.New("explain: the log has no line of this request")
+
+const maxLineBytes = 1 << 20
+
+// background holds the latest lines of a box that bear on its requests.
+type background struct {
+	config  *Line
+	store   *Line
+	sync    *Line
+	restart *Line
+	// upstreams holds the latest announcement of each instance.
+	upstreams map[string]*Line
+}
+
+// Story is what a log tells of one request.
+type Story struct {
+	Request granitehoist.RequestID
+	told    []sentence
+}
+
+type sentence struct {
+	at   time.Duration
+	box  string
+	text string
+}
+
+// Read reads a log and collects the story of one request. It returns
+// ErrNoRequest if no line names the request, and an error of the reader.
+func Read(log io.Reader, request granitehoist.RequestID) (*Story, error) {
+	story := &Story{Request: request}
+	boxes := map[string]*background{}
+	scanner := bufio.NewScanner(log)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		line, ok := Parse(scanner.Text())
+		if !ok {
+			continue
+		}
+		known, ok := boxes[line.Box]
+		if !ok {
+			known = &background{upstreams: map[string]*Line{}}
+			boxes[line.Box] = known
+		}
+		known.note(&line)
+		if line.Get("request") == string(request) {
+			story.tell(&line, known)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, eris.Wrap(err, "explain: log")
+	}
+	if len(story.told) == 0 {
+		return nil, ErrNoRequest
+	}
+	sort.SliceStable(story.told, func(i, j int) bool { return story.told[i].at < story.told[j].at })
+	return story, nil
+}
+
+// note keeps a line that later requests may depend on.
+func (b *background) note(l *Line) {
+	switch l.Event {
+	case event.ConfigInForce:
+		b.config = l
+	case event.StoreLost, event.StoreRegained:
+		b.store = l
+	case event.BudgetSyncFailed:
+		b.sync = l
+	case event.BudgetGrant:
+		b.sync = nil
+	case event.Start, event.Stop:
+		b.restart = l
+	case event.Upstream, event.UpstreamGone:
+		b.upstreams[l.Get("upstream")] = l
+	}
+}
+
+func (s *Story) add(l *Line, format string, args ...any) {
+	s.told = append(s.told, sentence{l.At, l.Box, fmt.Sprintf(format, args...)})
+}
+
+// tell adds what a line of the request says.
+func (s *Story) tell(l *Line, known *background) {
+	switch l.Event {
+	case event.Attempt:
+		s.attempt(l, known)
+	case event.Request:
+		s.end(l, known)
+	}
+}
+
+func (s *Story) attempt(l *Line, known *background) {
+	s.add(l, "attempt %s was sent to upstream %s (entry of version %s, %s of this router's requests there, home %s): %s after %s",
+		l.Get("attempt"), l.Get("upstream"), l.Get("entry"), l.Get("load"), l.Get("home"), attemptOutcome(l), seconds(l.Number("took")))
+	if up, ok := known.upstreams[l.Get("upstream")]; ok && up.Event == event.UpstreamGone {
+		s.add(l, "  the upstream's entry had gone %s before", gap(up, l))
+	}
+	if after := l.Number("after"); after > 0 {
+		s.add(l, "  the caller had events up to %.0f by then", after)
+	}
+}
+
+func attemptOutcome(l *Line) string {
+	if cause := l.Get("error"); cause != "" {
+		return "it failed: " + cause
+	}
+	return "status " + l.Get("status")
+}
+
+func (s *Story) end(l *Line, known *background) {
+	s.add(l, "the request on route %s of workspace %q, service %s, was decided under configuration %s", l.Get("route"), l.Get("workspace"), l.Get("service"), l.Get("config"))
+	if known.config != nil && known.config.Get("version") != l.Get("config") {
+		s.add(l, "  configuration %s has come into force since", known.config.Get("version"))
+	}
+	if bound := l.Get("bound"); bound != "" {
+		s.add(l, "  it needed at most %s tokens; the budget said %s", bound, l.Get("budget"))
+	}
+	if l.Get("budget") != "" && l.Get("budget") != "granted" {
+		s.budgetCause(l, known)
+	}
+	s.add(l, "it ended with %s after %s; %s attempts, %s events; to the caller it has %s", codeText(l.Get("code")), seconds(l.Number("took")), l.Get("attempts"), l.Get("events"), fateText(l.Get("fate")))
+	if detail := l.Get("detail"); detail != "" {
+		s.add(l, "  in detail: %s", detail)
+	}
+	if known.restart != nil && known.restart.Event == event.Stop {
+		s.add(l, "  the router had been told to stop %s before", gap(known.restart, l))
+	}
+}
+
+// budgetCause tells why tokens could not be had.
+func (s *Story) budgetCause(l *Line, known *background) {
+	s.add(l, "  the router owned %s free tokens; the store had %s left, as read %s before", l.Get("free"), l.Get("rest"), seconds(l.Number("rest_age")))
+	if silent := l.Number("silent"); silent > 0 {
+		s.add(l, "  the store had not answered calls for the budgets for %s", seconds(silent))
+	}
+	if known.sync != nil {
+		s.add(l, "  the last sync of the budgets failed %s before: %s", gap(known.sync, l), known.sync.Get("error"))
+	}
+	if known.store != nil && known.store.Event == event.StoreLost {
+		s.add(l, "  the store had not answered for %s: %s", gap(known.store, l), known.store.Get("error"))
+	}
+}
+
+func codeText(number string) string {
+	n, err := strconv.Atoi(number)
+	if err != nil {
+		return "code " + number
+	}
+	for _, info := range granitehoist.Codes() {
+		if int(info.Code) == n {
+			return fmt.Sprintf("code %d, %s", n, info.Message)
+		}
+	}
+	return "code " + number
+}
+
+func fateText(fate string) string {
+	if fate == "" {
+		return "an unknown fate"
+	}
+	return "the fate \"" + fate + "\""
+}
+
+func gap(before, after *Line) string { return seconds((after.At - before.At).Seconds()) }
+
+func seconds(s float64) string { return strconv.FormatFloat(s, 'f', 3, 64) + " s" }
+
+// Write prints the story, a line a fact, with the time and the box.
+func (s *Story) Write(w io.Writer) error {
+	if _, err := fmt.Fprintf(w, "request %s\n", s.Request); err != nil {
+		return err
+	}
+	first := s.told[0].at
+	for _, t := range s.told {
+		if _, err := fmt.Fprintf(w, "%9.3f s  %-22s %s\n", (t.at - first).Seconds(), t.box, t.text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -13,6 +13,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/defaults"
+	"granitehoist.example/granitehoist/internal/event"
 )
 
 // Copy is the state of a prefix at one version of the store.
@@ -43,6 +44,9 @@
 // DefaultPause keeps the calls of a router whose store fails to a few a second.
 const DefaultPause = 250 * time.Millisecond
 
+// maxPauses bounds the pause while the store fails for long.
+const maxPauses = 4
+
 // Follower keeps the copy of one prefix. Run drives it.
 type Follower struct {
 	settings Settings
@@ -76,6 +80,7 @@
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	down := false
+	pause := f.settings.Pause
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if ctx.Err() != nil {
@@ -86,23 +91,25 @@
 			f.logState(down, err)
 		}
 		if err == nil {
+			pause = f.settings.Pause
 			continue
 		}
 		f.askNeighbours(ctx)
 		select {
 		case <-ctx.Done():
-		case <-time.After(f.settings.Pause):
+		case <-time.After(pause):
 		}
+		pause = min(2*pause, maxPauses*f.settings.Pause)
 	}
 }
 
 func (f *Follower) logState(down bool, err error) {
 	fields := []zap.Field{zap.String("prefix", f.settings.Prefix), zap.Uint64("at", uint64(f.At()))}
 	if down {
-		f.settings.Log.Warn("store_lost", append(fields, zap.Error(err))...)
+		f.settings.Log.Warn(event.StoreLost, append(fields, zap.Error(err))...)
 		return
 	}
-	f.settings.Log.Info("store_regained", fields...)
+	f.settings.Log.Info(event.StoreRegained, fields...)
 }
 
 // step lists the prefix if nothing is known of it, and waits for changes
@@ -113,7 +120,7 @@
 	}
 	changed, at, err := f.settings.Store.Watch(ctx, f.settings.Prefix, f.At())
 	if errors.Is(err, granitehoist.ErrHistoryGone) {
-		f.settings.Log.Warn("history_gone", zap.String("prefix", f.settings.Prefix), zap.Uint64("at", uint64(f.At())))
+		f.settings.Log.Warn(event.HistoryGone, zap.String("prefix", f.settings.Prefix), zap.Uint64("at", uint64(f.At())))
 		return f.list(ctx)
 	}
 	if err != nil {
@@ -140,7 +147,7 @@
 	if !ok || newer.Prefix != f.settings.Prefix || newer.At <= f.At() {
 		return
 	}
-	f.settings.Log.Info("copy_from_neighbour", zap.String("prefix", f.settings.Prefix), zap.Uint64("at", uint64(newer.At)))
+	f.settings.Log.Info(event.CopyFromNeighbour, zap.String("prefix", f.settings.Prefix), zap.Uint64("at", uint64(newer.At)))
 	f.replace(newer)
 }
 
--- a/forward/fakes_test.go
+++ b/forward/fakes_test.go
@@ -41,13 +41,13 @@
 	used     granitehoist.Tokens
 }
 
-func (f *fakeFunds) Reserve(_ context.Context, _ granitehoist.Workspace, bound granitehoist.Tokens, _ granitehoist.Priority) escrow.Outcome {
+func (f *fakeFunds) Reserve(_ context.Context, _ granitehoist.Workspace, bound granitehoist.Tokens, _ granitehoist.Priority) escrow.Answer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.outcome == escrow.Granted {
 		f.reserved += bound
 	}
-	return f.outcome
+	return escrow.Answer{Outcome: f.outcome}
 }
 
 func (f *fakeFunds) Settle(_ granitehoist.Workspace, bound, used granitehoist.Tokens) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -17,12 +17,13 @@
 	"granitehoist.example/granitehoist/catalog"
 	"granitehoist.example/granitehoist/escrow"
 	"granitehoist.example/granitehoist/exchange"
+	"granitehoist.example/granitehoist/internal/event"
 )
 
 // Funds pays for requests.
 type Funds interface {
 	// Reserve sets tokens of a workspace aside, waiting until ctx ends.
-	Reserve(ctx context.Context, w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority) escrow.Outcome
+	Reserve(ctx context.Context, w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority) escrow.Answer
 	// Settle ends a reservation with what was used.
 	Settle(w granitehoist.Workspace, bound, used granitehoist.Tokens)
 }
@@ -136,7 +137,7 @@
 	started bool
 	first   time.Time
 	bound   granitehoist.Tokens
-	outcome escrow.Outcome
+	answer  escrow.Answer
 	paid    bool
 }
 
@@ -242,12 +243,14 @@
 	wait := max(payAtLeast, time.Duration(payPart*float64(w.route.Target)))
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	w.outcome = w.path.settings.Funds.Reserve(ctx, w.workspace.Name, w.bound, w.priority)
-	switch w.outcome {
+	w.answer = w.path.settings.Funds.Reserve(ctx, w.workspace.Name, w.bound, w.priority)
+	switch w.answer.Outcome {
 	case escrow.Exhausted:
 		return later(granitehoist.BudgetExhausted, w.within(exhaustedRetry))
 	case escrow.Scarce:
 		return later(granitehoist.BudgetUnreachable, w.within(scarceRetry))
+	case escrow.Withheld:
+		return later(granitehoist.BudgetUnreachable, w.within(exhaustedRetry))
 	case escrow.Unreachable:
 		return later(granitehoist.BudgetUnreachable, w.within(unreachableRetry))
 	case escrow.Granted:
@@ -429,13 +432,15 @@
 		fields = append(fields, zap.String("route", string(w.route.Name)))
 	}
 	if w.bound > 0 {
-		fields = append(fields, zap.Int64("bound", int64(w.bound)), zap.String("budget", w.outcome.String()))
+		fields = append(fields, zap.Int64("bound", int64(w.bound)), zap.String("budget", w.answer.Outcome.String()),
+			zap.Int64("free", int64(w.answer.Free)), zap.Int64("rest", int64(w.answer.Rest)),
+			zap.Duration("rest_age", w.answer.Age), zap.Duration("silent", w.answer.Silent))
 	}
 	var e *granitehoist.Error
 	if errors.As(err, &e) {
 		fields = append(fields, zap.String("detail", e.Error()))
 	}
-	w.path.settings.Log.Info("request", fields...)
+	w.path.settings.Log.Info(event.Request, fields...)
 }
 
 // fate returns what is known of the execution of the whole request.
@@ -464,5 +469,5 @@
 	if e.err != nil {
 		fields = append(fields, zap.Error(e.err))
 	}
-	w.path.settings.Log.Info("attempt", fields...)
+	w.path.settings.Log.Info(event.Attempt, fields...)
 }
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,55 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+// Package event names what a node writes to its log. docs/OPERATIONS.md explains
+// each; a test holds the two together.
+package event
+
+// Name is the name of an event, the value of the key "event" of a log line.
+type Name = string
+
+// The events of a process.
+const (
+	Start        Name = "start"
+	Stop         Name = "stop"
+	Stopped      Name = "stopped"
+	Reload       Name = "reload"
+	ReloadFailed Name = "reload_failed"
+	ServeFailed  Name = "serve_failed"
+	ReturnFailed Name = "return_failed"
+	LeaveFailed  Name = "leave_failed"
+	LogDropped   Name = "log_dropped"
+)
+
+// The events of a request.
+const (
+	Request Name = "request"
+	Attempt Name = "attempt"
+)
+
+// The events of what a node believes.
+const (
+	ConfigInForce     Name = "config_in_force"
+	ConfigBad         Name = "config_bad"
+	Upstream          Name = "upstream"
+	UpstreamGone      Name = "upstream_gone"
+	UpstreamBad       Name = "upstream_bad"
+	StoreLost         Name = "store_lost"
+	StoreRegained     Name = "store_regained"
+	HistoryGone       Name = "history_gone"
+	CopyFromNeighbour Name = "copy_from_neighbour"
+	PeerBad           Name = "peer_bad"
+	BudgetGrant       Name = "budget_grant"
+	BudgetLoan        Name = "budget_loan"
+	BudgetSyncFailed  Name = "budget_sync_failed"
+)
+
+// All returns the names of all events.
+func All() []Name {
+	return []Name{
+		Start, Stop, Stopped, Reload, ReloadFailed, ServeFailed, ReturnFailed, LeaveFailed, LogDropped,
+		Request, Attempt,
+		ConfigInForce, ConfigBad, Upstream, UpstreamGone, UpstreamBad, StoreLost, StoreRegained, HistoryGone,
+		CopyFromNeighbour, PeerBad, BudgetGrant, BudgetLoan, BudgetSyncFailed,
+	}
+}
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -9,6 +9,8 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"granitehoist.example/granitehoist/internal/event"
 )
 
 // Sink hands lines to a writer on a goroutine of its own. Lines that come while
@@ -31,7 +33,7 @@
 	defer close(s.written)
 	for line := range s.lines {
 		if n := s.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(w, "event=log_dropped lines=%d\n", n)
+			_, _ = fmt.Fprintf(w, "event=%s lines=%d\n", event.LogDropped, n)
 		}
 		_, _ = w.Write(line)
 	}
--- /dev/null
+++ b/node/fleet_test.go
@@ -0,0 +1,203 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/catalog"
+	"granitehoist.example/granitehoist/forward"
+	"granitehoist.example/granitehoist/node"
+	"granitehoist.example/granitehoist/platform"
+	"granitehoist.example/granitehoist/standin"
+)
+
+// member is one node of a fleet under test, with a store front of its own.
+type member struct {
+	node   *node.Node
+	config *node.Config
+	store  *standin.PlatformStore
+	logs   *observer.ObservedLogs
+}
+
+// site is a fleet with the platform's store and workers, all over sockets.
+type site struct {
+	store   *standin.Store
+	members []*member
+	workers int
+}
+
+// firstIP numbers the loopback addresses of the nodes of all tests, so that no
+// two use the same.
+var firstIP atomic.Int32
+
+func newSite(nodes int) *site {
+	s := &site{store: standin.NewStore(standin.StoreSettings{})}
+	for range nodes {
+		s.members = append(s.members, s.start())
+	}
+	return s
+}
+
+func (s *site) start() *member {
+	ip := fmt.Sprintf("127.0.71.%d", firstIP.Add(1))
+	front := &standin.PlatformStore{Store: s.store}
+	listener, err := net.Listen("tcp", ip+":8223")
+	Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: front, ReadHeaderTimeout: patience}
+	go func() { _ = server.Serve(listener) }()
+	DeferCleanup(server.Close)
+	settings := fmt.Sprintf(`{"nodeName":"edge-%s","ipAddress":%q,"zone":"hall","listenAddrs":{"frontend":"%s:8227","ready":"%s:8220"},
+		"internalPortRange":[7340,7355],"bounds":{"gracePeriodS":4,"drainMs":500,"retryBudgetRatio":0.2,"retryWindowS":10,"budgetSlack":50},
+		"platform":{"address":%q}}`, ip, ip, ip, ip, listener.Addr().String())
+	config, err := platform.ParseSettings("test", []byte(settings))
+	Expect(err).NotTo(HaveOccurred())
+	config.Metrics = ip + ":9464"
+	core, logs := observer.New(zapcore.InfoLevel)
+	n, err := node.New(config, adapter(config), zap.New(core))
+	Expect(err).NotTo(HaveOccurred())
+	n.Start()
+	m := &member{node: n, config: config, store: front, logs: logs}
+	DeferCleanup(n.Stop)
+	return m
+}
+
+func adapter(c *node.Config) node.Adapter {
+	return node.Adapter{
+		Store:           platform.NewStore(platform.StoreSettings{Address: c.Store, Watch: 300 * time.Millisecond, Timeout: 500 * time.Millisecond}),
+		ConfigPrefix:    platform.ConfigPrefix,
+		ConfigKey:       platform.ConfigKey,
+		InstancesPrefix: platform.WorkersPrefix,
+		DecodeConfig:    platform.DecodeConfig,
+		DecodeInstance:  platform.DecodeWorker,
+		InstanceID:      platform.WorkerID,
+		Dialect:         platform.Dialect{},
+		Frontend: func(path *forward.Path, current *catalog.Current, clock granitehoist.Clock, leaving func() bool) http.Handler {
+			return &platform.Frontend{Path: path, Catalog: current, Clock: clock, Leaving: leaving}
+		},
+	}
+}
+
+// put writes a key whatever it held before.
+func (s *site) put(key string, value any) {
+	raw, isRaw := value.([]byte)
+	if !isRaw {
+		var err error
+		raw, err = json.Marshal(value)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	Eventually(func() error {
+		entry, err := s.store.Get(context.Background(), key)
+		if err != nil {
+			return err
+		}
+		_, err = s.store.CompareAndSwap(context.Background(), granitehoist.Change{Key: key, Value: raw, Expect: entry.Version})
+		return err
+	}).Should(Succeed())
+}
+
+// configure writes a configuration with the given routes of the pool.
+func (s *site) configure(revision int, reserved int, prefixes ...string) {
+	var routes []string
+	for i, prefix := range prefixes {
+		kind := "safe"
+		if strings.Contains(prefix, "stream") {
+			kind = "streaming"
+		}
+		routes = append(routes, fmt.Sprintf(`{"name":"r%d","hostname":"h.example","pathPrefix":%q,"type":%q,"timeoutMs":5000,"targetLatencyMs":800,"priorityClass":1,"backend":"pool","maxAttempts":2,"streamResume":true}`, i, prefix, kind))
+	}
+	s.put(platform.ConfigKey, []byte(fmt.Sprintf(`{"revision":%d,"routes":[%s],"backends":[{"name":"pool","healthPath":"/healthz","runtime":{"capacity":8,"increment":5}}],
+		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+		"tenants":[{"name":"kiosk","apiKeys":["a-key"],"reserved":%d}]}`, revision, strings.Join(routes, ","), reserved)))
+}
+
+// worker starts a worker and announces it.
+func (s *site) worker(answer standin.WorkerAnswer) *standin.Worker {
+	s.workers++
+	id := fmt.Sprintf("i-%d", s.workers)
+	w, err := standin.NewWorker(id, func(standin.Arrival) standin.WorkerAnswer { return answer })
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(w.Close)
+	s.announce(w, "ready")
+	return w
+}
+
+func (s *site) announce(w *standin.Worker, phase string) {
+	s.put(platform.WorkersPrefix+w.Instance(), []byte(fmt.Sprintf(`{"backend":"pool","address":%q,"zone":"hall","capacity":8,"phase":%q}`, w.Address(), phase)))
+}
+
+// answer is what a client got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// ask sends a request over a new connection.
+func (m *member) ask(path, id string, header ...string) (answer, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+m.config.Callers+path, strings.NewReader("question"))
+	if err != nil {
+		return answer{}, err
+	}
+	request.Host = "h.example"
+	request.Header.Set("Attempt-Id", id)
+	request.Header.Set("Authorization", "Token a-key")
+	request.Header.Set("Deadline-Ms", "4000")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header, string(body)}, err
+}
+
+// status returns the status of a request, 0 if there was no answer.
+func (m *member) status(path string) func() int {
+	return func() int {
+		got, err := m.ask(path, "probe")
+		if err != nil {
+			return 0
+		}
+		return got.status
+	}
+}
+
+func (m *member) ready() int {
+	response, err := http.Get("http://" + m.config.Ready + "/readyz")
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// reachable reports whether an address takes connections.
+func reachable(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"granitehoist.example/granitehoist/fleet"
 	"granitehoist.example/granitehoist/follow"
 	"granitehoist.example/granitehoist/forward"
+	"granitehoist.example/granitehoist/internal/event"
 )
 
 // Node is one router process.
@@ -52,6 +53,7 @@
 	readyAt, peersAt net.Listener
 	metricsAt        net.Listener
 	leaving          atomic.Bool
+	stopping         sync.Once
 	cancel           context.CancelFunc
 	loops            sync.WaitGroup
 }
@@ -155,6 +157,12 @@
 	return !n.leaving.Load() && n.catalog.Get() != nil && n.instances.Known()
 }
 
+// Routers returns the number of nodes that this one knows of, itself included.
+func (n *Node) Routers() int { return n.peers.routers() }
+
+// Incarnation returns the id of this run.
+func (n *Node) Incarnation() granitehoist.Incarnation { return n.incarnation }
+
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -167,7 +175,7 @@
 func (n *Node) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	n.log.Info("start",
+	n.log.Info(event.Start,
 		zap.String("box", string(n.config.Box)), zap.String("incarnation", string(n.incarnation)),
 		zap.String("callers", n.config.Callers), zap.String("store", n.config.Store))
 	n.loops.Go(func() { n.configs.Run(ctx) })
@@ -176,7 +184,7 @@
 	n.loops.Go(func() { n.syncer.Run(ctx) })
 	n.loops.Go(func() {
 		if err := n.server.Serve(n.peersAt); err != nil {
-			n.log.Warn("peers_failed", zap.Error(err))
+			n.log.Warn(event.ServeFailed, zap.Error(err))
 		}
 	})
 	n.serve("ready", n.ready, n.readyAt)
@@ -189,7 +197,7 @@
 func (n *Node) serve(name string, server *http.Server, listener net.Listener) {
 	n.loops.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			n.log.Warn("serve_failed", zap.String("server", name), zap.Error(err))
+			n.log.Warn(event.ServeFailed, zap.String("server", name), zap.Error(err))
 		}
 	})
 }
@@ -203,7 +211,7 @@
 		}
 		snapshot, err := n.decode(e)
 		if err != nil {
-			n.log.Error("config_bad", zap.Uint64("version", uint64(e.Version)), zap.Error(err))
+			n.log.Error(event.ConfigBad, zap.Uint64("version", uint64(e.Version)), zap.Error(err))
 			continue
 		}
 		if !n.catalog.Offer(snapshot) {
@@ -215,7 +223,7 @@
 			}
 		}
 		n.syncer.Kick()
-		n.log.Info("config_in_force", zap.Uint64("version", uint64(snapshot.Version)), zap.Int64("revision", snapshot.Revision))
+		n.log.Info(event.ConfigInForce, zap.Uint64("version", uint64(snapshot.Version)), zap.Int64("revision", snapshot.Revision))
 	}
 }
 
@@ -236,14 +244,14 @@
 		}
 		instance, err := n.adapter.DecodeInstance(e)
 		if err != nil {
-			n.log.Error("upstream_bad", zap.Uint64("version", uint64(e.Version)), zap.Error(err))
+			n.log.Error(event.UpstreamBad, zap.Uint64("version", uint64(e.Version)), zap.Error(err))
 			continue
 		}
 		before, known := n.table.Announce(instance)
 		if known && before.Draining == instance.Draining && before.Address == instance.Address {
 			continue
 		}
-		n.log.Info("upstream", zap.String("upstream", string(instance.ID)), zap.String("service", string(instance.Service)),
+		n.log.Info(event.Upstream, zap.String("upstream", string(instance.ID)), zap.String("service", string(instance.Service)),
 			zap.String("address", instance.Address), zap.Bool("draining", instance.Draining), zap.Uint64("version", uint64(e.Version)))
 	}
 }
@@ -254,5 +262,5 @@
 		return
 	}
 	n.pool.Forget(instance.Address)
-	n.log.Info("upstream_gone", zap.String("upstream", string(instance.ID)), zap.Uint64("at", uint64(at)))
+	n.log.Info(event.UpstreamGone, zap.String("upstream", string(instance.ID)), zap.Uint64("at", uint64(at)))
 }
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,179 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist/escrow"
+	"granitehoist.example/granitehoist/platform"
+	"granitehoist.example/granitehoist/standin"
+)
+
+var _ = Describe("A node", func() {
+	It("is not ready and promises that nothing ran before it has a configuration", func() {
+		s := newSite(1)
+		m := s.members[0]
+		Eventually(func() bool { return reachable(m.config.Callers) }).Should(BeTrue())
+		Expect(m.ready()).To(Equal(http.StatusServiceUnavailable))
+		got, err := m.ask("/a/x", "r-1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		s.configure(1, 100_000, "/a/")
+		Eventually(m.ready).Should(Equal(http.StatusOK))
+	})
+
+	It("serves a stream end to end, with the worker's status, signature and bytes", func() {
+		s := newSite(1)
+		s.configure(1, 100_000, "/stream/")
+		s.worker(standin.WorkerAnswer{Events: 5})
+		m := s.members[0]
+		Eventually(m.status("/stream/x")).Should(Equal(http.StatusOK))
+		got, err := m.ask("/stream/x", "r-1", "Token-Usage", "100,50")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.header.Get("Response-Seal")).To(Equal("i-1.r-1"))
+		Expect(strings.Count(got.body, "id: ")).To(Equal(5))
+	})
+
+	It("keeps the last good configuration when one can't be read", func() {
+		s := newSite(1)
+		s.configure(1, 100_000, "/a/")
+		s.worker(standin.WorkerAnswer{Body: "answer"})
+		m := s.members[0]
+		Eventually(m.status("/a/x")).Should(Equal(http.StatusOK))
+		s.put(platform.ConfigKey, []byte(`{"revision":2,"routes":[{"name":"r9","type":"sideways"}]}`))
+		Eventually(func() int { return m.logs.FilterMessage("config_bad").Len() }).Should(Equal(1))
+		Expect(m.logs.FilterMessage("config_bad").All()[0].ContextMap()["error"]).To(ContainSubstring(`routes[0] "r9"`))
+		Expect(m.status("/a/x")()).To(Equal(http.StatusOK))
+	})
+
+	It("sends nothing to a worker that drains or whose entry has gone", func() {
+		s := newSite(1)
+		s.configure(1, 100_000, "/a/")
+		first := s.worker(standin.WorkerAnswer{Body: "first"})
+		m := s.members[0]
+		Eventually(m.status("/a/x")).Should(Equal(http.StatusOK))
+		second := s.worker(standin.WorkerAnswer{Body: "second"})
+		s.announce(first, "draining")
+		Eventually(func() string { got, _ := m.ask("/a/x", "r-1"); return got.body }).Should(Equal("second"))
+		before := len(first.Arrivals())
+		for i := range 20 {
+			_, err := m.ask("/a/x", fmt.Sprintf("r-%d", i))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(first.Arrivals()).To(HaveLen(before))
+		Expect(len(second.Arrivals())).To(BeNumerically(">=", 20))
+	})
+
+	It("follows the configuration through a neighbour while the store turns it away", func() {
+		for _, fault := range []standin.PlatformFaults{{Refuse: http.StatusServiceUnavailable}, {Refuse: http.StatusTooManyRequests}, {Hang: true}} {
+			s := newSite(2)
+			s.configure(1, 100_000, "/a/")
+			s.worker(standin.WorkerAnswer{Body: "answer"})
+			m := s.members[0]
+			Eventually(m.status("/a/x")).Should(Equal(http.StatusOK))
+			Eventually(s.members[1].status("/a/x")).Should(Equal(http.StatusOK))
+			Eventually(m.node.Routers).Should(Equal(2))
+			m.store.Fail(fault)
+			s.configure(2, 100_000, "/b/")
+			Eventually(m.status("/b/x"), 5*time.Second).Should(Equal(http.StatusOK), "%+v", fault)
+			Expect(m.status("/a/x")()).To(Equal(http.StatusNotFound))
+		}
+	})
+
+	It("lists anew when the store has forgotten its history, and when a watch is deaf", func() {
+		s := newSite(1)
+		s.configure(1, 100_000, "/a/")
+		s.worker(standin.WorkerAnswer{Body: "answer"})
+		m := s.members[0]
+		Eventually(m.status("/a/x")).Should(Equal(http.StatusOK))
+		m.store.Fail(standin.PlatformFaults{Deaf: true})
+		time.Sleep(400 * time.Millisecond)
+		s.configure(2, 100_000, "/b/")
+		m.store.Fail(standin.PlatformFaults{HistoryFrom: 1 << 40})
+		Eventually(m.status("/b/x")).Should(Equal(http.StatusOK))
+		Expect(m.logs.FilterMessage("history_gone").Len()).To(BeNumerically(">", 0))
+	})
+
+	It("never spends more than the budget over several nodes", func() {
+		s := newSite(3)
+		s.configure(1, 3000, "/stream/")
+		s.worker(standin.WorkerAnswer{Events: 10})
+		for _, m := range s.members {
+			Eventually(m.status("/stream/x")).Should(Equal(http.StatusOK))
+		}
+		var mu sync.Mutex
+		served, spent := 0, 0
+		var clients sync.WaitGroup
+		for i := range 60 {
+			clients.Go(func() {
+				got, err := s.members[i%3].ask("/stream/x", fmt.Sprintf("r-%d", i), "Token-Usage", "50,50")
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil && got.status == http.StatusOK {
+					served++
+					spent += 100
+				}
+			})
+		}
+		clients.Wait()
+		Expect(spent).To(BeNumerically("<=", 3000))
+		Expect(served).To(BeNumerically(">", 10))
+	})
+
+	It("cuts no request at a planned stop, and returns its tokens", func() {
+		s := newSite(2)
+		s.configure(1, 100_000, "/stream/")
+		s.worker(standin.WorkerAnswer{Events: 20, Gap: 20 * time.Millisecond})
+		m := s.members[0]
+		Eventually(m.status("/stream/x")).Should(Equal(http.StatusOK))
+		stopping := time.AfterFunc(200*time.Millisecond, m.node.Stop)
+		DeferCleanup(stopping.Stop)
+		var clients sync.WaitGroup
+		for i := range 30 {
+			time.Sleep(20 * time.Millisecond)
+			clients.Go(func() {
+				defer GinkgoRecover()
+				got, err := m.ask("/stream/x", fmt.Sprintf("r-%d", i), "Token-Usage", "10,100")
+				Expect(err).NotTo(HaveOccurred())
+				Expect(got.status).To(Equal(http.StatusOK))
+				Expect(strings.Count(got.body, "id: ")).To(Equal(20))
+			})
+		}
+		Eventually(m.ready).Should(Equal(http.StatusServiceUnavailable))
+		clients.Wait()
+		Eventually(func() int { return m.logs.FilterMessage("stopped").Len() }).Should(Equal(1))
+		entry, err := s.store.Get(context.Background(), escrow.RecordKey)
+		Expect(err).NotTo(HaveOccurred())
+		record, err := escrow.DecodeRecord(entry)
+		Expect(err).NotTo(HaveOccurred())
+		row := record.Accounts["kiosk"].Rows[m.node.Incarnation()]
+		Expect(row.Net()).To(Equal(row.Spent))
+	})
+
+	It("tells its figures", func() {
+		s := newSite(1)
+		s.configure(1, 100_000, "/a/")
+		s.worker(standin.WorkerAnswer{Body: "answer"})
+		m := s.members[0]
+		Eventually(m.status("/a/x")).Should(Equal(http.StatusOK))
+		response, err := http.Get("http://" + m.config.Metrics + "/metrics")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		text, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(ContainSubstring("config_version"))
+		Expect(string(text)).To(ContainSubstring(`budget_free{workspace="kiosk"}`))
+	})
+})
--- a/node/peers.go
+++ b/node/peers.go
@@ -14,6 +14,7 @@
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/fleet"
 	"granitehoist.example/granitehoist/follow"
+	"granitehoist.example/granitehoist/internal/event"
 )
 
 // peersPrefix is where nodes enter their addresses in the store.
@@ -92,7 +93,7 @@
 	for _, e := range entries {
 		var entry peerEntry
 		if err := json.Unmarshal(e.Value, &entry); err != nil {
-			p.settings.log.Error("peer_bad", zap.String("key", e.Key), zap.Error(err))
+			p.settings.log.Error(event.PeerBad, zap.String("key", e.Key), zap.Error(err))
 			continue
 		}
 		if e.Key != p.key() {
--- a/node/stop.go
+++ b/node/stop.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"granitehoist.example/granitehoist/internal/event"
 )
 
 // Times of a stop, as parts of what the platform grants.
@@ -26,10 +28,12 @@
 // Stop stops the node in good order: it is no longer ready, serves on while
 // callers may still come, finishes what is in progress, returns its tokens and
 // takes itself off the list of nodes.
-func (n *Node) Stop() {
+func (n *Node) Stop() { n.stopping.Do(n.stop) }
+
+func (n *Node) stop() {
 	began := time.Now()
 	n.leaving.Store(true)
-	n.log.Info("stop", zap.Int("active", n.path.Active()), zap.Duration("grace", n.config.Grace))
+	n.log.Info(event.Stop, zap.Int("active", n.path.Active()), zap.Duration("grace", n.config.Grace))
 	serveUntil := began.Add(time.Duration(servePart * float64(n.config.Grace)))
 	finishUntil := began.Add(time.Duration(finishPart * float64(n.config.Grace)))
 	sleepUntil(serveUntil)
@@ -39,7 +43,7 @@
 		time.Sleep(stopPoll)
 	}
 	n.returnTokens()
-	n.log.Info("stopped", zap.Int("active", n.path.Active()), zap.Duration("took", time.Since(began)))
+	n.log.Info(event.Stopped, zap.Int("active", n.path.Active()), zap.Duration("took", time.Since(began)))
 	_ = n.callers.Close()
 	_ = n.ready.Close()
 	n.cancel()
@@ -58,10 +62,10 @@
 	defer cancel()
 	n.ledger.Close()
 	if err := n.syncer.Sync(ctx); err != nil {
-		n.log.Warn("return_failed", zap.Error(err))
+		n.log.Warn(event.ReturnFailed, zap.Error(err))
 	}
 	if err := n.peers.leave(ctx); err != nil {
-		n.log.Warn("leave_failed", zap.Error(err))
+		n.log.Warn(event.LeaveFailed, zap.Error(err))
 	}
 }
 
--- /dev/null
+++ b/node/suite_test.go
@@ -0,0 +1,21 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// patience is how long an eventual thing may take on a busy machine.
+const patience = 20 * time.Second
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(patience)
+	RunSpecs(t, "node")
+}
--- a/standin/store.go
+++ b/standin/store.go
@@ -268,7 +268,12 @@
 
 // Watch implements granitehoist.Store.
 func (s *Store) Watch(ctx context.Context, prefix string, after granitehoist.Version) ([]granitehoist.Entry, granitehoist.Version, error) {
-	timer := time.NewTimer(s.watch)
+	return s.watchFor(ctx, prefix, after, s.watch)
+}
+
+// watchFor waits as Watch does, for at most the given time.
+func (s *Store) watchFor(ctx context.Context, prefix string, after granitehoist.Version, wait time.Duration) ([]granitehoist.Entry, granitehoist.Version, error) {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		if err := s.enter(ctx); err != nil {
--- a/store.go
+++ b/store.go
@@ -57,6 +57,17 @@
 	ErrHistoryGone = errors.New("store: history gone")
 )
 
+// Conflict is an ErrConflict that tells the state that the key has instead.
+type Conflict struct {
+	Current Entry
+}
+
+// Error implements error.
+func (c *Conflict) Error() string { return ErrConflict.Error() }
+
+// Unwrap returns ErrConflict.
+func (c *Conflict) Unwrap() error { return ErrConflict }
+
 // MaxValueSize is the largest value in bytes that the store keeps.
 const MaxValueSize = 1 << 20
 
