Explain failures: events in one place, figures, pages, and tests of each part

Logs name their events from one list that a test holds against docs/OPERATIONS.md; figures stand in docs/METRICS.md under the same rule; the log's queue never holds a request up (shown with a reader that has stopped).

--- a/cmd/granitehoist-edge/main.go
+++ b/cmd/granitehoist-edge/main.go
@@ -68,6 +68,7 @@
 	}
 	sink := logsink.New(os.Stdout, logLines)
 	defer sink.Close(logFlush)
+	config.LogDropped = sink.Dropped
 	log := newLog(sink)
 	n, err := node.New(config, adapter(config), log)
 	if err != nil {
--- a/config/document.go
+++ b/config/document.go
@@ -375,7 +375,7 @@
 		}
 		_, err := policy.New(p.source())
 		if fault, ok := err.(*policy.Fault); ok {
-			c.add("policy", i, fault.Program, fault.Reason, "correct the program; docs/OPERATING.md lists its inputs")
+			c.add("policy", i, fault.Program, fault.Reason, "correct the program; docs/OPERATIONS.md lists its inputs")
 		}
 	}
 }
--- a/escrow/escrow_test.go
+++ b/escrow/escrow_test.go
@@ -139,6 +139,23 @@
 		Expect(spent).To(BeNumerically("<=", 1000))
 	})
 
+	It("are kept for small requests when little is left, and large ones are told so", func() {
+		b := newBox("a", "a1", store, 1, clock)
+		b.ledger.SetLimit(kiosk, 10_000)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go b.syncer.Run(ctx)
+		spendAll := func(bound granitehoist.Tokens, until granitehoist.Tokens) {
+			for b.ledger.State(kiosk).Spent < until {
+				Expect(b.syncer.Reserve(ctx, kiosk, bound, normal).Outcome).To(Equal(escrow.Granted))
+				b.syncer.Settle(kiosk, bound, bound)
+			}
+		}
+		spendAll(50, 9600)
+		Expect(b.syncer.Reserve(ctx, kiosk, 300, normal).Outcome).To(Equal(escrow.Withheld))
+		Expect(b.syncer.Reserve(ctx, kiosk, 10, normal).Outcome).To(Equal(escrow.Granted))
+	})
+
 	It("are told to be spent only if no router has enough of them", func() {
 		a, b := newBox("a", "a1", store, 2, clock), newBox("b", "b1", store, 2, clock)
 		ctx, cancel := context.WithCancel(context.Background())
--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -88,6 +88,8 @@
 
 	rate    rate
 	largest granitehoist.Tokens
+	// mean is that of the requests' bounds.
+	mean    float64
 	waiters []*waiter
 	changed bool
 }
@@ -198,7 +200,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(w)
-	a.largest = max(a.largest, bound)
+	a.measure(bound)
 	a.urgent = max(a.urgent, priority)
 	if a.tapered(bound) {
 		return false
@@ -206,18 +208,32 @@
 	return a.reserve(bound, a.kept(priority, l.outageLeft(now)))
 }
 
-// The end of a budget. Below taperBelow of the prepaid total a request may take
-// no more than taperShare of what is left, so that a few large requests don't
-// leave nothing for many small ones.
+// The end of a budget. Below taperBelow of the prepaid total a request may be no
+// larger than the mean and take no more than taperShare of what is left, so that
+// a few large requests don't leave nothing for many small ones.
 const (
-	taperBelow = 0.08
+	taperBelow = 0.06
 	taperShare = 0.33
+	// meanWeight is that of the newest request in the mean of sizes.
+	meanWeight = 0.05
 )
 
 // tapered reports whether a request is too large for the little that is left.
 func (a *account) tapered(bound granitehoist.Tokens) bool {
 	left := float64(max(0, a.rest) + max(0, a.owned()) + a.idle)
-	return a.known && left < taperBelow*float64(a.limit) && float64(bound) > taperShare*left
+	if !a.known || left >= taperBelow*float64(a.limit) {
+		return false
+	}
+	return float64(bound) > taperShare*left || float64(bound) > a.mean
+}
+
+// measure takes the size of a request into the mean.
+func (a *account) measure(bound granitehoist.Tokens) {
+	a.largest = max(a.largest, bound)
+	if a.mean == 0 {
+		a.mean = float64(bound)
+	}
+	a.mean += (float64(bound) - a.mean) * meanWeight
 }
 
 func (a *account) reserve(bound, kept granitehoist.Tokens) bool {
--- /dev/null
+++ b/follow/follow_test.go
@@ -0,0 +1,155 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package follow_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/follow"
+)
+
+// scripted is a store that answers lists and watches from scripts.
+type scripted struct {
+	granitehoist.Store
+	mu      sync.Mutex
+	lists   []follow.Copy
+	watches []follow.Copy
+	gone    bool
+	down    bool
+}
+
+func next(script *[]follow.Copy) (follow.Copy, bool) {
+	if len(*script) == 0 {
+		return follow.Copy{}, false
+	}
+	first := (*script)[0]
+	*script = (*script)[1:]
+	return first, true
+}
+
+func (s *scripted) List(context.Context, string) ([]granitehoist.Entry, granitehoist.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := next(&s.lists)
+	if s.down || !ok {
+		return nil, 0, granitehoist.ErrUnavailable
+	}
+	return c.Entries, c.At, nil
+}
+
+func (s *scripted) Watch(ctx context.Context, _ string, _ granitehoist.Version) ([]granitehoist.Entry, granitehoist.Version, error) {
+	s.mu.Lock()
+	c, ok := next(&s.watches)
+	gone := s.gone && !ok
+	s.gone = s.gone && !gone
+	s.mu.Unlock()
+	switch {
+	case ok:
+		return c.Entries, c.At, nil
+	case gone:
+		return nil, 0, granitehoist.ErrHistoryGone
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(10 * time.Millisecond):
+	}
+	return nil, 0, granitehoist.ErrUnknown
+}
+
+func entry(key string, version granitehoist.Version) granitehoist.Entry {
+	return granitehoist.Entry{Key: key, Version: version, Value: []byte(key)}
+}
+
+func gone(key string, version granitehoist.Version) granitehoist.Entry {
+	return granitehoist.Entry{Key: key, Version: version, Deleted: true}
+}
+
+var _ = Describe("A follower", func() {
+	run := func(s follow.Settings) *follow.Follower {
+		s.Prefix = "p/"
+		s.Pause = 5 * time.Millisecond
+		f := follow.New(s)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-done
+		})
+		return f
+	}
+	keys := func(f *follow.Follower) func() []string {
+		return func() []string {
+			c, _ := f.Newer(0)
+			found := []string{}
+			for _, e := range c.Entries {
+				found = append(found, e.Key)
+			}
+			return found
+		}
+	}
+
+	It("lists, then applies changes, and drops what is deleted", func() {
+		store := &scripted{
+			lists:   []follow.Copy{{At: 5, Entries: []granitehoist.Entry{entry("p/a", 3), entry("p/b", 5)}}},
+			watches: []follow.Copy{{At: 7, Entries: []granitehoist.Entry{gone("p/a", 6), entry("p/c", 7)}}},
+		}
+		f := run(follow.Settings{Store: store})
+		Eventually(keys(f)).Should(ConsistOf("p/b", "p/c"))
+		Expect(f.At()).To(Equal(granitehoist.Version(7)))
+	})
+
+	It("takes no change that is older than what it has", func() {
+		store := &scripted{
+			lists:   []follow.Copy{{At: 9, Entries: []granitehoist.Entry{entry("p/a", 8)}}},
+			watches: []follow.Copy{{At: 9, Entries: []granitehoist.Entry{gone("p/a", 7), entry("p/old", 4)}}, {At: 10, Entries: []granitehoist.Entry{entry("p/b", 10)}}},
+		}
+		f := run(follow.Settings{Store: store})
+		Eventually(keys(f)).Should(ConsistOf("p/a", "p/b"))
+	})
+
+	It("lists anew when the history is gone, and tells what went meanwhile", func() {
+		var mu sync.Mutex
+		var deleted []string
+		store := &scripted{
+			lists: []follow.Copy{{At: 5, Entries: []granitehoist.Entry{entry("p/a", 3)}}, {At: 20, Entries: []granitehoist.Entry{entry("p/b", 15)}}},
+			gone:  true,
+		}
+		f := run(follow.Settings{Store: store, Changed: func(changed []granitehoist.Entry, _ granitehoist.Version) {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, e := range changed {
+				if e.Deleted {
+					deleted = append(deleted, e.Key)
+				}
+			}
+		}})
+		Eventually(keys(f)).Should(ConsistOf("p/b"))
+		mu.Lock()
+		defer mu.Unlock()
+		Expect(deleted).To(ConsistOf("p/a"))
+	})
+
+	It("takes a newer copy from a neighbour, and no older one", func() {
+		store := &scripted{lists: []follow.Copy{{At: 5, Entries: []granitehoist.Entry{entry("p/a", 3)}}}}
+		copies := []follow.Copy{{Prefix: "p/", At: 4, Entries: nil}, {Prefix: "q/", At: 90}, {Prefix: "p/", At: 8, Entries: []granitehoist.Entry{entry("p/b", 8)}}}
+		var mu sync.Mutex
+		f := run(follow.Settings{Store: store, Neighbours: func(context.Context, string, granitehoist.Version) (follow.Copy, bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			return next(&copies)
+		}})
+		Eventually(keys(f)).Should(ConsistOf("p/b"))
+		Expect(f.At()).To(Equal(granitehoist.Version(8)))
+	})
+})
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -50,7 +50,10 @@
 	Workspace granitehoist.Workspace
 	Code      granitehoist.Code
 	Attempts  int
-	Took      time.Duration
+	// Budget is what the request for tokens was told; Granted where there was
+	// none.
+	Budget escrow.Outcome
+	Took   time.Duration
 	// First is the time to the beginning of the answer, zero if there was none.
 	First time.Duration
 }
@@ -401,7 +404,7 @@
 // end logs and reports a request.
 func (w *work) end(err error) {
 	now := w.path.settings.Clock()
-	report := Report{Code: granitehoist.CodeOf(err), Attempts: w.attempts, Took: now.Sub(w.request.Began)}
+	report := Report{Code: granitehoist.CodeOf(err), Attempts: w.attempts, Budget: w.answer.Outcome, Took: now.Sub(w.request.Began)}
 	if w.service != nil {
 		report.Service = w.service.Name
 	}
--- /dev/null
+++ b/internal/eventstream/eventstream_test.go
@@ -0,0 +1,52 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package eventstream_test
+
+import (
+	"bytes"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"granitehoist.example/granitehoist/internal/eventstream"
+)
+
+// TestPieces checks that the cut of a stream into pieces changes nothing.
+func TestPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.SliceOf(rapid.SampledFrom([]byte("id: 1\n\r\nx:"))).Draw(t, "text")
+		var splitter eventstream.Splitter
+		var joined bytes.Buffer
+		for rest := text; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "piece")
+			events, err := splitter.Add(rest[:n])
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, event := range events {
+				joined.Write(event.Raw)
+			}
+			rest = rest[n:]
+		}
+		joined.Write(splitter.Rest())
+		if !bytes.Equal(joined.Bytes(), text) {
+			t.Fatalf("%q became %q", text, joined.Bytes())
+		}
+	})
+}
+
+// TestIDs reads the ids of events.
+func TestIDs(t *testing.T) {
+	var splitter eventstream.Splitter
+	events, err := splitter.Add([]byte("weight-versions: 3\nid: 12\ndata: x\n\ndata: no id\n\nid: 13"))
+	if err != nil || len(events) != 2 {
+		t.Fatalf("%d events, %v", len(events), err)
+	}
+	if !events[0].HasID || events[0].ID != 12 || events[1].HasID {
+		t.Fatalf("%+v", events)
+	}
+	if string(splitter.Rest()) != "id: 13" {
+		t.Fatalf("rest %q", splitter.Rest())
+	}
+}
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -17,8 +17,10 @@
 // its queue is full are dropped and counted, and the count is written when
 // there is room again. It implements io.Writer.
 type Sink struct {
-	lines   chan []byte
+	lines chan []byte
+	// dropped counts all lines dropped, told those that the log was told of.
 	dropped atomic.Int64
+	told    int64
 	written chan struct{}
 }
 
@@ -32,7 +34,8 @@
 func (s *Sink) run(w io.Writer) {
 	defer close(s.written)
 	for line := range s.lines {
-		if n := s.dropped.Swap(0); n > 0 {
+		if n := s.dropped.Load() - s.told; n > 0 {
+			s.told += n
 			_, _ = fmt.Fprintf(w, "event=%s lines=%d\n", event.LogDropped, n)
 		}
 		_, _ = w.Write(line)
@@ -49,7 +52,7 @@
 	return len(line), nil
 }
 
-// Dropped returns the lines dropped since the last that was written.
+// Dropped returns the number of lines dropped so far.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
 // Close writes what is queued, for at most the given time. No line may be
--- /dev/null
+++ b/internal/logsink/logsink_test.go
@@ -0,0 +1,51 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package logsink_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"granitehoist.example/granitehoist/internal/logsink"
+)
+
+// stopped is a writer that takes nothing until it is let go.
+type stopped struct {
+	mu      sync.Mutex
+	text    strings.Builder
+	release chan struct{}
+}
+
+func (s *stopped) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(p)
+}
+
+// TestStoppedReader checks that a reader which has stopped holds nobody up, and
+// that what was dropped is told when it reads again.
+func TestStoppedReader(t *testing.T) {
+	writer := &stopped{release: make(chan struct{})}
+	sink := logsink.New(writer, 4)
+	began := time.Now()
+	for range 1000 {
+		if _, err := sink.Write([]byte("event=x\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Fatalf("writing took %v", took)
+	}
+	if sink.Dropped() < 990 {
+		t.Fatalf("%d lines dropped", sink.Dropped())
+	}
+	close(writer.release)
+	sink.Close(20 * time.Second)
+	if !strings.Contains(writer.text.String(), "event=log_dropped lines=99") {
+		t.Fatalf("the log does not tell what was dropped: %q", writer.text.String())
+	}
+}
--- /dev/null
+++ b/node/counted.go
@@ -0,0 +1,76 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"granitehoist.example/granitehoist"
+)
+
+// countedStore counts the calls to a store by call and result.
+type countedStore struct {
+	granitehoist.Store
+	count func(call, result string)
+}
+
+func (s *countedStore) note(call string, err error) {
+	result := "ok"
+	switch {
+	case err == nil:
+	case errors.Is(err, granitehoist.ErrConflict):
+		result = "conflict"
+	case errors.Is(err, granitehoist.ErrUnavailable):
+		result = "refused"
+	case errors.Is(err, granitehoist.ErrHistoryGone):
+		result = "history_gone"
+	default:
+		result = "unknown"
+	}
+	s.count(call, result)
+}
+
+// Get implements granitehoist.Store.
+func (s *countedStore) Get(ctx context.Context, key string) (granitehoist.Entry, error) {
+	entry, err := s.Store.Get(ctx, key)
+	s.note("get", err)
+	return entry, err
+}
+
+// List implements granitehoist.Store.
+func (s *countedStore) List(ctx context.Context, prefix string) ([]granitehoist.Entry, granitehoist.Version, error) {
+	entries, at, err := s.Store.List(ctx, prefix)
+	s.note("list", err)
+	return entries, at, err
+}
+
+// CompareAndSwap implements granitehoist.Store.
+func (s *countedStore) CompareAndSwap(ctx context.Context, change granitehoist.Change) (granitehoist.Version, error) {
+	version, err := s.Store.CompareAndSwap(ctx, change)
+	s.note("write", err)
+	return version, err
+}
+
+// Watch implements granitehoist.Store.
+func (s *countedStore) Watch(ctx context.Context, prefix string, after granitehoist.Version) ([]granitehoist.Entry, granitehoist.Version, error) {
+	entries, at, err := s.Store.Watch(ctx, prefix, after)
+	s.note("watch", err)
+	return entries, at, err
+}
+
+// GrantLease implements granitehoist.Store.
+func (s *countedStore) GrantLease(ctx context.Context, ttl time.Duration) (granitehoist.LeaseID, error) {
+	id, err := s.Store.GrantLease(ctx, ttl)
+	s.note("lease", err)
+	return id, err
+}
+
+// RenewLease implements granitehoist.Store.
+func (s *countedStore) RenewLease(ctx context.Context, id granitehoist.LeaseID) error {
+	err := s.Store.RenewLease(ctx, id)
+	s.note("renew", err)
+	return err
+}
--- /dev/null
+++ b/node/docs_test.go
@@ -0,0 +1,39 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package node_test
+
+import (
+	"os"
+	"regexp"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist/internal/event"
+	"granitehoist.example/granitehoist/node"
+)
+
+// rows returns the first column of the tables of a page, without its marks.
+func rows(page, heading string) []string {
+	raw, err := os.ReadFile("../docs/" + page)
+	Expect(err).NotTo(HaveOccurred())
+	_, text, found := strings.Cut(string(raw), heading)
+	Expect(found).To(BeTrue())
+	var names []string
+	for _, match := range regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\|").FindAllStringSubmatch(text, -1) {
+		names = append(names, match[1])
+	}
+	return names
+}
+
+var _ = Describe("The pages", func() {
+	It("explain each figure and no other", func() {
+		Expect(rows("METRICS.md", "# Metrics")).To(ConsistOf(node.Metrics()))
+	})
+
+	It("explain each event of the log and no other", func() {
+		Expect(rows("OPERATIONS.md", "## Events of a node")).To(ConsistOf(event.All()))
+	})
+})
--- a/node/node.go
+++ b/node/node.go
@@ -71,6 +71,9 @@
 		incarnation: granitehoist.Incarnation(granitehoist.NewID(string(c.Box)+"-", rand.Reader)),
 		metrics:     metrics.NewRegistry(),
 	}
+	n.adapter.Store = &countedStore{Store: a.Store, count: func(call, result string) {
+		n.count(1, metricStoreCalls, "call=%q,result=%q", call, result)
+	}}
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -102,7 +105,7 @@
 
 func (n *Node) build() {
 	n.table = balance.New(balance.Settings{Place: n.config.Place, Seed: uint64(time.Now().UnixNano())})
-	n.pool = exchange.NewPool(exchange.Settings{Opened: n.counter("upstream_connections")})
+	n.pool = exchange.NewPool(exchange.Settings{Opened: n.counter(metricConnections)})
 	n.peers = newPeers(peersSettings{
 		self:  peerEntry{Incarnation: n.incarnation, Box: n.config.Box, Place: n.config.Place, Address: n.peersAt.Addr().String()},
 		store: n.adapter.Store,
