--- a/node/node.go
+++ b/node/node.go
@@ -49,7 +49,7 @@
 	server    *fleet.Server
 
 	callers, ready   *http.Server
-	callersAt        *countingListener
+	callersAt        net.Listener
 	readyAt, peersAt net.Listener
 	metricsAt        net.Listener
 	leaving          atomic.Bool
@@ -82,11 +82,10 @@
 }
 
 func (n *Node) listen() error {
-	callersAt, err := net.Listen("tcp", n.config.Callers)
-	if err != nil {
+	var err error
+	if n.callersAt, err = net.Listen("tcp", n.config.Callers); err != nil {
 		return eris.Wrap(err, "node: address for callers")
 	}
-	n.callersAt = &countingListener{Listener: callersAt}
 	if n.readyAt, err = net.Listen("tcp", n.config.Ready); err != nil {
 		return eris.Wrap(err, "node: address for readiness")
 	}
--- a/node/stop.go
+++ b/node/stop.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"net"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,11 +16,11 @@
 const (
 	// servePart is how long new requests are still served, since callers
 	// notice late that the node leaves.
-	servePart = 0.40
+	servePart = 0.32
 	// finishPart is when the last request in progress is given up.
-	finishPart = 0.93
+	finishPart = 0.95
 	stopPoll   = 20 * time.Millisecond
-	returnTime = 600 * time.Millisecond
+	returnTime = 300 * time.Millisecond
 )
 
 // Stop stops the node in good order: it is no longer ready, serves on while
@@ -37,7 +35,8 @@
 	serveUntil := began.Add(time.Duration(servePart * float64(n.config.Grace)))
 	finishUntil := began.Add(time.Duration(finishPart * float64(n.config.Grace)))
 	sleepUntil(serveUntil)
-	_ = n.callersAt.Close()
+	// The listener stays open: a caller that comes now is told that its request
+	// was not run.
 	n.path.Stop()
 	for n.path.Active() > 0 && time.Now().Before(finishUntil) {
 		time.Sleep(stopPoll)
@@ -68,16 +67,3 @@
 		n.log.Warn(event.LeaveFailed, zap.Error(err))
 	}
 }
-
-// countingListener closes only once.
-type countingListener struct {
-	net.Listener
-	once sync.Once
-	err  error
-}
-
-// Close implements net.Listener.
-func (l *countingListener) Close() error {
-	l.once.Do(func() { l.err = l.Listener.Close() })
-	return l.err
-}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -126,8 +126,35 @@
 
 // ChatMessage is one message of a chat.
 type ChatMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+	Role    string      `json:"role"`
+	Content ChatContent `json:"content"`
+}
+
+// ChatContent is the text of a message. Callers send it as text or as a list of
+// parts, of which those of type "text" count.
+type ChatContent string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *ChatContent) UnmarshalJSON(raw []byte) error {
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		*c = ChatContent(text)
+		return nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return err
+	}
+	for _, part := range parts {
+		if part.Type == "text" {
+			text += part.Text
+		}
+	}
+	*c = ChatContent(text)
+	return nil
 }
 
 // Tokens of a chat message beyond its text, and bytes of text a token.
@@ -141,7 +168,7 @@
 	text := c.Prompt
 	tokens := 0
 	for _, m := range c.Messages {
-		text += m.Content
+		text += string(m.Content)
 		tokens += messageTokens
 	}
 	tokens += (len(text) + bytesPerToken - 1) / bytesPerToken
