--- a/standin/engine.go
+++ b/standin/engine.go
@@ -177,7 +177,7 @@
 
 // Cost returns what an engine counts for a prompt of one chat message.
 func Cost(prompt string, limit int) granitehoist.Tokens {
-	request := CompletionRequest{Messages: []ChatMessage{{Content: prompt}}}
+	request := CompletionRequest{Messages: []ChatMessage{{Content: ChatContent(prompt)}}}
 	_, tokens := request.prompt()
 	return tokens + granitehoist.Tokens(len(Answer(prompt, limit)))
 }
--- a/trial/load.go
+++ b/trial/load.go
@@ -171,7 +171,7 @@
 			"model":      t.shape.model,
 			"max_tokens": maxOutput,
 			"stream":     t.shape.stream,
-			"messages":   []standin.ChatMessage{{Role: "user", Content: t.Prompt}},
+			"messages":   []standin.ChatMessage{{Role: "user", Content: standin.ChatContent(t.Prompt)}},
 		}
 		return base.Post("/v1/chat/completions").BodyJSON(body).Request()
 	}
