Keep connections whose answer came before the word of the writing

Cause: under the race detector a connection was not used again once in a run ('never get the answer of an earlier request'): the answer was read before the goroutine that wrote the request had said so, and the exchange took it for one that was answered early. Change: the end waits 5 ms for that word.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -64,6 +64,10 @@
 // earlier requests of a connection, and interim answers.
 const skipLimit = 8
 
+// writtenGrace is how long the end of an exchange waits for the word that the
+// request has been written, which may come after its answer.
+const writtenGrace = 5 * time.Millisecond
+
 // drainLimit bounds the bytes that are read of such an answer.
 const drainLimit = 1 << 20
 
@@ -85,12 +89,12 @@
 		_ = c.Close()
 		return nil, err
 	}
-	return p.prepare(c, response, r, stop, written), nil
+	return p.prepare(c, response, stop, written), nil
 }
 
 // prepare returns the answer with an end that keeps the connection if it can
 // serve another request.
-func (p *Pool) prepare(c *conn, answer *http.Response, r Request, stop func() bool, written <-chan error) *Response {
+func (p *Pool) prepare(c *conn, answer *http.Response, stop func() bool, written <-chan error) *Response {
 	framed := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
 	end := func(whole bool) {
 		live := stop()
@@ -98,7 +102,7 @@
 		select {
 		case err := <-written:
 			sent = err == nil
-		default:
+		case <-time.After(writtenGrace):
 			// The upstream answered before it had the whole request, and may
 			// go on reading it: nothing else may follow on this connection.
 		}
