--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -52,7 +52,7 @@
 
 // Defaults of SyncerSettings.
 const (
-	DefaultInterval = 400 * time.Millisecond
+	DefaultInterval = 700 * time.Millisecond
 	DefaultTimeout  = 1500 * time.Millisecond
 )
 
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -28,8 +28,8 @@
 	Body   []byte
 	// Matches reports whether an answer belongs to the request.
 	Matches func(http.Header) bool
-	// MaxRest bounds how long a reused connection may have rested. Zero allows
-	// new connections only.
+	// MaxRest bounds how long a reused connection may have rested if its
+	// upstream did not tell how long it keeps it.
 	MaxRest time.Duration
 }
 
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -56,8 +56,8 @@
 	address string
 	// since is when it became idle, until when the upstream keeps it.
 	since, until time.Time
-	// reused says that it has served a request before.
-	reused bool
+	// told says that the upstream told how long it keeps the connection.
+	told bool
 }
 
 const readBufferBytes = 2048
@@ -91,8 +91,8 @@
 	return p
 }
 
-// get returns an idle connection that has rested for no longer than maxRest,
-// or a new one.
+// get returns an idle connection that the upstream said it keeps, or one that
+// has rested for no longer than maxRest, or a new one.
 func (p *Pool) get(ctx context.Context, address string, maxRest time.Duration, now time.Time) (*conn, error) {
 	for {
 		c := p.take(address, maxRest, now)
@@ -100,7 +100,6 @@
 			return p.dial(ctx, address)
 		}
 		if c.quiet() {
-			c.reused = true
 			return c, nil
 		}
 		_ = c.Close()
@@ -116,7 +115,7 @@
 		c := kept[len(kept)-1]
 		kept = kept[:len(kept)-1]
 		p.idle[address] = kept
-		if now.Before(c.until) && now.Sub(c.since) <= maxRest {
+		if now.Before(c.until) && (c.told || now.Sub(c.since) <= maxRest) {
 			return c
 		}
 		_ = c.Close()
@@ -138,7 +137,8 @@
 
 // put keeps a connection for later requests.
 func (p *Pool) put(c *conn, kept time.Duration, now time.Time) {
-	if kept <= 0 {
+	c.told = kept > 0
+	if !c.told {
 		kept = p.settings.Idle
 	}
 	c.since = now
