--- a/escrow/escrow_test.go
+++ b/escrow/escrow_test.go
@@ -183,6 +183,23 @@
 		Expect(a.ledger.State(kiosk).Free).To(Equal(before - 40))
 	})
 
+	It("come from several neighbours if no one has enough", func() {
+		borrower := newBox("z", "z1", store, 4, clock)
+		var lenders []*box
+		for _, name := range []string{"a", "b", "c"} {
+			b := newBox(name, name+"1", store, 4, clock)
+			b.ledger.SetLimit(kiosk, 1000)
+			Expect(b.sync()).To(Succeed())
+			lenders = append(lenders, b)
+		}
+		one := lenders[0].ledger.State(kiosk).Free
+		for i, b := range lenders {
+			loan := b.ledger.Lend(escrow.LendParams{Borrower: "z1", Workspace: kiosk, Need: one + 1, Want: one + 1})
+			borrower.ledger.Borrowed(kiosk, granitehoist.Incarnation([]string{"a1", "b1", "c1"}[i]), loan, now)
+		}
+		Expect(reserve(borrower, one+1)).To(BeTrue())
+	})
+
 	It("are kept for more urgent requests while the store is silent", func() {
 		b := newBox("a", "a1", store, 1, clock)
 		b.ledger.SetLimit(kiosk, 1000)
--- a/escrow/loan.go
+++ b/escrow/loan.go
@@ -31,7 +31,8 @@
 	Total granitehoist.Tokens `json:"total"`
 }
 
-// lendPart of its free tokens is what a lender parts with beyond the need.
+// lendPart of its free tokens is what a lender parts with if that is less than
+// the need, which several lenders then serve together, or more.
 const lendPart = 0.5
 
 // Lend serves a neighbour: it takes tokens off what this ledger owns.
@@ -40,12 +41,15 @@
 	defer l.mu.Unlock()
 	a := l.account(p.Workspace)
 	free := a.free()
-	if !l.closing && p.Need > 0 && free >= p.Need && len(a.waiters) == 0 {
-		give := max(p.Need, min(p.Want, granitehoist.Tokens(lendPart*float64(free))))
+	if !l.closing && p.Need > 0 && free > 0 && len(a.waiters) == 0 {
+		give := min(p.Want, granitehoist.Tokens(lendPart*float64(free)))
+		if free >= p.Need {
+			give = max(p.Need, give)
+		}
 		if a.lent == nil {
 			a.lent = map[granitehoist.Incarnation]granitehoist.Tokens{}
 		}
-		a.lent[p.Borrower] += give
+		a.lent[p.Borrower] += max(0, give)
 	}
 	return LendResult{Total: a.lent[p.Borrower]}
 }
@@ -108,7 +112,7 @@
 	borrowAfter = 20 * time.Millisecond
 	lendTimeout = 50 * time.Millisecond
 	// lendersAtMost bounds the neighbours that are asked for one shortage.
-	lendersAtMost = 6
+	lendersAtMost = 12
 )
 
 // borrow asks neighbours, one after the other, until no request waits.
