Greet neighbours, so that loans reach routers that started anew

Change: a node greets those it knows at its start and while the store is silent; whoever answers says who it is. Test: a node turned away by the store learns of a new neighbour.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -38,6 +38,8 @@
 				time.Sleep(1500 * time.Millisecond)
 				return e, nil
 			}),
+		}, Greetings: map[string]fleet.HandlerFunc{
+			"greet": fleet.Handle(func(_ context.Context, e echo) (echo, error) { return e, nil }),
 		}})
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -56,6 +58,14 @@
 		})
 	})
 
+	It("takes a greeting of a caller that does not know the incarnation, and no other call", func() {
+		to := granitehoist.Peer{Address: me.Address}
+		var got echo
+		Expect(client.Call(ctx, to, "greet", echo{"hello"}, &got)).To(Succeed())
+		Expect(got.Text).To(Equal("hello"))
+		Expect(client.Call(ctx, to, "echo", echo{"hello"}, &got)).NotTo(Succeed())
+	})
+
 	It("brings a call and its reply", func() {
 		var got echo
 		Expect(client.Call(ctx, me, "echo", echo{"x"}, &got)).To(Succeed())
--- a/fleet/rpc.go
+++ b/fleet/rpc.go
@@ -46,8 +46,9 @@
 
 // Server serves the calls of other routers.
 type Server struct {
-	self    granitehoist.Incarnation
-	methods map[string]HandlerFunc
+	self      granitehoist.Incarnation
+	methods   map[string]HandlerFunc
+	greetings map[string]HandlerFunc
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -62,6 +63,9 @@
 	Self granitehoist.Incarnation
 	// Methods holds the handlers by method name.
 	Methods map[string]HandlerFunc
+	// Greetings holds those of methods that a caller may use before it knows
+	// the incarnation at an address. Their replies must name it.
+	Greetings map[string]HandlerFunc
 }
 
 // NewServer returns a server that does not listen yet. It panics if the
@@ -70,7 +74,7 @@
 	if s.Self == "" {
 		panic("fleet: server without incarnation")
 	}
-	return &Server{self: s.Self, methods: s.Methods, conns: map[*jsonrpc2.Conn]struct{}{}}
+	return &Server{self: s.Self, methods: s.Methods, greetings: s.Greetings, conns: map[*jsonrpc2.Conn]struct{}{}}
 }
 
 // Serve takes connections from a listener until Close. After Close it closes
@@ -129,14 +133,18 @@
 
 func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	serve, ok := s.methods[r.Method]
-	if !ok || r.Params == nil {
+	greeting := false
+	if !ok {
+		serve, greeting = s.greetings[r.Method]
+	}
+	if (!ok && !greeting) || r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method: " + r.Method}
 	}
 	var e envelope
 	if err := json.Unmarshal(*r.Params, &e); err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
-	if e.To != s.self {
+	if e.To != s.self && !greeting {
 		return nil, &jsonrpc2.Error{Code: codeNotMe, Message: "this is router " + string(s.self) + " and not " + string(e.To)}
 	}
 	return serve(ctx, e.Params)
--- a/node/node.go
+++ b/node/node.go
@@ -128,6 +128,8 @@
 	n.server = fleet.NewServer(fleet.ServerSettings{Self: n.incarnation, Methods: map[string]fleet.HandlerFunc{
 		methodNewer:       fleet.Handle(n.serveNewer),
 		escrow.MethodLend: fleet.Handle(n.syncer.ServeLend),
+	}, Greetings: map[string]fleet.HandlerFunc{
+		methodGreet: fleet.Handle(n.peers.serveGreet),
 	}})
 	n.buildServers()
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -92,6 +92,17 @@
 		}
 	})
 
+	It("learns of a new neighbour while the store turns it away", func() {
+		s := newSite(1)
+		s.configure(1, 100_000, "/a/")
+		m := s.members[0]
+		Eventually(m.ready).Should(Equal(http.StatusOK))
+		m.store.Fail(standin.PlatformFaults{Hang: true})
+		joined := s.start()
+		Eventually(joined.node.Routers).Should(Equal(2))
+		Eventually(m.node.Routers, 3*time.Second).Should(Equal(2))
+	})
+
 	It("lists anew when the store has forgotten its history, and when a watch is deaf", func() {
 		s := newSite(1)
 		s.configure(1, 100_000, "/a/")
--- a/node/peers.go
+++ b/node/peers.go
@@ -23,11 +23,17 @@
 // methodNewer asks a neighbour for a newer copy of a prefix.
 const methodNewer = "follow.newer"
 
+// methodGreet tells a neighbour of this node, and asks whom it knows.
+const methodGreet = "peers.greet"
+
 // Times of the exchange with neighbours.
 const (
 	peersInterval = 8 * time.Second
 	peersPause    = 300 * time.Millisecond
 	askTimeout    = 400 * time.Millisecond
+	greetTimeout  = 200 * time.Millisecond
+	// greetAtMost bounds the neighbours that are greeted at a time.
+	greetAtMost = 12
 	// askAtMost bounds the neighbours that are asked at a time.
 	askAtMost = 3
 )
@@ -66,11 +72,19 @@
 
 // run enters the node and reads the others until ctx ends.
 func (p *peers) run(ctx context.Context) {
+	greeted := false
 	for ctx.Err() == nil {
 		wait := peersInterval
-		if err := p.refresh(ctx); err != nil {
+		err := p.refresh(ctx)
+		if err != nil {
 			wait = peersPause
 		}
+		if err != nil || !greeted {
+			// The store tells neighbours of a new incarnation late, or not at
+			// all while it does not answer.
+			p.greet(ctx)
+			greeted = err == nil
+		}
 		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
@@ -121,6 +135,67 @@
 	return err
 }
 
+// greeting is what nodes tell each other of themselves and of those they know.
+type greeting struct {
+	Self   peerEntry   `json:"self"`
+	Others []peerEntry `json:"others,omitempty"`
+}
+
+// greet tells neighbours of this node and learns their present incarnations.
+func (p *peers) greet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, other := range p.some(greetAtMost) {
+		calls.Go(func() {
+			var reply greeting
+			// The incarnation that was known may be gone; whoever answers says
+			// who it is.
+			to := granitehoist.Peer{Address: other.Address}
+			if err := p.client.Call(ctx, to, methodGreet, greeting{Self: p.settings.self}, &reply); err == nil {
+				p.met(reply)
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// met takes in what a node said of itself, and the boxes that were not known.
+func (p *peers) met(g greeting) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.enterOther(g.Self, true)
+	for _, other := range g.Others {
+		p.enterOther(other, false)
+	}
+}
+
+// enterOther enters a neighbour. What a box says of itself goes before what
+// others say of it.
+func (p *peers) enterOther(entry peerEntry, itself bool) {
+	if entry.Box == "" || entry.Box == p.settings.self.Box {
+		return
+	}
+	for i, other := range p.others {
+		if other.Box != entry.Box {
+			continue
+		}
+		if itself {
+			p.others[i] = entry
+		}
+		return
+	}
+	p.others = append(p.others, entry)
+}
+
+// serveGreet answers a neighbour's greeting.
+func (p *peers) serveGreet(_ context.Context, g greeting) (greeting, error) {
+	p.met(greeting{Self: g.Self})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return greeting{Self: p.settings.self, Others: append([]peerEntry(nil), p.others...)}, nil
+}
+
 // leave removes the node's entry.
 func (p *peers) leave(ctx context.Context) error {
 	entry, err := p.settings.store.Get(ctx, p.key())
@@ -138,12 +213,12 @@
 	return len(p.others) + 1
 }
 
-// ask returns the neighbours that are to be asked next, in turn.
-func (p *peers) ask() []peerEntry {
+// some returns at most so many neighbours, each in its turn.
+func (p *peers) some(most int) []peerEntry {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var chosen []peerEntry
-	for range min(askAtMost, len(p.others)) {
+	for range min(most, len(p.others)) {
 		chosen = append(chosen, p.others[p.next%len(p.others)])
 		p.next++
 	}
@@ -182,7 +257,7 @@
 
 // newer asks neighbours for a copy, and returns the newest that they have.
 func (p *peers) newer(ctx context.Context, prefix string, after granitehoist.Version) (follow.Copy, bool) {
-	chosen := p.ask()
+	chosen := p.some(askAtMost)
 	results := make(chan newerResult, len(chosen))
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
