--- a/cmd/granitehoist-edge/main.go
+++ b/cmd/granitehoist-edge/main.go
@@ -13,7 +13,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -25,9 +24,6 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"granitehoist.example/granitehoist"
-	"granitehoist.example/granitehoist/catalog"
-	"granitehoist.example/granitehoist/forward"
 	"granitehoist.example/granitehoist/internal/event"
 	"granitehoist.example/granitehoist/internal/logsink"
 	"granitehoist.example/granitehoist/node"
@@ -70,7 +66,7 @@
 	defer sink.Close(logFlush)
 	config.LogDropped = sink.Dropped
 	log := newLog(sink)
-	n, err := node.New(config, adapter(config), log)
+	n, err := node.New(config, platform.NewAdapter(platform.StoreSettings{Address: config.Store}), log)
 	if err != nil {
 		return err
 	}
@@ -97,22 +93,6 @@
 	log.Info(event.Reload, zap.String("file", file))
 }
 
-func adapter(c *node.Config) node.Adapter {
-	return node.Adapter{
-		Store:           platform.NewStore(platform.StoreSettings{Address: c.Store}),
-		ConfigPrefix:    platform.ConfigPrefix,
-		ConfigKey:       platform.ConfigKey,
-		InstancesPrefix: platform.WorkersPrefix,
-		DecodeConfig:    platform.DecodeConfig,
-		DecodeInstance:  platform.DecodeWorker,
-		InstanceID:      platform.WorkerID,
-		Dialect:         platform.Dialect{},
-		Frontend: func(path *forward.Path, current *catalog.Current, clock granitehoist.Clock, leaving func() bool) http.Handler {
-			return &platform.Frontend{Path: path, Catalog: current, Clock: clock, Leaving: leaving}
-		},
-	}
-}
-
 // newLog returns a log that writes one line of key=value pairs an event.
 func newLog(sink *logsink.Sink) *zap.Logger {
 	encoding := zap.NewProductionEncoderConfig()
--- /dev/null
+++ b/escrow/bench_test.go
@@ -0,0 +1,71 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package escrow_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/escrow"
+	"granitehoist.example/granitehoist/standin"
+)
+
+// BenchmarkSync is one sync of a router among others, store included. It tells
+// the bytes of the record too.
+func BenchmarkSync(b *testing.B) {
+	for _, size := range []struct{ routers, workspaces int }{{6, 10}, {87, 24}, {300, 24}} {
+		b.Run(fmt.Sprintf("routers=%d,workspaces=%d", size.routers, size.workspaces), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			clock := func() time.Time { return now }
+			store := standin.NewStore(standin.StoreSettings{Clock: clock})
+			var boxes []*box
+			for i := range size.routers {
+				each := newBox(fmt.Sprintf("edge-hall-%d", i), fmt.Sprintf("edge-hall-%d-0123456789abcdef01234567", i), store, size.routers, clock)
+				for w := range size.workspaces {
+					each.ledger.SetLimit(granitehoist.Workspace(fmt.Sprintf("work%03d", w)), 1<<40)
+				}
+				if err := each.sync(); err != nil {
+					b.Fatal(err)
+				}
+				boxes = append(boxes, each)
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				each := boxes[i%len(boxes)]
+				w := granitehoist.Workspace(fmt.Sprintf("work%03d", i%size.workspaces))
+				if free := each.ledger.State(w).Free / 2; each.ledger.Reserve(w, free, normal, now) {
+					each.ledger.Settle(w, free, free, now)
+				}
+				if err := each.sync(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.StopTimer()
+			entry, err := store.Get(context.Background(), escrow.RecordKey)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(len(entry.Value)), "record-bytes")
+		})
+	}
+}
+
+// BenchmarkReserve is what a request pays when the router owns the tokens.
+func BenchmarkReserve(b *testing.B) {
+	now := time.Unix(1000, 0)
+	store := standin.NewStore(standin.StoreSettings{})
+	one := newBox("a", "a1", store, 1, func() time.Time { return now })
+	one.ledger.SetLimit(kiosk, 1<<50)
+	if err := one.sync(); err != nil {
+		b.Fatal(err)
+	}
+	for range b.N {
+		if one.ledger.Reserve(kiosk, 100, normal, now) {
+			one.ledger.Settle(kiosk, 100, 0, now)
+		}
+	}
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -21,8 +21,6 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"granitehoist.example/granitehoist"
-	"granitehoist.example/granitehoist/catalog"
-	"granitehoist.example/granitehoist/forward"
 	"granitehoist.example/granitehoist/node"
 	"granitehoist.example/granitehoist/platform"
 	"granitehoist.example/granitehoist/standin"
@@ -70,7 +68,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	config.Metrics = ip + ":9464"
 	core, logs := observer.New(zapcore.InfoLevel)
-	n, err := node.New(config, adapter(config), zap.New(core))
+	n, err := node.New(config, platform.NewAdapter(platform.StoreSettings{Address: config.Store, Watch: 300 * time.Millisecond, Timeout: 500 * time.Millisecond}), zap.New(core))
 	Expect(err).NotTo(HaveOccurred())
 	n.Start()
 	m := &member{node: n, config: config, store: front, logs: logs}
@@ -78,22 +76,6 @@
 	return m
 }
 
-func adapter(c *node.Config) node.Adapter {
-	return node.Adapter{
-		Store:           platform.NewStore(platform.StoreSettings{Address: c.Store, Watch: 300 * time.Millisecond, Timeout: 500 * time.Millisecond}),
-		ConfigPrefix:    platform.ConfigPrefix,
-		ConfigKey:       platform.ConfigKey,
-		InstancesPrefix: platform.WorkersPrefix,
-		DecodeConfig:    platform.DecodeConfig,
-		DecodeInstance:  platform.DecodeWorker,
-		InstanceID:      platform.WorkerID,
-		Dialect:         platform.Dialect{},
-		Frontend: func(path *forward.Path, current *catalog.Current, clock granitehoist.Clock, leaving func() bool) http.Handler {
-			return &platform.Frontend{Path: path, Catalog: current, Clock: clock, Leaving: leaving}
-		},
-	}
-}
-
 // put writes a key whatever it held before.
 func (s *site) put(key string, value any) {
 	raw, isRaw := value.([]byte)
--- a/upstream/plain.go
+++ b/upstream/plain.go
@@ -39,7 +39,12 @@
 	if int64(len(body)) > p.sender.settings.MaxAnswer {
 		return granitehoist.Usage{}, granitehoist.Errorf(granitehoist.UpstreamBadAnswer, "the answer is too large")
 	}
-	if err := sink.Start(response.StatusCode, CopyHeader(response.Header, HeaderAttempt)); err != nil {
+	header := CopyHeader(response.Header, HeaderAttempt)
+	if length := response.Header.Get("Content-Length"); length != "" {
+		// The answer is whole here; one to HEAD has a length and no body.
+		header.Set("Content-Length", length)
+	}
+	if err := sink.Start(response.StatusCode, header); err != nil {
 		return granitehoist.Usage{}, granitehoist.Wrap(granitehoist.CallerGone, err, "")
 	}
 	if c.Method == http.MethodHead || len(body) == 0 {
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -18,6 +18,7 @@
 	"github.com/dghubble/sling"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/exchange"
 	"granitehoist.example/granitehoist/internal/defaults"
 )
 
@@ -151,19 +152,11 @@
 	return echoed != "" && echoed != string(attempt)
 }
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
 // CopyHeader returns a header without what belongs to one connection and
 // without the given names.
 func CopyHeader(h http.Header, without ...string) http.Header {
-	kept := h.Clone()
-	for _, named := range h.Values("Connection") {
-		for name := range strings.SplitSeq(named, ",") {
-			kept.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range append(without, hopHeaders...) {
+	kept := exchange.PassedOn(h)
+	for _, name := range without {
 		kept.Del(name)
 	}
 	return kept
