Let two keepers a place write the budgets' record in large fleets

Change: from 16 nodes on, two boxes a place write it and the others borrow from them; a first start waits until the list of nodes has filled.

--- a/escrow/escrow_test.go
+++ b/escrow/escrow_test.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -44,6 +46,21 @@
 	return record
 }
 
+// directCaller passes loans without a network, unless it is broken.
+type directCaller struct {
+	to     *escrow.Syncer
+	broken atomic.Bool
+}
+
+func (c *directCaller) Call(ctx context.Context, _ granitehoist.Peer, _ string, params, result any) error {
+	if c.broken.Load() {
+		return errors.New("no way there")
+	}
+	loan, err := c.to.ServeLend(ctx, params.(escrow.LendParams))
+	*result.(*escrow.LendResult) = loan
+	return err
+}
+
 var _ = Describe("Prepaid tokens", func() {
 	var store *standin.Store
 	var now time.Time
@@ -175,8 +192,8 @@
 		Expect(a.sync()).To(Succeed())
 		before := a.ledger.State(kiosk).Free
 		ask := escrow.LendParams{Borrower: "b1", Workspace: kiosk, Need: 20, Want: 20}
-		a.ledger.Lend(ask)
-		second := a.ledger.Lend(ask)
+		a.ledger.Lend(ask, now)
+		second := a.ledger.Lend(ask, now)
 		Expect(b.ledger.Borrowed(kiosk, "a1", second, now)).To(BeTrue())
 		Expect(b.ledger.Borrowed(kiosk, "a1", second, now)).To(BeFalse())
 		Expect(b.ledger.State(kiosk).Free).To(Equal(granitehoist.Tokens(40)))
@@ -194,12 +211,36 @@
 		}
 		one := lenders[0].ledger.State(kiosk).Free
 		for i, b := range lenders {
-			loan := b.ledger.Lend(escrow.LendParams{Borrower: "z1", Workspace: kiosk, Need: one + 1, Want: one + 1})
+			loan := b.ledger.Lend(escrow.LendParams{Borrower: "z1", Workspace: kiosk, Need: one + 1, Want: one + 1}, now)
 			borrower.ledger.Borrowed(kiosk, granitehoist.Incarnation([]string{"a1", "b1", "c1"}[i]), loan, now)
 		}
 		Expect(reserve(borrower, one+1)).To(BeTrue())
 	})
 
+	It("reach a router that is no keeper without a call to the store, and it goes there if keepers don't help", func() {
+		keeper := newBox("k", "k1", store, 1, clock)
+		keeper.ledger.SetLimit(kiosk, 10_000)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go keeper.syncer.Run(ctx)
+		line := &directCaller{to: keeper.syncer}
+		ledger := escrow.NewLedger(escrow.LedgerSettings{Incarnation: "b1"})
+		ledger.SetLimit(kiosk, 10_000)
+		borrower := escrow.NewSyncer(escrow.SyncerSettings{
+			Box: "b", Ledger: ledger, Store: store, Clock: clock, Caller: line,
+			Routers: func() int { return 20 },
+			Keeps:   func() bool { return false },
+			Lenders: func() []granitehoist.Peer { return []granitehoist.Peer{{Incarnation: "k1"}} },
+		})
+		go borrower.Run(ctx)
+		Expect(borrower.Reserve(ctx, kiosk, 500, normal).Outcome).To(Equal(escrow.Granted))
+		Expect(recordOf(store).Accounts[kiosk].Rows).NotTo(HaveKey(granitehoist.Incarnation("b1")))
+		line.broken.Store(true)
+		Expect(borrower.Reserve(ctx, kiosk, 2000, normal).Outcome).To(Equal(escrow.Granted))
+		Expect(recordOf(store).Accounts[kiosk].Rows).To(HaveKey(granitehoist.Incarnation("b1")))
+		Expect(recordOf(store).Accounts[kiosk].Taken()).To(BeNumerically("<=", 10_000))
+	})
+
 	It("are kept for more urgent requests while the store is silent", func() {
 		b := newBox("a", "a1", store, 1, clock)
 		b.ledger.SetLimit(kiosk, 1000)
--- a/escrow/history_test.go
+++ b/escrow/history_test.go
@@ -158,7 +158,7 @@
 	if from == to {
 		return
 	}
-	result := h.boxes[from].ledger.Lend(escrow.LendParams{Borrower: granitehoist.Incarnation(h.alive[to]), Workspace: kiosk, Need: need, Want: 2 * need})
+	result := h.boxes[from].ledger.Lend(escrow.LendParams{Borrower: granitehoist.Incarnation(h.alive[to]), Workspace: kiosk, Need: need, Want: 2 * need}, h.now)
 	if !lost {
 		h.boxes[to].ledger.Borrowed(kiosk, granitehoist.Incarnation(h.alive[from]), result, h.now)
 	}
--- a/escrow/loan.go
+++ b/escrow/loan.go
@@ -35,8 +35,9 @@
 // the need, which several lenders then serve together, or more.
 const lendPart = 0.5
 
-// Lend serves a neighbour: it takes tokens off what this ledger owns.
-func (l *Ledger) Lend(p LendParams) LendResult {
+// Lend serves a neighbour: it takes tokens off what this ledger owns. What it
+// lends counts as its own demand.
+func (l *Ledger) Lend(p LendParams, now time.Time) LendResult {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(p.Workspace)
@@ -46,14 +47,29 @@
 		if free >= p.Need {
 			give = max(p.Need, give)
 		}
-		if a.lent == nil {
-			a.lent = map[granitehoist.Incarnation]granitehoist.Tokens{}
-		}
-		a.lent[p.Borrower] += max(0, give)
+		a.lend(p.Borrower, max(0, give), now)
 	}
 	return LendResult{Total: a.lent[p.Borrower]}
 }
 
+func (a *account) lend(borrower granitehoist.Incarnation, give granitehoist.Tokens, now time.Time) {
+	if a.lent == nil {
+		a.lent = map[granitehoist.Incarnation]granitehoist.Tokens{}
+	}
+	a.lent[borrower] += give
+	a.rate.add(give, now)
+}
+
+// lendReserved turns a reservation into a loan.
+func (l *Ledger) lendReserved(p LendParams, bound granitehoist.Tokens, now time.Time) LendResult {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(p.Workspace)
+	a.reserved -= bound
+	a.lend(p.Borrower, bound, now)
+	return LendResult{Total: a.lent[p.Borrower]}
+}
+
 // Borrowed takes in a lender's reply, and reports whether it brought tokens.
 func (l *Ledger) Borrowed(w granitehoist.Workspace, lender granitehoist.Incarnation, r LendResult, now time.Time) bool {
 	l.mu.Lock()
@@ -144,7 +160,87 @@
 	}
 }
 
-// ServeLend answers a neighbour's call of MethodLend.
-func (s *Syncer) ServeLend(_ context.Context, p LendParams) (LendResult, error) {
-	return s.settings.Ledger.Lend(p), nil
+// ServeLend answers a neighbour's call of MethodLend. A keeper that owns too
+// little asks the store.
+func (s *Syncer) ServeLend(ctx context.Context, p LendParams) (LendResult, error) {
+	before := s.settings.Ledger.lentTo(p.Workspace, p.Borrower)
+	result := s.settings.Ledger.Lend(p, s.settings.Clock())
+	if result.Total > before || p.Need <= 0 || !s.settings.Keeps() {
+		return result, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, keeperWait)
+	defer cancel()
+	if s.reserve(ctx, p.Workspace, p.Need, granitehoist.MaxPriority) != Granted {
+		return result, nil
+	}
+	return s.settings.Ledger.lendReserved(p, p.Need, s.settings.Clock()), nil
+}
+
+func (l *Ledger) lentTo(w granitehoist.Workspace, borrower granitehoist.Incarnation) granitehoist.Tokens {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.account(w).lent[borrower]
+}
+
+// lows returns the workspaces whose holding is low or for which requests wait.
+// A router that does not read the record takes the whole budget for what is
+// left.
+func (l *Ledger) lows(routers int, now time.Time) []shortage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var low []shortage
+	for w, a := range l.accounts {
+		rest := a.rest
+		if !a.known {
+			rest = a.limit
+		}
+		target := a.target(rest, routers, l.settings.Cover, now)
+		free := max(0, a.owned())
+		var waiting granitehoist.Tokens
+		for _, each := range a.waiters {
+			waiting += each.bound
+		}
+		if a.frozen || (waiting == 0 && float64(free) >= refillBelow*float64(target)) {
+			continue
+		}
+		want := max(1, target+waiting-free)
+		low = append(low, shortage{workspace: w, need: min(want, max(1, waiting)), want: want})
+	}
+	return low
+}
+
+// replenish fills the holdings from keepers, and reports whether no request
+// waits any more.
+func (s *Syncer) replenish(ctx context.Context) bool {
+	lenders := s.settings.Lenders()
+	for _, lender := range lenders[:min(len(lenders), keepersAsked)] {
+		for _, missing := range s.settings.Ledger.lows(s.settings.Routers(), s.settings.Clock()) {
+			s.borrowFrom(ctx, lender, missing)
+		}
+		if len(s.settings.Ledger.lows(s.settings.Routers(), s.settings.Clock())) == 0 {
+			break
+		}
+	}
+	return s.settings.Ledger.replenished()
+}
+
+// replenished notes that keepers were asked, and reports whether nothing is
+// left that only the record can settle.
+func (l *Ledger) replenished() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	settled := true
+	for _, a := range l.accounts {
+		a.changed = false
+		settled = settled && !a.frozen && len(a.waiters) == 0
+	}
+	return settled
 }
+
+// Bounds of asking keepers.
+const (
+	keepersAsked = 3
+	// keeperWait is how long a keeper waits for the store on behalf of a
+	// neighbour.
+	keeperWait = 45 * time.Millisecond
+)
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -39,6 +39,10 @@
 	// Caller reaches them; nil borrows from nobody.
 	Lenders func() []granitehoist.Peer
 	Caller  granitehoist.Caller
+	// Keeps reports whether this router reads and writes the record. One that
+	// does not borrows from those that do, and goes to the record only when
+	// they don't help; nil stands for always.
+	Keeps func() bool
 	// Interval is how often the holdings are looked at; zero stands for
 	// DefaultInterval.
 	Interval time.Duration
@@ -60,6 +64,9 @@
 const (
 	conflictTries = 8
 	failurePause  = 150 * time.Millisecond
+	// aloneAfter is how often in a row keepers may fail to help before a router
+	// that is none goes to the record itself.
+	aloneAfter = 3
 	// maxFailurePause bounds the pause while the store fails for long.
 	maxFailurePause = 900 * time.Millisecond
 	// gather lets requests that arrive together share a sync.
@@ -77,6 +84,9 @@
 	if s.Routers == nil {
 		s.Routers = func() int { return 1 }
 	}
+	if s.Keeps == nil || s.Lenders == nil || s.Caller == nil {
+		s.Keeps = func() bool { return true }
+	}
 	if s.Clock == nil {
 		s.Clock = time.Now
 	}
@@ -129,6 +139,7 @@
 	defer ticker.Stop()
 	var retryAt time.Time
 	wait := failurePause
+	alone := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -139,7 +150,11 @@
 		}
 		now := s.settings.Clock()
 		switch {
-		case !s.settings.Ledger.urgent() && !s.settings.Ledger.due(s.settings.Routers(), now):
+		case !s.settings.Ledger.urgent() && !s.isDue(now):
+		case !s.settings.Keeps() && s.replenish(ctx):
+			alone = 0
+		case !s.settings.Keeps() && alone < aloneAfter:
+			alone++
 		case now.Before(retryAt):
 			s.borrow(ctx)
 		case s.syncOrBorrow(ctx):
@@ -151,6 +166,14 @@
 	}
 }
 
+// isDue reports whether holdings are off enough to be worth a call.
+func (s *Syncer) isDue(now time.Time) bool {
+	if !s.settings.Keeps() {
+		return len(s.settings.Ledger.lows(s.settings.Routers(), now)) > 0
+	}
+	return s.settings.Ledger.due(s.settings.Routers(), now)
+}
+
 // syncOrBorrow syncs, asks neighbours as well if that takes long, and reports
 // whether the store answered.
 func (s *Syncer) syncOrBorrow(ctx context.Context) bool {
--- a/node/config.go
+++ b/node/config.go
@@ -40,6 +40,8 @@
 	// Memory is the bound of the process in bytes; zero sets none.
 	Memory int64
 	Retry  forward.RetrySettings
+	// First says that the whole fleet starts for the first time.
+	First bool
 	// LogDropped returns the log lines that were dropped; nil where none are.
 	LogDropped func() int64
 }
--- a/node/node.go
+++ b/node/node.go
@@ -109,10 +109,11 @@
 		self:  peerEntry{Incarnation: n.incarnation, Box: n.config.Box, Place: n.config.Place, Address: n.peersAt.Addr().String()},
 		store: n.adapter.Store,
 		log:   n.log,
+		first: n.config.First,
 	})
 	n.ledger = escrow.NewLedger(escrow.LedgerSettings{Incarnation: n.incarnation})
 	n.syncer = escrow.NewSyncer(escrow.SyncerSettings{
-		Box: n.config.Box, Ledger: n.ledger, Store: n.adapter.Store, Routers: n.peers.routers, Clock: time.Now, Log: n.log,
+		Box: n.config.Box, Ledger: n.ledger, Store: n.adapter.Store, Routers: n.peers.sharers, Keeps: n.peers.keeps, Clock: time.Now, Log: n.log,
 		Lenders: n.peers.lenders, Caller: n.peers.client,
 	})
 	n.path = forward.New(forward.Settings{
--- a/node/peers.go
+++ b/node/peers.go
@@ -4,11 +4,14 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"granitehoist.example/granitehoist"
@@ -30,8 +33,11 @@
 const (
 	peersInterval = 8 * time.Second
 	peersPause    = 300 * time.Millisecond
-	askTimeout    = 400 * time.Millisecond
-	greetTimeout  = 200 * time.Millisecond
+	// peersFill is the time in which all nodes of a fleet enter themselves at
+	// its first start.
+	peersFill    = 1500 * time.Millisecond
+	askTimeout   = 400 * time.Millisecond
+	greetTimeout = 200 * time.Millisecond
 	// greetAtMost bounds the neighbours that are greeted at a time.
 	greetAtMost = 12
 	// askAtMost bounds the neighbours that are asked at a time.
@@ -50,6 +56,9 @@
 	self  peerEntry
 	store granitehoist.Store
 	log   *zap.Logger
+	// first says that the whole fleet starts for the first time, so that the
+	// list of nodes is only filling.
+	first bool
 }
 
 // peers knows the neighbours of a node.
@@ -61,6 +70,8 @@
 	others  []peerEntry
 	next    int
 	entered bool
+	// listed counts the lists read.
+	listed int
 }
 
 func newPeers(s peersSettings) *peers {
@@ -76,6 +87,9 @@
 	for ctx.Err() == nil {
 		wait := peersInterval
 		err := p.refresh(ctx)
+		if p.lists() < p.listsNeeded() {
+			wait = peersFill
+		}
 		if err != nil {
 			wait = peersPause
 		}
@@ -94,6 +108,12 @@
 	}
 }
 
+func (p *peers) lists() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listed
+}
+
 // refresh reads all entries, and writes the node's own if it is missing or is
 // that of an earlier incarnation.
 func (p *peers) refresh(ctx context.Context) error {
@@ -119,6 +139,7 @@
 	}
 	p.mu.Lock()
 	p.others, p.entered = others, entered
+	p.listed++
 	p.mu.Unlock()
 	if entered {
 		return nil
@@ -225,22 +246,86 @@
 	return chosen
 }
 
-// lenders returns all neighbours, those in the node's own place first.
+// largeFleet is the number of nodes from which only keepers write the record of
+// the budgets, keepersPerPlace of them in each place.
+const (
+	largeFleet      = 16
+	keepersPerPlace = 2
+)
+
+// keepers returns the keepers by box, nil while every node is one. All nodes
+// that know the same boxes choose the same.
+func (p *peers) keepers() map[granitehoist.Box]bool {
+	if len(p.others)+1 < largeFleet {
+		return nil
+	}
+	places := map[granitehoist.Place][]granitehoist.Box{}
+	for _, entry := range append([]peerEntry{p.settings.self}, p.others...) {
+		places[entry.Place] = append(places[entry.Place], entry.Box)
+	}
+	chosen := map[granitehoist.Box]bool{}
+	for _, boxes := range places {
+		slices.SortFunc(boxes, func(a, b granitehoist.Box) int {
+			return cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b)))
+		})
+		for _, box := range boxes[:min(keepersPerPlace, len(boxes))] {
+			chosen[box] = true
+		}
+	}
+	return chosen
+}
+
+// keeps reports whether this node is a keeper.
+func (p *peers) keeps() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listed < p.listsNeeded() {
+		return false
+	}
+	keepers := p.keepers()
+	return keepers == nil || keepers[p.settings.self.Box]
+}
+
+// listsNeeded returns how many lists must have been read before the others are
+// known.
+func (p *peers) listsNeeded() int {
+	if p.settings.first {
+		return 2
+	}
+	return 1
+}
+
+// sharers returns the number of nodes with which this one shares the budgets:
+// keepers share with keepers, others with all.
+func (p *peers) sharers() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if keepers := p.keepers(); keepers[p.settings.self.Box] {
+		return len(keepers)
+	}
+	return len(p.others) + 1
+}
+
+// lenders returns all neighbours: keepers before others, and those in the
+// node's own place before those elsewhere.
 func (p *peers) lenders() []granitehoist.Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var near, far []granitehoist.Peer
+	keepers := p.keepers()
+	ranked := make([][]granitehoist.Peer, 4)
 	for i := range p.others {
 		other := p.others[(p.next+i)%len(p.others)]
-		peer := granitehoist.Peer{Incarnation: other.Incarnation, Address: other.Address}
-		if other.Place == p.settings.self.Place {
-			near = append(near, peer)
-			continue
+		rank := 0
+		if other.Place != p.settings.self.Place {
+			rank++
+		}
+		if keepers != nil && !keepers[other.Box] {
+			rank += 2
 		}
-		far = append(far, peer)
+		ranked[rank] = append(ranked[rank], granitehoist.Peer{Incarnation: other.Incarnation, Address: other.Address})
 	}
 	p.next++
-	return append(near, far...)
+	return slices.Concat(ranked...)
 }
 
 // newerParams asks for a copy of a prefix that is newer than a version.
