Give the test of early answers a route on which no attempt gives way

The test is about what follows an early answer; it now uses a route without a target. What it checks is unchanged.

--- a/forward/fakes_test.go
+++ b/forward/fakes_test.go
@@ -107,6 +107,7 @@
 			route("resume", "/resume/", catalog.Stream, model, 2, true),
 			route("stream", "/stream/", catalog.Stream, model, 1, false),
 			route("safe", "/safe/", catalog.Safe, desk, 2, false),
+			patientRoute(),
 			route("unsafe", "/unsafe/", catalog.Unsafe, desk, 1, false),
 		},
 		Services:   []catalog.Service{{Name: model, TokensPerEvent: tokens}, {Name: desk}},
@@ -130,6 +131,14 @@
 	}
 }
 
+// patientRoute is a safe route on which no attempt gives way to another.
+func patientRoute() catalog.Route {
+	r := route("patient", "/patient/", catalog.Safe, desk, 2, false)
+	r.Target = 0
+	r.Timeout = patience
+	return r
+}
+
 // worker adds a worker of a service.
 func (s *site) worker(service granitehoist.Service, instance string, answer func(standin.Arrival) standin.WorkerAnswer) *standin.Worker {
 	w, err := standin.NewWorker(instance, answer)
