--- a/escrow/escrow_test.go
+++ b/escrow/escrow_test.go
@@ -63,10 +63,9 @@
 
 var _ = Describe("Prepaid tokens", func() {
 	var store *standin.Store
-	var now time.Time
+	now := time.Unix(1000, 0)
 	clock := func() time.Time { return now }
 	BeforeEach(func() {
-		now = time.Unix(1000, 0)
 		store = standin.NewStore(standin.StoreSettings{Clock: clock})
 	})
 
