--- /dev/null
+++ b/escrow/reserve.go
@@ -0,0 +1,84 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package escrow
+
+import (
+	"time"
+
+	"granitehoist.example/granitehoist"
+)
+
+// Reserve sets bound tokens aside, and reports whether the router owns that
+// many. While the store is silent, a part of what is left is kept for requests
+// of a higher priority. Each success is to be followed by one Settle. It panics
+// if bound is negative.
+func (l *Ledger) Reserve(w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority, now time.Time) bool {
+	mustNotBeNegative(bound)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(w)
+	a.measure(bound)
+	a.urgent = max(a.urgent, priority)
+	if a.tapered(bound) {
+		return false
+	}
+	return a.reserve(bound, a.kept(priority, l.outageLeft(now)))
+}
+
+// The end of a budget. Below taperBelow of the prepaid total a request may be no
+// larger than the mean and take no more than taperShare of what is left, so that
+// a few large requests don't leave nothing for many small ones.
+const (
+	taperBelow = 0.06
+	taperShare = 0.33
+	// meanWeight is that of the newest request in the mean of sizes.
+	meanWeight = 0.05
+)
+
+// tapered reports whether a request is too large for the little that is left.
+func (a *account) tapered(bound granitehoist.Tokens) bool {
+	left := float64(max(0, a.rest) + max(0, a.owned()) + a.idle)
+	if !a.known || left >= taperBelow*float64(a.limit) {
+		return false
+	}
+	return float64(bound) > taperShare*left || float64(bound) > a.mean
+}
+
+// measure takes the size of a request into the mean.
+func (a *account) measure(bound granitehoist.Tokens) {
+	a.largest = max(a.largest, bound)
+	if a.mean == 0 {
+		a.mean = float64(bound)
+	}
+	a.mean += (float64(bound) - a.mean) * meanWeight
+}
+
+func (a *account) reserve(bound, kept granitehoist.Tokens) bool {
+	if a.free() < bound+kept {
+		return false
+	}
+	a.reserved += bound
+	return true
+}
+
+// expectedOutage is how long a silent store is expected to stay so.
+const expectedOutage = 10 * time.Second
+
+// outageLeft returns the part of an expected outage that is still to come, zero
+// while the store answers.
+func (l *Ledger) outageLeft(now time.Time) float64 {
+	if l.silentSince.IsZero() {
+		return 0
+	}
+	return max(0, 1-now.Sub(l.silentSince).Seconds()/expectedOutage.Seconds())
+}
+
+// keptPart of a holding is kept for each step of priority.
+const keptPart = 0.3
+
+// kept returns the tokens that a request of a priority leaves to higher ones.
+func (a *account) kept(priority granitehoist.Priority, outageLeft float64) granitehoist.Tokens {
+	steps := float64(max(0, a.urgent-priority))
+	return granitehoist.Tokens(min(1, keptPart*steps) * outageLeft * float64(a.holding))
+}
