--- a/node/node_test.go
+++ b/node/node_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/escrow"
 	"granitehoist.example/granitehoist/platform"
 	"granitehoist.example/granitehoist/standin"
@@ -97,6 +98,11 @@
 		s.configure(1, 100_000, "/a/")
 		m := s.members[0]
 		Eventually(m.ready).Should(Equal(http.StatusOK))
+		Eventually(func() []granitehoist.Entry {
+			entries, _, err := s.store.List(context.Background(), "boxes/")
+			Expect(err).NotTo(HaveOccurred())
+			return entries
+		}).Should(HaveLen(1))
 		m.store.Fail(standin.PlatformFaults{Hang: true})
 		joined := s.start()
 		Eventually(joined.node.Routers).Should(Equal(2))
