--- /dev/null
+++ b/standin/answering.go
@@ -0,0 +1,149 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/upstream"
+)
+
+// answering is one answer in progress.
+type answering struct {
+	engine    *Engine
+	execution *Execution
+	plan      plan
+	request   *CompletionRequest
+	id        string
+	chat      bool
+	words     []string
+}
+
+// next waits for the next word's time and counts it. It returns false when the
+// attempt has been ended or its reader has gone.
+func (a *answering) next(i int, r *http.Request) bool {
+	delay := a.engine.settings.TokenDelay
+	if i == 0 {
+		delay = a.engine.settings.FirstDelay
+	}
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	return r.Context().Err() == nil && a.engine.produce(a.execution)
+}
+
+// produced returns the words that were counted.
+func (a *answering) produced() granitehoist.Tokens {
+	a.engine.mu.Lock()
+	defer a.engine.mu.Unlock()
+	return a.execution.Output
+}
+
+func (a *answering) usage() *upstream.EngineUsage {
+	if a.plan.noUsage {
+		return nil
+	}
+	a.engine.mu.Lock()
+	defer a.engine.mu.Unlock()
+	return a.execution.usage()
+}
+
+func (x *Execution) usage() *upstream.EngineUsage {
+	return &upstream.EngineUsage{PromptTokens: x.Prompt, CompletionTokens: x.Output, TotalTokens: x.Prompt + x.Output}
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Text         string   `json:"text,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *message `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type completion struct {
+	ID      string                `json:"id"`
+	Object  string                `json:"object"`
+	Model   string                `json:"model"`
+	Choices []choice              `json:"choices"`
+	Usage   *upstream.EngineUsage `json:"usage,omitempty"`
+}
+
+var finishStop = "stop"
+
+func (a *answering) whole(w http.ResponseWriter, r *http.Request) {
+	for i := range a.words {
+		if !a.next(i, r) {
+			panic(http.ErrAbortHandler)
+		}
+		if a.plan.cut && i == len(a.words)/2 {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	c := choice{FinishReason: &finishStop}
+	text := strings.Join(a.words, " ")
+	if a.chat {
+		c.Message = &message{Role: "assistant", Content: text}
+	} else {
+		c.Text = text
+	}
+	reply(w, completion{ID: a.id, Object: "completion", Model: a.request.Model, Choices: []choice{c}, Usage: a.usage()}, nil)
+}
+
+func (a *answering) stream(w http.ResponseWriter, r *http.Request, from int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i, word := range a.words {
+		if i < from {
+			continue
+		}
+		if granitehoist.Tokens(i) >= a.produced() && !a.next(i, r) {
+			panic(http.ErrAbortHandler)
+		}
+		if a.plan.cut && i == len(a.words)/2 {
+			a.engine.hold(a)
+			panic(http.ErrAbortHandler)
+		}
+		if i > 0 {
+			word = " " + word
+		}
+		c := choice{}
+		if a.chat {
+			c.Delta = &message{Content: word}
+		} else {
+			c.Text = word
+		}
+		if i == len(a.words)-1 {
+			c.FinishReason = &finishStop
+		}
+		a.send(w, completion{ID: a.id, Object: "chunk", Model: a.request.Model, Choices: []choice{c}})
+	}
+	if a.request.StreamOptions.IncludeUsage && !a.plan.noUsage {
+		a.send(w, completion{ID: a.id, Object: "chunk", Model: a.request.Model, Choices: []choice{}, Usage: a.usage()})
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func (a *answering) send(w http.ResponseWriter, c completion) {
+	raw, err := json.Marshal(c)
+	if err != nil {
+		panic("standin: answer does not encode: " + err.Error())
+	}
+	fmt.Fprintf(w, "data: %s\n\n", raw)
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
