--- a/config/follower.go
+++ b/config/follower.go
@@ -63,7 +63,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	var after granitehoist.Version
 	for ctx.Err() == nil {
-		entries, version, err := f.settings.Store.Watch(ctx, KeyPrefix, after)
+		entries, version, err := f.settings.Store.Watch(ctx, KeyPrefix, after, 0)
 		if err != nil {
 			f.pause(ctx, err)
 			continue
--- a/escrow/escrow_test.go
+++ b/escrow/escrow_test.go
@@ -216,19 +216,19 @@
 		Expect(reserve(borrower, one+1)).To(BeTrue())
 	})
 
-	It("reach a router that is no keeper without a call to the store, and it goes there if keepers don't help", func() {
-		keeper := newBox("k", "k1", store, 1, clock)
-		keeper.ledger.SetLimit(kiosk, 10_000)
+	It("reach a router that is not direct without a call to the store, and it goes there if relays don't help", func() {
+		relay := newBox("k", "k1", store, 1, clock)
+		relay.ledger.SetLimit(kiosk, 10_000)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		go keeper.syncer.Run(ctx)
-		line := &directCaller{to: keeper.syncer}
+		go relay.syncer.Run(ctx)
+		line := &directCaller{to: relay.syncer}
 		ledger := escrow.NewLedger(escrow.LedgerSettings{Incarnation: "b1"})
 		ledger.SetLimit(kiosk, 10_000)
 		borrower := escrow.NewSyncer(escrow.SyncerSettings{
 			Box: "b", Ledger: ledger, Store: store, Clock: clock, Caller: line,
 			Routers: func() int { return 20 },
-			Keeps:   func() bool { return false },
+			Writes:  func() bool { return false },
 			Lenders: func() []granitehoist.Peer { return []granitehoist.Peer{{Incarnation: "k1"}} },
 		})
 		go borrower.Run(ctx)
@@ -240,6 +240,16 @@
 		Expect(recordOf(store).Accounts[kiosk].Taken()).To(BeNumerically("<=", 10_000))
 	})
 
+	It("are lent to whoever asks for them in a wrong way as if it had asked for what it needs", func() {
+		relay := newBox("k", "k1", store, 1, clock)
+		relay.ledger.SetLimit(kiosk, 10_000)
+		Expect(relay.sync()).To(Succeed())
+		ask := escrow.LendParams{Borrower: "b1", Workspace: kiosk, Need: 30, Want: -500}
+		Expect(relay.syncer.ServeLend(context.Background(), ask)).To(HaveField("Total", granitehoist.Tokens(30)))
+		ask = escrow.LendParams{Borrower: "b1", Workspace: kiosk, Need: -30, Want: 500}
+		Expect(relay.syncer.ServeLend(context.Background(), ask)).To(HaveField("Total", granitehoist.Tokens(30)))
+	})
+
 	It("are kept for more urgent requests while the store is silent", func() {
 		b := newBox("a", "a1", store, 1, clock)
 		b.ledger.SetLimit(kiosk, 1000)
--- a/escrow/history_test.go
+++ b/escrow/history_test.go
@@ -164,6 +164,31 @@
 	}
 }
 
+// repay gives tokens away unasked, and loses the message if told so.
+func (h *history) repay(from, to int, tokens granitehoist.Tokens, lost bool) {
+	if from == to {
+		return
+	}
+	told := escrow.Repay(h.boxes[from].ledger, granitehoist.Incarnation(h.alive[to]), kiosk, tokens)
+	if !lost {
+		_, _ = h.boxes[to].syncer.ServeRepay(context.Background(), told)
+	}
+}
+
+// serveLend lets a box go to the record for another, and loses the reply if told
+// so.
+func (h *history) serveLend(from, to int, need granitehoist.Tokens, lost bool) {
+	if from == to {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	result, _ := h.boxes[from].syncer.ServeLend(ctx, escrow.LendParams{Borrower: granitehoist.Incarnation(h.alive[to]), Workspace: kiosk, Need: need, Want: 3 * need})
+	if !lost {
+		h.boxes[to].ledger.Borrowed(kiosk, granitehoist.Incarnation(h.alive[from]), result, h.now)
+	}
+}
+
 func (h *history) setLimit(limit granitehoist.Tokens) {
 	h.limit = limit
 	h.most = max(h.most, limit)
@@ -210,6 +235,12 @@
 	{4, func(t *rapid.T, h *history) {
 		h.lend(index.Draw(t, "from"), index.Draw(t, "to"), granitehoist.Tokens(amount.Draw(t, "need")), rapid.Bool().Draw(t, "lost"))
 	}},
+	{3, func(t *rapid.T, h *history) {
+		h.repay(index.Draw(t, "from"), index.Draw(t, "to"), granitehoist.Tokens(amount.Draw(t, "tokens")), rapid.Bool().Draw(t, "lost"))
+	}},
+	{3, func(t *rapid.T, h *history) {
+		h.serveLend(index.Draw(t, "from"), index.Draw(t, "to"), granitehoist.Tokens(amount.Draw(t, "need")), rapid.Bool().Draw(t, "lost"))
+	}},
 	{2, func(t *rapid.T, h *history) {
 		h.store.fault = rapid.SampledFrom([]string{"", "", "", "down", "silent", "late", "lost"}).Draw(t, "fault")
 	}},
--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -19,6 +19,8 @@
 	mu       sync.Mutex
 	accounts map[granitehoist.Workspace]*account
 	closing  bool
+	// began is when the first request came.
+	began time.Time
 	// reached is when the store last answered.
 	reached time.Time
 	// silentSince is when a call to the store first failed since then.
@@ -39,9 +41,6 @@
 
 // Parts of a budget.
 const (
-	// sharePart of what is left is what all routers together may hold ahead of
-	// requests.
-	sharePart = 0.6
 	// refillBelow is the part of the holding under which more is asked for.
 	refillBelow = 0.75
 	// joinBelow is the part under which a holding is filled when the record is
@@ -50,12 +49,6 @@
 	// returnAbove is the multiple of the holding above which tokens are given
 	// back.
 	returnAbove = 2.0
-	// keptLargest bounds what is held for single requests.
-	keptLargest = 1.0
-	// startPart of what is left is what all routers together hold before
-	// requests tell the demand. Operators prepay in the proportions of the demand that
-	// they expect.
-	startPart = 0.2
 )
 
 // restFresh is how long the last known rest of a budget is taken for true.
@@ -79,13 +72,25 @@
 	idle   granitehoist.Tokens
 	restAt time.Time
 	known  bool
+	// told says that a lender has told toldLeft, what was left in the store and
+	// idle elsewhere, at toldAt, and toldRest, the part of it in the store.
+	told               bool
+	toldAt             time.Time
+	toldLeft, toldRest granitehoist.Tokens
 
 	// holding is the target at the last sync, and urgent the highest priority
 	// of a request so far.
 	holding granitehoist.Tokens
 	urgent  granitehoist.Priority
 
-	rate    rate
+	rate rate
+	// lentRate is that of loans to others. rateElsewhere is what the record
+	// says of the others, fleetRate what a lender says of all, in tokens a
+	// second.
+	lentRate      rate
+	rateElsewhere float64
+	fleetRate     float64
+
 	largest granitehoist.Tokens
 	// mean is that of the requests' bounds.
 	mean    float64
@@ -115,9 +120,8 @@
 
 // waiter is a request that waits for tokens.
 type waiter struct {
-	bound    granitehoist.Tokens
-	priority granitehoist.Priority
-	ended    chan Outcome
+	demand
+	ended chan Outcome
 }
 
 // Outcome tells how a reservation ended.
@@ -192,33 +196,38 @@
 
 // wait enters a request that waits for tokens. If the budget is known to have
 // too few it ends at once.
-func (l *Ledger) wait(w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority, now time.Time) *waiter {
+func (l *Ledger) wait(w granitehoist.Workspace, d demand, now time.Time) *waiter {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(w)
-	added := &waiter{bound: bound, priority: priority, ended: make(chan Outcome, 1)}
-	if a.reserve(bound, a.kept(priority, l.outageLeft(now))) {
+	added := &waiter{demand: d, ended: make(chan Outcome, 1)}
+	if a.reserve(d.bound, a.kept(d.priority, l.outageLeft(now))) {
 		added.ended <- Granted
 		return added
 	}
-	if a.known && now.Sub(a.restAt) < restFresh && a.tapered(bound) {
-		added.ended <- a.refusal(bound)
+	if a.fresh(now) && a.tapered(d) {
+		added.ended <- a.refusal(d)
 		return added
 	}
-	if a.known && now.Sub(a.restAt) < restFresh && bound > a.rest+max(0, a.owned()) {
-		added.ended <- a.refusal(bound)
+	if a.known && now.Sub(a.restAt) < restFresh && d.bound > a.rest+max(0, a.owned()) {
+		added.ended <- a.refusal(d)
 		return added
 	}
 	a.waiters = append(a.waiters, added)
 	return added
 }
 
+// fresh reports whether what is known to be left is so of late.
+func (a *account) fresh(now time.Time) bool {
+	return (a.known && now.Sub(a.restAt) < restFresh) || (a.told && now.Sub(a.toldAt) < restFresh)
+}
+
 // refusal tells why a bound can't be had.
-func (a *account) refusal(bound granitehoist.Tokens) Outcome {
+func (a *account) refusal(d demand) Outcome {
 	switch {
-	case bound > max(0, a.rest)+max(0, a.owned())+a.idle:
+	case a.known && d.bound > max(0, a.rest)+max(0, a.owned())+a.idle:
 		return Exhausted
-	case a.tapered(bound):
+	case a.tapered(d):
 		return Withheld
 	}
 	return Scarce
@@ -262,7 +271,7 @@
 	}
 	a.reserved -= bound
 	a.spent += used
-	a.rate.add(used, now)
+	a.rate.add(used, l.began, now)
 	a.wake(l.outageLeft(now))
 }
 
@@ -270,7 +279,7 @@
 func (a *account) wake(outageLeft float64) {
 	kept := a.waiters[:0]
 	for _, w := range a.waiters {
-		if !a.tapered(w.bound) && a.reserve(w.bound, a.kept(w.priority, outageLeft)) {
+		if !a.tapered(w.demand) && a.reserve(w.bound, a.kept(w.priority, outageLeft)) {
 			w.ended <- Granted
 			continue
 		}
@@ -284,8 +293,8 @@
 func (a *account) refuse() {
 	kept := a.waiters[:0]
 	for _, w := range a.waiters {
-		if a.tapered(w.bound) || w.bound > a.rest+max(0, a.free()) {
-			w.ended <- a.refusal(w.bound)
+		if a.tapered(w.demand) || w.bound > a.rest+max(0, a.free()) {
+			w.ended <- a.refusal(w.demand)
 			continue
 		}
 		kept = append(kept, w)
--- a/escrow/loan.go
+++ b/escrow/loan.go
@@ -29,14 +29,20 @@
 // grows, so that a reply which is lost is made good by the next one.
 type LendResult struct {
 	Total granitehoist.Tokens `json:"total"`
+	// InTouch says that the lender speaks with the store and has its answers.
+	// The others then tell what it knows: what is left in the store, what is
+	// left there and idle anywhere, and what the fleet spends a second.
+	InTouch bool                `json:"in_touch,omitempty"`
+	Rest    granitehoist.Tokens `json:"rest,omitempty"`
+	Left    granitehoist.Tokens `json:"left,omitempty"`
+	Rate    granitehoist.Tokens `json:"rate,omitempty"`
 }
 
 // lendPart of its free tokens is what a lender parts with if that is less than
 // the need, which several lenders then serve together, or more.
 const lendPart = 0.5
 
-// Lend serves a neighbour: it takes tokens off what this ledger owns. What it
-// lends counts as its own demand.
+// Lend serves a neighbour: it takes tokens off what this ledger owns.
 func (l *Ledger) Lend(p LendParams, now time.Time) LendResult {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -49,15 +55,33 @@
 		}
 		a.lend(p.Borrower, max(0, give), now)
 	}
-	return LendResult{Total: a.lent[p.Borrower]}
+	return l.lendResult(a, p.Borrower, now)
 }
 
-func (a *account) lend(borrower granitehoist.Incarnation, give granitehoist.Tokens, now time.Time) {
+// lendResult tells a borrower of its loans and of what is known here.
+func (l *Ledger) lendResult(a *account, borrower granitehoist.Incarnation, now time.Time) LendResult {
+	result := LendResult{Total: a.lent[borrower]}
+	if !a.known || l.reached.IsZero() || !l.silentSince.IsZero() {
+		return result
+	}
+	own := max(0, a.owned())
+	result.InTouch = true
+	result.Rest = max(0, a.rest)
+	result.Left = result.Rest + own + a.idle
+	result.Rate = granitehoist.Tokens(a.rate.value(now) + a.lentRate.value(now) + a.rateElsewhere)
+	return result
+}
+
+func (a *account) give(to granitehoist.Incarnation, tokens granitehoist.Tokens) {
 	if a.lent == nil {
 		a.lent = map[granitehoist.Incarnation]granitehoist.Tokens{}
 	}
-	a.lent[borrower] += give
-	a.rate.add(give, now)
+	a.lent[to] += tokens
+}
+
+func (a *account) lend(borrower granitehoist.Incarnation, give granitehoist.Tokens, now time.Time) {
+	a.give(borrower, give)
+	a.lentRate.add(give, time.Time{}, now)
 }
 
 // lendReserved turns a reservation into a loan.
@@ -67,7 +91,7 @@
 	a := l.account(p.Workspace)
 	a.reserved -= bound
 	a.lend(p.Borrower, bound, now)
-	return LendResult{Total: a.lent[p.Borrower]}
+	return l.lendResult(a, p.Borrower, now)
 }
 
 // Borrowed takes in a lender's reply, and reports whether it brought tokens.
@@ -75,6 +99,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(w)
+	if r.InTouch {
+		l.reached, l.silentSince = now, time.Time{}
+		a.told, a.toldAt = true, now
+		a.toldRest, a.toldLeft, a.fleetRate = r.Rest, r.Left, float64(r.Rate)
+	}
 	if r.Total <= a.borrowed[lender] {
 		return false
 	}
@@ -91,6 +120,15 @@
 	workspace granitehoist.Workspace
 	need      granitehoist.Tokens
 	want      granitehoist.Tokens
+	waiting   bool
+}
+
+// patience is how long a neighbour may take to help.
+func (s shortage) patience() time.Duration {
+	if s.waiting {
+		return lendTimeout
+	}
+	return replenishTimeout
 }
 
 // shortages returns the workspaces for which requests wait.
@@ -111,11 +149,9 @@
 			sum += waiting.bound
 		}
 		free := max(0, a.owned())
-		short = append(short, shortage{
-			workspace: w,
-			need:      max(1, first-free),
-			want:      sum - free + granitehoist.Tokens(a.rate.value(now)*loanCover.Seconds()),
-		})
+		need := max(1, first-free)
+		want := sum - free + granitehoist.Tokens(a.rate.value(now)*loanCover.Seconds())
+		short = append(short, shortage{workspace: w, waiting: true, need: need, want: max(need, want)})
 	}
 	return short
 }
@@ -126,7 +162,7 @@
 	loanCover = 2 * time.Second
 	// borrowAfter is how long a sync may take before neighbours are asked.
 	borrowAfter = 20 * time.Millisecond
-	lendTimeout = 50 * time.Millisecond
+	lendTimeout = 120 * time.Millisecond
 	// lendersAtMost bounds the neighbours that are asked for one shortage.
 	lendersAtMost = 12
 )
@@ -147,100 +183,33 @@
 	}
 }
 
-func (s *Syncer) borrowFrom(ctx context.Context, lender granitehoist.Peer, missing shortage) {
-	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
+// borrowFrom asks one neighbour for one loan, and reports whether it is in touch
+// with the store.
+func (s *Syncer) borrowFrom(ctx context.Context, lender granitehoist.Peer, missing shortage) bool {
+	ctx, cancel := context.WithTimeout(ctx, missing.patience())
 	defer cancel()
 	params := LendParams{Borrower: s.settings.Ledger.settings.Incarnation, Workspace: missing.workspace, Need: missing.need, Want: missing.want}
 	var result LendResult
 	if err := s.settings.Caller.Call(ctx, lender, MethodLend, params, &result); err != nil {
-		return
+		return false
 	}
 	if s.settings.Ledger.Borrowed(missing.workspace, lender.Incarnation, result, s.settings.Clock()) {
 		s.settings.Log.Info(event.BudgetLoan, zap.String("workspace", string(missing.workspace)), zap.String("lender", string(lender.Incarnation)), zap.Int64("total", int64(result.Total)))
 	}
+	return result.InTouch
 }
 
-// ServeLend answers a neighbour's call of MethodLend. A keeper that owns too
+// ServeLend answers a neighbour's call of MethodLend. A relay that owns too
 // little asks the store.
 func (s *Syncer) ServeLend(ctx context.Context, p LendParams) (LendResult, error) {
-	before := s.settings.Ledger.lentTo(p.Workspace, p.Borrower)
-	result := s.settings.Ledger.Lend(p, s.settings.Clock())
-	if result.Total > before || p.Need <= 0 || !s.settings.Keeps() {
-		return result, nil
+	p.Want = max(p.Want, p.Need)
+	if p.Need <= 0 || !s.settings.Serves() {
+		return s.settings.Ledger.Lend(p, s.settings.Clock()), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, keeperWait)
+	ctx, cancel := context.WithTimeout(ctx, relayWait)
 	defer cancel()
-	if s.reserve(ctx, p.Workspace, p.Need, granitehoist.MaxPriority) != Granted {
-		return result, nil
-	}
-	return s.settings.Ledger.lendReserved(p, p.Need, s.settings.Clock()), nil
-}
-
-func (l *Ledger) lentTo(w granitehoist.Workspace, borrower granitehoist.Incarnation) granitehoist.Tokens {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.account(w).lent[borrower]
-}
-
-// lows returns the workspaces whose holding is low or for which requests wait.
-// A router that does not read the record takes the whole budget for what is
-// left.
-func (l *Ledger) lows(routers int, now time.Time) []shortage {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var low []shortage
-	for w, a := range l.accounts {
-		rest := a.rest
-		if !a.known {
-			rest = a.limit
-		}
-		target := a.target(rest, routers, l.settings.Cover, now)
-		free := max(0, a.owned())
-		var waiting granitehoist.Tokens
-		for _, each := range a.waiters {
-			waiting += each.bound
-		}
-		if a.frozen || (waiting == 0 && float64(free) >= refillBelow*float64(target)) {
-			continue
-		}
-		want := max(1, target+waiting-free)
-		low = append(low, shortage{workspace: w, need: min(want, max(1, waiting)), want: want})
+	if s.reserve(ctx, p.Workspace, demand{bound: p.Want, priority: granitehoist.MaxPriority, loan: true}) != Granted {
+		return s.settings.Ledger.Lend(p, s.settings.Clock()), nil
 	}
-	return low
+	return s.settings.Ledger.lendReserved(p, p.Want, s.settings.Clock()), nil
 }
-
-// replenish fills the holdings from keepers, and reports whether no request
-// waits any more.
-func (s *Syncer) replenish(ctx context.Context) bool {
-	lenders := s.settings.Lenders()
-	for _, lender := range lenders[:min(len(lenders), keepersAsked)] {
-		for _, missing := range s.settings.Ledger.lows(s.settings.Routers(), s.settings.Clock()) {
-			s.borrowFrom(ctx, lender, missing)
-		}
-		if len(s.settings.Ledger.lows(s.settings.Routers(), s.settings.Clock())) == 0 {
-			break
-		}
-	}
-	return s.settings.Ledger.replenished()
-}
-
-// replenished notes that keepers were asked, and reports whether nothing is
-// left that only the record can settle.
-func (l *Ledger) replenished() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	settled := true
-	for _, a := range l.accounts {
-		a.changed = false
-		settled = settled && !a.frozen && len(a.waiters) == 0
-	}
-	return settled
-}
-
-// Bounds of asking keepers.
-const (
-	keepersAsked = 3
-	// keeperWait is how long a keeper waits for the store on behalf of a
-	// neighbour.
-	keeperWait = 45 * time.Millisecond
-)
--- a/escrow/plan.go
+++ b/escrow/plan.go
@@ -26,8 +26,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := plan{rows: map[granitehoist.Workspace]Row{}, rests: map[granitehoist.Workspace]granitehoist.Tokens{}}
+	o := l.outlook(routers, now)
 	below := refillBelow
-	if l.low(routers, now) {
+	if l.low(o) {
 		below = joinBelow
 	}
 	for w, a := range l.accounts {
@@ -37,11 +38,13 @@
 		rest := a.limit - stored.Taken()
 		next := row
 		next.Spent = a.spent
-		give := a.giveBack(rest, routers, l.settings.Cover, l.closing, now)
+		next.Rate = granitehoist.Tokens(a.rate.value(now) + a.lentRate.value(now))
+		a.rateElsewhere = float64(stored.rateElsewhere(l.settings.Incarnation))
+		give := a.giveBack(rest, o, l.closing)
 		a.returned += give
 		next.Returned = a.returned
 		if !l.closing {
-			next.Granted += a.wish(rest+next.Returned-row.Returned, routers, l.settings.Cover, below, now)
+			next.Granted += a.wish(rest+next.Returned-row.Returned, o, below)
 		}
 		next.Idle = max(0, a.owned()+next.Granted-row.Granted)
 		if next.Granted != row.Granted || next.Returned != row.Returned {
@@ -50,7 +53,7 @@
 			p.changed = true
 		}
 		a.known = true
-		a.holding = a.target(rest, routers, l.settings.Cover, now)
+		a.holding = a.target(rest, o)
 		a.rest = rest - (next.Granted - row.Granted) + (next.Returned - row.Returned)
 		p.rests[w] = a.rest
 		a.idle = stored.IdleElsewhere(l.settings.Incarnation)
@@ -64,25 +67,14 @@
 	a.granted = max(a.granted, row.Granted)
 }
 
-// target is what the router should hold ahead of requests.
-func (a *account) target(rest granitehoist.Tokens, routers int, cover time.Duration, now time.Time) granitehoist.Tokens {
-	want := a.rate.value(now) * cover.Seconds()
-	want = max(want, keptLargest*float64(a.largest))
-	parts := float64(max(1, routers))
-	left := float64(max(0, rest+max(0, a.owned())))
-	want = max(want, startPart*left/parts*(1-a.rate.certainty()))
-	share := left * sharePart / parts
-	return granitehoist.Tokens(min(want, share))
-}
-
 // wish returns the tokens to be granted now: what waiting requests need and, if
 // the holding is low, enough to fill it.
-func (a *account) wish(rest granitehoist.Tokens, routers int, cover time.Duration, below float64, now time.Time) granitehoist.Tokens {
+func (a *account) wish(rest granitehoist.Tokens, o outlook, below float64) granitehoist.Tokens {
 	if rest <= 0 {
 		return 0
 	}
 	need := a.need(rest)
-	target := a.target(rest, routers, cover, now)
+	target := a.target(rest, o)
 	free := a.owned()
 	if need == 0 && float64(free) >= below*float64(target) {
 		return 0
@@ -94,7 +86,7 @@
 func (a *account) need(rest granitehoist.Tokens) granitehoist.Tokens {
 	bounds := make([]granitehoist.Tokens, 0, len(a.waiters))
 	for _, w := range a.waiters {
-		if a.tapered(w.bound) {
+		if a.tapered(w.demand) {
 			continue
 		}
 		bounds = append(bounds, w.bound)
@@ -112,7 +104,7 @@
 }
 
 // giveBack returns the free tokens that the router should not keep.
-func (a *account) giveBack(rest granitehoist.Tokens, routers int, cover time.Duration, closing bool, now time.Time) granitehoist.Tokens {
+func (a *account) giveBack(rest granitehoist.Tokens, o outlook, closing bool) granitehoist.Tokens {
 	free := a.owned()
 	switch {
 	case free <= 0:
@@ -124,7 +116,7 @@
 	case len(a.waiters) > 0:
 		return 0
 	}
-	target := a.target(rest, routers, cover, now)
+	target := a.target(rest, o)
 	if float64(free) <= returnAbove*float64(target) {
 		return 0
 	}
@@ -162,9 +154,9 @@
 }
 
 // low reports whether a holding is low or requests wait.
-func (l *Ledger) low(routers int, now time.Time) bool {
+func (l *Ledger) low(o outlook) bool {
 	for _, a := range l.accounts {
-		target := a.target(a.rest, routers, l.settings.Cover, now)
+		target := a.target(a.rest, o)
 		if len(a.waiters) > 0 || float64(a.owned()) < refillBelow*float64(target) {
 			return true
 		}
@@ -177,8 +169,9 @@
 func (l *Ledger) due(routers int, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	o := l.outlook(routers, now)
 	for _, a := range l.accounts {
-		target := a.target(a.rest, routers, l.settings.Cover, now)
+		target := a.target(a.rest, o)
 		if a.rest > 0 && float64(a.owned()) < refillBelow*float64(target) {
 			return true
 		}
--- a/escrow/rate.go
+++ b/escrow/rate.go
@@ -25,9 +25,13 @@
 	rateTime = 5 * time.Second
 )
 
-func (r *rate) add(t granitehoist.Tokens, now time.Time) {
+// add counts tokens. watched is since when the absence of demand has been seen.
+func (r *rate) add(t granitehoist.Tokens, watched, now time.Time) {
 	if r.began.IsZero() {
 		r.began = now
+		if !watched.IsZero() {
+			r.began = watched
+		}
 	}
 	r.roll(now)
 	r.sum += float64(t)
@@ -55,6 +59,3 @@
 	r.roll(now)
 	return r.perSecond
 }
-
-// certainty grows from 0 to 1 as the mean comes to cover rateTime.
-func (r *rate) certainty() float64 { return r.seen.Seconds() / rateTime.Seconds() }
--- /dev/null
+++ b/escrow/repay.go
@@ -0,0 +1,110 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package escrow
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/event"
+)
+
+// MethodRepay gives tokens to a neighbour that did not ask for them.
+const MethodRepay = "escrow.repay"
+
+// RepayParams tells the sum of all that the giver has lent or given to the
+// receiver.
+type RepayParams struct {
+	Giver     granitehoist.Incarnation `json:"giver"`
+	Workspace granitehoist.Workspace   `json:"workspace"`
+	Total     granitehoist.Tokens      `json:"total"`
+}
+
+// surplus is what a router gives back.
+type surplus struct {
+	workspace granitehoist.Workspace
+	tokens    granitehoist.Tokens
+}
+
+// surpluses returns what a router that does not write the record holds beyond
+// its needs.
+func (l *Ledger) surpluses(routers int, now time.Time) []surplus {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.outlook(routers, now)
+	o.start = 0
+	var found []surplus
+	for w, a := range l.accounts {
+		free := a.free()
+		if free <= 0 || len(a.waiters) > 0 {
+			continue
+		}
+		target := a.target(a.believedRest(), o)
+		if l.closing {
+			target = 0
+		}
+		if float64(free) > returnAbove*float64(target) && float64(free-target) > repayLeast*float64(a.limit) {
+			found = append(found, surplus{w, free - target})
+		}
+	}
+	return found
+}
+
+// repayLeast is the part of a budget below which it is not worth a call to give
+// tokens back.
+const repayLeast = 0.0005
+
+// repay takes tokens off what this ledger owns and tells what to say to the
+// receiver.
+func (l *Ledger) repay(to granitehoist.Incarnation, s surplus) RepayParams {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(s.workspace)
+	if give := min(s.tokens, a.free()); give > 0 {
+		a.give(to, give)
+	}
+	return RepayParams{Giver: l.settings.Incarnation, Workspace: s.workspace, Total: a.lent[to]}
+}
+
+// ServeRepay answers a neighbour's call of MethodRepay.
+func (s *Syncer) ServeRepay(_ context.Context, p RepayParams) (LendResult, error) {
+	now := s.settings.Clock()
+	s.settings.Ledger.Borrowed(p.Workspace, p.Giver, LendResult{Total: p.Total}, now)
+	s.settings.Ledger.mu.Lock()
+	defer s.settings.Ledger.mu.Unlock()
+	return s.settings.Ledger.lendResult(s.settings.Ledger.account(p.Workspace), p.Giver, now), nil
+}
+
+// giveBack repays what is held beyond need to the first relay that takes it.
+func (s *Syncer) giveBack(ctx context.Context) {
+	for _, extra := range s.settings.Ledger.surpluses(s.settings.Routers(), s.settings.Clock()) {
+		lenders := s.settings.Lenders()
+		for _, to := range lenders[:min(len(lenders), relaysAsked)] {
+			if s.repayTo(ctx, to, extra) {
+				break
+			}
+		}
+	}
+}
+
+func (s *Syncer) repayTo(ctx context.Context, to granitehoist.Peer, extra surplus) bool {
+	ctx, cancel := context.WithTimeout(ctx, replenishTimeout)
+	defer cancel()
+	// A neighbour that can't be reached must not be given anything.
+	ask := RepayParams{Giver: s.settings.Ledger.settings.Incarnation, Workspace: extra.workspace}
+	var result LendResult
+	if err := s.settings.Caller.Call(ctx, to, MethodRepay, ask, &result); err != nil || !result.InTouch {
+		return false
+	}
+	told := s.settings.Ledger.repay(to.Incarnation, extra)
+	if err := s.settings.Caller.Call(ctx, to, MethodRepay, told, &result); err != nil {
+		s.settings.Log.Warn(event.BudgetSyncFailed, zap.Error(err))
+		return true
+	}
+	s.settings.Log.Info(event.BudgetRepaid, zap.String("workspace", string(extra.workspace)), zap.String("to", string(to.Incarnation)), zap.Int64("total", int64(told.Total)))
+	return true
+}
--- a/escrow/reserve.go
+++ b/escrow/reserve.go
@@ -14,16 +14,33 @@
 // of a higher priority. Each success is to be followed by one Settle. It panics
 // if bound is negative.
 func (l *Ledger) Reserve(w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority, now time.Time) bool {
-	mustNotBeNegative(bound)
+	return l.reserve(w, demand{bound: bound, priority: priority}, now)
+}
+
+// demand is what tokens are wanted for: a request, or a loan to a router that
+// has requests.
+type demand struct {
+	bound    granitehoist.Tokens
+	priority granitehoist.Priority
+	loan     bool
+}
+
+func (l *Ledger) reserve(w granitehoist.Workspace, d demand, now time.Time) bool {
+	mustNotBeNegative(d.bound)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(w)
-	a.measure(bound)
-	a.urgent = max(a.urgent, priority)
-	if a.tapered(bound) {
+	if l.began.IsZero() {
+		l.began = now
+	}
+	if !d.loan {
+		a.measure(d.bound)
+		a.urgent = max(a.urgent, d.priority)
+	}
+	if a.tapered(d) {
 		return false
 	}
-	return a.reserve(bound, a.kept(priority, l.outageLeft(now)))
+	return a.reserve(d.bound, a.kept(d.priority, l.outageLeft(now)))
 }
 
 // The end of a budget. Below taperBelow of the prepaid total a request may be no
@@ -37,12 +54,23 @@
 )
 
 // tapered reports whether a request is too large for the little that is left.
-func (a *account) tapered(bound granitehoist.Tokens) bool {
-	left := float64(max(0, a.rest) + max(0, a.owned()) + a.idle)
-	if !a.known || left >= taperBelow*float64(a.limit) {
+func (a *account) tapered(d demand) bool {
+	if d.loan {
+		return false
+	}
+	var left float64
+	switch {
+	case a.known:
+		left = float64(max(0, a.rest) + max(0, a.owned()) + a.idle)
+	case a.told:
+		left = float64(a.toldLeft + max(0, a.owned()))
+	default:
+		return false
+	}
+	if left >= taperBelow*float64(a.limit) {
 		return false
 	}
-	return float64(bound) > taperShare*left || float64(bound) > a.mean
+	return float64(d.bound) > taperShare*left || float64(d.bound) > a.mean
 }
 
 // measure takes the size of a request into the mean.
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -39,10 +39,12 @@
 	// Caller reaches them; nil borrows from nobody.
 	Lenders func() []granitehoist.Peer
 	Caller  granitehoist.Caller
-	// Keeps reports whether this router reads and writes the record. One that
-	// does not borrows from those that do, and goes to the record only when
-	// they don't help; nil stands for always.
-	Keeps func() bool
+	// Writes reports whether this router reads and writes the record of its own
+	// accord. One that does not borrows from relays, and goes to the record only
+	// when they don't help. Serves reports whether it is a relay, which goes to
+	// the record when others ask. Nil stands for always.
+	Writes func() bool
+	Serves func() bool
 	// Interval is how often the holdings are looked at; zero stands for
 	// DefaultInterval.
 	Interval time.Duration
@@ -64,7 +66,7 @@
 const (
 	conflictTries = 8
 	failurePause  = 150 * time.Millisecond
-	// aloneAfter is how often in a row keepers may fail to help before a router
+	// aloneAfter is how often in a row relays may fail to help before a router
 	// that is none goes to the record itself.
 	aloneAfter = 3
 	// maxFailurePause bounds the pause while the store fails for long.
@@ -84,8 +86,11 @@
 	if s.Routers == nil {
 		s.Routers = func() int { return 1 }
 	}
-	if s.Keeps == nil || s.Lenders == nil || s.Caller == nil {
-		s.Keeps = func() bool { return true }
+	if s.Writes == nil || s.Lenders == nil || s.Caller == nil {
+		s.Writes = func() bool { return true }
+	}
+	if s.Serves == nil {
+		s.Serves = s.Writes
 	}
 	if s.Clock == nil {
 		s.Clock = time.Now
@@ -102,15 +107,15 @@
 // Reserve sets bound tokens of a workspace aside, waiting for a sync until ctx
 // ends if the router owns too few.
 func (s *Syncer) Reserve(ctx context.Context, w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority) Answer {
-	outcome := s.reserve(ctx, w, bound, priority)
+	outcome := s.reserve(ctx, w, demand{bound: bound, priority: priority})
 	return s.settings.Ledger.answer(w, outcome, s.settings.Clock())
 }
 
-func (s *Syncer) reserve(ctx context.Context, w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority) Outcome {
-	if s.settings.Ledger.Reserve(w, bound, priority, s.settings.Clock()) {
+func (s *Syncer) reserve(ctx context.Context, w granitehoist.Workspace, d demand) Outcome {
+	if s.settings.Ledger.reserve(w, d, s.settings.Clock()) {
 		return Granted
 	}
-	entered := s.settings.Ledger.wait(w, bound, priority, s.settings.Clock())
+	entered := s.settings.Ledger.wait(w, d, s.settings.Clock())
 	s.Kick()
 	select {
 	case outcome := <-entered.ended:
@@ -151,9 +156,12 @@
 		now := s.settings.Clock()
 		switch {
 		case !s.settings.Ledger.urgent() && !s.isDue(now):
-		case !s.settings.Keeps() && s.replenish(ctx):
+			if !s.settings.Writes() {
+				s.giveBack(ctx)
+			}
+		case !s.settings.Writes() && s.replenish(ctx):
 			alone = 0
-		case !s.settings.Keeps() && alone < aloneAfter:
+		case !s.settings.Writes() && alone < aloneAfter:
 			alone++
 		case now.Before(retryAt):
 			s.borrow(ctx)
@@ -168,7 +176,7 @@
 
 // isDue reports whether holdings are off enough to be worth a call.
 func (s *Syncer) isDue(now time.Time) bool {
-	if !s.settings.Keeps() {
+	if !s.settings.Writes() {
 		return len(s.settings.Ledger.lows(s.settings.Routers(), now)) > 0
 	}
 	return s.settings.Ledger.due(s.settings.Routers(), now)
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"granitehoist.example/granitehoist/internal/defaults"
+	"granitehoist.example/granitehoist/internal/linkmeter"
 )
 
 // Settings configure a Pool. The zero value works.
@@ -28,6 +29,8 @@
 	// PerUpstream bounds the idle connections to one address; zero stands for
 	// DefaultPerUpstream.
 	PerUpstream int
+	// Meter, if set, counts the bytes of the connections.
+	Meter *linkmeter.Meter
 	// Opened, if set, is told of each new connection.
 	Opened func()
 }
@@ -132,7 +135,8 @@
 	if p.settings.Opened != nil {
 		p.settings.Opened()
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), address: address}, nil
+	metered := p.settings.Meter.Conn(raw)
+	return &conn{Conn: metered, reader: bufio.NewReaderSize(metered, readBufferBytes), address: address}, nil
 }
 
 // put keeps a connection for later requests.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -87,7 +87,9 @@
 	It("is refused by a router that took over the address", func() {
 		var got echo
 		gone := granitehoist.Peer{Incarnation: "before-me", Address: me.Address}
-		Expect(client.Call(ctx, gone, "echo", echo{"x"}, &got)).To(MatchError(ContainSubstring("not before-me")))
+		err := client.Call(ctx, gone, "echo", echo{"x"}, &got)
+		Expect(err).To(MatchError(ContainSubstring("not before-me")))
+		Expect(err).To(MatchError(fleet.ErrOtherIncarnation))
 		Expect(got.Text).To(BeEmpty())
 	})
 
--- a/fleet/rpc.go
+++ b/fleet/rpc.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log"
 	"net"
@@ -41,6 +42,10 @@
 	Params json.RawMessage          `json:"params"`
 }
 
+// ErrOtherIncarnation says that another router than the one called answers at
+// its address.
+var ErrOtherIncarnation = errors.New("fleet: another incarnation has the address")
+
 // codeNotMe is the JSON-RPC error code of a call for another incarnation.
 const codeNotMe = -32001
 
@@ -199,9 +204,13 @@
 		return err
 	}
 	err = conn.Call(ctx, method, envelope{To: to.Incarnation, Params: raw}, result)
-	if _, answered := err.(*jsonrpc2.Error); err != nil && !answered {
+	answer, answered := err.(*jsonrpc2.Error)
+	if err != nil && !answered {
 		c.drop(to.Address, conn)
 	}
+	if answered && answer.Code == codeNotMe {
+		err = eris.Wrap(ErrOtherIncarnation, answer.Message)
+	}
 	return eris.Wrapf(err, "fleet: call of %s at %s", method, to.Address)
 }
 
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,24 +15,29 @@
 	"granitehoist.example/granitehoist/internal/event"
 )
 
-// Copy is the state of a prefix at one version of the store.
-type Copy struct {
-	Prefix  string               `json:"prefix"`
-	At      granitehoist.Version `json:"at"`
-	Entries []granitehoist.Entry `json:"entries,omitempty"`
-}
-
 // Settings configure a Follower.
 type Settings struct {
 	Store  granitehoist.Store
 	Prefix string
-	// Neighbours asks other routers for a copy that is newer than a version,
-	// and returns false if none has one; nil asks nobody.
-	Neighbours func(ctx context.Context, prefix string, after granitehoist.Version) (Copy, bool)
+	// Relays returns the routers that follow the store for this one, nil if it
+	// does so itself. Updates asks one of them.
+	Relays func() []granitehoist.Peer
+	// Neighbours returns routers that may have a newer copy while the store
+	// does not answer; nil asks nobody.
+	Neighbours func() []granitehoist.Peer
+	// Updates asks a router what changed after a version, waiting a while for a
+	// change. It is needed with Relays or Neighbours.
+	Updates func(ctx context.Context, to granitehoist.Peer, prefix string, after granitehoist.Version, wait time.Duration) (Update, error)
 	// Changed is told of each changed entry, a deleted one included, and of
 	// the end of each list or batch of changes. It runs on the follower's own
 	// goroutine.
 	Changed func(changed []granitehoist.Entry, at granitehoist.Version)
+	// Same reports whether an entry that was written anew says what it said
+	// before, so that nobody need be told; nil tells everything.
+	Same func(before, after granitehoist.Entry) bool
+	// Gather is the least time from one watch of the store to the next, so that
+	// changes that come together cost one call.
+	Gather time.Duration
 	// Pause is the time between tries while the store fails; zero stands for
 	// DefaultPause.
 	Pause time.Duration
@@ -44,18 +48,34 @@
 // DefaultPause keeps the calls of a router whose store fails to a few a second.
 const DefaultPause = 250 * time.Millisecond
 
-// maxPauses bounds the pause while the store fails for long.
-const maxPauses = 4
+const (
+	// maxPauses bounds the pause while the store fails for long.
+	maxPauses = 4
+	// relayWait is how long a relay holds a question that nothing answers.
+	relayWait = 400 * time.Millisecond
+	// relayAge is the age above which a relay's word is no longer relied upon.
+	relayAge = 1500 * time.Millisecond
+	// relayTries is the number of relays that are asked before the store is.
+	relayTries = 2
+	// avoidTime is how long a relay that failed is left out.
+	avoidTime = 2 * time.Second
+	// servedWait bounds the watches of a router that is a relay itself, so that
+	// what it tells others is not old.
+	servedWait = time.Second
+	// servedTime is how long after a question a router counts as a relay.
+	servedTime = 5 * time.Second
+)
 
 // Follower keeps the copy of one prefix. Run drives it.
 type Follower struct {
 	settings Settings
-
-	mu      sync.Mutex
-	entries map[string]granitehoist.Entry
-	at      granitehoist.Version
-	heard   time.Time
-	known   bool
+	copy     *prefixCopy
+	served   lastTime
+	// next chooses the relay that is asked; avoided holds until when relays that
+	// failed are left out; watched is when the last watch began.
+	next    int
+	avoided map[string]time.Time
+	watched time.Time
 }
 
 // New returns a follower that knows nothing yet. It panics if the settings
@@ -74,7 +94,14 @@
 	if s.Log == nil {
 		s.Log = zap.NewNop()
 	}
-	return &Follower{settings: s, entries: map[string]granitehoist.Entry{}}
+	nobody := func() []granitehoist.Peer { return nil }
+	if s.Relays == nil {
+		s.Relays = nobody
+	}
+	if s.Neighbours == nil {
+		s.Neighbours = nobody
+	}
+	return &Follower{settings: s, copy: newPrefixCopy(s.Same), avoided: map[string]time.Time{}}
 }
 
 // Run follows the prefix until ctx ends.
@@ -95,14 +122,20 @@
 			continue
 		}
 		f.askNeighbours(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		sleep(ctx, pause)
 		pause = min(2*pause, maxPauses*f.settings.Pause)
 	}
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 func (f *Follower) logState(down bool, err error) {
 	fields := []zap.Field{zap.String("prefix", f.settings.Prefix), zap.Uint64("at", uint64(f.At()))}
 	if down {
@@ -112,13 +145,70 @@
 	f.settings.Log.Info(event.StoreRegained, fields...)
 }
 
-// step lists the prefix if nothing is known of it, and waits for changes
-// otherwise.
+// step takes in what a relay tells, or else what the store does.
 func (f *Follower) step(ctx context.Context) error {
+	if f.askRelays(ctx) {
+		return nil
+	}
 	if !f.Known() {
 		return f.list(ctx)
 	}
-	changed, at, err := f.settings.Store.Watch(ctx, f.settings.Prefix, f.At())
+	return f.watch(ctx)
+}
+
+// askRelays asks relays in turn, and reports whether one of them is fresh. One
+// that is not is left out for a while. If two in a row are not, the store itself
+// is asked next.
+func (f *Follower) askRelays(ctx context.Context) bool {
+	for range relayTries {
+		relay, ok := f.nextRelay()
+		if !ok {
+			return false
+		}
+		if f.ask(ctx, relay, relayWait) {
+			return true
+		}
+		if ctx.Err() == nil {
+			f.avoided[relay.Address] = f.settings.Clock().Add(avoidTime)
+			f.settings.Log.Warn(event.RelayLost, zap.String("prefix", f.settings.Prefix), zap.String("relay", string(relay.Incarnation)), zap.Uint64("at", uint64(f.At())))
+		}
+	}
+	return false
+}
+
+// nextRelay returns the next relay that did not fail a short while ago.
+func (f *Follower) nextRelay() (granitehoist.Peer, bool) {
+	relays := f.settings.Relays()
+	now := f.settings.Clock()
+	for range relays {
+		f.next++
+		relay := relays[f.next%len(relays)]
+		if now.After(f.avoided[relay.Address]) {
+			return relay, true
+		}
+	}
+	return granitehoist.Peer{}, false
+}
+
+// ask takes in what a router tells, and reports whether that is fresh.
+func (f *Follower) ask(ctx context.Context, to granitehoist.Peer, wait time.Duration) bool {
+	update, err := f.settings.Updates(ctx, to, f.settings.Prefix, f.At(), wait)
+	if err != nil || !update.Known || update.Prefix != f.settings.Prefix {
+		return false
+	}
+	f.take(update)
+	return update.Age <= relayAge
+}
+
+// watch waits for changes at the store.
+func (f *Follower) watch(ctx context.Context) error {
+	sleep(ctx, f.settings.Gather-f.settings.Clock().Sub(f.watched))
+	f.watched = f.settings.Clock()
+	var wait time.Duration
+	if f.served.within(servedTime, f.watched) {
+		wait = servedWait
+	}
+	changed, at, err := f.settings.Store.Watch(ctx, f.settings.Prefix, f.At(), wait)
 	if errors.Is(err, granitehoist.ErrHistoryGone) {
 		f.settings.Log.Warn(event.HistoryGone, zap.String("prefix", f.settings.Prefix), zap.Uint64("at", uint64(f.At())))
 		return f.list(ctx)
@@ -126,7 +216,7 @@
 	if err != nil {
 		return err
 	}
-	f.apply(changed, at)
+	f.take(Update{At: at, Entries: changed})
 	return nil
 }
 
@@ -135,111 +225,68 @@
 	if err != nil {
 		return err
 	}
-	f.replace(Copy{Prefix: f.settings.Prefix, At: at, Entries: entries})
+	f.take(Update{At: at, Whole: true, Entries: entries})
 	return nil
 }
 
+// askNeighbours asks all at once for what is newer.
 func (f *Follower) askNeighbours(ctx context.Context) {
-	if f.settings.Neighbours == nil {
-		return
+	neighbours := f.settings.Neighbours()
+	updates := make(chan Update, len(neighbours))
+	after := f.At()
+	for _, to := range neighbours {
+		go func() {
+			update, err := f.settings.Updates(ctx, to, f.settings.Prefix, after, 0)
+			update.Known = update.Known && err == nil
+			updates <- update
+		}()
 	}
-	newer, ok := f.settings.Neighbours(ctx, f.settings.Prefix, f.At())
-	if !ok || newer.Prefix != f.settings.Prefix || newer.At <= f.At() {
-		return
+	for range neighbours {
+		u := <-updates
+		if !u.Known || u.Prefix != f.settings.Prefix || u.At <= f.At() {
+			continue
+		}
+		f.settings.Log.Info(event.CopyFromNeighbour, zap.String("prefix", f.settings.Prefix), zap.Uint64("at", uint64(u.At)), zap.Duration("age", u.Age))
+		f.take(u)
 	}
-	f.settings.Log.Info(event.CopyFromNeighbour, zap.String("prefix", f.settings.Prefix), zap.Uint64("at", uint64(newer.At)))
-	f.replace(newer)
 }
 
-// replace takes a whole copy. Keys that it lacks are gone.
-func (f *Follower) replace(c Copy) {
-	f.mu.Lock()
-	if f.known && c.At < f.at {
-		f.mu.Unlock()
-		return
+// take takes an update in and tells what it changed.
+func (f *Follower) take(u Update) {
+	first := !f.Known()
+	changed := f.copy.apply(u, f.settings.Clock())
+	if len(changed) > 0 || first {
+		f.settings.Changed(changed, u.At)
 	}
-	var changed []granitehoist.Entry
-	present := map[string]bool{}
-	for _, e := range c.Entries {
-		present[e.Key] = true
-		if f.entries[e.Key].Version < e.Version {
-			f.entries[e.Key] = e
-			changed = append(changed, e)
-		}
-	}
-	for key, e := range f.entries {
-		if !present[key] && e.Version <= c.At {
-			delete(f.entries, key)
-			changed = append(changed, granitehoist.Entry{Key: key, Version: c.At, Deleted: true})
-		}
-	}
-	f.hear(c.At)
-	f.mu.Unlock()
-	f.settings.Changed(changed, c.At)
 }
 
-// apply takes a batch of changes.
-func (f *Follower) apply(events []granitehoist.Entry, at granitehoist.Version) {
-	f.mu.Lock()
-	var changed []granitehoist.Entry
-	for _, e := range events {
-		if e.Version <= f.at || f.entries[e.Key].Version >= e.Version {
-			continue
-		}
-		changed = append(changed, e)
-		if e.Deleted {
-			delete(f.entries, e.Key)
-			continue
+// Updates returns what changed after a version, waiting for a change if there
+// is none. It serves other routers.
+func (f *Follower) Updates(ctx context.Context, after granitehoist.Version, wait time.Duration) Update {
+	f.served.set(f.settings.Clock())
+	u, changed := f.copy.since(after, f.settings.Clock())
+	if wait > 0 && len(u.Entries) == 0 && u.Known && u.Age <= relayAge {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-changed:
 		}
-		f.entries[e.Key] = e
-	}
-	f.hear(at)
-	f.mu.Unlock()
-	if len(changed) > 0 {
-		f.settings.Changed(changed, at)
+		u, _ = f.copy.since(after, f.settings.Clock())
 	}
-}
-
-func (f *Follower) hear(at granitehoist.Version) {
-	f.at = max(f.at, at)
-	f.heard = f.settings.Clock()
-	f.known = true
+	u.Prefix = f.settings.Prefix
+	return u
 }
 
 // At returns the store's version of the copy.
-func (f *Follower) At() granitehoist.Version {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.at
-}
+func (f *Follower) At() granitehoist.Version { return f.copy.version() }
 
 // Known reports whether the prefix has been read at all.
-func (f *Follower) Known() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.known
-}
+func (f *Follower) Known() bool { return f.copy.isKnown() }
 
 // Age returns the time since the copy was last known to be the newest.
-func (f *Follower) Age(now time.Time) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return now.Sub(f.heard)
-}
-
-// Newer returns the copy if it is newer than a version.
-func (f *Follower) Newer(after granitehoist.Version) (Copy, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.known || f.at <= after {
-		return Copy{}, false
-	}
-	c := Copy{Prefix: f.settings.Prefix, At: f.at}
-	for _, e := range f.entries {
-		c.Entries = append(c.Entries, e)
-	}
-	return c, true
-}
+func (f *Follower) Age(now time.Time) time.Duration { return f.copy.age(now) }
 
 // Prefix returns the prefix that is followed.
 func (f *Follower) Prefix() string { return f.settings.Prefix }
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -19,15 +19,15 @@
 type scripted struct {
 	granitehoist.Store
 	mu      sync.Mutex
-	lists   []follow.Copy
-	watches []follow.Copy
+	lists   []follow.Update
+	watches []follow.Update
 	gone    bool
 	down    bool
 }
 
-func next(script *[]follow.Copy) (follow.Copy, bool) {
+func next(script *[]follow.Update) (follow.Update, bool) {
 	if len(*script) == 0 {
-		return follow.Copy{}, false
+		return follow.Update{}, false
 	}
 	first := (*script)[0]
 	*script = (*script)[1:]
@@ -44,7 +44,7 @@
 	return c.Entries, c.At, nil
 }
 
-func (s *scripted) Watch(ctx context.Context, _ string, _ granitehoist.Version) ([]granitehoist.Entry, granitehoist.Version, error) {
+func (s *scripted) Watch(ctx context.Context, _ string, _ granitehoist.Version, _ time.Duration) ([]granitehoist.Entry, granitehoist.Version, error) {
 	s.mu.Lock()
 	c, ok := next(&s.watches)
 	gone := s.gone && !ok
@@ -67,6 +67,10 @@
 	return granitehoist.Entry{Key: key, Version: version, Value: []byte(key)}
 }
 
+func onePeer() []granitehoist.Peer {
+	return []granitehoist.Peer{{Incarnation: "other-1", Address: "10.0.0.9:1"}}
+}
+
 func gone(key string, version granitehoist.Version) granitehoist.Entry {
 	return granitehoist.Entry{Key: key, Version: version, Deleted: true}
 }
@@ -90,7 +94,7 @@
 	}
 	keys := func(f *follow.Follower) func() []string {
 		return func() []string {
-			c, _ := f.Newer(0)
+			c := f.Updates(context.Background(), 0, 0)
 			found := []string{}
 			for _, e := range c.Entries {
 				found = append(found, e.Key)
@@ -101,8 +105,8 @@
 
 	It("lists, then applies changes, and drops what is deleted", func() {
 		store := &scripted{
-			lists:   []follow.Copy{{At: 5, Entries: []granitehoist.Entry{entry("p/a", 3), entry("p/b", 5)}}},
-			watches: []follow.Copy{{At: 7, Entries: []granitehoist.Entry{gone("p/a", 6), entry("p/c", 7)}}},
+			lists:   []follow.Update{{At: 5, Entries: []granitehoist.Entry{entry("p/a", 3), entry("p/b", 5)}}},
+			watches: []follow.Update{{At: 7, Entries: []granitehoist.Entry{gone("p/a", 6), entry("p/c", 7)}}},
 		}
 		f := run(follow.Settings{Store: store})
 		Eventually(keys(f)).Should(ConsistOf("p/b", "p/c"))
@@ -111,8 +115,8 @@
 
 	It("takes no change that is older than what it has", func() {
 		store := &scripted{
-			lists:   []follow.Copy{{At: 9, Entries: []granitehoist.Entry{entry("p/a", 8)}}},
-			watches: []follow.Copy{{At: 9, Entries: []granitehoist.Entry{gone("p/a", 7), entry("p/old", 4)}}, {At: 10, Entries: []granitehoist.Entry{entry("p/b", 10)}}},
+			lists:   []follow.Update{{At: 9, Entries: []granitehoist.Entry{entry("p/a", 8)}}},
+			watches: []follow.Update{{At: 9, Entries: []granitehoist.Entry{gone("p/a", 7), entry("p/old", 4)}}, {At: 10, Entries: []granitehoist.Entry{entry("p/b", 10)}}},
 		}
 		f := run(follow.Settings{Store: store})
 		Eventually(keys(f)).Should(ConsistOf("p/a", "p/b"))
@@ -122,7 +126,7 @@
 		var mu sync.Mutex
 		var deleted []string
 		store := &scripted{
-			lists: []follow.Copy{{At: 5, Entries: []granitehoist.Entry{entry("p/a", 3)}}, {At: 20, Entries: []granitehoist.Entry{entry("p/b", 15)}}},
+			lists: []follow.Update{{At: 5, Entries: []granitehoist.Entry{entry("p/a", 3)}}, {At: 20, Entries: []granitehoist.Entry{entry("p/b", 15)}}},
 			gone:  true,
 		}
 		f := run(follow.Settings{Store: store, Changed: func(changed []granitehoist.Entry, _ granitehoist.Version) {
@@ -141,13 +145,18 @@
 	})
 
 	It("takes a newer copy from a neighbour, and no older one", func() {
-		store := &scripted{lists: []follow.Copy{{At: 5, Entries: []granitehoist.Entry{entry("p/a", 3)}}}}
-		copies := []follow.Copy{{Prefix: "p/", At: 4, Entries: nil}, {Prefix: "q/", At: 90}, {Prefix: "p/", At: 8, Entries: []granitehoist.Entry{entry("p/b", 8)}}}
+		store := &scripted{lists: []follow.Update{{At: 5, Entries: []granitehoist.Entry{entry("p/a", 3)}}}}
+		copies := []follow.Update{
+			{Prefix: "p/", Known: true, Whole: true, At: 4},
+			{Prefix: "q/", Known: true, Whole: true, At: 90},
+			{Prefix: "p/", Known: true, Whole: true, At: 8, Entries: []granitehoist.Entry{entry("p/b", 8)}},
+		}
 		var mu sync.Mutex
-		f := run(follow.Settings{Store: store, Neighbours: func(context.Context, string, granitehoist.Version) (follow.Copy, bool) {
+		f := run(follow.Settings{Store: store, Neighbours: onePeer, Updates: func(context.Context, granitehoist.Peer, string, granitehoist.Version, time.Duration) (follow.Update, error) {
 			mu.Lock()
 			defer mu.Unlock()
-			return next(&copies)
+			u, _ := next(&copies)
+			return u, nil
 		}})
 		Eventually(keys(f)).Should(ConsistOf("p/b"))
 		Expect(f.At()).To(Equal(granitehoist.Version(8)))
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -38,9 +38,12 @@
 	StoreRegained     Name = "store_regained"
 	HistoryGone       Name = "history_gone"
 	CopyFromNeighbour Name = "copy_from_neighbour"
+	RelayLost         Name = "relay_lost"
+	Shedding          Name = "shedding"
 	PeerBad           Name = "peer_bad"
 	BudgetGrant       Name = "budget_grant"
 	BudgetLoan        Name = "budget_loan"
+	BudgetRepaid      Name = "budget_repaid"
 	BudgetSyncFailed  Name = "budget_sync_failed"
 )
 
@@ -50,6 +53,6 @@
 		Start, Stop, Stopped, Reload, ReloadFailed, ServeFailed, ReturnFailed, LeaveFailed, LogDropped,
 		Request, Attempt,
 		ConfigInForce, ConfigBad, Upstream, UpstreamGone, UpstreamBad, StoreLost, StoreRegained, HistoryGone,
-		CopyFromNeighbour, PeerBad, BudgetGrant, BudgetLoan, BudgetSyncFailed,
+		CopyFromNeighbour, RelayLost, Shedding, PeerBad, BudgetGrant, BudgetLoan, BudgetRepaid, BudgetSyncFailed,
 	}
 }
--- /dev/null
+++ b/internal/linkmeter/linkmeter.go
@@ -0,0 +1,96 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+// Package linkmeter counts the bytes that pass over the connections of a
+// process, to tell how much of its box's link they take.
+package linkmeter
+
+import (
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Meter counts bytes in both directions. The zero value is ready to use, and a
+// nil Meter counts nothing. It is safe for concurrent use.
+type Meter struct{ received, sent atomic.Int64 }
+
+// Reading is what a Meter has counted at a time.
+type Reading struct {
+	At             time.Time
+	Received, Sent int64
+}
+
+// Read returns what has been counted so far.
+func (m *Meter) Read(now time.Time) Reading {
+	return Reading{At: now, Received: m.received.Load(), Sent: m.sent.Load()}
+}
+
+// Rate returns the bytes a second from an earlier reading to this one in the
+// busier direction, zero if no time has passed.
+func (r Reading) Rate(earlier Reading) float64 {
+	seconds := r.At.Sub(earlier.At).Seconds()
+	if seconds <= 0 {
+		return 0
+	}
+	return float64(max(r.Received-earlier.Received, r.Sent-earlier.Sent)) / seconds
+}
+
+// Conn returns a connection whose bytes m counts.
+func (m *Meter) Conn(c net.Conn) net.Conn {
+	if m == nil {
+		return c
+	}
+	return &conn{Conn: c, meter: m}
+}
+
+// Listener returns a listener whose connections' bytes m counts.
+func (m *Meter) Listener(l net.Listener) net.Listener {
+	if m == nil {
+		return l
+	}
+	return &listener{Listener: l, meter: m}
+}
+
+type listener struct {
+	net.Listener
+	meter *Meter
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.meter.Conn(c), nil
+}
+
+type conn struct {
+	net.Conn
+	meter *Meter
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.sent.Add(int64(n))
+	return n, err
+}
+
+// SyscallConn implements syscall.Conn where the connection does.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.EINVAL
+	}
+	return inner.SyscallConn()
+}
--- a/node/config.go
+++ b/node/config.go
@@ -28,6 +28,8 @@
 	// platform's health checks reach.
 	Callers string
 	Ready   string
+	// LinkMbps is the rate of the box's link in Mbit/s, zero if it is not known.
+	LinkMbps float64
 	// Metrics is the address of the node's figures; empty serves none.
 	Metrics string
 	// Store is the address of the platform's store.
--- a/node/counted.go
+++ b/node/counted.go
@@ -55,8 +55,8 @@
 }
 
 // Watch implements granitehoist.Store.
-func (s *countedStore) Watch(ctx context.Context, prefix string, after granitehoist.Version) ([]granitehoist.Entry, granitehoist.Version, error) {
-	entries, at, err := s.Store.Watch(ctx, prefix, after)
+func (s *countedStore) Watch(ctx context.Context, prefix string, after granitehoist.Version, wait time.Duration) ([]granitehoist.Entry, granitehoist.Version, error) {
+	entries, at, err := s.Store.Watch(ctx, prefix, after, wait)
 	s.note("watch", err)
 	return entries, at, err
 }
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"granitehoist.example/granitehoist/follow"
 	"granitehoist.example/granitehoist/forward"
 	"granitehoist.example/granitehoist/internal/event"
+	"granitehoist.example/granitehoist/internal/linkmeter"
 )
 
 // Node is one router process.
@@ -40,6 +41,7 @@
 	catalog   catalog.Current
 	table     *balance.Table
 	pool      *exchange.Pool
+	meter     linkmeter.Meter
 	ledger    *escrow.Ledger
 	syncer    *escrow.Syncer
 	path      *forward.Path
@@ -53,6 +55,7 @@
 	readyAt, peersAt net.Listener
 	metricsAt        net.Listener
 	leaving          atomic.Bool
+	shedding         atomic.Bool
 	stopping         sync.Once
 	cancel           context.CancelFunc
 	loops            sync.WaitGroup
@@ -104,37 +107,57 @@
 
 func (n *Node) build() {
 	n.table = balance.New(balance.Settings{Place: n.config.Place, Seed: uint64(time.Now().UnixNano())})
-	n.pool = exchange.NewPool(exchange.Settings{Opened: n.counter(metricConnections)})
+	n.pool = exchange.NewPool(exchange.Settings{Opened: n.counter(metricConnections), Meter: &n.meter})
 	n.peers = newPeers(peersSettings{
-		self:  peerEntry{Incarnation: n.incarnation, Box: n.config.Box, Place: n.config.Place, Address: n.peersAt.Addr().String()},
+		self:  peerEntry{Incarnation: n.incarnation, Box: n.config.Box, Place: n.config.Place, Address: n.peersAt.Addr().String(), LinkMbps: n.config.LinkMbps},
 		store: n.adapter.Store,
 		log:   n.log,
 		first: n.config.First,
 	})
 	n.ledger = escrow.NewLedger(escrow.LedgerSettings{Incarnation: n.incarnation})
 	n.syncer = escrow.NewSyncer(escrow.SyncerSettings{
-		Box: n.config.Box, Ledger: n.ledger, Store: n.adapter.Store, Routers: n.peers.sharers, Keeps: n.peers.keeps, Clock: time.Now, Log: n.log,
-		Lenders: n.peers.lenders, Caller: n.peers.client,
+		Box: n.config.Box, Ledger: n.ledger, Store: n.adapter.Store, Routers: n.peers.sharers, Writes: n.peers.writes, Serves: n.peers.direct, Clock: time.Now, Log: n.log,
+		Lenders: n.peers.lenders, Caller: n.peers,
 	})
 	n.path = forward.New(forward.Settings{
 		Catalog: &n.catalog, Funds: n.syncer, Table: n.table, Pool: n.pool, Dialect: n.adapter.Dialect,
 		Retry: n.config.Retry, Routers: n.peers.routers, Clock: time.Now, Log: n.log, Ended: n.ended,
 	})
-	n.configs = follow.New(follow.Settings{
-		Store: n.adapter.Store, Prefix: n.adapter.ConfigPrefix, Neighbours: n.peers.newer, Changed: n.configChanged, Clock: time.Now, Log: n.log,
-	})
-	n.instances = follow.New(follow.Settings{
-		Store: n.adapter.Store, Prefix: n.adapter.InstancesPrefix, Neighbours: n.peers.newer, Changed: n.instancesChanged, Clock: time.Now, Log: n.log,
-	})
+	n.configs = n.follower(n.adapter.ConfigPrefix, n.configChanged, nil)
+	n.instances = n.follower(n.adapter.InstancesPrefix, n.instancesChanged, n.sameInstance)
 	n.server = fleet.NewServer(fleet.ServerSettings{Self: n.incarnation, Methods: map[string]fleet.HandlerFunc{
-		methodNewer:       fleet.Handle(n.serveNewer),
-		escrow.MethodLend: fleet.Handle(n.syncer.ServeLend),
+		methodUpdates:      fleet.Handle(n.serveUpdates),
+		escrow.MethodLend:  fleet.Handle(n.syncer.ServeLend),
+		escrow.MethodRepay: fleet.Handle(n.syncer.ServeRepay),
 	}, Greetings: map[string]fleet.HandlerFunc{
 		methodGreet: fleet.Handle(n.peers.serveGreet),
 	}})
 	n.buildServers()
 }
 
+// gatherChanges is how long changes of a prefix are gathered for one watch. It is
+// short beside the times within which a configuration and an upstream's leaving
+// have to be acted upon.
+const gatherChanges = 500 * time.Millisecond
+
+func (n *Node) follower(prefix string, changed func([]granitehoist.Entry, granitehoist.Version), same func(before, after granitehoist.Entry) bool) *follow.Follower {
+	return follow.New(follow.Settings{
+		Store: n.adapter.Store, Prefix: prefix, Changed: changed, Same: same, Gather: gatherChanges,
+		Relays: n.peers.relays, Neighbours: n.peers.neighbours, Updates: n.peers.updates, Clock: time.Now, Log: n.log,
+	})
+}
+
+// sameInstance reports whether an upstream announced itself again as before.
+func (n *Node) sameInstance(before, after granitehoist.Entry) bool {
+	was, err := n.adapter.DecodeInstance(before)
+	if err != nil {
+		return false
+	}
+	is, err := n.adapter.DecodeInstance(after)
+	was.Version = is.Version
+	return err == nil && is == was
+}
+
 // Bounds of what clients may do before a configuration says so. Connections
 // may rest for longer than the configuration's limit, so that the router never
 // closes one that a client is still entitled to use.
@@ -145,7 +168,7 @@
 )
 
 func (n *Node) buildServers() {
-	handler := n.adapter.Frontend(n.path, &n.catalog, time.Now, n.leaving.Load)
+	handler := n.adapter.Frontend(n.path, &n.catalog, time.Now, func() bool { return n.leaving.Load() || n.shedding.Load() })
 	quiet := zap.NewStdLog(zap.NewNop())
 	n.callers = &http.Server{
 		Handler:           handler,
@@ -159,7 +182,7 @@
 
 // Ready reports whether the node can serve clients.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.catalog.Get() != nil && n.instances.Known()
+	return !n.leaving.Load() && !n.shedding.Load() && n.catalog.Get() != nil && n.instances.Known()
 }
 
 // Routers returns the number of nodes that this one knows of, itself included.
@@ -186,6 +209,7 @@
 	n.loops.Go(func() { n.configs.Run(ctx) })
 	n.loops.Go(func() { n.instances.Run(ctx) })
 	n.loops.Go(func() { n.peers.run(ctx) })
+	n.loops.Go(func() { n.watchLink(ctx) })
 	n.loops.Go(func() { n.syncer.Run(ctx) })
 	n.loops.Go(func() {
 		if err := n.server.Serve(n.peersAt); err != nil {
@@ -193,7 +217,7 @@
 		}
 	})
 	n.serve("ready", n.ready, n.readyAt)
-	n.serve("callers", n.callers, n.callersAt)
+	n.serve("callers", n.callers, n.meter.Listener(n.callersAt))
 	if n.metricsAt != nil {
 		n.serve("metrics", &http.Server{Handler: http.HandlerFunc(n.serveMetrics), ReadHeaderTimeout: headerTimeout}, n.metricsAt)
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -4,28 +4,23 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/fleet"
-	"granitehoist.example/granitehoist/follow"
 	"granitehoist.example/granitehoist/internal/event"
 )
 
 // peersPrefix is where nodes enter their addresses in the store.
 const peersPrefix = "boxes/"
 
-// methodNewer asks a neighbour for a newer copy of a prefix.
-const methodNewer = "follow.newer"
-
 // methodGreet tells a neighbour of this node, and asks whom it knows.
 const methodGreet = "peers.greet"
 
@@ -36,12 +31,11 @@
 	// peersFill is the time in which all nodes of a fleet enter themselves at
 	// its first start.
 	peersFill    = 1500 * time.Millisecond
-	askTimeout   = 400 * time.Millisecond
 	greetTimeout = 200 * time.Millisecond
+	// listFresh is the age up to which a list of entries is passed on.
+	listFresh = 2 * peersInterval
 	// greetAtMost bounds the neighbours that are greeted at a time.
 	greetAtMost = 12
-	// askAtMost bounds the neighbours that are asked at a time.
-	askAtMost = 3
 )
 
 // peerEntry is what a node writes of itself.
@@ -50,6 +44,8 @@
 	Box         granitehoist.Box         `json:"box"`
 	Place       granitehoist.Place       `json:"place"`
 	Address     string                   `json:"address"`
+	// LinkMbps is the rate of the box's link in Mbit/s.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
 type peersSettings struct {
@@ -70,8 +66,9 @@
 	others  []peerEntry
 	next    int
 	entered bool
-	// listed counts the lists read.
-	listed int
+	// listed counts the lists read, the last of them at listedAt.
+	listed   int
+	listedAt time.Time
 }
 
 func newPeers(s peersSettings) *peers {
@@ -114,9 +111,36 @@
 	return p.listed
 }
 
-// refresh reads all entries, and writes the node's own if it is missing or is
-// that of an earlier incarnation.
+// refresh learns the present entries, from a relay if there is one.
 func (p *peers) refresh(ctx context.Context) error {
+	for _, relay := range p.relays() {
+		if reply, err := p.greetOne(ctx, relay.Address); err == nil && p.adopt(reply) {
+			return nil
+		}
+	}
+	return p.list(ctx)
+}
+
+// adopt takes the entries that a relay has read in place of the node's own
+// list, unless they lack this node.
+func (p *peers) adopt(reply greeting) bool {
+	if !reply.Listed || !slices.Contains(reply.Others, p.settings.self) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.others = []peerEntry{reply.Self}
+	for _, other := range reply.Others {
+		if other.Box != p.settings.self.Box {
+			p.others = append(p.others, other)
+		}
+	}
+	return true
+}
+
+// list reads all entries, and writes the node's own if it is missing or is that
+// of an earlier incarnation.
+func (p *peers) list(ctx context.Context) error {
 	entries, _, err := p.settings.store.List(ctx, peersPrefix)
 	if err != nil {
 		return err
@@ -140,6 +164,7 @@
 	p.mu.Lock()
 	p.others, p.entered = others, entered
 	p.listed++
+	p.listedAt = time.Now()
 	p.mu.Unlock()
 	if entered {
 		return nil
@@ -160,6 +185,8 @@
 type greeting struct {
 	Self   peerEntry   `json:"self"`
 	Others []peerEntry `json:"others,omitempty"`
+	// Listed says that Others are as the store had them a short while ago.
+	Listed bool `json:"listed,omitempty"`
 }
 
 // greet tells neighbours of this node and learns their present incarnations.
@@ -168,19 +195,34 @@
 	defer cancel()
 	var calls sync.WaitGroup
 	for _, other := range p.some(greetAtMost) {
-		calls.Go(func() {
-			var reply greeting
-			// The incarnation that was known may be gone; whoever answers says
-			// who it is.
-			to := granitehoist.Peer{Address: other.Address}
-			if err := p.client.Call(ctx, to, methodGreet, greeting{Self: p.settings.self}, &reply); err == nil {
-				p.met(reply)
-			}
-		})
+		calls.Go(func() { _, _ = p.greetOne(ctx, other.Address) })
 	}
 	calls.Wait()
 }
 
+// greetOne greets whoever is at an address. The incarnation that was known may
+// be gone; the one that answers says who it is.
+func (p *peers) greetOne(ctx context.Context, address string) (greeting, error) {
+	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	var reply greeting
+	err := p.client.Call(ctx, granitehoist.Peer{Address: address}, methodGreet, greeting{Self: p.settings.self}, &reply)
+	if err == nil {
+		p.met(reply)
+	}
+	return reply, err
+}
+
+// Call implements granitehoist.Caller. If another incarnation has the address
+// by now, its name is learnt for the next call.
+func (p *peers) Call(ctx context.Context, to granitehoist.Peer, method string, params, result any) error {
+	err := p.client.Call(ctx, to, method, params, result)
+	if errors.Is(err, fleet.ErrOtherIncarnation) {
+		_, _ = p.greetOne(ctx, to.Address)
+	}
+	return err
+}
+
 // met takes in what a node said of itself, and the boxes that were not known.
 func (p *peers) met(g greeting) {
 	p.mu.Lock()
@@ -214,7 +256,8 @@
 	p.met(greeting{Self: g.Self})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return greeting{Self: p.settings.self, Others: append([]peerEntry(nil), p.others...)}, nil
+	listed := p.isDirect() && time.Since(p.listedAt) <= listFresh
+	return greeting{Self: p.settings.self, Others: append([]peerEntry(nil), p.others...), Listed: listed}, nil
 }
 
 // leave removes the node's entry.
@@ -245,135 +288,3 @@
 	}
 	return chosen
 }
-
-// largeFleet is the number of nodes from which only keepers write the record of
-// the budgets, keepersPerPlace of them in each place.
-const (
-	largeFleet      = 16
-	keepersPerPlace = 2
-)
-
-// keepers returns the keepers by box, nil while every node is one. All nodes
-// that know the same boxes choose the same.
-func (p *peers) keepers() map[granitehoist.Box]bool {
-	if len(p.others)+1 < largeFleet {
-		return nil
-	}
-	places := map[granitehoist.Place][]granitehoist.Box{}
-	for _, entry := range append([]peerEntry{p.settings.self}, p.others...) {
-		places[entry.Place] = append(places[entry.Place], entry.Box)
-	}
-	chosen := map[granitehoist.Box]bool{}
-	for _, boxes := range places {
-		slices.SortFunc(boxes, func(a, b granitehoist.Box) int {
-			return cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b)))
-		})
-		for _, box := range boxes[:min(keepersPerPlace, len(boxes))] {
-			chosen[box] = true
-		}
-	}
-	return chosen
-}
-
-// keeps reports whether this node is a keeper.
-func (p *peers) keeps() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.listed < p.listsNeeded() {
-		return false
-	}
-	keepers := p.keepers()
-	return keepers == nil || keepers[p.settings.self.Box]
-}
-
-// listsNeeded returns how many lists must have been read before the others are
-// known.
-func (p *peers) listsNeeded() int {
-	if p.settings.first {
-		return 2
-	}
-	return 1
-}
-
-// sharers returns the number of nodes with which this one shares the budgets:
-// keepers share with keepers, others with all.
-func (p *peers) sharers() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if keepers := p.keepers(); keepers[p.settings.self.Box] {
-		return len(keepers)
-	}
-	return len(p.others) + 1
-}
-
-// lenders returns all neighbours: keepers before others, and those in the
-// node's own place before those elsewhere.
-func (p *peers) lenders() []granitehoist.Peer {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	keepers := p.keepers()
-	ranked := make([][]granitehoist.Peer, 4)
-	for i := range p.others {
-		other := p.others[(p.next+i)%len(p.others)]
-		rank := 0
-		if other.Place != p.settings.self.Place {
-			rank++
-		}
-		if keepers != nil && !keepers[other.Box] {
-			rank += 2
-		}
-		ranked[rank] = append(ranked[rank], granitehoist.Peer{Incarnation: other.Incarnation, Address: other.Address})
-	}
-	p.next++
-	return slices.Concat(ranked...)
-}
-
-// newerParams asks for a copy of a prefix that is newer than a version.
-type newerParams struct {
-	Prefix string               `json:"prefix"`
-	After  granitehoist.Version `json:"after"`
-}
-
-// newerResult has the copy if Newer is set.
-type newerResult struct {
-	Newer bool        `json:"newer"`
-	Copy  follow.Copy `json:"copy"`
-}
-
-// newer asks neighbours for a copy, and returns the newest that they have.
-func (p *peers) newer(ctx context.Context, prefix string, after granitehoist.Version) (follow.Copy, bool) {
-	chosen := p.some(askAtMost)
-	results := make(chan newerResult, len(chosen))
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	for _, other := range chosen {
-		go func() {
-			var result newerResult
-			to := granitehoist.Peer{Incarnation: other.Incarnation, Address: other.Address}
-			if err := p.client.Call(ctx, to, methodNewer, newerParams{prefix, after}, &result); err != nil {
-				result = newerResult{}
-			}
-			results <- result
-		}()
-	}
-	var best newerResult
-	for range chosen {
-		result := <-results
-		if result.Newer && (!best.Newer || result.Copy.At > best.Copy.At) {
-			best = result
-		}
-	}
-	return best.Copy, best.Newer
-}
-
-// serveNewer answers a neighbour.
-func (n *Node) serveNewer(_ context.Context, params newerParams) (newerResult, error) {
-	for _, f := range []*follow.Follower{n.configs, n.instances} {
-		if f.Prefix() != params.Prefix {
-			continue
-		}
-		newer, ok := f.Newer(params.After)
-		return newerResult{Newer: ok, Copy: newer}, nil
-	}
-	return newerResult{}, nil
-}
--- /dev/null
+++ b/node/relays_test.go
@@ -0,0 +1,113 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"granitehoist.example/granitehoist"
+)
+
+// fleetOf returns the peers of each node of a fleet in three places.
+func fleetOf(count int) []*peers {
+	var entries []peerEntry
+	for i := range count {
+		entries = append(entries, peerEntry{
+			Incarnation: granitehoist.Incarnation(fmt.Sprint("inc-", i)),
+			Box:         granitehoist.Box(fmt.Sprint("edge-", i)),
+			Place:       granitehoist.Place(fmt.Sprint("place-", i%3)),
+			Address:     fmt.Sprint("10.0.0.", i),
+		})
+	}
+	var all []*peers
+	for i, self := range entries {
+		p := newPeers(peersSettings{self: self})
+		p.others = append(append([]peerEntry(nil), entries[:i]...), entries[i+1:]...)
+		p.listed = 1
+		all = append(all, p)
+	}
+	return all
+}
+
+// TestRelays checks that a small fleet has none, and that all nodes of
+// a large one agree on two a place and ask those of their own place first.
+func TestRelays(t *testing.T) {
+	for _, p := range fleetOf(9) {
+		if !p.direct() || p.sharers() != 9 {
+			t.Fatalf("%s: direct %v, %d sharers", p.settings.self.Box, p.direct(), p.sharers())
+		}
+	}
+	relays := map[granitehoist.Incarnation]granitehoist.Place{}
+	fleet := fleetOf(60)
+	for _, p := range fleet {
+		if p.direct() {
+			relays[p.settings.self.Incarnation] = p.settings.self.Place
+		}
+	}
+	if len(relays) != 6 {
+		t.Fatalf("%d relays: %v", len(relays), relays)
+	}
+	for _, p := range fleet {
+		asked := p.relays()
+		if p.direct() {
+			continue
+		}
+		if first := asked[0].Incarnation; relays[first] != p.settings.self.Place {
+			t.Fatalf("%s asks %s first, a relay of %q", p.settings.self.Box, first, relays[first])
+		}
+	}
+}
+
+// TestFirstStart checks that nobody takes itself for a relay before the list
+// of nodes has had time to fill.
+func TestFirstStart(t *testing.T) {
+	p := newPeers(peersSettings{first: true})
+	p.listed = 1
+	if p.direct() {
+		t.Fatal("a relay after one list of a first start")
+	}
+	p.listed = 2
+	if !p.direct() {
+		t.Fatal("no relay after two lists")
+	}
+}
+
+// TestFastRelays checks that relays are the boxes with the fastest links, and
+// that a single one of them writes the record of the budgets.
+func TestFastRelays(t *testing.T) {
+	fleet := fleetOf(60)
+	fast := map[granitehoist.Box]bool{"edge-7": true, "edge-8": true, "edge-9": true, "edge-30": true, "edge-31": true, "edge-32": true}
+	for _, p := range fleet {
+		if fast[p.settings.self.Box] {
+			p.settings.self.LinkMbps = 200
+		}
+		for i := range p.others {
+			if fast[p.others[i].Box] {
+				p.others[i].LinkMbps = 200
+			}
+		}
+	}
+	writers := 0
+	for _, p := range fleet {
+		if p.direct() != fast[p.settings.self.Box] {
+			t.Fatalf("%s: direct %v", p.settings.self.Box, p.direct())
+		}
+		if p.writes() {
+			writers++
+		}
+		if relays := p.relays(); p.direct() == (len(relays) == 6) {
+			t.Fatalf("%s has relays %v", p.settings.self.Box, relays)
+		}
+	}
+	if writers != 1 {
+		t.Fatalf("%d writers", writers)
+	}
+	first := fleet[0].lenders()[0]
+	for _, p := range fleet {
+		if lender := p.lenders()[0]; !p.writes() && lender != first {
+			t.Fatalf("%s asks %v first and not %v", p.settings.self.Box, lender, first)
+		}
+	}
+}
--- /dev/null
+++ b/node/updates.go
@@ -0,0 +1,61 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package node
+
+import (
+	"context"
+	"time"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/follow"
+)
+
+// methodUpdates asks a router what changed under a prefix.
+const methodUpdates = "follow.updates"
+
+const (
+	// updatesTimeout bounds the way there and back of such a call, the wait for
+	// a change not included.
+	updatesTimeout = 400 * time.Millisecond
+	// maxUpdatesWait bounds the wait that is granted to a caller.
+	maxUpdatesWait = time.Second
+	// askAtMost bounds the neighbours that are asked at a time.
+	askAtMost = 3
+)
+
+// updatesParams asks for what changed under a prefix after a version, to be
+// answered at the next change or after Wait.
+type updatesParams struct {
+	Prefix string               `json:"prefix"`
+	After  granitehoist.Version `json:"after"`
+	Wait   time.Duration        `json:"wait,omitempty"`
+}
+
+// updates asks a router what changed.
+func (p *peers) updates(ctx context.Context, to granitehoist.Peer, prefix string, after granitehoist.Version, wait time.Duration) (follow.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+updatesTimeout)
+	defer cancel()
+	var update follow.Update
+	err := p.Call(ctx, to, methodUpdates, updatesParams{prefix, after, wait}, &update)
+	return update, err
+}
+
+// neighbours returns some routers, each in its turn.
+func (p *peers) neighbours() []granitehoist.Peer {
+	var chosen []granitehoist.Peer
+	for _, other := range p.some(askAtMost) {
+		chosen = append(chosen, other.peer())
+	}
+	return chosen
+}
+
+// serveUpdates answers another router.
+func (n *Node) serveUpdates(ctx context.Context, params updatesParams) (follow.Update, error) {
+	for _, f := range []*follow.Follower{n.configs, n.instances} {
+		if f.Prefix() == params.Prefix {
+			return f.Updates(ctx, params.After, min(params.Wait, maxUpdatesWait)), nil
+		}
+	}
+	return follow.Update{}, nil
+}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -49,11 +49,11 @@
 	}
 }
 
-func (s cutStore) Watch(ctx context.Context, prefix string, after granitehoist.Version) ([]granitehoist.Entry, granitehoist.Version, error) {
+func (s cutStore) Watch(ctx context.Context, prefix string, after granitehoist.Version, wait time.Duration) ([]granitehoist.Entry, granitehoist.Version, error) {
 	if s.isCut() {
 		return nil, 0, granitehoist.ErrUnavailable
 	}
-	entries, version, err := s.Store.Watch(ctx, prefix, after)
+	entries, version, err := s.Store.Watch(ctx, prefix, after, wait)
 	if s.isCut() {
 		return nil, 0, granitehoist.ErrUnavailable
 	}
--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -176,7 +176,7 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	entries, at, err := p.Store.watchFor(r.Context(), query.Get("pathPrefix"), granitehoist.Version(since), time.Duration(wait)*time.Millisecond)
+	entries, at, err := p.Store.Watch(r.Context(), query.Get("pathPrefix"), granitehoist.Version(since), time.Duration(wait)*time.Millisecond)
 	if err != nil {
 		p.refuse(w, err)
 		return
--- a/standin/store.go
+++ b/standin/store.go
@@ -267,12 +267,10 @@
 }
 
 // Watch implements granitehoist.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after granitehoist.Version) ([]granitehoist.Entry, granitehoist.Version, error) {
-	return s.watchFor(ctx, prefix, after, s.watch)
-}
-
-// watchFor waits as Watch does, for at most the given time.
-func (s *Store) watchFor(ctx context.Context, prefix string, after granitehoist.Version, wait time.Duration) ([]granitehoist.Entry, granitehoist.Version, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, after granitehoist.Version, wait time.Duration) ([]granitehoist.Entry, granitehoist.Version, error) {
+	if wait <= 0 || wait > s.watch {
+		wait = s.watch
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/standin/storehttp.go
+++ b/standin/storehttp.go
@@ -59,7 +59,7 @@
 		http.Error(w, "after is no version", http.StatusBadRequest)
 		return
 	}
-	found, version, err := s.Watch(r.Context(), query.Get("prefix"), granitehoist.Version(after))
+	found, version, err := s.Watch(r.Context(), query.Get("prefix"), granitehoist.Version(after), 0)
 	reply(w, store.Entries{Entries: found, Version: version}, err)
 }
 
--- a/store.go
+++ b/store.go
@@ -84,8 +84,9 @@
 	CompareAndSwap(ctx context.Context, change Change) (Version, error)
 	// Watch waits until an entry whose key begins with prefix has a version
 	// above after, and returns those entries and the latest version. It
-	// returns no entries if the service's own waiting limit passes.
-	Watch(ctx context.Context, prefix string, after Version) ([]Entry, Version, error)
+	// returns no entries once wait passes, or the service's own limit if that
+	// is shorter or wait is zero.
+	Watch(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Entry, Version, error)
 	// GrantLease opens a lease that ends unless renewed within ttl.
 	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// RenewLease extends a lease by its ttl. It returns ErrNoLease if the
--- a/store/http.go
+++ b/store/http.go
@@ -125,10 +125,13 @@
 const watchGrace = 5 * time.Second
 
 // Watch implements granitehoist.Store.
-func (h *HTTP) Watch(ctx context.Context, prefix string, after granitehoist.Version) ([]granitehoist.Entry, granitehoist.Version, error) {
+func (h *HTTP) Watch(ctx context.Context, prefix string, after granitehoist.Version, wait time.Duration) ([]granitehoist.Entry, granitehoist.Version, error) {
 	var found Entries
-	query := WatchQuery{Prefix: prefix, After: after, WaitMS: h.settings.Watch.Milliseconds()}
-	err := h.call(ctx, h.settings.Watch+watchGrace, h.request().Get(PathWatch).QueryStruct(query), &found)
+	if wait <= 0 || wait > h.settings.Watch {
+		wait = h.settings.Watch
+	}
+	query := WatchQuery{Prefix: prefix, After: after, WaitMS: wait.Milliseconds()}
+	err := h.call(ctx, wait+watchGrace, h.request().Get(PathWatch).QueryStruct(query), &found)
 	return found.Entries, found.Version, err
 }
 
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -55,12 +55,12 @@
 	})
 
 	It("waits for changes", func() {
-		entries, after, err := adapter.Watch(ctx, "a/", 0)
+		entries, after, err := adapter.Watch(ctx, "a/", 0, 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(entries).To(BeEmpty())
 		_, err = adapter.CompareAndSwap(ctx, granitehoist.Change{Key: "a/x", Value: []byte("1")})
 		Expect(err).NotTo(HaveOccurred())
-		entries, _, err = adapter.Watch(ctx, "a/", after)
+		entries, _, err = adapter.Watch(ctx, "a/", after, 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(entries).To(HaveLen(1))
 	})
