--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -23,6 +23,8 @@
 	began time.Time
 	// reached is when the store last answered.
 	reached time.Time
+	// synced is when the store last answered this router itself.
+	synced time.Time
 	// silentSince is when a call to the store first failed since then.
 	silentSince time.Time
 }
@@ -46,6 +48,9 @@
 	// joinBelow is the part under which a holding is filled when the record is
 	// written anyway.
 	joinBelow = 0.9
+	// returnLeast is the part of the budget below which it is not worth a write to
+	// give tokens back.
+	returnLeast = 0.005
 	// returnAbove is the multiple of the holding above which tokens are given
 	// back.
 	returnAbove = 2.0
@@ -68,10 +73,12 @@
 	// be covered.
 	frozen bool
 	// rest is what the store had left, idle what others had, as read at restAt.
-	rest   granitehoist.Tokens
-	idle   granitehoist.Tokens
-	restAt time.Time
-	known  bool
+	// lentIdle is what borrowers had then.
+	rest     granitehoist.Tokens
+	idle     granitehoist.Tokens
+	lentIdle granitehoist.Tokens
+	restAt   time.Time
+	known    bool
 	// told says that a lender has told toldLeft, what was left in the store and
 	// idle elsewhere, at toldAt, and toldRest, the part of it in the store.
 	told               bool
@@ -84,12 +91,10 @@
 	urgent  granitehoist.Priority
 
 	rate rate
-	// lentRate is that of loans to others. rateElsewhere is what the record
-	// says of the others, fleetRate what a lender says of all, in tokens a
-	// second.
-	lentRate      rate
-	rateElsewhere float64
-	fleetRate     float64
+	// demands is what borrowers tell of themselves, fleetRate what a lender tells
+	// of all, in tokens a second.
+	demands   map[granitehoist.Incarnation]toldDemand
+	fleetRate float64
 
 	largest granitehoist.Tokens
 	// mean is that of the requests' bounds.
@@ -98,6 +103,14 @@
 	changed bool
 }
 
+// toldDemand is what a borrower told at a time: its rate in tokens a second, and
+// what it owned beside its requests.
+type toldDemand struct {
+	perSecond float64
+	idle      granitehoist.Tokens
+	at        time.Time
+}
+
 // free returns the tokens that a request may reserve.
 func (a *account) free() granitehoist.Tokens {
 	if a.frozen {
@@ -201,15 +214,11 @@
 	defer l.mu.Unlock()
 	a := l.account(w)
 	added := &waiter{demand: d, ended: make(chan Outcome, 1)}
-	if a.reserve(d.bound, a.kept(d.priority, l.outageLeft(now))) {
+	if l.take(a, d, now) {
 		added.ended <- Granted
 		return added
 	}
-	if a.fresh(now) && a.tapered(d) {
-		added.ended <- a.refusal(d)
-		return added
-	}
-	if a.known && now.Sub(a.restAt) < restFresh && d.bound > a.rest+max(0, a.owned()) {
+	if a.fresh(now) && a.hopeless(d) {
 		added.ended <- a.refusal(d)
 		return added
 	}
@@ -217,15 +226,28 @@
 	return added
 }
 
-// fresh reports whether what is known to be left is so of late.
+// fresh reports whether what is believed to be left is so of late.
 func (a *account) fresh(now time.Time) bool {
-	return (a.known && now.Sub(a.restAt) < restFresh) || (a.told && now.Sub(a.toldAt) < restFresh)
+	return now.Sub(a.restAt) < restFresh || now.Sub(a.toldAt) < restFresh
+}
+
+// hopeless reports whether waiting can't help a demand. A router that does not
+// read the record asks its neighbours for what they have idle.
+func (a *account) hopeless(d demand) bool {
+	if a.tapered(d) {
+		return true
+	}
+	if left, known := a.believedLeft(); a.secondhand() {
+		return known && d.bound > left
+	}
+	return a.known && d.bound > a.rest+max(0, a.owned())
 }
 
-// refusal tells why a bound can't be had.
+// refusal tells why a demand can't be met.
 func (a *account) refusal(d demand) Outcome {
+	left, known := a.believedLeft()
 	switch {
-	case a.known && d.bound > max(0, a.rest)+max(0, a.owned())+a.idle:
+	case known && d.bound > left:
 		return Exhausted
 	case a.tapered(d):
 		return Withheld
@@ -271,15 +293,15 @@
 	}
 	a.reserved -= bound
 	a.spent += used
-	a.rate.add(used, l.began, now)
-	a.wake(l.outageLeft(now))
+	a.rate.add(used-bound, l.began, now)
+	l.wake(a, now)
 }
 
 // wake reserves for the waiters that fit, the earlier ones first.
-func (a *account) wake(outageLeft float64) {
+func (l *Ledger) wake(a *account, now time.Time) {
 	kept := a.waiters[:0]
 	for _, w := range a.waiters {
-		if !a.tapered(w.demand) && a.reserve(w.bound, a.kept(w.priority, outageLeft)) {
+		if !a.tapered(w.demand) && l.take(a, w.demand, now) {
 			w.ended <- Granted
 			continue
 		}
@@ -290,10 +312,10 @@
 }
 
 // refuse ends the waits that what is left can't serve.
-func (a *account) refuse() {
+func (l *Ledger) refuse(a *account, now time.Time) {
 	kept := a.waiters[:0]
 	for _, w := range a.waiters {
-		if a.tapered(w.demand) || w.bound > a.rest+max(0, a.free()) {
+		if a.hopeless(w.demand) {
 			w.ended <- a.refusal(w.demand)
 			continue
 		}
@@ -301,7 +323,7 @@
 	}
 	clear(a.waiters[len(kept):])
 	a.waiters = kept
-	a.wake(0)
+	l.wake(a, now)
 }
 
 // Close makes the following syncs return everything that is free, and grants
--- a/escrow/loan.go
+++ b/escrow/loan.go
@@ -23,13 +23,17 @@
 	// Need is what one request lacks, Want what would serve for a while.
 	Need granitehoist.Tokens `json:"need"`
 	Want granitehoist.Tokens `json:"want"`
+	// Rate is what the borrower spends in tokens a second.
+	Rate granitehoist.Tokens `json:"rate"`
+	// Idle is what the borrower owns beside its requests.
+	Idle granitehoist.Tokens `json:"idle,omitempty"`
 }
 
 // LendResult tells the sum of all loans of the lender to the borrower. It only
 // grows, so that a reply which is lost is made good by the next one.
 type LendResult struct {
 	Total granitehoist.Tokens `json:"total"`
-	// InTouch says that the lender speaks with the store and has its answers.
+	// InTouch says that the store answered the lender a short while ago.
 	// The others then tell what it knows: what is left in the store, what is
 	// left there and idle anywhere, and what the fleet spends a second.
 	InTouch bool                `json:"in_touch,omitempty"`
@@ -47,13 +51,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(p.Workspace)
+	a.hearDemand(p, now)
 	free := a.free()
 	if !l.closing && p.Need > 0 && free > 0 && len(a.waiters) == 0 {
 		give := min(p.Want, granitehoist.Tokens(lendPart*float64(free)))
 		if free >= p.Need {
 			give = max(p.Need, give)
 		}
-		a.lend(p.Borrower, max(0, give), now)
+		a.give(p.Borrower, max(0, give))
 	}
 	return l.lendResult(a, p.Borrower, now)
 }
@@ -61,17 +66,19 @@
 // lendResult tells a borrower of its loans and of what is known here.
 func (l *Ledger) lendResult(a *account, borrower granitehoist.Incarnation, now time.Time) LendResult {
 	result := LendResult{Total: a.lent[borrower]}
-	if !a.known || l.reached.IsZero() || !l.silentSince.IsZero() {
+	if !a.known || !l.silentSince.IsZero() || now.Sub(l.synced) > inTouchTime {
 		return result
 	}
-	own := max(0, a.owned())
 	result.InTouch = true
 	result.Rest = max(0, a.rest)
-	result.Left = result.Rest + own + a.idle
-	result.Rate = granitehoist.Tokens(a.rate.value(now) + a.lentRate.value(now) + a.rateElsewhere)
+	result.Left = result.Rest + max(0, a.owned()) + a.idle + a.borrowersIdle(borrower, now)
+	result.Rate = granitehoist.Tokens(a.rate.value(now) + a.borrowersDemand(now))
 	return result
 }
 
+// inTouchTime is how long after an answer of the store a lender is in touch.
+const inTouchTime = syncLeast + time.Second
+
 func (a *account) give(to granitehoist.Incarnation, tokens granitehoist.Tokens) {
 	if a.lent == nil {
 		a.lent = map[granitehoist.Incarnation]granitehoist.Tokens{}
@@ -79,18 +86,14 @@
 	a.lent[to] += tokens
 }
 
-func (a *account) lend(borrower granitehoist.Incarnation, give granitehoist.Tokens, now time.Time) {
-	a.give(borrower, give)
-	a.lentRate.add(give, time.Time{}, now)
-}
-
 // lendReserved turns a reservation into a loan.
 func (l *Ledger) lendReserved(p LendParams, bound granitehoist.Tokens, now time.Time) LendResult {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(p.Workspace)
+	a.hearDemand(p, now)
 	a.reserved -= bound
-	a.lend(p.Borrower, bound, now)
+	a.give(p.Borrower, bound)
 	return l.lendResult(a, p.Borrower, now)
 }
 
@@ -104,15 +107,18 @@
 		a.told, a.toldAt = true, now
 		a.toldRest, a.toldLeft, a.fleetRate = r.Rest, r.Left, float64(r.Rate)
 	}
-	if r.Total <= a.borrowed[lender] {
-		return false
+	brought := r.Total > a.borrowed[lender]
+	if brought {
+		if a.borrowed == nil {
+			a.borrowed = map[granitehoist.Incarnation]granitehoist.Tokens{}
+		}
+		a.borrowed[lender] = r.Total
+		l.wake(a, now)
 	}
-	if a.borrowed == nil {
-		a.borrowed = map[granitehoist.Incarnation]granitehoist.Tokens{}
+	if r.InTouch {
+		l.refuse(a, now)
 	}
-	a.borrowed[lender] = r.Total
-	a.wake(l.outageLeft(now))
-	return true
+	return brought
 }
 
 // shortage is what requests of a workspace wait for.
@@ -120,6 +126,8 @@
 	workspace granitehoist.Workspace
 	need      granitehoist.Tokens
 	want      granitehoist.Tokens
+	rate      granitehoist.Tokens
+	idle      granitehoist.Tokens
 	waiting   bool
 }
 
@@ -151,7 +159,7 @@
 		free := max(0, a.owned())
 		need := max(1, first-free)
 		want := sum - free + granitehoist.Tokens(a.rate.value(now)*loanCover.Seconds())
-		short = append(short, shortage{workspace: w, waiting: true, need: need, want: max(need, want)})
+		short = append(short, shortage{workspace: w, waiting: true, need: need, want: max(need, want), rate: granitehoist.Tokens(a.rate.value(now)), idle: free})
 	}
 	return short
 }
@@ -169,10 +177,10 @@
 
 // borrow asks neighbours, one after the other, until no request waits.
 func (s *Syncer) borrow(ctx context.Context) {
-	if s.settings.Caller == nil || s.settings.Lenders == nil {
+	if s.settings.Caller == nil {
 		return
 	}
-	for i, lender := range s.settings.Lenders() {
+	for i, lender := range s.lenders() {
 		short := s.settings.Ledger.shortages(s.settings.Clock())
 		if len(short) == 0 || i >= lendersAtMost || ctx.Err() != nil {
 			return
@@ -183,14 +191,47 @@
 	}
 }
 
+// avoidTime is how long a neighbour that did not answer is left out.
+const avoidTime = 1500 * time.Millisecond
+
+// avoid leaves a neighbour out for a while.
+func (s *Syncer) avoid(lender granitehoist.Peer) {
+	s.avoiding.Lock()
+	defer s.avoiding.Unlock()
+	s.avoided[lender.Address] = s.settings.Clock().Add(avoidTime)
+}
+
+// lenders returns the neighbours that may lend, without those that did not
+// answer a short while ago unless all did not.
+func (s *Syncer) lenders() []granitehoist.Peer {
+	if s.settings.Lenders == nil {
+		return nil
+	}
+	all := s.settings.Lenders()
+	now := s.settings.Clock()
+	s.avoiding.Lock()
+	defer s.avoiding.Unlock()
+	var answering []granitehoist.Peer
+	for _, lender := range all {
+		if now.After(s.avoided[lender.Address]) {
+			answering = append(answering, lender)
+		}
+	}
+	if len(answering) == 0 {
+		return all
+	}
+	return answering
+}
+
 // borrowFrom asks one neighbour for one loan, and reports whether it is in touch
 // with the store.
 func (s *Syncer) borrowFrom(ctx context.Context, lender granitehoist.Peer, missing shortage) bool {
 	ctx, cancel := context.WithTimeout(ctx, missing.patience())
 	defer cancel()
-	params := LendParams{Borrower: s.settings.Ledger.settings.Incarnation, Workspace: missing.workspace, Need: missing.need, Want: missing.want}
+	params := LendParams{Borrower: s.settings.Ledger.settings.Incarnation, Workspace: missing.workspace, Need: missing.need, Want: missing.want, Rate: missing.rate, Idle: missing.idle}
 	var result LendResult
 	if err := s.settings.Caller.Call(ctx, lender, MethodLend, params, &result); err != nil {
+		s.avoid(lender)
 		return false
 	}
 	if s.settings.Ledger.Borrowed(missing.workspace, lender.Incarnation, result, s.settings.Clock()) {
--- a/escrow/plan.go
+++ b/escrow/plan.go
@@ -38,8 +38,6 @@
 		rest := a.limit - stored.Taken()
 		next := row
 		next.Spent = a.spent
-		next.Rate = granitehoist.Tokens(a.rate.value(now) + a.lentRate.value(now))
-		a.rateElsewhere = float64(stored.rateElsewhere(l.settings.Incarnation))
 		give := a.giveBack(rest, o, l.closing)
 		a.returned += give
 		next.Returned = a.returned
@@ -47,7 +45,7 @@
 			next.Granted += a.wish(rest+next.Returned-row.Returned, o, below)
 		}
 		next.Idle = max(0, a.owned()+next.Granted-row.Granted)
-		if next.Granted != row.Granted || next.Returned != row.Returned {
+		if next.Granted != row.Granted || next.Returned != row.Returned || a.misleads(row, next, rest) {
 			stored.Rows[l.settings.Incarnation] = next
 			p.rows[w] = next
 			p.changed = true
@@ -57,11 +55,26 @@
 		a.rest = rest - (next.Granted - row.Granted) + (next.Returned - row.Returned)
 		p.rests[w] = a.rest
 		a.idle = stored.IdleElsewhere(l.settings.Incarnation)
+		a.lentIdle = a.borrowersIdle("", now)
 		a.restAt = now
 	}
 	return p
 }
 
+// Near the end of a budget others take what a row tells to be idle for what they
+// may still get by a loan.
+const (
+	misleadBelow = 0.1
+	misleadLeast = 0.001
+)
+
+// misleads reports whether a row tells much more idle tokens than there are
+// while little is left.
+func (a *account) misleads(told, is Row, rest granitehoist.Tokens) bool {
+	limit := float64(a.limit)
+	return float64(rest) < misleadBelow*limit && float64(told.Idle-is.Idle) > misleadLeast*limit
+}
+
 // adopt takes what the record confirms of the ledger's own row.
 func (a *account) adopt(row Row) {
 	a.granted = max(a.granted, row.Granted)
@@ -117,14 +130,15 @@
 		return 0
 	}
 	target := a.target(rest, o)
-	if float64(free) <= returnAbove*float64(target) {
+	extra := free - target
+	if float64(free) <= returnAbove*float64(target) || float64(extra) < returnLeast*float64(a.limit) {
 		return 0
 	}
-	return free - target
+	return extra
 }
 
 // confirm takes in a sync whose outcome is known: the record as it now is.
-func (l *Ledger) confirm(r *Record) {
+func (l *Ledger) confirm(r *Record, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for w, a := range l.accounts {
@@ -135,8 +149,8 @@
 			a.frozen = false
 		}
 		a.changed = false
-		a.wake(0)
-		a.refuse()
+		l.wake(a, now)
+		l.refuse(a, now)
 	}
 }
 
@@ -164,18 +178,25 @@
 	return false
 }
 
-// due reports whether a sync is worth a call: a holding is low, or free tokens
-// may be missed elsewhere.
+// syncLeast is how often the record is read at least, so that what lenders tell
+// of it is not old.
+const syncLeast = 2 * time.Second
+
+// due reports whether a sync is worth a call: a holding is low, free tokens may
+// be missed elsewhere, or the record has not been read for long.
 func (l *Ledger) due(routers int, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if now.Sub(l.synced) > syncLeast {
+		return true
+	}
 	o := l.outlook(routers, now)
 	for _, a := range l.accounts {
 		target := a.target(a.rest, o)
 		if a.rest > 0 && float64(a.owned()) < refillBelow*float64(target) {
 			return true
 		}
-		if free := a.owned(); free > 0 && (l.closing || float64(free) > returnAbove*float64(target)) {
+		if a.giveBack(a.rest, o, l.closing) > 0 {
 			return true
 		}
 	}
@@ -187,6 +208,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reached = now
+	l.synced = now
 	l.silentSince = time.Time{}
 }
 
--- a/escrow/relay_test.go
+++ b/escrow/relay_test.go
@@ -21,9 +21,16 @@
 type syncerCaller struct {
 	to   *escrow.Syncer
 	lost string
+	// unreachable is an address that nobody reaches, failed counts the calls.
+	unreachable string
+	failed      int
 }
 
-func (c *syncerCaller) Call(ctx context.Context, _ granitehoist.Peer, method string, params, result any) error {
+func (c *syncerCaller) Call(ctx context.Context, to granitehoist.Peer, method string, params, result any) error {
+	if c.unreachable != "" && to.Address == c.unreachable {
+		c.failed++
+		return granitehoist.ErrUnknown
+	}
 	var reply escrow.LendResult
 	var err error
 	switch p := params.(type) {
@@ -81,8 +88,9 @@
 			escrow.Replenish(syncer)
 		}
 	}
-	owned := func() granitehoist.Tokens {
-		return relay.ledger.State(kiosk).Free + ledger.State(kiosk).Free
+	// unspent returns what is left in the store and at both routers.
+	unspent := func() granitehoist.Tokens {
+		return limit - recordOf(store).Accounts[kiosk].Taken() + relay.ledger.State(kiosk).Free + ledger.State(kiosk).Free
 	}
 
 	It("holds the tokens of some seconds of its demand, also if that is most of the fleet's", func() {
@@ -93,6 +101,7 @@
 	It("holds no more for one request now and then than these need", func() {
 		spend(1000, 100*time.Millisecond, 6*time.Second)
 		pass(30 * time.Second)
+		Expect(relay.sync()).To(Succeed())
 		escrow.GiveBack(syncer)
 		spend(1000, 4*time.Second, 24*time.Second)
 		Expect(ledger.State(kiosk).Free).To(BeNumerically("<", 10_000))
@@ -100,17 +109,33 @@
 
 	It("gives back what it no longer needs, once, though the reply is lost", func() {
 		spend(1000, 100*time.Millisecond, 12*time.Second)
-		held, before := ledger.State(kiosk).Free, owned()
+		held, before := ledger.State(kiosk).Free, unspent()
 		pass(40 * time.Second)
+		Expect(relay.sync()).To(Succeed())
 		escrow.GiveBack(syncer)
 		Expect(ledger.State(kiosk).Free).To(BeNumerically("<", held/4))
-		Expect(owned()).To(Equal(before))
+		Expect(unspent()).To(Equal(before))
 		spend(1000, 100*time.Millisecond, 12*time.Second)
-		before = owned()
+		before = unspent()
 		pass(40 * time.Second)
+		Expect(relay.sync()).To(Succeed())
 		line.lost = escrow.MethodRepay
 		escrow.GiveBack(syncer)
-		Expect(owned()).To(Equal(before))
+		Expect(unspent()).To(Equal(before))
+	})
+
+	It("asks a relay that does not answer only now and then", func() {
+		line.unreachable = "dead"
+		lenders := []granitehoist.Peer{{Incarnation: "k0", Address: "dead"}, {Incarnation: "k1", Address: "live"}}
+		syncer = escrow.NewSyncer(escrow.SyncerSettings{
+			Box: "b", Ledger: ledger, Store: store, Clock: clock, Caller: line,
+			Routers: func() int { return 20 },
+			Writes:  func() bool { return false },
+			Serves:  func() bool { return false },
+			Lenders: func() []granitehoist.Peer { return lenders },
+		})
+		spend(1000, 100*time.Millisecond, 3*time.Second)
+		Expect(line.failed).To(BeNumerically("<=", 3))
 	})
 
 	It("gives nothing to a relay that does not speak with the store", func() {
--- a/escrow/repay.go
+++ b/escrow/repay.go
@@ -82,7 +82,7 @@
 // giveBack repays what is held beyond need to the first relay that takes it.
 func (s *Syncer) giveBack(ctx context.Context) {
 	for _, extra := range s.settings.Ledger.surpluses(s.settings.Routers(), s.settings.Clock()) {
-		lenders := s.settings.Lenders()
+		lenders := s.lenders()
 		for _, to := range lenders[:min(len(lenders), relaysAsked)] {
 			if s.repayTo(ctx, to, extra) {
 				break
--- a/escrow/replenish.go
+++ b/escrow/replenish.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"granitehoist.example/granitehoist"
@@ -53,42 +55,59 @@
 		return shortage{}
 	}
 	want := max(1, target+waiting-free)
-	return shortage{need: min(want, max(1, waiting)), want: want, waiting: waiting > 0}
-}
-
-// believedRest returns what is left in the store as far as is known.
-func (a *account) believedRest() granitehoist.Tokens {
-	switch {
-	case a.told && a.toldAt.After(a.restAt):
-		return a.toldRest
-	case a.known:
-		return a.rest
-	}
-	return a.limit
+	return shortage{need: min(want, max(1, waiting)), want: want, rate: granitehoist.Tokens(a.rate.value(o.now)), idle: free, waiting: waiting > 0}
 }
 
 // replenish fills the holdings from relays, and reports whether they have done
 // what can be done: the record can't help either where a relay that knows it
 // does not.
 func (s *Syncer) replenish(ctx context.Context) bool {
-	lenders := s.settings.Lenders()
-	inTouch := false
-	for _, lender := range lenders[:min(len(lenders), relaysAsked)] {
-		low := s.settings.Ledger.lows(s.settings.Routers(), s.settings.Clock())
-		for _, missing := range low {
-			inTouch = s.borrowFrom(ctx, lender, missing) || inTouch
-		}
-		if len(low) == 0 {
-			inTouch = true
-			break
-		}
+	low := s.settings.Ledger.lows(s.settings.Routers(), s.settings.Clock())
+	lenders := s.lenders()
+	lenders = lenders[:min(len(lenders), relaysAsked)]
+	var unhelped atomic.Int32
+	var asking sync.WaitGroup
+	for _, missing := range low {
+		asking.Go(func() {
+			if !s.borrowFromAny(ctx, lenders, missing) {
+				unhelped.Add(1)
+			}
+		})
 	}
+	asking.Wait()
+	inTouch := unhelped.Load() == 0
 	if !inTouch {
 		s.settings.Ledger.silent(s.settings.Clock())
 	}
 	return s.settings.Ledger.replenished(inTouch)
 }
 
+// borrowFromAny asks one lender after the other until nothing is missing or one
+// is in touch with the store: then the others can't do more. It reports whether
+// one of the two came about.
+func (s *Syncer) borrowFromAny(ctx context.Context, lenders []granitehoist.Peer, missing shortage) bool {
+	for _, lender := range lenders {
+		if s.borrowFrom(ctx, lender, missing) {
+			return true
+		}
+		if missing = s.settings.Ledger.lowOf(missing.workspace, s.settings.Routers(), s.settings.Clock()); missing.want == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// lowOf returns what one workspace lacks.
+func (l *Ledger) lowOf(w granitehoist.Workspace, routers int, now time.Time) shortage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.outlook(routers, now)
+	o.start = 0
+	missing := l.account(w).low(o)
+	missing.workspace = w
+	return missing
+}
+
 // replenished notes that relays were asked, and reports whether the record can
 // do no more: it alone settles a reduced budget, and helps requests that wait
 // while no relay is in touch with it.
--- a/escrow/reserve.go
+++ b/escrow/reserve.go
@@ -40,7 +40,7 @@
 	if a.tapered(d) {
 		return false
 	}
-	return a.reserve(d.bound, a.kept(d.priority, l.outageLeft(now)))
+	return l.take(a, d, now)
 }
 
 // The end of a budget. Below taperBelow of the prepaid total a request may be no
@@ -58,16 +58,9 @@
 	if d.loan {
 		return false
 	}
-	var left float64
-	switch {
-	case a.known:
-		left = float64(max(0, a.rest) + max(0, a.owned()) + a.idle)
-	case a.told:
-		left = float64(a.toldLeft + max(0, a.owned()))
-	default:
-		return false
-	}
-	if left >= taperBelow*float64(a.limit) {
+	believed, known := a.believedLeft()
+	left := float64(believed)
+	if !known || left >= taperBelow*float64(a.limit) {
 		return false
 	}
 	return float64(d.bound) > taperShare*left || float64(d.bound) > a.mean
@@ -82,6 +75,18 @@
 	a.mean += (float64(bound) - a.mean) * meanWeight
 }
 
+// take reserves for a demand if there is enough. The most that a request can cost
+// counts as demand until it is known what it did.
+func (l *Ledger) take(a *account, d demand, now time.Time) bool {
+	if !a.reserve(d.bound, a.kept(d.priority, l.outageLeft(now))) {
+		return false
+	}
+	if !d.loan {
+		a.rate.add(d.bound, l.began, now)
+	}
+	return true
+}
+
 func (a *account) reserve(bound, kept granitehoist.Tokens) bool {
 	if a.free() < bound+kept {
 		return false
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -26,6 +26,11 @@
 	mu        sync.Mutex
 	seen      granitehoist.Entry
 	seenKnown bool
+
+	// avoided holds until when neighbours that did not answer are left out, by
+	// address.
+	avoiding sync.Mutex
+	avoided  map[string]time.Time
 }
 
 // SyncerSettings configure a Syncer.
@@ -101,7 +106,7 @@
 	if s.Synced == nil {
 		s.Synced = func(error) {}
 	}
-	return &Syncer{settings: s, kick: make(chan struct{}, 1)}
+	return &Syncer{settings: s, kick: make(chan struct{}, 1), avoided: map[string]time.Time{}}
 }
 
 // Reserve sets bound tokens of a workspace aside, waiting for a sync until ctx
@@ -161,6 +166,8 @@
 			}
 		case !s.settings.Writes() && s.replenish(ctx):
 			alone = 0
+			// What is left may be idle at others.
+			s.borrow(ctx)
 		case !s.settings.Writes() && alone < aloneAfter:
 			alone++
 		case now.Before(retryAt):
@@ -250,7 +257,7 @@
 		}
 		s.logGrants(planned)
 	}
-	s.settings.Ledger.confirm(record)
+	s.settings.Ledger.confirm(record, s.settings.Clock())
 	return nil
 }
 
--- a/node/relays.go
+++ b/node/relays.go
@@ -12,21 +12,22 @@
 	"granitehoist.example/granitehoist"
 )
 
-// In fleets of largeFleet nodes and more only relays speak with the store:
-// relaysPerPlace nodes of each place, those with the fastest links. All follow
-// its changes for the others. The first of them writes the record of the budgets
-// for all, so that writers don't get in each other's way; while it can't, the
-// next one does.
+// Relays speak with the store and follow its changes for the others. In small
+// fleets every node is one and writes the record of the budgets. In those of
+// largeFleet nodes and more relaysPerPlace nodes of each place are, those with
+// the fastest links, and the first of them writes the record for all, so that
+// writers don't get in each other's way; while it can't, the next one does.
 const (
 	largeFleet     = 16
 	relaysPerPlace = 2
 )
 
-// chooseRelays returns the relays by box, nil while every node speaks with the
-// store. All nodes that know the same boxes choose the same.
+// chooseRelays returns the relays by box. All nodes that know the same boxes
+// choose the same.
 func (p *peers) chooseRelays() map[granitehoist.Box]bool {
-	if len(p.others)+1 < largeFleet {
-		return nil
+	most := relaysPerPlace
+	if p.small() {
+		most = largeFleet
 	}
 	places := map[granitehoist.Place][]peerEntry{}
 	for _, entry := range append([]peerEntry{p.settings.self}, p.others...) {
@@ -37,13 +38,16 @@
 		slices.SortFunc(entries, func(a, b peerEntry) int {
 			return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(rankOf(a.Box), rankOf(b.Box)))
 		})
-		for _, entry := range entries[:min(relaysPerPlace, len(entries))] {
+		for _, entry := range entries[:min(most, len(entries))] {
 			chosen[entry.Box] = true
 		}
 	}
 	return chosen
 }
 
+// small reports whether every node speaks with the store.
+func (p *peers) small() bool { return len(p.others)+1 < largeFleet }
+
 // direct reports whether this node speaks with the store itself.
 func (p *peers) direct() bool {
 	p.mu.Lock()
@@ -55,8 +59,7 @@
 	if p.listed < p.listsNeeded() {
 		return false
 	}
-	chosen := p.chooseRelays()
-	return chosen == nil || chosen[p.settings.self.Box]
+	return p.chooseRelays()[p.settings.self.Box]
 }
 
 // listsNeeded returns how many lists must have been read before the others are
@@ -77,7 +80,7 @@
 		return nil
 	}
 	chosen := p.chooseRelays()
-	if chosen == nil || chosen[p.settings.self.Box] {
+	if chosen[p.settings.self.Box] {
 		return nil
 	}
 	var near, far []granitehoist.Peer
@@ -98,15 +101,14 @@
 }
 
 // writes reports whether this node writes the record of the budgets of its own
-// accord, and serves whether it does so when others ask.
+// accord.
 func (p *peers) writes() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.listed < p.listsNeeded() {
 		return false
 	}
-	chosen := p.chooseRelays()
-	return chosen == nil || p.firstRelay(chosen) == p.settings.self.Box
+	return p.small() || p.firstRelay(p.chooseRelays()) == p.settings.self.Box
 }
 
 // firstRelay returns the relay whose box has the lowest hash.
@@ -127,7 +129,7 @@
 func (p *peers) sharers() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if chosen := p.chooseRelays(); chosen != nil && p.firstRelay(chosen) == p.settings.self.Box {
+	if !p.small() && p.firstRelay(p.chooseRelays()) == p.settings.self.Box {
 		return 1
 	}
 	return len(p.others) + 1
--- a/node/relays_test.go
+++ b/node/relays_test.go
@@ -31,12 +31,12 @@
 	return all
 }
 
-// TestRelays checks that a small fleet has none, and that all nodes of
+// TestRelays checks that a small fleet speaks with the store itself, and that all nodes of
 // a large one agree on two a place and ask those of their own place first.
 func TestRelays(t *testing.T) {
 	for _, p := range fleetOf(9) {
-		if !p.direct() || p.sharers() != 9 {
-			t.Fatalf("%s: direct %v, %d sharers", p.settings.self.Box, p.direct(), p.sharers())
+		if !p.direct() || !p.writes() || len(p.relays()) > 0 || p.sharers() != 9 {
+			t.Fatalf("%s: direct %v, writes %v, relays %v, %d sharers", p.settings.self.Box, p.direct(), p.writes(), p.relays(), p.sharers())
 		}
 	}
 	relays := map[granitehoist.Incarnation]granitehoist.Place{}
