--- /dev/null
+++ b/node/large_test.go
@@ -0,0 +1,96 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package node_test
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/escrow"
+	"granitehoist.example/granitehoist/standin"
+)
+
+var _ = Describe("A large fleet", func() {
+	const nodes = 17
+	var s *site
+	BeforeEach(func() {
+		s = newSite(nodes)
+		DeferCleanup(func() {
+			var stopping sync.WaitGroup
+			for _, m := range s.members {
+				stopping.Go(m.node.Stop)
+			}
+			stopping.Wait()
+		})
+		s.configure(1, 100_000_000, "/safe/")
+		s.worker(standin.WorkerAnswer{Body: "ok"})
+		for _, m := range s.members {
+			Eventually(m.ready).Should(Equal(http.StatusOK))
+			Eventually(m.node.Routers).Should(Equal(nodes))
+		}
+	})
+	served := func(members []*member) {
+		GinkgoHelper()
+		for _, m := range members {
+			Eventually(func() int {
+				got, err := m.ask("/safe/x", "id-"+m.config.IP, "Token-Usage", "100,10")
+				if err != nil {
+					return 0
+				}
+				return got.status
+			}).Should(Equal(http.StatusOK))
+		}
+	}
+	// rows returns what each incarnation has been granted by the record.
+	rows := func() map[granitehoist.Incarnation]granitehoist.Tokens {
+		GinkgoHelper()
+		entry, err := s.store.Get(GinkgoT().Context(), escrow.RecordKey)
+		Expect(err).NotTo(HaveOccurred())
+		record, err := escrow.DecodeRecord(entry)
+		Expect(err).NotTo(HaveOccurred())
+		granted := map[granitehoist.Incarnation]granitehoist.Tokens{}
+		for incarnation, row := range record.Accounts["kiosk"].Rows {
+			granted[incarnation] = row.Granted
+		}
+		return granted
+	}
+
+	It("speaks with the store through relays, and serves on without it", func() {
+		served(s.members)
+
+		By("letting few ask and one write")
+		calls, granted := s.store.Calls(), rows()
+		served(s.members)
+		time.Sleep(2 * time.Second)
+		after := s.store.Calls()
+		Expect(after.Watches + after.Reads - calls.Watches - calls.Reads).To(BeNumerically("<", 3*nodes))
+		writers := 0
+		for incarnation, tokens := range rows() {
+			if tokens != granted[incarnation] {
+				writers++
+			}
+		}
+		Expect(writers).To(BeNumerically("<=", 1))
+
+		By("losing the store everywhere")
+		for _, m := range s.members {
+			m.store.Fail(standin.PlatformFaults{Refuse: http.StatusServiceUnavailable})
+		}
+		served(s.members[:3])
+
+		By("telling all of what changed after it")
+		for _, m := range s.members {
+			m.store.Fail(standin.PlatformFaults{})
+		}
+		s.configure(2, 100_000_000, "/safe/", "/new/")
+		for _, m := range s.members {
+			Eventually(m.status("/new/x")).Should(Equal(http.StatusOK))
+		}
+	})
+})
--- /dev/null
+++ b/soak/fleet_test.go
@@ -0,0 +1,181 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/platform"
+	"granitehoist.example/granitehoist/standin"
+)
+
+const (
+	nodeCount   = 4
+	workerCount = 3
+	// reserved is less than what the callers ask for, so that the budget ends.
+	reserved = 60_000
+	prompt   = 100
+	perEvent = 5
+	events   = 4
+	graceS   = 3
+)
+
+// books are what the workers saw: how often each request ran.
+type books struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (b *books) answer(a standin.Arrival) standin.WorkerAnswer {
+	b.mu.Lock()
+	b.runs[a.ID]++
+	b.mu.Unlock()
+	if a.Header.Get("Kind") == "stream" {
+		return standin.WorkerAnswer{Events: events, Gap: 15 * time.Millisecond}
+	}
+	return standin.WorkerAnswer{Body: "run of " + a.ID, Delay: 10 * time.Millisecond}
+}
+
+// process is one router process, which may be started several times.
+type process struct {
+	ip       string
+	settings string
+	store    *proxy
+	mu       sync.Mutex
+	command  *exec.Cmd
+	ended    chan struct{}
+	log      bytes.Buffer
+}
+
+// fleet is the whole site of one seed.
+type fleet struct {
+	t         *testing.T
+	binary    string
+	books     *books
+	store     *standin.Store
+	processes []*process
+	workers   []*proxy
+}
+
+func newFleet(t *testing.T, binary string, block int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, binary: binary, books: &books{runs: map[string]int{}}, store: standin.NewStore(standin.StoreSettings{})}
+	front, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.200:0", block))
+	f.must(err)
+	server := &http.Server{Handler: &standin.PlatformStore{Store: f.store}, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(front) }()
+	t.Cleanup(func() { _ = server.Close() })
+	f.put(platform.ConfigKey, fmt.Sprintf(`{"revision":1,"routes":[
+		{"name":"safe","hostname":"h.example","pathPrefix":"/safe/","type":"safe","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":2},
+		{"name":"once","hostname":"h.example","pathPrefix":"/once/","type":"unsafe","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":1},
+		{"name":"stream","hostname":"h.example","pathPrefix":"/stream/","type":"streaming","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":2,"streamResume":true}],
+		"backends":[{"name":"pool","healthPath":"/healthz","runtime":{"capacity":64,"increment":%d}}],
+		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+		"tenants":[{"name":"kiosk","apiKeys":["a-key"],"reserved":%d}]}`, perEvent, reserved))
+	for i := range workerCount {
+		f.addWorker(fmt.Sprintf("i-%d", i), fmt.Sprintf("127.0.%d.%d:0", block, 100+i))
+	}
+	for i := range nodeCount {
+		f.addProcess(fmt.Sprintf("127.0.%d.%d", block, 1+i), front.Addr().String())
+	}
+	return f
+}
+
+func (f *fleet) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) put(key, value string) {
+	f.t.Helper()
+	_, err := f.store.CompareAndSwap(context.Background(), granitehoist.Change{Key: key, Value: []byte(value)})
+	f.must(err)
+}
+
+func (f *fleet) addWorker(id, address string) {
+	w, err := standin.NewWorker(id, f.books.answer)
+	f.must(err)
+	f.t.Cleanup(w.Close)
+	p, err := newProxy(address, w.Address())
+	f.must(err)
+	f.t.Cleanup(p.close)
+	f.workers = append(f.workers, p)
+	f.put(platform.WorkersPrefix+id, fmt.Sprintf(`{"backend":"pool","address":%q,"zone":"hall","capacity":64,"phase":"ready"}`, p.address()))
+}
+
+func (f *fleet) addProcess(ip, store string) {
+	line, err := newProxy(ip+":8223", store)
+	f.must(err)
+	f.t.Cleanup(line.close)
+	p := &process{ip: ip, store: line, settings: filepath.Join(f.t.TempDir(), "settings.json")}
+	settings := fmt.Sprintf(`{"nodeName":"edge-%s","ipAddress":%q,"zone":"hall","listenAddrs":{"frontend":"%s:8227","ready":"%s:8220"},
+		"internalPortRange":[7340,7355],"bounds":{"gracePeriodS":%d,"drainMs":500,"retryBudgetRatio":0.2,"retryWindowS":10,"budgetSlack":50},
+		"platform":{"address":%q}}`, ip, ip, ip, ip, graceS, line.address())
+	f.must(os.WriteFile(p.settings, []byte(settings), 0o600))
+	f.processes = append(f.processes, p)
+	f.start(p)
+	f.t.Cleanup(func() { p.signal(syscall.SIGCONT); p.signal(syscall.SIGKILL); p.wait() })
+}
+
+func (f *fleet) start(p *process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.command = exec.Command(f.binary, "--settings", p.settings)
+	p.command.Stdout, p.command.Stderr = &p.log, &p.log
+	if err := p.command.Start(); err != nil {
+		f.t.Error(err)
+		return
+	}
+	p.ended = make(chan struct{})
+	go func(c *exec.Cmd, ended chan struct{}) {
+		_ = c.Wait()
+		close(ended)
+	}(p.command, p.ended)
+}
+
+func (p *process) signal(s os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.command.Process.Signal(s)
+}
+
+func (p *process) wait() {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	<-ended
+}
+
+// restart ends a process by a signal and starts it again.
+func (f *fleet) restart(p *process, s os.Signal, pause time.Duration) {
+	p.signal(s)
+	p.wait()
+	time.Sleep(pause)
+	f.start(p)
+}
+
+// ready reports whether a process says that it serves.
+func (p *process) ready() bool {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + p.ip + ":8220/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/soak/proxy_test.go
@@ -0,0 +1,136 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package soak
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// proxyMode is what a proxy does with the bytes of its connections.
+type proxyMode int
+
+const (
+	pass proxyMode = iota
+	delay
+	silence
+	reset
+)
+
+// delayTime is how long a delaying proxy holds each piece.
+const delayTime = 120 * time.Millisecond
+
+// proxy passes connections on to an address and shows the faults of its mode.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	mode  proxyMode
+	conns map[net.Conn]struct{}
+}
+
+func newProxy(address, target string) (*proxy, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: listener, target: target, conns: map[net.Conn]struct{}{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// set changes the mode. A reset ends all connections.
+func (p *proxy) set(mode proxyMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+	if mode != reset {
+		return
+	}
+	for c := range p.conns {
+		abort(c)
+	}
+}
+
+func abort(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (p *proxy) present() proxyMode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+func (p *proxy) accept() {
+	for {
+		client, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(client)
+	}
+}
+
+func (p *proxy) serve(client net.Conn) {
+	if p.present() == reset {
+		abort(client)
+		return
+	}
+	server, err := net.Dial("tcp", p.target)
+	if err != nil {
+		abort(client)
+		return
+	}
+	p.mu.Lock()
+	p.conns[client], p.conns[server] = struct{}{}, struct{}{}
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(server, client) })
+	both.Go(func() { p.copy(client, server) })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.conns, client)
+	delete(p.conns, server)
+	p.mu.Unlock()
+	_ = client.Close()
+	_ = server.Close()
+}
+
+// copy passes bytes on in one direction. Silence holds them until it is over.
+func (p *proxy) copy(to, from net.Conn) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		for p.present() == silence {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if p.present() == delay {
+			time.Sleep(delayTime)
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			if tcp, ok := to.(*net.TCPConn); ok {
+				_ = tcp.CloseWrite()
+			}
+			return
+		}
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.set(reset)
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,239 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// seedsVariable names the seeds to play, as FROM-TO.
+	seedsVariable = "SOAK_SEEDS"
+	callers       = 6
+	faultTime     = 5 * time.Second
+	// series is the number of faults that are played beside each other.
+	series       = 3
+	recoveryTime = 12 * time.Second
+	deadline     = 2 * time.Second
+)
+
+// TestSoak plays the seeds.
+func TestSoak(t *testing.T) {
+	from, to := 1, 2
+	if value := os.Getenv(seedsVariable); value != "" {
+		if _, err := fmt.Sscanf(value, "%d-%d", &from, &to); err != nil {
+			t.Fatalf("%s=%s is not FROM-TO", seedsVariable, value)
+		}
+	}
+	binary := filepath.Join(t.TempDir(), "granitehoist-edge")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/granitehoist-edge").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	for seed := from; seed <= to; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, binary, seed)
+		})
+	}
+}
+
+// firstBlock numbers the loopback addresses of the first seed.
+const firstBlock = 80
+
+func play(t *testing.T, binary string, seed int) {
+	f := newFleet(t, binary, firstBlock+seed%100)
+	f.awaitReady(recoveryTime)
+	results := &ledger{answers: map[string]int{}}
+	stop := make(chan struct{})
+	var calling, failing sync.WaitGroup
+	for i := range callers {
+		calling.Go(func() { f.call(i, rand.New(rand.NewPCG(uint64(seed), uint64(i))), results, stop) })
+	}
+	for i := range series {
+		failing.Go(func() { f.fail(rand.New(rand.NewPCG(uint64(seed), uint64(100+i))), time.Now().Add(faultTime)) })
+	}
+	failing.Wait()
+	f.awaitReady(recoveryTime)
+	close(stop)
+	calling.Wait()
+	f.judge(results)
+	if t.Failed() {
+		for _, p := range f.processes {
+			t.Logf("log of %s:\n%s", p.ip, p.log.String())
+		}
+	}
+}
+
+// fail plays one fault after the other.
+func (f *fleet) fail(random *rand.Rand, until time.Time) {
+	for time.Now().Before(until) {
+		lasting := time.Duration(200+random.IntN(900)) * time.Millisecond
+		p := f.processes[random.IntN(len(f.processes))]
+		switch random.IntN(6) {
+		case 0:
+			f.restart(p, syscall.SIGTERM, lasting/4)
+		case 1:
+			f.restart(p, syscall.SIGKILL, lasting/4)
+		case 2:
+			p.signal(syscall.SIGSTOP)
+			time.Sleep(lasting)
+			p.signal(syscall.SIGCONT)
+		case 3, 4:
+			p.store.set(proxyMode(1 + random.IntN(3)))
+			time.Sleep(lasting)
+			p.store.set(pass)
+		case 5:
+			w := f.workers[random.IntN(len(f.workers))]
+			w.set(proxyMode(1 + random.IntN(3)))
+			time.Sleep(lasting)
+			w.set(pass)
+		}
+	}
+}
+
+func (f *fleet) awaitReady(most time.Duration) {
+	f.t.Helper()
+	for end := time.Now().Add(most); ; time.Sleep(50 * time.Millisecond) {
+		missing := ""
+		for _, p := range f.processes {
+			if !p.ready() {
+				missing = p.ip
+			}
+		}
+		if missing == "" {
+			return
+		}
+		if time.Now().After(end) {
+			f.t.Errorf("%s is not ready after %v", missing, most)
+			return
+		}
+	}
+}
+
+// ledger is what the callers got.
+type ledger struct {
+	mu sync.Mutex
+	// answers holds the last status of each request, 0 for none.
+	answers  map[string]int
+	tokens   int
+	served   int
+	mismatch []string
+}
+
+// call sends requests over connections that stay open until the process is gone.
+func (f *fleet) call(caller int, random *rand.Rand, results *ledger, stop <-chan struct{}) {
+	client := &http.Client{Timeout: deadline + time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	at := caller
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		kind := []string{"safe", "once", "stream"}[random.IntN(3)]
+		id := fmt.Sprintf("%s-%d-%d", kind, caller, n)
+		status := f.ask(client, f.processes[at%len(f.processes)], kind, id, results)
+		if status == 0 {
+			at++
+		}
+		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+	}
+}
+
+// ask sends one request and returns the status of its answer, 0 if it was not
+// whole.
+func (f *fleet) ask(client *http.Client, p *process, kind, id string, results *ledger) int {
+	request, err := http.NewRequest(http.MethodPost, "http://"+p.ip+":8227/"+kind+"/x", strings.NewReader("question"))
+	if err != nil {
+		return 0
+	}
+	// The client must not send a request again by itself.
+	request.GetBody = nil
+	request.Host = "h.example"
+	for name, value := range map[string]string{
+		"Attempt-Id": id, "Authorization": "Token a-key", "Deadline-Ms": fmt.Sprint(deadline.Milliseconds()), "Kind": kind,
+		"Token-Usage": fmt.Sprintf("%d,%d", prompt, events*perEvent),
+	} {
+		request.Header.Set(name, value)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		results.note(id, 0, 0, "")
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	got := strings.Count(string(body), "id: ")
+	status := response.StatusCode
+	if err != nil {
+		status = 0
+	}
+	wrong := ""
+	whole := "run of " + id
+	switch {
+	case status != http.StatusOK:
+	case kind == "stream" && got != events:
+		wrong = fmt.Sprintf("%s has %d events", id, got)
+	case kind != "stream" && string(body) != whole:
+		wrong = fmt.Sprintf("%s got %q", id, body)
+	}
+	results.note(id, status, got, wrong)
+	return status
+}
+
+func (l *ledger) note(id string, status, got int, wrong string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answers[id] = status
+	if status == http.StatusOK || got > 0 {
+		l.tokens += prompt + got*perEvent
+	}
+	if status == http.StatusOK {
+		l.served++
+	}
+	if wrong != "" {
+		l.mismatch = append(l.mismatch, wrong)
+	}
+}
+
+// judge holds what the callers got against what the workers ran.
+func (f *fleet) judge(results *ledger) {
+	f.books.mu.Lock()
+	defer f.books.mu.Unlock()
+	results.mu.Lock()
+	defer results.mu.Unlock()
+	if results.served == 0 {
+		f.t.Error("nothing was served")
+	}
+	if results.tokens > reserved {
+		f.t.Errorf("%d tokens were handed out of a budget of %d", results.tokens, reserved)
+	}
+	for _, wrong := range results.mismatch {
+		f.t.Error(wrong)
+	}
+	for id, status := range results.answers {
+		runs := f.books.runs[id]
+		once := strings.HasPrefix(id, "once")
+		if once && runs > 1 {
+			f.t.Errorf("%s ran %d times", id, runs)
+		}
+		refused := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+		if once && refused && runs > 0 {
+			f.t.Errorf("%s was told %d and ran", id, status)
+		}
+	}
+	f.t.Logf("%d requests, %d served, %d of %d tokens", len(results.answers), results.served, results.tokens, reserved)
+}
