Say in the escrow's comments what caps a holding on small sites

Cause: the comment said that all routers share the cap; where every router writes the record nobody tells the fleet's demand, and each has its own. Conclusion: the words now match it.

--- a/escrow/holding.go
+++ b/escrow/holding.go
@@ -12,7 +12,8 @@
 // Parts of a budget that decide how much is held ahead of requests.
 const (
 	// sharePart of what is left is what all routers together may hold ahead of
-	// requests.
+	// requests where a lender tells the fleet's demand. Where every router writes
+	// the record nobody does, and each may hold as much for its own demand.
 	sharePart = 0.6
 	// keptLargest bounds what is held for single requests.
 	keptLargest = 1.0
@@ -62,8 +63,8 @@
 	return granitehoist.Tokens(max(held, spare))
 }
 
-// portion is the router's part of the fleet's demand, but no less than an equal
-// one while the router does not know its own yet.
+// portion is the router's part of the fleet's demand as far as that is known, but
+// no less than an equal one while the router does not know its own yet.
 func (a *account) portion(o outlook) float64 {
 	equal := 1 / float64(o.routers)
 	// Whoever lends to others holds for them too.
