--- a/escrow/escrow_test.go
+++ b/escrow/escrow_test.go
@@ -252,18 +252,20 @@
 
 	It("are held by all routers together for no more than a part of what is left, whoever asks first", func() {
 		const limit = 200_000
-		boxes := []*box{newBox("a", "a1", store, 2, clock), newBox("b", "b1", store, 2, clock)}
+		at := now
+		passing := func() time.Time { return at }
+		boxes := []*box{newBox("a", "a1", store, 2, passing), newBox("b", "b1", store, 2, passing)}
 		for _, b := range boxes {
 			b.ledger.SetLimit(kiosk, limit)
 		}
 		for range 60 {
 			for _, b := range boxes {
 				Expect(b.sync()).To(Succeed())
-				if reserve(b, 1000) {
-					b.ledger.Settle(kiosk, 1000, 1000, now)
+				if b.ledger.Reserve(kiosk, 1000, normal, at) {
+					b.ledger.Settle(kiosk, 1000, 1000, at)
 				}
 			}
-			now = now.Add(100 * time.Millisecond)
+			at = at.Add(100 * time.Millisecond)
 		}
 		var free, spent granitehoist.Tokens
 		for _, b := range boxes {
