See the store's return within half a second: short calls while it is silent

Cause: a call that is under way when the store comes back waits for its whole timeout (1.5 s for budgets, 3 s for a watch) and the pause after it doubled up to 0.9 s.

Change: after a failure calls get 0.4 s and watches wait 0.1 s; every fourth has its whole time, since the store may only be slow.

--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -22,10 +22,11 @@
 	kick     chan struct{}
 
 	// mu is held during a sync. seen is the record as it last was in the store
-	// if seenKnown is set.
+	// if seenKnown is set. failures counts the syncs that failed in a row.
 	mu        sync.Mutex
 	seen      granitehoist.Entry
 	seenKnown bool
+	failures  int
 
 	// avoided holds until when neighbours that did not answer are left out, by
 	// address.
@@ -75,7 +76,13 @@
 	// that is none goes to the record itself.
 	aloneAfter = 3
 	// maxFailurePause bounds the pause while the store fails for long.
-	maxFailurePause = 900 * time.Millisecond
+	maxFailurePause = 300 * time.Millisecond
+	// probeTimeout bounds the calls to a store that is silent, so that its return
+	// is soon seen: a call that was sent before would wait for its whole timeout.
+	probeTimeout = 400 * time.Millisecond
+	// patientEvery is how often such a call gets its whole timeout all the same:
+	// the store may be slow.
+	patientEvery = 4
 	// gather lets requests that arrive together share a sync.
 	gather = 3 * time.Millisecond
 )
@@ -225,12 +232,16 @@
 		pause(ctx, time.Duration(try)*time.Millisecond)
 		err = s.try(ctx)
 	}
+	s.failures++
+	if err == nil || errors.Is(err, granitehoist.ErrConflict) {
+		s.failures = 0
+	}
 	s.settings.Synced(err)
 	return err
 }
 
 func (s *Syncer) try(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, s.settings.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, s.timeout())
 	defer cancel()
 	fresh := !s.seenKnown
 	if fresh {
@@ -261,6 +272,14 @@
 	return nil
 }
 
+// timeout returns the time that the next calls have.
+func (s *Syncer) timeout() time.Duration {
+	if s.failures%patientEvery == 0 {
+		return s.settings.Timeout
+	}
+	return min(probeTimeout, s.settings.Timeout)
+}
+
 // read reads the record from the store.
 func (s *Syncer) read(ctx context.Context) error {
 	entry, err := s.settings.Store.Get(ctx, RecordKey)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -50,7 +50,13 @@
 
 const (
 	// maxPauses bounds the pause while the store fails for long.
-	maxPauses = 4
+	maxPauses = 2
+	// probeWait bounds the watches of a store that failed, so that its return is
+	// soon seen: one that was sent before would wait for its whole time.
+	probeWait = 100 * time.Millisecond
+	// patientEvery is how often such a watch gets its whole time all the same:
+	// the store may be slow.
+	patientEvery = 4
 	// relayWait is how long a relay holds a question that nothing answers.
 	relayWait = 400 * time.Millisecond
 	// relayAge is the age above which a relay's word is no longer relied upon.
@@ -76,6 +82,8 @@
 	next    int
 	avoided map[string]time.Time
 	watched time.Time
+	// failures counts the steps that failed in a row.
+	failures int
 }
 
 // New returns a follower that knows nothing yet. It panics if the settings
@@ -106,21 +114,21 @@
 
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	down := false
 	pause := f.settings.Pause
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if (err != nil) != down {
-			down = err != nil
+		if down := err != nil; down != (f.failures > 0) {
 			f.logState(down, err)
 		}
 		if err == nil {
+			f.failures = 0
 			pause = f.settings.Pause
 			continue
 		}
+		f.failures++
 		f.askNeighbours(ctx)
 		sleep(ctx, pause)
 		pause = min(2*pause, maxPauses*f.settings.Pause)
@@ -204,11 +212,7 @@
 func (f *Follower) watch(ctx context.Context) error {
 	sleep(ctx, f.settings.Gather-f.settings.Clock().Sub(f.watched))
 	f.watched = f.settings.Clock()
-	var wait time.Duration
-	if f.served.within(servedTime, f.watched) {
-		wait = servedWait
-	}
-	changed, at, err := f.settings.Store.Watch(ctx, f.settings.Prefix, f.At(), wait)
+	changed, at, err := f.settings.Store.Watch(ctx, f.settings.Prefix, f.At(), f.watchTime())
 	if errors.Is(err, granitehoist.ErrHistoryGone) {
 		f.settings.Log.Warn(event.HistoryGone, zap.String("prefix", f.settings.Prefix), zap.Uint64("at", uint64(f.At())))
 		return f.list(ctx)
@@ -220,6 +224,18 @@
 	return nil
 }
 
+// watchTime returns how long the next watch may wait; zero is as long as the
+// store's client does.
+func (f *Follower) watchTime() time.Duration {
+	switch {
+	case f.failures%patientEvery != 0:
+		return probeWait
+	case f.served.within(servedTime, f.watched):
+		return servedWait
+	}
+	return 0
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	entries, at, err := f.settings.Store.List(ctx, f.settings.Prefix)
 	if err != nil {
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -23,6 +23,8 @@
 	watches []follow.Update
 	gone    bool
 	down    bool
+	// waits are those that the watches had.
+	waits []time.Duration
 }
 
 func next(script *[]follow.Update) (follow.Update, bool) {
@@ -44,8 +46,9 @@
 	return c.Entries, c.At, nil
 }
 
-func (s *scripted) Watch(ctx context.Context, _ string, _ granitehoist.Version, _ time.Duration) ([]granitehoist.Entry, granitehoist.Version, error) {
+func (s *scripted) Watch(ctx context.Context, _ string, _ granitehoist.Version, wait time.Duration) ([]granitehoist.Entry, granitehoist.Version, error) {
 	s.mu.Lock()
+	s.waits = append(s.waits, wait)
 	c, ok := next(&s.watches)
 	gone := s.gone && !ok
 	s.gone = s.gone && !gone
@@ -144,6 +147,20 @@
 		Expect(deleted).To(ConsistOf("p/a"))
 	})
 
+	It("asks a store that failed with short watches, so that it soon sees it again, and now and then with a long one", func() {
+		store := &scripted{lists: []follow.Update{{At: 5, Entries: []granitehoist.Entry{entry("p/a", 3)}}}}
+		run(follow.Settings{Store: store})
+		waits := func() []time.Duration {
+			store.mu.Lock()
+			defer store.mu.Unlock()
+			return append([]time.Duration(nil), store.waits...)
+		}
+		Eventually(func() int { return len(waits()) }).Should(BeNumerically(">=", 6))
+		// Zero stands for the store's own time, which is the longest.
+		const short = 100 * time.Millisecond
+		Expect(waits()[:6]).To(Equal([]time.Duration{0, short, short, short, 0, short}))
+	})
+
 	It("takes a newer copy from a neighbour, and no older one", func() {
 		store := &scripted{lists: []follow.Update{{At: 5, Entries: []granitehoist.Entry{entry("p/a", 3)}}}}
 		copies := []follow.Update{
