Hold little right after an outage of the store, and let holdings grow back

Cause: what a router holds ahead is lost when it dies.

Change: after an outage of 4 s or more, here or at a neighbour that says so when it asks for news, all routers together hold at most 0.8 % of a prepaid total for 4 s, growing to the usual until 9 s, and return at once what is above that; loans are then for what is asked only. What a router knows of its contact with the store is one type now (contact). request lines tell what was charged (used), budget_grant lines the prepaid total. Three tests failed with the change taken out.

Ruled out: charging nothing, or no prompt, for streams that break off.

Requests that are under way when all routers die (3 to 9 % of a budget) count as spent; that is now the larger part of what is lost.

--- /dev/null
+++ b/escrow/contact.go
@@ -0,0 +1,118 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package escrow
+
+import "time"
+
+const (
+	// expectedOutage is how long tokens are kept for urgent requests while the
+	// store is silent.
+	expectedOutage = 10 * time.Second
+	// outageLeast is the shortest silence that counts as an outage.
+	outageLeast = 4 * time.Second
+	// exposedAfterOutage is the part of a prepaid total that all routers may
+	// hold together right after an outage. It stays so for exposedLow and grows
+	// to sharePart until exposedGrown.
+	exposedAfterOutage = 0.008
+	exposedLow         = 4 * time.Second
+	exposedGrown       = 9 * time.Second
+)
+
+// contact is what a router knows of its contact with the store. The zero value
+// stands for a store that has not been called.
+type contact struct {
+	// reached is when the store last answered this router or a lender that is
+	// in touch with it, and silentSince when a call first failed since.
+	reached     time.Time
+	silentSince time.Time
+	// synced is when the store last answered this router itself.
+	synced time.Time
+	// cutSince is when a call first failed since the store answered this router
+	// itself, or a relay that speaks with the store for it.
+	cutSince time.Time
+	// outageEnded is when the last outage ended, here or at a neighbour.
+	outageEnded time.Time
+}
+
+// heard notes that the store answered this router.
+func (c *contact) heard(now time.Time) {
+	c.synced = now
+	c.joined(now)
+}
+
+// joined notes that the store answered this router, or a relay that speaks with
+// it for this router.
+func (c *contact) joined(now time.Time) {
+	if c.cut(now) >= outageLeast {
+		c.outageEnded = now
+	}
+	c.cutSince = time.Time{}
+	c.answered(now)
+}
+
+// answered notes that the store answered this router or a lender.
+func (c *contact) answered(now time.Time) {
+	c.reached = now
+	c.silentSince = time.Time{}
+}
+
+// failed notes that a call to the store failed.
+func (c *contact) failed(now time.Time) {
+	if c.silentSince.IsZero() {
+		c.silentSince = now
+	}
+	if c.cutSince.IsZero() {
+		c.cutSince = now
+	}
+}
+
+// cut returns for how long the store has not answered this router itself, nor a
+// relay for it; zero if it does.
+func (c *contact) cut(now time.Time) time.Duration {
+	if c.cutSince.IsZero() {
+		return 0
+	}
+	return now.Sub(c.cutSince)
+}
+
+// hearCut takes in for how long the store has not answered a neighbour. While
+// it answers this router, an outage there holds as one here.
+func (c *contact) hearCut(cut time.Duration, now time.Time) {
+	if c.cutSince.IsZero() && cut >= outageLeast {
+		c.outageEnded = now
+	}
+}
+
+// silence returns for how long the store has not answered, zero if it does.
+func (c *contact) silence(now time.Time) time.Duration {
+	if c.silentSince.IsZero() {
+		return 0
+	}
+	return now.Sub(c.silentSince)
+}
+
+// outageLeft returns the part of an expected outage that is still to come, zero
+// if there is none.
+func (c *contact) outageLeft(now time.Time) float64 {
+	if c.silentSince.IsZero() {
+		return 0
+	}
+	return max(0, 1-c.silence(now).Seconds()/expectedOutage.Seconds())
+}
+
+// exposed returns the part of a prepaid total that all routers may hold
+// together. What is held protects against the next outage and is lost if the
+// routers die. Right after an outage the next one is far, so the holdings grow
+// back slowly.
+func (c *contact) exposed(now time.Time) float64 {
+	if c.outageEnded.IsZero() {
+		return 1
+	}
+	since := now.Sub(c.outageEnded)
+	if since >= exposedGrown {
+		return 1
+	}
+	grown := max(0, (since-exposedLow).Seconds()/(exposedGrown-exposedLow).Seconds())
+	return exposedAfterOutage + (sharePart-exposedAfterOutage)*grown
+}
--- a/escrow/holding.go
+++ b/escrow/holding.go
@@ -13,7 +13,7 @@
 const (
 	// sharePart of what is left is what all routers together may hold ahead of
 	// requests.
-	sharePart = 0.35
+	sharePart = 0.5
 	// keptLargest bounds what is held for single requests.
 	keptLargest = 1.0
 	// startPart of what is left is what all routers together hold before
@@ -40,11 +40,13 @@
 	// seen grows from 0 to 1 as the router comes to know the demand: no request
 	// for a workspace then says as much as many do.
 	seen float64
+	// exposed is the part of a prepaid total that all routers may hold.
+	exposed float64
 }
 
 // outlook returns the outlook at a time.
 func (l *Ledger) outlook(routers int, now time.Time) outlook {
-	o := outlook{now: now, routers: max(1, routers), cover: l.settings.Cover, start: startPart}
+	o := outlook{now: now, routers: max(1, routers), cover: l.settings.Cover, start: startPart, exposed: l.contact.exposed(now)}
 	if !l.began.IsZero() {
 		o.seen = min(1, now.Sub(l.began).Seconds()/rateTime.Seconds())
 	}
@@ -59,7 +61,7 @@
 	want = max(want, o.start*left/float64(o.routers)*(1-o.seen))
 	held := min(want, sharePart*left*a.portion(o))
 	spare := min(keptLargest*float64(a.largest), sparePart*left/float64(o.routers))
-	return granitehoist.Tokens(max(held, spare))
+	return granitehoist.Tokens(min(max(held, spare), o.exposed*float64(a.limit)*a.portion(o)))
 }
 
 // portion is the router's part of the fleet's demand as far as that is known, but
--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -20,13 +20,8 @@
 	accounts map[granitehoist.Workspace]*account
 	closing  bool
 	// began is when the first request came.
-	began time.Time
-	// reached is when the store last answered.
-	reached time.Time
-	// synced is when the store last answered this router itself.
-	synced time.Time
-	// silentSince is when a call to the store first failed since then.
-	silentSince time.Time
+	began   time.Time
+	contact contact
 }
 
 // LedgerSettings configure a Ledger.
@@ -54,6 +49,9 @@
 	// returnAbove is the multiple of the holding above which tokens are given
 	// back.
 	returnAbove = 2.0
+	// returnExposed stands for returnAbove while holdings are kept low after an
+	// outage.
+	returnExposed = 1.2
 )
 
 // restFresh is how long the last known rest of a budget is taken for true.
@@ -273,7 +271,7 @@
 			break
 		}
 	}
-	if now.Sub(l.reached) > unreachableAfter {
+	if now.Sub(l.contact.reached) > unreachableAfter {
 		return Unreachable
 	}
 	return Scarce
@@ -345,9 +343,7 @@
 	if !a.restAt.IsZero() {
 		answer.Age = now.Sub(a.restAt)
 	}
-	if !l.silentSince.IsZero() {
-		answer.Silent = now.Sub(l.silentSince)
-	}
+	answer.Silent = l.contact.silence(now)
 	return answer
 }
 
--- a/escrow/loan.go
+++ b/escrow/loan.go
@@ -66,7 +66,7 @@
 // lendResult tells a borrower of its loans and of what is known here.
 func (l *Ledger) lendResult(a *account, borrower granitehoist.Incarnation, now time.Time) LendResult {
 	result := LendResult{Total: a.lent[borrower]}
-	if !a.known || !l.silentSince.IsZero() || now.Sub(l.synced) > inTouchTime {
+	if !a.known || !l.contact.silentSince.IsZero() || now.Sub(l.contact.synced) > inTouchTime {
 		return result
 	}
 	result.InTouch = true
@@ -103,7 +103,7 @@
 	defer l.mu.Unlock()
 	a := l.account(w)
 	if r.InTouch {
-		l.reached, l.silentSince = now, time.Time{}
+		l.contact.answered(now)
 		a.told, a.toldAt = true, now
 		a.toldRest, a.toldLeft, a.fleetRate = r.Rest, r.Left, float64(r.Rate)
 	}
@@ -158,7 +158,10 @@
 		}
 		free := max(0, a.owned())
 		need := max(1, first-free)
-		want := sum - free + granitehoist.Tokens(a.rate.value(now)*loanCover.Seconds())
+		want := sum - free
+		if l.contact.exposed(now) >= 1 {
+			want += granitehoist.Tokens(a.rate.value(now) * loanCover.Seconds())
+		}
 		short = append(short, shortage{workspace: w, waiting: true, need: need, want: max(need, want), rate: granitehoist.Tokens(a.rate.value(now)), idle: free})
 	}
 	return short
@@ -234,6 +237,9 @@
 		s.avoid(lender)
 		return false
 	}
+	if result.InTouch && !s.settings.Writes() {
+		s.settings.Ledger.relayed(s.settings.Clock())
+	}
 	if s.settings.Ledger.Borrowed(missing.workspace, lender.Incarnation, result, s.settings.Clock()) {
 		s.settings.Log.Info(event.BudgetLoan, zap.String("workspace", string(missing.workspace)), zap.String("lender", string(lender.Incarnation)), zap.Int64("total", int64(result.Total)))
 	}
--- a/escrow/outage_test.go
+++ b/escrow/outage_test.go
@@ -13,8 +13,90 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/escrow"
+	"granitehoist.example/granitehoist/standin"
 )
 
+var _ = Describe("Holdings around an outage of the store", func() {
+	const limit = granitehoist.Tokens(1_000_000)
+	var store *standin.Store
+	var now time.Time
+	var b *box
+	clock := func() time.Time { return now }
+	// pass lets time go by with a request each tenth of a second, and syncs.
+	pass := func(lasting time.Duration) {
+		GinkgoHelper()
+		for end := now.Add(lasting); now.Before(end); now = now.Add(100 * time.Millisecond) {
+			_ = b.sync()
+			if b.ledger.Reserve(kiosk, 1000, normal, now) {
+				b.ledger.Settle(kiosk, 1000, 1000, now)
+			}
+		}
+		_ = b.sync()
+	}
+	outage := func(lasting time.Duration) {
+		GinkgoHelper()
+		store.Fail(standin.StoreFaults{Down: true})
+		pass(lasting)
+		store.Fail(standin.StoreFaults{})
+	}
+	free := func() granitehoist.Tokens { return b.ledger.State(kiosk).Free }
+	BeforeEach(func() {
+		now = time.Unix(1000, 0)
+		store = standin.NewStore(standin.StoreSettings{Clock: clock})
+		b = newBox("a", "a1", store, 1, clock)
+		b.ledger.SetLimit(kiosk, limit)
+		pass(20 * time.Second)
+		Expect(free()).To(BeNumerically(">", 60_000))
+	})
+
+	It("are given back at once when it ends, so that little goes if the routers die then", func() {
+		outage(5 * time.Second)
+		Expect(free()).To(BeNumerically(">", 15_000))
+		pass(500 * time.Millisecond)
+		Expect(free()).To(BeNumerically("<", limit/50))
+		Expect(recordOf(store).Accounts[kiosk].Rows["a1"].Returned).To(BeNumerically(">", 0))
+	})
+
+	It("grow back within the time from one outage to another", func() {
+		outage(5 * time.Second)
+		pass(3 * time.Second)
+		Expect(free()).To(BeNumerically("<", limit/50))
+		pass(7 * time.Second)
+		Expect(free()).To(BeNumerically(">", 60_000))
+	})
+
+	It("stay as they are when the store was silent for a moment", func() {
+		outage(2 * time.Second)
+		pass(500 * time.Millisecond)
+		Expect(free()).To(BeNumerically(">", 60_000))
+	})
+
+	It("serve what is asked for meanwhile", func() {
+		outage(5 * time.Second)
+		pass(500 * time.Millisecond)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go b.syncer.Run(ctx)
+		Expect(b.syncer.Reserve(ctx, kiosk, limit/20, normal).Outcome).To(Equal(escrow.Granted))
+	})
+
+	It("are given back as well when the store did not answer a neighbour", func() {
+		b.ledger.HearCut(time.Second, now)
+		pass(500 * time.Millisecond)
+		Expect(free()).To(BeNumerically(">", 60_000))
+		b.ledger.HearCut(5*time.Second, now)
+		pass(500 * time.Millisecond)
+		Expect(free()).To(BeNumerically("<", limit/50))
+	})
+
+	It("tell for how long the store has not answered", func() {
+		Expect(b.ledger.Cut(now)).To(BeZero())
+		store.Fail(standin.StoreFaults{Down: true})
+		pass(3 * time.Second)
+		Expect(b.ledger.Cut(now)).To(BeNumerically("~", 3*time.Second, 200*time.Millisecond))
+	})
+})
+
 // timedStore never answers, and notes how long each call may take.
 type timedStore struct {
 	granitehoist.Store
--- a/escrow/plan.go
+++ b/escrow/plan.go
@@ -16,8 +16,10 @@
 	changed bool
 	// rows holds the rows as they are to be written.
 	rows map[granitehoist.Workspace]Row
-	// rests holds what the store has left after the write.
-	rests map[granitehoist.Workspace]granitehoist.Tokens
+	// rests holds what the store has left after the write, and limits the prepaid
+	// totals that this was worked out with.
+	rests  map[granitehoist.Workspace]granitehoist.Tokens
+	limits map[granitehoist.Workspace]granitehoist.Tokens
 }
 
 // prepare enters the ledger's wishes into a record that was just read. routers
@@ -25,7 +27,11 @@
 func (l *Ledger) prepare(r *Record, routers int, now time.Time) plan {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := plan{rows: map[granitehoist.Workspace]Row{}, rests: map[granitehoist.Workspace]granitehoist.Tokens{}}
+	p := plan{
+		rows:   map[granitehoist.Workspace]Row{},
+		rests:  map[granitehoist.Workspace]granitehoist.Tokens{},
+		limits: map[granitehoist.Workspace]granitehoist.Tokens{},
+	}
 	o := l.outlook(routers, now)
 	below := refillBelow
 	if l.low(o) {
@@ -56,6 +62,7 @@
 		a.holding = a.target(rest, o)
 		a.rest = rest - (next.Granted - row.Granted) + (next.Returned - row.Returned)
 		p.rests[w] = a.rest
+		p.limits[w] = a.limit
 		a.idle = stored.IdleElsewhere(l.settings.Incarnation)
 		a.lentIdle = a.borrowersIdle("", now)
 		a.restAt = now
@@ -133,7 +140,11 @@
 	}
 	target := a.target(rest, o)
 	extra := free - target
-	if float64(free) <= returnAbove*float64(target) || float64(extra) < returnLeast*float64(a.limit) {
+	above := returnAbove
+	if o.exposed < 1 {
+		above = returnExposed
+	}
+	if float64(free) <= above*float64(target) || float64(extra) < returnLeast*float64(a.limit) {
 		return 0
 	}
 	return extra
@@ -189,7 +200,7 @@
 func (l *Ledger) due(routers int, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.synced) > syncLeast {
+	if now.Sub(l.contact.synced) > syncLeast {
 		return true
 	}
 	o := l.outlook(routers, now)
@@ -209,16 +220,35 @@
 func (l *Ledger) heard(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.reached = now
-	l.synced = now
-	l.silentSince = time.Time{}
+	l.contact.heard(now)
 }
 
 // silent notes that the store has not answered.
 func (l *Ledger) silent(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.silentSince.IsZero() {
-		l.silentSince = now
-	}
+	l.contact.failed(now)
+}
+
+// relayed notes that a relay that is in touch with the store spoke for this
+// router.
+func (l *Ledger) relayed(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.contact.joined(now)
+}
+
+// Cut returns for how long the store has not answered this router itself, nor
+// a relay for it; zero if it does.
+func (l *Ledger) Cut(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.contact.cut(now)
+}
+
+// HearCut takes in for how long the store has not answered a neighbour.
+func (l *Ledger) HearCut(cut time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.contact.hearCut(cut, now)
 }
--- a/escrow/reserve.go
+++ b/escrow/reserve.go
@@ -78,7 +78,7 @@
 // take reserves for a demand if there is enough. The most that a request can cost
 // counts as demand until it is known what it did.
 func (l *Ledger) take(a *account, d demand, now time.Time) bool {
-	if !a.reserve(d.bound, a.kept(d.priority, l.outageLeft(now))) {
+	if !a.reserve(d.bound, a.kept(d.priority, l.contact.outageLeft(now))) {
 		return false
 	}
 	if !d.loan {
@@ -95,18 +95,6 @@
 	return true
 }
 
-// expectedOutage is how long a silent store is expected to stay so.
-const expectedOutage = 10 * time.Second
-
-// outageLeft returns the part of an expected outage that is still to come, zero
-// while the store answers.
-func (l *Ledger) outageLeft(now time.Time) float64 {
-	if l.silentSince.IsZero() {
-		return 0
-	}
-	return max(0, 1-now.Sub(l.silentSince).Seconds()/expectedOutage.Seconds())
-}
-
 // keptPart of a holding is kept for each step of priority.
 const keptPart = 0.3
 
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -333,6 +333,7 @@
 		s.settings.Log.Info(event.BudgetGrant,
 			zap.String("workspace", string(w)), zap.Int64("granted", int64(row.Granted)), zap.Int64("returned", int64(row.Returned)),
 			zap.Int64("spent", int64(row.Spent)), zap.Int64("idle", int64(row.Idle)), zap.Int64("rest", int64(planned.rests[w])),
+			zap.Int64("prepaid", int64(planned.limits[w])),
 			zap.Uint64("version", uint64(s.seen.Version)))
 	}
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -137,9 +137,10 @@
 	after   int64
 	started bool
 	first   time.Time
-	bound   granitehoist.Tokens
-	answer  escrow.Answer
-	paid    bool
+	// bound is what was reserved at the most, used what the request was charged.
+	bound, used granitehoist.Tokens
+	answer      escrow.Answer
+	paid        bool
 }
 
 func (w *work) run(ctx context.Context) error {
@@ -277,7 +278,6 @@
 	if !w.paid {
 		return
 	}
-	var used granitehoist.Tokens
 	if w.runs > 0 {
 		events := w.events
 		if err != nil {
@@ -288,9 +288,9 @@
 		if per := w.service.TokensPerEvent; per > 0 {
 			output = min(output, granitehoist.Tokens(events)*per)
 		}
-		used = w.request.Cost.Prompt + output
+		w.used = w.request.Cost.Prompt + output
 	}
-	w.path.settings.Funds.Settle(w.workspace.Name, w.bound, used)
+	w.path.settings.Funds.Settle(w.workspace.Name, w.bound, w.used)
 }
 
 // forward makes attempts until one ends the request.
--- a/forward/log.go
+++ b/forward/log.go
@@ -31,7 +31,7 @@
 		fields = append(fields, zap.String("route", string(w.route.Name)))
 	}
 	if w.bound > 0 {
-		fields = append(fields, zap.Int64("bound", int64(w.bound)), zap.String("budget", w.answer.Outcome.String()),
+		fields = append(fields, zap.Int64("bound", int64(w.bound)), zap.Int64("used", int64(w.used)), zap.String("budget", w.answer.Outcome.String()),
 			zap.Int64("free", int64(w.answer.Free)), zap.Int64("rest", int64(w.answer.Rest)),
 			zap.Duration("rest_age", w.answer.Age), zap.Duration("silent", w.answer.Silent))
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -143,7 +143,7 @@
 func (n *Node) follower(prefix string, changed func([]granitehoist.Entry, granitehoist.Version), same func(before, after granitehoist.Entry) bool) *follow.Follower {
 	return follow.New(follow.Settings{
 		Store: n.adapter.Store, Prefix: prefix, Changed: changed, Same: same, Gather: gatherChanges,
-		Relays: n.peers.relays, Neighbours: n.peers.neighbours, Updates: n.peers.updates, Clock: time.Now, Log: n.log,
+		Relays: n.peers.relays, Neighbours: n.peers.neighbours, Updates: n.updates, Clock: time.Now, Log: n.log,
 	})
 }
 
--- a/node/updates.go
+++ b/node/updates.go
@@ -30,14 +30,17 @@
 	Prefix string               `json:"prefix"`
 	After  granitehoist.Version `json:"after"`
 	Wait   time.Duration        `json:"wait,omitempty"`
+	// Cut is how long the store has not answered the asking router.
+	Cut time.Duration `json:"cut,omitempty"`
 }
 
 // updates asks a router what changed.
-func (p *peers) updates(ctx context.Context, to granitehoist.Peer, prefix string, after granitehoist.Version, wait time.Duration) (follow.Update, error) {
+func (n *Node) updates(ctx context.Context, to granitehoist.Peer, prefix string, after granitehoist.Version, wait time.Duration) (follow.Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+updatesTimeout)
 	defer cancel()
+	params := updatesParams{Prefix: prefix, After: after, Wait: wait, Cut: n.ledger.Cut(time.Now())}
 	var update follow.Update
-	err := p.Call(ctx, to, methodUpdates, updatesParams{prefix, after, wait}, &update)
+	err := n.peers.Call(ctx, to, methodUpdates, params, &update)
 	return update, err
 }
 
@@ -52,6 +55,7 @@
 
 // serveUpdates answers another router.
 func (n *Node) serveUpdates(ctx context.Context, params updatesParams) (follow.Update, error) {
+	n.ledger.HearCut(params.Cut, time.Now())
 	for _, f := range []*follow.Follower{n.configs, n.instances} {
 		if f.Prefix() == params.Prefix {
 			return f.Updates(ctx, params.After, min(params.Wait, maxUpdatesWait)), nil
