Give tokens to a neighbour when a router stops while the store is silent

Change: Syncer.Close. While the store is silent the tokens go to a neighbour at once, by the totals that repayment uses: asked for first, so that nothing goes to one that can't be reached or that stops as well, and never taken back if a reply is lost. Otherwise the last sync has what is left of the grace, up to 1.5 s. The test over sockets failed first; four more in escrow.

--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -334,6 +334,12 @@
 	l.closing = true
 }
 
+func (l *Ledger) isClosing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closing
+}
+
 // answer returns what is known of a workspace beside an outcome.
 func (l *Ledger) answer(w granitehoist.Workspace, o Outcome, now time.Time) Answer {
 	l.mu.Lock()
--- a/escrow/outage_test.go
+++ b/escrow/outage_test.go
@@ -97,6 +97,70 @@
 	})
 })
 
+var _ = Describe("A router that stops", func() {
+	const limit = granitehoist.Tokens(100_000)
+	var store *standin.Store
+	var neighbour *box
+	var line *syncerCaller
+	var ledger *escrow.Ledger
+	var syncer *escrow.Syncer
+	at := time.Unix(1000, 0)
+	clock := func() time.Time { return at }
+	BeforeEach(func() {
+		store = standin.NewStore(standin.StoreSettings{Clock: clock})
+		neighbour = newBox("n", "n1", store, 2, clock)
+		neighbour.ledger.SetLimit(kiosk, limit)
+		Expect(neighbour.sync()).To(Succeed())
+		line = &syncerCaller{to: neighbour.syncer}
+		ledger = escrow.NewLedger(escrow.LedgerSettings{Incarnation: "b1"})
+		ledger.SetLimit(kiosk, limit)
+		syncer = escrow.NewSyncer(escrow.SyncerSettings{
+			Box: "b", Ledger: ledger, Store: store, Clock: clock, Caller: line,
+			Routers: func() int { return 2 },
+			Lenders: func() []granitehoist.Peer { return []granitehoist.Peer{{Incarnation: "n1"}} },
+		})
+		Expect(syncer.Sync(context.Background())).To(Succeed())
+		Expect(ledger.State(kiosk).Free).To(BeNumerically(">", 1000))
+	})
+	fail := func() {
+		store.Fail(standin.StoreFaults{Down: true})
+		_ = syncer.Sync(context.Background())
+	}
+
+	It("gives its tokens back to the store", func() {
+		Expect(syncer.Close(context.Background())).To(Succeed())
+		Expect(recordOf(store).Accounts[kiosk].Rows["b1"].Net()).To(BeZero())
+	})
+
+	It("gives them to a neighbour while the store is silent", func() {
+		held := ledger.State(kiosk).Free
+		before := neighbour.ledger.State(kiosk).Free
+		fail()
+		Expect(syncer.Close(context.Background())).NotTo(Succeed())
+		Expect(ledger.State(kiosk).Free).To(BeZero())
+		Expect(neighbour.ledger.State(kiosk).Free).To(Equal(before + held))
+		store.Fail(standin.StoreFaults{})
+		Expect(recordOf(store).Accounts[kiosk].Taken()).To(BeNumerically("<=", limit))
+	})
+
+	It("gives nothing to one that stops as well", func() {
+		held := ledger.State(kiosk).Free
+		neighbour.ledger.Close()
+		fail()
+		Expect(syncer.Close(context.Background())).NotTo(Succeed())
+		Expect(ledger.State(kiosk).Free).To(Equal(held))
+	})
+
+	It("takes nothing back from one whose reply was lost", func() {
+		before := neighbour.ledger.State(kiosk).Free
+		held := ledger.State(kiosk).Free
+		fail()
+		line.lost = escrow.MethodRepay
+		Expect(syncer.Close(context.Background())).NotTo(Succeed())
+		Expect(ledger.State(kiosk).Free + neighbour.ledger.State(kiosk).Free).To(BeNumerically("<=", before+held))
+	})
+})
+
 // timedStore never answers, and notes how long each call may take.
 type timedStore struct {
 	granitehoist.Store
--- a/escrow/plan.go
+++ b/escrow/plan.go
@@ -223,6 +223,13 @@
 	l.contact.heard(now)
 }
 
+// isSilent reports whether the store has not answered the last call.
+func (l *Ledger) isSilent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.contact.silentSince.IsZero()
+}
+
 // silent notes that the store has not answered.
 func (l *Ledger) silent(now time.Time) {
 	l.mu.Lock()
--- a/escrow/repay.go
+++ b/escrow/repay.go
@@ -73,6 +73,10 @@
 // ServeRepay answers a neighbour's call of MethodRepay.
 func (s *Syncer) ServeRepay(_ context.Context, p RepayParams) (LendResult, error) {
 	now := s.settings.Clock()
+	if p.Total == 0 && s.settings.Ledger.isClosing() {
+		// What is given now would be lost with this router.
+		return LendResult{}, granitehoist.ErrUnavailable
+	}
 	s.settings.Ledger.Borrowed(p.Workspace, p.Giver, LendResult{Total: p.Total}, now)
 	s.settings.Ledger.mu.Lock()
 	defer s.settings.Ledger.mu.Unlock()
@@ -91,13 +95,40 @@
 	}
 }
 
+// handOver gives what is free to neighbours when the router stops and the store
+// does not take it back. They may spend it, and return it later.
+func (s *Syncer) handOver(ctx context.Context) {
+	lenders := s.lenders()
+	for i, free := range s.settings.Ledger.surpluses(s.settings.Routers(), s.settings.Clock()) {
+		for j := range min(len(lenders), handOverTries) {
+			if s.give(ctx, lenders[(i+j)%len(lenders)], free) {
+				break
+			}
+		}
+	}
+}
+
+// handOverTries bounds the neighbours that are offered one workspace's tokens.
+const handOverTries = 3
+
+// repayTo gives tokens back to a relay that is in touch with the store, and
+// reports whether it was one.
 func (s *Syncer) repayTo(ctx context.Context, to granitehoist.Peer, extra surplus) bool {
+	return s.giveIf(ctx, to, extra, func(r LendResult) bool { return r.InTouch })
+}
+
+// give gives tokens to any neighbour that answers, and reports whether it did.
+func (s *Syncer) give(ctx context.Context, to granitehoist.Peer, extra surplus) bool {
+	return s.giveIf(ctx, to, extra, func(LendResult) bool { return true })
+}
+
+func (s *Syncer) giveIf(ctx context.Context, to granitehoist.Peer, extra surplus, fits func(LendResult) bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, replenishTimeout)
 	defer cancel()
 	// A neighbour that can't be reached must not be given anything.
 	ask := RepayParams{Giver: s.settings.Ledger.settings.Incarnation, Workspace: extra.workspace}
 	var result LendResult
-	if err := s.settings.Caller.Call(ctx, to, MethodRepay, ask, &result); err != nil || !result.InTouch {
+	if err := s.settings.Caller.Call(ctx, to, MethodRepay, ask, &result); err != nil || !fits(result) {
 		return false
 	}
 	told := s.settings.Ledger.repay(to.Incarnation, extra)
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -211,6 +211,25 @@
 	return false
 }
 
+// Close returns what is free to the store, and to neighbours if the store does
+// not take it. Nothing can be reserved afterwards but what comes free.
+func (s *Syncer) Close(ctx context.Context) error {
+	s.settings.Ledger.Close()
+	err := error(granitehoist.ErrUnavailable)
+	if !s.settings.Ledger.isSilent() {
+		err = s.Sync(ctx)
+	}
+	if err != nil && s.settings.Caller != nil {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTimeout)
+		defer cancel()
+		s.handOver(ctx)
+	}
+	return err
+}
+
+// handOverTimeout bounds what a closing router does after the store failed it.
+const handOverTimeout = 300 * time.Millisecond
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -17,6 +17,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/escrow"
+	"granitehoist.example/granitehoist/internal/event"
 	"granitehoist.example/granitehoist/platform"
 	"granitehoist.example/granitehoist/standin"
 )
@@ -179,6 +180,23 @@
 		Expect(row.Net()).To(Equal(row.Spent))
 	})
 
+	It("gives its tokens to a neighbour if it stops while the store does not answer it", func() {
+		s := newSite(2)
+		s.configure(1, 100_000, "/stream/")
+		m, neighbour := s.members[0], s.members[1]
+		for _, each := range s.members {
+			Eventually(func() int { return each.logs.FilterMessage(event.BudgetGrant).Len() }).Should(BeNumerically(">", 0))
+			Eventually(each.node.Routers).Should(Equal(2))
+		}
+		m.store.Fail(standin.PlatformFaults{Refuse: http.StatusServiceUnavailable})
+		Eventually(func() int { return m.logs.FilterMessage(event.BudgetSyncFailed).Len() }).Should(BeNumerically(">", 0))
+		m.node.Stop()
+		repaid := m.logs.FilterMessage(event.BudgetRepaid).All()
+		Expect(repaid).To(HaveLen(1))
+		Expect(repaid[0].ContextMap()["to"]).To(Equal(string(neighbour.node.Incarnation())))
+		Expect(repaid[0].ContextMap()["total"]).To(BeNumerically(">", 1000))
+	})
+
 	It("tells its figures", func() {
 		s := newSite(1)
 		s.configure(1, 100_000, "/a/")
--- a/node/stop.go
+++ b/node/stop.go
@@ -20,7 +20,11 @@
 	// finishPart is when the last request in progress is given up.
 	finishPart = 0.95
 	stopPoll   = 20 * time.Millisecond
-	returnTime = 300 * time.Millisecond
+	// returnPart is when the return of tokens is given up, returnLeast and
+	// returnMost bound the time that it gets.
+	returnPart  = 0.97
+	returnLeast = 300 * time.Millisecond
+	returnMost  = 1500 * time.Millisecond
 )
 
 // Stop stops the node in good order: it is no longer ready, serves on while
@@ -41,7 +45,7 @@
 	for n.path.Active() > 0 && time.Now().Before(finishUntil) {
 		time.Sleep(stopPoll)
 	}
-	n.returnTokens()
+	n.returnTokens(began)
 	n.log.Info(event.Stopped, zap.Int("active", n.path.Active()), zap.Duration("took", time.Since(began)))
 	_ = n.callers.Close()
 	_ = n.ready.Close()
@@ -56,11 +60,12 @@
 	}
 }
 
-func (n *Node) returnTokens() {
-	ctx, cancel := context.WithTimeout(context.Background(), returnTime)
+// returnTokens gives back what is free, in what is left of the grace.
+func (n *Node) returnTokens(began time.Time) {
+	left := time.Until(began.Add(time.Duration(returnPart * float64(n.config.Grace))))
+	ctx, cancel := context.WithTimeout(context.Background(), max(returnLeast, min(left, returnMost)))
 	defer cancel()
-	n.ledger.Close()
-	if err := n.syncer.Sync(ctx); err != nil {
+	if err := n.syncer.Close(ctx); err != nil {
 		n.log.Warn(event.ReturnFailed, zap.Error(err))
 	}
 	if err := n.peers.leave(ctx); err != nil {
