Bring three failures about over sockets, and follow their log lines to the cause

Cause: docs/OPERATIONS.md leads from a request's id to its cause for three kinds of failure, but explain was tested on written log text only.

Change: tests over sockets for a refusal while the store is away, a stream that went on at another worker and a request that may have run; the lines are written by the program's own encoder, which both programs now share (logsink.NewLogger). explain tells what a request was charged.

Nothing was weakened: the site under test learned kinds of routes and answers.

--- a/cmd/granitehoist-edge/main.go
+++ b/cmd/granitehoist-edge/main.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -65,7 +64,7 @@
 	sink := logsink.New(os.Stdout, logLines)
 	defer sink.Close(logFlush)
 	config.LogDropped = sink.Dropped
-	log := newLog(sink)
+	log := logsink.NewLogger(sink, zapcore.InfoLevel)
 	n, err := node.New(config, platform.NewAdapter(platform.StoreSettings{Address: config.Store}), log)
 	if err != nil {
 		return err
@@ -92,11 +91,3 @@
 	}
 	log.Info(event.Reload, zap.String("file", file))
 }
-
-// newLog returns a log that writes one line of key=value pairs an event.
-func newLog(sink *logsink.Sink) *zap.Logger {
-	encoding := zap.NewProductionEncoderConfig()
-	encoding.MessageKey = "event"
-	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.AddSync(sink), zapcore.InfoLevel))
-}
--- a/cmd/granitehoist/log.go
+++ b/cmd/granitehoist/log.go
@@ -6,10 +6,11 @@
 import (
 	"os"
 
-	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"granitehoist.example/granitehoist/internal/logsink"
 )
 
 // newLog returns a log that writes one line of key=value pairs an event to
@@ -19,9 +20,5 @@
 	if err := least.UnmarshalText([]byte(level)); err != nil {
 		return nil, eris.Wrap(err, "log level")
 	}
-	encoding := zap.NewProductionEncoderConfig()
-	encoding.MessageKey = "event"
-	encoding.NameKey = "box"
-	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.Lock(os.Stderr), least)), nil
+	return logsink.NewLogger(zapcore.Lock(os.Stderr), least), nil
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -134,6 +134,9 @@
 	if bound := l.Get("bound"); bound != "" {
 		s.add(l, "  it needed at most %s tokens; the budget said %s", bound, l.Get("budget"))
 	}
+	if used := l.Get("used"); used != "" {
+		s.add(l, "  it was charged %s tokens", used)
+	}
 	if l.Get("budget") != "" && l.Get("budget") != "granted" {
 		s.budgetCause(l, known)
 	}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/event"
+	"granitehoist.example/granitehoist/internal/logsink"
 	"granitehoist.example/granitehoist/node"
 	"granitehoist.example/granitehoist/platform"
 	"granitehoist.example/granitehoist/standin"
@@ -33,6 +35,26 @@
 	config *node.Config
 	store  *standin.PlatformStore
 	logs   *observer.ObservedLogs
+	// text holds the lines that the program would write.
+	text *logText
+}
+
+// logText collects log lines. It is safe for concurrent use.
+type logText struct {
+	mu    sync.Mutex
+	lines strings.Builder
+}
+
+func (t *logText) Write(line []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lines.Write(line)
+}
+
+func (t *logText) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lines.String()
 }
 
 // site is a fleet with the platform's store and workers, all over sockets.
@@ -69,10 +91,12 @@
 	Expect(err).NotTo(HaveOccurred())
 	config.Metrics = ip + ":9464"
 	core, logs := observer.New(zapcore.InfoLevel)
-	n, err := node.New(config, platform.NewAdapter(platform.StoreSettings{Address: config.Store, Watch: 300 * time.Millisecond, Timeout: 500 * time.Millisecond}), zap.New(core))
+	text := &logText{}
+	log := zap.New(zapcore.NewTee(core, logsink.NewLogger(text, zapcore.InfoLevel).Core()))
+	n, err := node.New(config, platform.NewAdapter(platform.StoreSettings{Address: config.Store, Watch: 300 * time.Millisecond, Timeout: 500 * time.Millisecond}), log)
 	Expect(err).NotTo(HaveOccurred())
 	n.Start()
-	m := &member{node: n, config: config, store: front, logs: logs}
+	m := &member{node: n, config: config, store: front, logs: logs, text: text}
 	DeferCleanup(n.Stop)
 	return m
 }
@@ -103,6 +127,9 @@
 		if strings.Contains(prefix, "stream") {
 			kind = "streaming"
 		}
+		if strings.Contains(prefix, "once") {
+			kind = "unsafe"
+		}
 		routes = append(routes, fmt.Sprintf(`{"name":"r%d","hostname":"h.example","pathPrefix":%q,"type":%q,"timeoutMs":5000,"targetLatencyMs":800,"priorityClass":1,"backend":"pool","maxAttempts":2,"streamResume":true}`, i, prefix, kind))
 	}
 	s.put(platform.ConfigKey, []byte(fmt.Sprintf(`{"revision":%d,"routes":[%s],"backends":[{"name":"pool","healthPath":"/healthz","runtime":{"capacity":8,"increment":5}}],
@@ -112,9 +139,14 @@
 
 // worker starts a worker and announces it.
 func (s *site) worker(answer standin.WorkerAnswer) *standin.Worker {
+	return s.workerThat(func(standin.Arrival) standin.WorkerAnswer { return answer })
+}
+
+// workerThat starts a worker that is asked for each answer, and announces it.
+func (s *site) workerThat(answers func(standin.Arrival) standin.WorkerAnswer) *standin.Worker {
 	s.workers++
 	id := fmt.Sprintf("i-%d", s.workers)
-	w, err := standin.NewWorker(id, func(standin.Arrival) standin.WorkerAnswer { return answer })
+	w, err := standin.NewWorker(id, answers)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(w.Close)
 	s.announce(w, "ready")
