Return what routers hold for nobody at the end of a budget, and spend the last of it over time

Change: when the store has less than 2 % of a budget left a router returns from 0.02 % of it on.

Tests: idle routers give back, and the last part lasts; each fails with its half of the change taken out.

--- /dev/null
+++ b/escrow/end_test.go
@@ -0,0 +1,133 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package escrow_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/escrow"
+	"granitehoist.example/granitehoist/standin"
+)
+
+var _ = Describe("The end of a budget", func() {
+	const limit = granitehoist.Tokens(1_000_000)
+	const small = granitehoist.Tokens(100)
+	var store *standin.Store
+	var now time.Time
+	var boxes []*box
+	clock := func() time.Time { return now }
+	BeforeEach(func() {
+		now = time.Unix(1000, 0)
+		store = standin.NewStore(standin.StoreSettings{Clock: clock})
+		boxes = nil
+		for _, name := range []string{"a", "b", "c", "d"} {
+			b := newBox(name, name+"1", store, 4, clock)
+			b.ledger.SetLimit(kiosk, limit)
+			Expect(b.sync()).To(Succeed())
+			boxes = append(boxes, b)
+		}
+	})
+	// drain spends at one box until no more than keep is left anywhere.
+	drain := func(b *box, keep granitehoist.Tokens) {
+		GinkgoHelper()
+		for range 10_000 {
+			free := b.ledger.State(kiosk).Free
+			left := recordOf(store).Accounts[kiosk].Taken()
+			if limit-left <= keep && free <= small {
+				return
+			}
+			if !b.ledger.Reserve(kiosk, small, normal, now) {
+				now = now.Add(10 * time.Millisecond)
+				_ = b.sync()
+				continue
+			}
+			b.ledger.Settle(kiosk, small, small, now)
+		}
+	}
+	held := func() granitehoist.Tokens {
+		var sum granitehoist.Tokens
+		for _, b := range boxes {
+			sum += b.ledger.State(kiosk).Free
+		}
+		return sum
+	}
+
+	// rest lets time go by without requests, until routers hold next to nothing.
+	rest := func() {
+		GinkgoHelper()
+		for _, b := range boxes {
+			Expect(b.ledger.Reserve(kiosk, small, normal, now)).To(BeTrue())
+			b.ledger.Settle(kiosk, small, small, now)
+		}
+		for range 40 {
+			now = now.Add(time.Second)
+			for _, b := range boxes {
+				Expect(b.sync()).To(Succeed())
+			}
+		}
+	}
+
+	It("finds no tokens left with routers that nobody asks for them", func() {
+		rest()
+		// Each of the others was to serve a request that came to nothing, and holds
+		// less than is worth returning while there is much left.
+		const unused = limit / 250
+		for _, b := range boxes[1:] {
+			ended := make(chan escrow.Outcome, 1)
+			go func() { ended <- b.syncer.Reserve(context.Background(), kiosk, unused, normal).Outcome }()
+			Eventually(func() int { return b.ledger.State(kiosk).Waiting }).Should(Equal(1))
+			Expect(b.sync()).To(Succeed())
+			Expect(<-ended).To(Equal(escrow.Granted))
+			b.ledger.Settle(kiosk, unused, 0, now)
+			Expect(b.ledger.State(kiosk).Free).To(BeNumerically(">=", unused))
+		}
+		drain(boxes[0], limit/100)
+		for range 3 {
+			for _, b := range boxes {
+				Expect(b.sync()).To(Succeed())
+			}
+		}
+		for _, b := range boxes[1:] {
+			Expect(b.ledger.State(kiosk).Free).To(BeNumerically("<=", limit/2000))
+		}
+	})
+
+	It("is spent over time, so that those who come last get something", func() {
+		rest()
+		drain(boxes[0], limit/90)
+		for range 2 {
+			for _, b := range boxes {
+				Expect(b.sync()).To(Succeed())
+			}
+		}
+		left := func() granitehoist.Tokens { return limit - recordOf(store).Accounts[kiosk].Taken() + held() }
+		served := 0
+		ask := func(lasting time.Duration) int {
+			GinkgoHelper()
+			for end := now.Add(lasting); now.Before(end); now = now.Add(10 * time.Millisecond) {
+				for _, b := range boxes {
+					if !b.ledger.Reserve(kiosk, small, normal, now) {
+						_ = b.sync()
+						continue
+					}
+					b.ledger.Settle(kiosk, small, small, now)
+					served++
+				}
+			}
+			return served
+		}
+		Expect(left()).To(BeNumerically("<", limit/50))
+		// 400 requests a second would take what is left in a moment.
+		Expect(ask(time.Second)).To(BeNumerically(">", 0))
+		Expect(left()).To(BeNumerically(">", limit/200))
+		after := served
+		Expect(ask(9 * time.Second)).To(BeNumerically(">", after))
+		Expect(left()).To(BeNumerically(">", limit/1000))
+	})
+})
--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -46,6 +46,10 @@
 	// returnLeast is the part of the budget below which it is not worth a write to
 	// give tokens back.
 	returnLeast = 0.005
+	// returnLeastAtEnd stands for it when the store has less than endBelow of the
+	// budget left: what each router keeps is then a good part of what there is.
+	returnLeastAtEnd = 0.0002
+	endBelow         = 0.02
 	// returnAbove is the multiple of the holding above which tokens are given
 	// back.
 	returnAbove = 2.0
@@ -98,7 +102,11 @@
 
 	largest granitehoist.Tokens
 	// mean is that of the requests' bounds.
-	mean    float64
+	mean float64
+	// routers is the number of routers that share the budget, and ration what
+	// this one may spend of the last of it.
+	routers int
+	ration  ration
 	waiters []*waiter
 	changed bool
 }
@@ -218,8 +226,8 @@
 		added.ended <- Granted
 		return added
 	}
-	if a.fresh(now) && a.hopeless(d) {
-		added.ended <- a.refusal(d)
+	if a.fresh(now) && a.hopeless(d, now) {
+		added.ended <- a.refusal(d, now)
 		return added
 	}
 	a.waiters = append(a.waiters, added)
@@ -233,8 +241,8 @@
 
 // hopeless reports whether waiting can't help a demand. A router that does not
 // read the record asks its neighbours for what they have idle.
-func (a *account) hopeless(d demand) bool {
-	if a.tapered(d) {
+func (a *account) hopeless(d demand, now time.Time) bool {
+	if a.tapered(d, now) {
 		return true
 	}
 	if left, known := a.believedLeft(); a.secondhand() {
@@ -244,12 +252,12 @@
 }
 
 // refusal tells why a demand can't be met.
-func (a *account) refusal(d demand) Outcome {
+func (a *account) refusal(d demand, now time.Time) Outcome {
 	left, known := a.believedLeft()
 	switch {
 	case known && d.bound > left:
 		return Exhausted
-	case a.tapered(d):
+	case a.tapered(d, now):
 		return Withheld
 	}
 	return Scarce
@@ -301,7 +309,7 @@
 func (l *Ledger) wake(a *account, now time.Time) {
 	kept := a.waiters[:0]
 	for _, w := range a.waiters {
-		if !a.tapered(w.demand) && l.take(a, w.demand, now) {
+		if !a.tapered(w.demand, now) && l.take(a, w.demand, now) {
 			w.ended <- Granted
 			continue
 		}
@@ -315,8 +323,8 @@
 func (l *Ledger) refuse(a *account, now time.Time) {
 	kept := a.waiters[:0]
 	for _, w := range a.waiters {
-		if a.hopeless(w.demand) {
-			w.ended <- a.refusal(w.demand)
+		if a.hopeless(w.demand, now) {
+			w.ended <- a.refusal(w.demand, now)
 			continue
 		}
 		kept = append(kept, w)
--- a/escrow/plan.go
+++ b/escrow/plan.go
@@ -60,6 +60,7 @@
 		}
 		a.known = true
 		a.holding = a.target(rest, o)
+		a.routers = routers
 		a.rest = rest - (next.Granted - row.Granted) + (next.Returned - row.Returned)
 		p.rests[w] = a.rest
 		p.limits[w] = a.limit
@@ -95,7 +96,7 @@
 	if rest <= 0 {
 		return 0
 	}
-	need := a.need(rest)
+	need := a.need(rest, o.now)
 	target := a.target(rest, o)
 	free := a.owned()
 	if need == 0 && float64(free) >= below*float64(target) {
@@ -105,10 +106,10 @@
 }
 
 // need returns what the waiting requests that can be served lack.
-func (a *account) need(rest granitehoist.Tokens) granitehoist.Tokens {
+func (a *account) need(rest granitehoist.Tokens, now time.Time) granitehoist.Tokens {
 	bounds := make([]granitehoist.Tokens, 0, len(a.waiters))
 	for _, w := range a.waiters {
-		if a.tapered(w.demand) {
+		if a.tapered(w.demand, now) {
 			continue
 		}
 		bounds = append(bounds, w.bound)
@@ -144,7 +145,11 @@
 	if o.exposed < 1 {
 		above = returnExposed
 	}
-	if float64(free) <= above*float64(target) || float64(extra) < returnLeast*float64(a.limit) {
+	least := returnLeast
+	if float64(rest) < endBelow*float64(a.limit) {
+		least = returnLeastAtEnd
+	}
+	if float64(free) <= above*float64(target) || float64(extra) < least*float64(a.limit) {
 		return 0
 	}
 	return extra
--- a/escrow/replenish.go
+++ b/escrow/replenish.go
@@ -34,6 +34,7 @@
 	o.start = 0
 	var low []shortage
 	for w, a := range l.accounts {
+		a.routers = routers
 		if missing := a.low(o); missing.want > 0 {
 			missing.workspace = w
 			low = append(low, missing)
--- a/escrow/reserve.go
+++ b/escrow/reserve.go
@@ -37,34 +37,14 @@
 		a.measure(d.bound)
 		a.urgent = max(a.urgent, d.priority)
 	}
-	if a.tapered(d) {
+	if a.tapered(d, now) {
 		return false
 	}
 	return l.take(a, d, now)
 }
 
-// The end of a budget. Below taperBelow of the prepaid total a request may be no
-// larger than the mean and take no more than taperShare of what is left, so that
-// a few large requests don't leave nothing for many small ones.
-const (
-	taperBelow = 0.06
-	taperShare = 0.33
-	// meanWeight is that of the newest request in the mean of sizes.
-	meanWeight = 0.05
-)
-
-// tapered reports whether a request is too large for the little that is left.
-func (a *account) tapered(d demand) bool {
-	if d.loan {
-		return false
-	}
-	believed, known := a.believedLeft()
-	left := float64(believed)
-	if !known || left >= taperBelow*float64(a.limit) {
-		return false
-	}
-	return float64(d.bound) > taperShare*left || float64(d.bound) > a.mean
-}
+// meanWeight is that of the newest request in the mean of sizes.
+const meanWeight = 0.05
 
 // measure takes the size of a request into the mean.
 func (a *account) measure(bound granitehoist.Tokens) {
@@ -83,6 +63,7 @@
 	}
 	if !d.loan {
 		a.rate.add(d.bound, l.began, now)
+		a.ration.spend(d.bound)
 	}
 	return true
 }
