--- a/escrow/outage_test.go
+++ b/escrow/outage_test.go
@@ -190,7 +190,8 @@
 			}
 		}
 		Expect(store.patience).To(HaveLen(6))
+		Expect(store.patience[0]).To(BeNumerically("<=", 400*time.Millisecond), "a router that starts")
 		Expect(store.patience[1]).To(BeNumerically("<=", 400*time.Millisecond))
-		Expect(long).To(Equal(2))
+		Expect(long).To(Equal(1))
 	})
 })
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -293,7 +293,8 @@
 
 // timeout returns the time that the next calls have.
 func (s *Syncer) timeout() time.Duration {
-	if s.failures%patientEvery == 0 {
+	first := s.failures == 0 && s.seen.Version == 0
+	if s.failures%patientEvery == 0 && !first {
 		return s.settings.Timeout
 	}
 	return min(probeTimeout, s.settings.Timeout)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -54,7 +54,9 @@
 	// probeWait bounds the watches of a store that failed, so that its return is
 	// soon seen: one that was sent before would wait for its whole time.
 	probeWait = 100 * time.Millisecond
-	// patientEvery is how often such a watch gets its whole time all the same:
+	// firstListTime bounds the first list.
+	firstListTime = 800 * time.Millisecond
+	// patientEvery is how often such a call gets its whole time all the same:
 	// the store may be slow.
 	patientEvery = 4
 	// relayWait is how long a relay holds a question that nothing answers.
@@ -159,7 +161,7 @@
 		return nil
 	}
 	if !f.Known() {
-		return f.list(ctx)
+		return f.firstList(ctx)
 	}
 	return f.watch(ctx)
 }
@@ -224,6 +226,17 @@
 	return nil
 }
 
+// firstList lists a prefix of which nothing is known. A router that starts while
+// the store is silent makes short calls too, but for every so many.
+func (f *Follower) firstList(ctx context.Context) error {
+	if f.failures%patientEvery != patientEvery-1 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, firstListTime)
+		defer cancel()
+	}
+	return f.list(ctx)
+}
+
 // watchTime returns how long the next watch may wait; zero is as long as the
 // store's client does.
 func (f *Follower) watchTime() time.Duration {
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,6 +67,37 @@
 	return nil, 0, granitehoist.ErrUnknown
 }
 
+// silentStore answers no list, and notes how long each may take.
+type silentStore struct {
+	granitehoist.Store
+	mu       sync.Mutex
+	patience []time.Duration
+}
+
+func (s *silentStore) List(ctx context.Context, _ string) ([]granitehoist.Entry, granitehoist.Version, error) {
+	patience := time.Hour
+	if deadline, ok := ctx.Deadline(); ok {
+		patience = time.Until(deadline)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.patience = append(s.patience, patience)
+	return nil, 0, granitehoist.ErrUnknown
+}
+
+// longest returns the longest patience of the first calls, none before there are
+// as many.
+func (s *silentStore) longest(calls int) func() time.Duration {
+	return func() time.Duration {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if len(s.patience) < calls {
+			return -1
+		}
+		return slices.Max(s.patience[:calls])
+	}
+}
+
 func entry(key string, version granitehoist.Version) granitehoist.Entry {
 	return granitehoist.Entry{Key: key, Version: version, Value: []byte(key)}
 }
@@ -161,6 +193,14 @@
 		Expect(waits()[:6]).To(Equal([]time.Duration{0, short, short, short, 0, short}))
 	})
 
+	It("makes short calls from the first on if it starts while the store is silent", func() {
+		store := &silentStore{}
+		f := run(follow.Settings{Store: store})
+		Eventually(store.longest(3)).Should(And(BeNumerically(">", 0), BeNumerically("<=", time.Second)))
+		Expect(f.Known()).To(BeFalse())
+		Eventually(store.longest(4)).Should(BeNumerically(">", time.Minute), "the store may only be slow")
+	})
+
 	It("takes a newer copy from a neighbour, and no older one", func() {
 		store := &scripted{lists: []follow.Update{{At: 5, Entries: []granitehoist.Entry{entry("p/a", 3)}}}}
 		copies := []follow.Update{
