--- a/escrow/contact.go
+++ b/escrow/contact.go
@@ -116,3 +116,47 @@
 	grown := max(0, (since-exposedLow).Seconds()/(exposedGrown-exposedLow).Seconds())
 	return exposedAfterOutage + (sharePart-exposedAfterOutage)*grown
 }
+
+// heard notes that the store has answered.
+func (l *Ledger) heard(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.contact.heard(now)
+}
+
+// isSilent reports whether the store has not answered the last call.
+func (l *Ledger) isSilent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.contact.silentSince.IsZero()
+}
+
+// silent notes that the store has not answered.
+func (l *Ledger) silent(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.contact.failed(now)
+}
+
+// relayed notes that a relay that is in touch with the store spoke for this
+// router.
+func (l *Ledger) relayed(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.contact.joined(now)
+}
+
+// Cut returns for how long the store has not answered this router itself, nor
+// a relay for it; zero if it does.
+func (l *Ledger) Cut(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.contact.cut(now)
+}
+
+// HearCut takes in for how long the store has not answered a neighbour.
+func (l *Ledger) HearCut(cut time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.contact.hearCut(cut, now)
+}
