Pass on only the headers that are the caller's to state

Cause: callers sent headers by which an upstream takes orders from its router (memory to keep, to reserve, to copy, to go on from), and the codec passed them on. Upstreams obeyed, or refused the request for memory that they lack, and the request was then tried at up to four and refused (code 5001).

The partners' gate keeps its own headers from plain services the same way. A 400 by which an upstream rejects the request itself ends it with code 1008 and is not tried elsewhere; all other refusals have the status of a full upstream, so that a request which no upstream can take can't be told apart.

--- a/forward/active.go
+++ b/forward/active.go
@@ -189,6 +189,7 @@
 		route:       a.admission.route,
 		fate:        fateOf(result.err),
 		unsent:      result.unsent,
+		faulty:      result.reply == replyFaulty,
 		ended:       ctx.Err() != nil,
 		attempts:    a.progress.attempts,
 		runs:        a.progress.runs,
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -75,7 +75,7 @@
 	result := attemptResult{status: response.Status, reply: judgeHead(verdict, response.Status, a.progress.started)}
 	result.err = result.reply.error(response.Status, verdict.RetryAfter)
 	switch result.reply {
-	case replyRefused, replyMoved:
+	case replyRefused, replyMoved, replyFaulty:
 		// After an error Close closes the connection, so it need not be handled.
 		_, _ = io.Copy(io.Discard, io.LimitReader(response, maxRefusalBytes))
 	case replyFailed:
--- a/forward/judge.go
+++ b/forward/judge.go
@@ -22,6 +22,8 @@
 	replyRefused
 	// replyMoved: another instance has this address, and did not run it.
 	replyMoved
+	// replyFaulty: the instance did not run the request for what the request states.
+	replyFaulty
 	// replyFailed: the instance's own failure, which may be passed on.
 	replyFailed
 	// replyNoContinuation: no stream, although the caller has the beginning of one.
@@ -39,6 +41,8 @@
 	switch {
 	case v.NotRun && v.Moved:
 		return replyMoved
+	case v.NotRun && v.Faulty:
+		return replyFaulty
 	case v.NotRun:
 		return replyRefused
 	case started && status >= http.StatusMultipleChoices:
@@ -57,6 +61,8 @@
 	switch r {
 	case replyRefused, replyMoved:
 		return instanceRefusal(retryAfter)
+	case replyFaulty:
+		return granitehoist.Errorf(granitehoist.BadHeader, "the upstream rejected the request")
 	case replyNoContinuation:
 		return granitehoist.Errorf(granitehoist.UpstreamBadAnswer, "status %d instead of the rest of a stream", status)
 	case replyUnusable, replyFailed:
@@ -76,7 +82,7 @@
 		return balance.Moved
 	case r.reply == replyFailed:
 		return balance.Failed
-	case r.err == nil:
+	case r.err == nil, r.reply == replyFaulty:
 		return balance.Good
 	case ended, granitehoist.CodeOf(r.err) == granitehoist.CallerGone:
 		return balance.Unclear
--- a/forward/judge_test.go
+++ b/forward/judge_test.go
@@ -31,6 +31,7 @@
 		ginkgo.Entry("no rest of a stream, for another answer", Verdict{Usable: true}, http.StatusMultipleChoices, true, replyNoContinuation),
 		ginkgo.Entry("a refusal", Verdict{NotRun: true}, http.StatusServiceUnavailable, false, replyRefused),
 		ginkgo.Entry("a refusal to go on with a stream", Verdict{NotRun: true}, http.StatusServiceUnavailable, true, replyRefused),
+		ginkgo.Entry("a rejection of the request itself", Verdict{NotRun: true, Faulty: true}, http.StatusBadRequest, false, replyFaulty),
 		ginkgo.Entry("another instance", Verdict{NotRun: true, Moved: true}, http.StatusMisdirectedRequest, false, replyMoved),
 	)
 
@@ -40,6 +41,7 @@
 		},
 		ginkgo.Entry("of a refusal", replyRefused, granitehoist.UpstreamRefused, 2*time.Second, ""),
 		ginkgo.Entry("of another instance", replyMoved, granitehoist.UpstreamRefused, 2*time.Second, ""),
+		ginkgo.Entry("of a rejection", replyFaulty, granitehoist.BadHeader, time.Duration(0), "the upstream rejected the request"),
 		ginkgo.Entry("of a failure", replyFailed, granitehoist.UpstreamBadAnswer, time.Duration(0), "status 500"),
 		ginkgo.Entry("of an unusable answer", replyUnusable, granitehoist.UpstreamBadAnswer, time.Duration(0), "status 500"),
 		ginkgo.Entry("of an answer that continues no stream", replyNoContinuation, granitehoist.UpstreamBadAnswer, time.Duration(0), "status 500 instead of the rest of a stream"),
--- a/forward/request.go
+++ b/forward/request.go
@@ -83,6 +83,9 @@
 	NotRun bool
 	// Moved says that another instance has the address. It also sets NotRun.
 	Moved bool
+	// Faulty says that the upstream did not run the request for what the request
+	// itself states, so that no other would run it either. It also sets NotRun.
+	Faulty bool
 	// Usable says that the answer is the upstream's own and may be passed on.
 	Usable bool
 	// RetryAfter is how long the upstream asks callers to wait; zero if it states
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -28,6 +28,8 @@
 	// of it left this router.
 	fate   granitehoist.Fate
 	unsent bool
+	// faulty says that the upstream rejected it for what the request states.
+	faulty bool
 	// ended says that the caller has left or the request's timeout has passed.
 	ended bool
 	// attempts counts all attempts so far, runs those that ran or may have run.
@@ -55,7 +57,7 @@
 // it uses the retry budget, and from which event its stream continues.
 //
 //   - None follows if the request has ended, too little time is left for an
-//     answer, or maxAttempts were made.
+//     answer, maxAttempts were made, or the fault is the request's own.
 //   - An attempt that may have run is followed by another only if the request
 //     may run more than once, its route allows another upstream to run it, and,
 //     once the caller has a part of a stream, the stream may be resumed. One
@@ -68,7 +70,7 @@
 // Package balance never picks an instance that the request has tried.
 func decideRetry(in retryInput) retryVerdict {
 	switch {
-	case in.ended, in.attempts >= maxAttempts, in.timeLeft < minRetryTime:
+	case in.ended, in.faulty, in.attempts >= maxAttempts, in.timeLeft < minRetryTime:
 		return retryVerdict{}
 	case in.fate != granitehoist.NotRun && !in.mayRunAgain():
 		return retryVerdict{}
--- a/forward/retry_test.go
+++ b/forward/retry_test.go
@@ -57,6 +57,7 @@
 		ginkgo.Entry("not to run at more upstreams than the route allows", with(lostSafe, func(in *retryInput) { in.runs = 2 }), no),
 		ginkgo.Entry("not to run again where the route states no number", afterFirst(&catalog.Route{Kind: catalog.Safe}, granitehoist.MayHaveRun), no),
 		ginkgo.Entry("to follow one that did not run, also at the route's bound", with(refused, func(in *retryInput) { in.runs = 2 }), paid),
+		ginkgo.Entry("not to follow a rejection of the request itself", with(refused, func(in *retryInput) { in.faulty = true }), no),
 		ginkgo.Entry("not to be the fifth", with(refused, func(in *retryInput) { in.attempts = 4 }), no),
 		ginkgo.Entry("to be the fourth", with(refused, func(in *retryInput) { in.attempts = 3 }), paid),
 		ginkgo.Entry("not to follow once the request is over", with(refused, func(in *retryInput) { in.ended = true }), no),
--- a/partner/gate/gate_test.go
+++ b/partner/gate/gate_test.go
@@ -278,7 +278,7 @@
 				_ = sink.Start(http.StatusTeapot, http.Header{"X-Own": {"1"}})
 				return granitehoist.Usage{}, sink.Write([]byte("own"))
 			}}
-			t := s.send(http.MethodPatch, "/services/desk/a%2Fb/c?x=1&y=%20", "body", "X-Mine", "2")
+			t := s.send(http.MethodPatch, "/services/desk/a%2Fb/c?x=1&y=%20", "body", "X-Mine", "2", gate.HeaderCode, "1", "Granitehoist_fate", "ran")
 			Expect(t.status).To(Equal(http.StatusTeapot))
 			Expect(t.body).To(Equal("own"))
 			Expect(t.header.Get("X-Own")).To(Equal("1"))
@@ -288,6 +288,8 @@
 			Expect(string(c.Body)).To(Equal("body"))
 			Expect(c.Header.Get("X-Mine")).To(Equal("2"))
 			Expect(c.Header.Get("Authorization")).To(BeEmpty())
+			Expect(c.Header).NotTo(HaveKey("Granitehoist_fate"))
+			Expect(c.Header).NotTo(HaveKey(gate.HeaderCode))
 			left, _ := s.funds.state()
 			Expect(left).To(Equal(granitehoist.Tokens(9997)))
 		})
--- a/partner/gate/read.go
+++ b/partner/gate/read.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/textproto"
 	"strings"
 	"time"
 
@@ -146,11 +147,28 @@
 	r.decided.call = granitehoist.Call{
 		Method: from.Method,
 		Path:   plainPath(from),
-		Header: upstream.CopyHeader(from.Header, "Authorization", "Content-Length", "Host", HeaderRequest, HeaderPriority, HeaderDeadline, HeaderOnce, HeaderBudget),
+		Header: callersHeader(from.Header),
 		Once:   r.decided.once,
 	}
 }
 
+// ownHeaders begins the names of all headers of this interface but HeaderRequest.
+const ownHeaders = "Granitehoist-"
+
+// callersHeader returns the part of a caller's header that a plain service gets:
+// all but what speaks to the gate itself. An underscore counts as a hyphen, since
+// services may take it for one.
+func callersHeader(h http.Header) http.Header {
+	passed := upstream.CopyHeader(h, "Authorization", "Content-Length", "Host")
+	for name := range passed {
+		standard := textproto.CanonicalMIMEHeaderKey(strings.ReplaceAll(name, "_", "-"))
+		if standard == HeaderRequest || strings.HasPrefix(standard, ownHeaders) {
+			delete(passed, name)
+		}
+	}
+	return passed
+}
+
 // plainPath returns the path and query that a plain service gets: the caller's
 // without the prefix and the service's name, escaped as the caller wrote it. It
 // begins with a slash. The pattern that servePlain is registered under makes
