Keep an instance whose entry lapsed and came back while a router was cut off

Cause: a router that was cut off while entries of instances lapsed in the store and were written again asked a neighbour for what it had missed. The answer has the new entry and the deletion before it. The new entry repeats the old one, so the copy kept the old version, and the deletion then removed the entry for good: the router refused with code 4001 until the instance wrote something new, for 20 s and more.

Change: an update is applied in the order of its versions, and a complete one takes the versions of repeated entries too, since a deletion between may be unknown.

--- a/follow/copy.go
+++ b/follow/copy.go
@@ -4,6 +4,8 @@
 package follow
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,7 +55,7 @@
 		return nil
 	}
 	var changed []granitehoist.Entry
-	for _, e := range update.Entries {
+	for _, e := range inOrder(update.Entries) {
 		if c.applyEntry(e, update.Complete) {
 			changed = append(changed, e)
 		}
@@ -73,6 +75,16 @@
 	return changed
 }
 
+// inOrder returns entries in the order of their versions. A copy sends its deletions
+// after its entries, and a key may have been deleted and written again: applied
+// first, the newer entry would count as a repetition of the one before the deletion,
+// and the deletion would then remove it.
+func inOrder(entries []granitehoist.Entry) []granitehoist.Entry {
+	return slices.SortedStableFunc(slices.Values(entries), func(a, b granitehoist.Entry) int {
+		return cmp.Compare(a.Version, b.Version)
+	})
+}
+
 // advance moves the copy's version, and the time at which it was the newest, to
 // those of an update that is not older.
 func (c *prefixCopy) advance(update Update, now time.Time) {
@@ -86,7 +98,11 @@
 	}
 }
 
-// applyEntry applies one entry, and reports whether it changed the copy.
+// applyEntry applies one entry, and reports whether it changed the copy. An entry
+// that only repeats the one held keeps that one's version, so that it is not passed
+// on. One of a complete update takes its place without being reported: a deletion
+// between the two may be unknown here, and a router that has seen it needs the newer
+// version.
 func (c *prefixCopy) applyEntry(e granitehoist.Entry, complete bool) bool {
 	held, present := c.entries[e.Key]
 	switch judgeEntry(held, e, complete, c.at) {
@@ -98,6 +114,9 @@
 		return true
 	}
 	if present && c.unchanged(held, e) {
+		if complete {
+			c.entries[e.Key] = e
+		}
 		return false
 	}
 	c.entries[e.Key] = e
