Cancel a stalled attempt only if a retry is paid for

Cause: an attempt without progress was cancelled although the retry budget could not pay for another, so the caller got a broken stream instead of a slow one (TestStalledAttemptGoesOnWithoutRetry, known red).

The test passes.

--- a/forward/active.go
+++ b/forward/active.go
@@ -197,12 +197,18 @@
 		lastEventID: a.progress.lastEventID,
 		timeLeft:    a.admission.deadline.Sub(now),
 	})
-	if verdict.allowed && verdict.usesRetryBudget {
-		verdict.allowed = a.forwarder.retryBudgets.of(a.admission.service.Name).Take(now)
+	if verdict.allowed && verdict.usesRetryBudget && !result.retryPaid {
+		verdict.allowed = a.payForRetry()
 	}
 	return verdict
 }
 
+// payForRetry takes one retry from the service's retry budget, and reports whether
+// there was one.
+func (a *activeRequest) payForRetry() bool {
+	return a.forwarder.retryBudgets.of(a.admission.service.Name).Take(a.forwarder.settings.Clock())
+}
+
 // query returns the query for the instance of the next attempt.
 func (a *activeRequest) query() balance.Query {
 	query := balance.Query{Service: a.admission.service.Name, Tried: a.progress.tried}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -24,6 +24,8 @@
 	reply  reply
 	// unsent says that no byte left this router.
 	unsent bool
+	// retryPaid says that the retry budget has paid for another attempt.
+	retryPaid bool
 	// failure is the instance's own failure, which is passed on if no other attempt
 	// follows; nil if the attempt ended in another way. err is set with it.
 	failure *completeAnswer
@@ -57,11 +59,11 @@
 
 // attempt sends the request to one instance and passes its answer on. A stream
 // begins after the event afterEvent.
-func (a *activeRequest) attempt(ctx context.Context, lease *balance.Lease, afterEvent int64) attemptResult {
+func (a *activeRequest) attempt(ctx context.Context, lease *balance.Lease, afterEvent int64) (result attemptResult) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := newStallTimer(a.stallLimits(), cancel)
-	defer timer.stop()
+	timer := newStallTimer(ctx, a.stallLimits(), a.payForRetry, cancel)
+	defer func() { result.retryPaid = timer.stop() }()
 	now := a.forwarder.settings.Clock()
 	response, err := a.forwarder.settings.Pool.Do(ctx, a.upstreamRequest(lease, afterEvent, now), now)
 	if err != nil {
@@ -72,7 +74,7 @@
 	}
 	defer response.Close()
 	verdict := a.forwarder.settings.Codec.Judge(ResponseHead{Status: response.Status, Header: response.Header})
-	result := attemptResult{status: response.Status, reply: judgeHead(verdict, response.Status, a.progress.started)}
+	result = attemptResult{status: response.Status, reply: judgeHead(verdict, response.Status, a.progress.started)}
 	result.err = result.reply.error(response.Status, verdict.RetryAfter)
 	switch result.reply {
 	case replyRefused, replyMoved, replyFaulty:
