--- a/escrow/run.go
+++ b/escrow/run.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,8 +26,8 @@
 // Run syncs when requests wait or holdings are too low or too high, until ctx ends.
 // Call it once.
 func (s *Syncer) Run(ctx context.Context) {
-	ticker := time.NewTicker(s.settings.Interval)
-	defer ticker.Stop()
+	timer := time.NewTimer(untilNextLook(s.settings.Interval, rand.Float64()))
+	defer timer.Stop()
 	state := loopState{nextPause: failurePause}
 	for {
 		select {
@@ -34,12 +35,21 @@
 			return
 		case <-s.kicks:
 			pause.For(ctx, gatherTime)
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(untilNextLook(s.settings.Interval, rand.Float64()))
 		}
 		s.runRound(ctx, &state)
 	}
 }
 
+// untilNextLook decides when the holdings are looked at next: after half to one and a
+// half of the interval, by a random draw from 0 up to 1. Routers that started
+// together would otherwise all write the record at the same moments, and each write
+// but the first would conflict.
+func untilNextLook(interval time.Duration, draw float64) time.Duration {
+	return time.Duration((0.5 + draw) * float64(interval))
+}
+
 // loopState is what Run remembers from one round to the next.
 type loopState struct {
 	// retryAt is when a store that failed may be called again, and pause how long
