--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,6 +24,8 @@
 	Capacity int
 	// Draining instances finish the requests that they have and get no new one.
 	Draining bool
+	// Cold instances are slow for a while after their start.
+	Cold bool
 	// Version is the store's version of the announcement.
 	Version granitehoist.Version
 }
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -41,7 +41,9 @@
 	} else {
 		l.longestPause = max(l.longestPause, now.Sub(l.lastEvent))
 		gap := now.Sub(l.lastEvent).Seconds() * 1000
-		l.state.eventGap.observe(gap/float64(count), gapPart)
+		if !l.state.Cold {
+			l.state.eventGap.observe(gap/float64(count), gapPart)
+		}
 	}
 	l.lastEvent = now
 	l.readPrompt()
