--- a/balance/choice.go
+++ b/balance/choice.go
@@ -24,6 +24,8 @@
 	Pause time.Duration
 	// heavy is the decision of isHeavy.
 	heavy bool
+	// prefersSlow is the decision of prefersSlow.
+	prefersSlow bool
 	// Tried holds the instances that must not be chosen again.
 	Tried map[granitehoist.Upstream]bool
 }
@@ -41,6 +43,7 @@
 	if len(choices) == 0 {
 		return nil, granitehoist.Errorf(granitehoist.NoUpstream, "service %s", q.Service)
 	}
+	q.prefersSlow = prefersSlow(choices, t.random.Float64())
 	q.heavy = isHeavy(q.PromptTokens, service.tokensPerMS(), q.Pause)
 	owner := ownerOf(owners(choices, q.heavy), q.PrefixHash)
 	best := choices[0]
@@ -69,7 +72,7 @@
 	l.inFlight = s.inFlight
 	l.capacity = s.Capacity
 	l.failureRate = s.failureRate
-	l.slow, l.heavy = s.slow, q.heavy
+	l.slow, l.heavy, l.prefersSlow = s.slow, q.heavy, q.prefersSlow
 	l.otherZone = s.Zone != t.settings.Zone
 	l.tieBreak = t.random.Float64()
 	return l.cost()
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -33,12 +33,10 @@
 	// instance, beyond that at others. Chosen, not measured: more than the queues of
 	// other instances cost at most times.
 	slowReadingMS = 300.0
-	// preferSlowMS is the advantage of a slow instance for all but heavy prompts,
-	// in milliseconds; it makes five more requests in progress there as good as none
-	// at another. In a simulation of recorded arrivals 10 left twice as many streams
-	// late, and 40 at twice the load five times as many, since slow instances were
-	// then too full.
-	preferSlowMS = 20.0
+	// otherPaceMS is what a request costs at an instance of the pace that was not
+	// drawn for it (prefersSlow): more than the queues of the others cost at most
+	// times. Chosen, not measured.
+	otherPaceMS = 100.0
 	// cacheMissWeight is the extra cost of reading a prefix away from its owner, as
 	// a part of the reading time. Chosen, not measured by itself;
 	// it came with commit 7965447, whose scores cover several changes.
@@ -67,6 +65,8 @@
 	// slow says that the instance is a slow one of its service, heavy that the
 	// prompt is heavy for the streams beside it.
 	slow, heavy bool
+	// prefersSlow says that slow instances were drawn for the request.
+	prefersSlow bool
 	// tieBreak is a random number from 0 up to 1 that chooses among instances
 	// whose costs differ by less than a millisecond, so that routers which see
 	// the same loads do not all choose the same one.
@@ -93,8 +93,8 @@
 	switch {
 	case l.slow && l.heavy:
 		cost += slowReadingMS
-	case l.slow:
-		cost -= preferSlowMS
+	case !l.heavy && l.slow != l.prefersSlow:
+		cost += otherPaceMS
 	}
 	if l.otherZone {
 		cost += otherZoneMS
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -34,9 +34,11 @@
 func (q *quantile) known() bool { return q.samples >= minSamples }
 
 const (
-	// minSamples is the number of samples below which a quantile says nothing: one
-	// stream of the users' sites has about as many events. Chosen, not measured.
-	minSamples = 40
+	// minSamples is the number of samples below which a quantile says nothing: those
+	// of a few streams, since an instance that reads long prompts beside the only one
+	// seems slow. At 40 the routers of a fleet of 86 took others for slow, and two
+	// thirds more streams were late.
+	minSamples = 200
 	// readingPart is the quantile of the observed reading rates that counts as an
 	// instance's own rate: prompts that waited behind others show a lower one.
 	// Chosen, not measured.
--- a/balance/slow.go
+++ b/balance/slow.go
@@ -105,6 +105,27 @@
 	return s.readRate.value
 }
 
+// slowWeight is how many times as many requests go to a slow instance as to another,
+// heavy prompts apart. In a simulation of recorded arrivals, 1 left twice as many
+// streams late as this value, and 10 at twice the load nine times as many, since slow
+// instances were then too full.
+const slowWeight = 3.5
+
+// prefersSlow decides by a random draw from 0 up to 1 whether a request that is not
+// heavy goes to a slow instance. It is drawn for each request, since a router sees
+// only its own requests there: many routers that all took the emptiest would fill
+// the same few.
+func prefersSlow(choices []*instanceState, draw float64) bool {
+	slow := 0.0
+	for _, i := range choices {
+		if i.slow {
+			slow++
+		}
+	}
+	weighted := slowWeight * slow
+	return draw*(weighted+float64(len(choices))-slow) < weighted
+}
+
 // owners returns the instances that may own the prefix of a prompt: for a heavy one
 // those that are not slow, if there are any.
 func owners(choices []*instanceState, heavy bool) []*instanceState {
