--- a/balance/pace.go
+++ b/balance/pace.go
@@ -30,15 +30,18 @@
 	}
 }
 
-// known reports whether there were minSamples.
-func (q *quantile) known() bool { return q.samples >= minSamples }
+// known reports whether there were at least so many samples.
+func (q *quantile) known(samples int) bool { return q.samples >= samples }
 
 const (
-	// minSamples is the number of samples below which a quantile says nothing: those
-	// of a few streams, since an instance that reads long prompts beside the only one
-	// seems slow. At 40 the routers of a fleet of 86 took others for slow, and two
-	// thirds more streams were late.
-	minSamples = 200
+	// minGaps is the number of pauses below which the pace of an instance is unknown:
+	// those of a few streams, since one that reads long prompts beside the only
+	// stream seems slow. At 40 the routers of a fleet of 86 took others for slow, and
+	// two thirds more streams were late.
+	minGaps = 200
+	// minReadings is the number of prompts below which the reading rate is unknown.
+	// Chosen, not measured.
+	minReadings = 20
 	// readingPart is the quantile of the observed reading rates that counts as an
 	// instance's own rate: prompts that waited behind others show a lower one.
 	// Chosen, not measured.
--- a/balance/slow.go
+++ b/balance/slow.go
@@ -74,7 +74,7 @@
 	median := s.medianPace()
 	for _, i := range s.instances {
 		i.slow = isSlow(i.eventGap.value, median, i.slow)
-		if !i.eventGap.known() {
+		if !i.eventGap.known(minGaps) {
 			i.slow = slices.Contains(s.hintedSlow, i.ID)
 		}
 	}
@@ -85,7 +85,7 @@
 func (s *serviceState) medianPace() float64 {
 	paces := make([]float64, 0, len(s.instances))
 	for _, i := range s.instances {
-		if i.eventGap.known() {
+		if i.eventGap.known(minGaps) {
 			paces = append(paces, i.eventGap.value)
 		}
 	}
@@ -99,7 +99,7 @@
 // tokensPerMS returns the rate at which instances read prompts, promptTokensPerMS
 // while it has not been observed.
 func (s *serviceState) tokensPerMS() float64 {
-	if !s.readRate.known() {
+	if !s.readRate.known(minReadings) {
 		return promptTokensPerMS
 	}
 	return s.readRate.value
