Show that a caller that leaves while it waits for tokens costs nothing

Cause: the users' rule on callers that leave had a test for running attempts only. Change: a test for the wait for tokens; the code passed it as it was. Measured: go test ./forward.

--- a/forward/fakes_test.go
+++ b/forward/fakes_test.go
@@ -39,11 +39,16 @@
 	outcome  escrow.Outcome
 	reserved granitehoist.Tokens
 	used     granitehoist.Tokens
+	// reserving, if set, is called during each reservation.
+	reserving func()
 }
 
 func (f *fakeFunds) Reserve(_ context.Context, _ granitehoist.Workspace, bound granitehoist.Tokens, _ granitehoist.Priority) escrow.Answer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.reserving != nil {
+		f.reserving()
+	}
 	if f.outcome == escrow.Granted {
 		f.reserved += bound
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -256,6 +256,17 @@
 		Expect(w.Arrivals()).To(HaveLen(1))
 	})
 
+	It("makes no attempt for a caller that leaves while it waits for tokens, and returns them", func() {
+		w := s.worker(model, "i-1", always(standin.WorkerAnswer{Events: 3}))
+		ctx, leave := context.WithCancel(context.Background())
+		s.funds.reserving = leave
+		_, err := s.forwarder.Serve(ctx, request("/resume/x"), sink)
+		Expect(granitehoist.CodeOf(err)).To(Equal(granitehoist.CallerGone))
+		Consistently(w.Arrivals, "100ms").Should(BeEmpty())
+		Expect(s.funds.reserved).To(BeZero())
+		Expect(s.funds.used).To(BeZero())
+	})
+
 	It("gives a final answer at the route's timeout", func() {
 		s.worker(desk, "i-1", always(standin.WorkerAnswer{Silent: true}))
 		r := request("/unsafe/x")
