--- a/docs_test.go
+++ b/docs_test.go
@@ -172,6 +172,16 @@
 		}
 	})
 
+	It("have a line on each package in docs/ARCHITECTURE.md", func() {
+		page := readPage("docs/ARCHITECTURE.md")
+		for file := range readSourceTree().files {
+			folder := filepath.Dir(file)
+			if filepath.Ext(file) == ".go" && folder != "." {
+				Expect(page).To(ContainSubstring("`"+folder), folder)
+			}
+		}
+	})
+
 	It("name only files that exist", func() {
 		tree := readSourceTree()
 		for _, page := range pages() {
