--- a/soak/doc.go
+++ b/soak/doc.go
@@ -3,7 +3,7 @@
 
 // Package soak holds a test that plays seeded series of faults against real
 // processes of granitehoist-edge: signals, and proxies before the store and the
-// upstreams that delay, silence and reset connections, overlapping each other. It
+// upstreams that delay, silence, mute for good and reset connections, overlapping each other. It
 // judges what callers got by what the upstreams ran.
 //
 // Each seed has a fleet of its own, which owns its processes, stand-ins and proxies
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -21,8 +21,13 @@
 	silence
 	// reset: all connections are reset, new ones as well.
 	reset
+	// mute: the connections that are open go silent for good, and new ones work.
+	mute
 )
 
+// faultyModes is the number of modes after pass.
+const faultyModes = int(mute)
+
 // delayTime is how long a delaying proxy holds each piece.
 const delayTime = 120 * time.Millisecond
 
@@ -34,6 +39,8 @@
 	mu    sync.Mutex
 	mode  proxyMode
 	conns map[net.Conn]struct{}
+	// muted are the connections that have gone silent for good.
+	muted map[net.Conn]struct{}
 }
 
 func newProxy(address, target string) (*proxy, error) {
@@ -41,23 +48,26 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, conns: map[net.Conn]struct{}{}}
+	p := &proxy{listener: listener, target: target, conns: map[net.Conn]struct{}{}, muted: map[net.Conn]struct{}{}}
 	go p.accept()
 	return p, nil
 }
 
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
-// set changes the mode. A reset ends all connections.
+// set changes the mode. A reset ends all connections, mute silences them.
 func (p *proxy) set(mode proxyMode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = mode
-	if mode != reset {
-		return
-	}
 	for c := range p.conns {
-		abort(c)
+		switch mode {
+		case reset:
+			abort(c)
+		case mute:
+			p.muted[c] = struct{}{}
+		case pass, delay, silence:
+		}
 	}
 }
 
@@ -75,6 +85,13 @@
 	return p.mode
 }
 
+func (p *proxy) isMuted(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, muted := p.muted[c]
+	return muted
+}
+
 func (p *proxy) accept() {
 	for {
 		client, err := p.listener.Accept()
@@ -104,8 +121,10 @@
 	both.Go(func() { p.copy(client, server) })
 	both.Wait()
 	p.mu.Lock()
-	delete(p.conns, client)
-	delete(p.conns, server)
+	for _, c := range []net.Conn{client, server} {
+		delete(p.conns, c)
+		delete(p.muted, c)
+	}
 	p.mu.Unlock()
 	// Both directions have ended, so an error of Close changes nothing.
 	_ = client.Close()
@@ -121,6 +140,14 @@
 		for p.present() == silence {
 			time.Sleep(10 * time.Millisecond)
 		}
+		if p.isMuted(from) {
+			if err != nil {
+				// Nobody hears of the end in time; this only frees the other side.
+				abort(to)
+				return
+			}
+			continue
+		}
 		if p.present() == delay {
 			time.Sleep(delayTime)
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -95,12 +95,12 @@
 			time.Sleep(lasting)
 			p.signal(syscall.SIGCONT)
 		case 3, 4:
-			p.store.set(proxyMode(1 + random.IntN(3)))
+			p.store.set(proxyMode(1 + random.IntN(faultyModes)))
 			time.Sleep(lasting)
 			p.store.set(pass)
 		case 5:
 			w := f.workers[random.IntN(len(f.workers))]
-			w.set(proxyMode(1 + random.IntN(3)))
+			w.set(proxyMode(1 + random.IntN(faultyModes)))
 			time.Sleep(lasting)
 			w.set(pass)
 		}
