Choose the owner of a heavy prompt's prefix without a list of its own

Cause: each choice for a heavy prompt copied the instances that are not slow, and each choice counted the slow ones. Change: ownerOf passes slow instances over; the count is kept with the marks.

--- a/balance/choice.go
+++ b/balance/choice.go
@@ -43,9 +43,9 @@
 	if len(choices) == 0 {
 		return nil, granitehoist.Errorf(granitehoist.NoUpstream, "service %s", q.Service)
 	}
-	q.prefersSlow = prefersSlow(choices, t.random.Float64())
+	q.prefersSlow = prefersSlow(service.slow, len(service.instances), t.random.Float64())
 	q.heavy = isHeavy(q.PromptTokens, service.tokensPerMS(), q.Pause)
-	owner := ownerOf(owners(choices, q.heavy), q.PrefixHash)
+	owner := ownerOf(choices, q.PrefixHash, q.heavy)
 	best := choices[0]
 	least := t.costOf(best, &q, owner, now)
 	for _, s := range choices[1:] {
--- a/balance/owner.go
+++ b/balance/owner.go
@@ -12,18 +12,23 @@
 // ownerOf decides which of the instances owns a prefix: the one with the highest
 // hash of its ID and the prefix (rendezvous hashing). All routers that see the
 // same instances choose the same owner without asking each other, and when one
-// leaves only its own prefixes change owner. It returns nil for the hash zero (no
-// prefix) and if there are no instances.
-func ownerOf(states []*instanceState, prefixHash uint64) *instanceState {
+// leaves only its own prefixes change owner. A slow instance owns the prefix of a
+// heavy prompt only if all are slow. It returns nil for the hash zero (no prefix) and
+// if there are no instances.
+func ownerOf(states []*instanceState, prefixHash uint64, heavy bool) *instanceState {
 	if prefixHash == 0 {
 		return nil
 	}
 	var owner *instanceState
 	var highest uint64
 	for _, s := range states {
-		if hash := mix(s.idHash ^ prefixHash); owner == nil || hash > highest {
-			owner, highest = s, hash
+		hash := mix(s.idHash ^ prefixHash)
+		switch {
+		case owner == nil, heavy && owner.slow && !s.slow:
+		case heavy && s.slow && !owner.slow, hash <= highest:
+			continue
 		}
+		owner, highest = s, hash
 	}
 	return owner
 }
--- a/balance/owner_test.go
+++ b/balance/owner_test.go
@@ -25,7 +25,7 @@
 var _ = Describe("The owner of a prefix", func() {
 	DescribeTable("is none",
 		func(instances []*instanceState, prefixHash uint64) {
-			Expect(ownerOf(instances, prefixHash)).To(BeNil())
+			Expect(ownerOf(instances, prefixHash, false)).To(BeNil())
 		},
 		Entry("of no prefix", hashed(3), uint64(0)),
 		Entry("among no instances", nil, uint64(7)),
@@ -35,7 +35,7 @@
 		instances := hashed(5)
 		reversed := []*instanceState{instances[4], instances[3], instances[2], instances[1], instances[0]}
 		for prefix := range uint64(100) {
-			Expect(ownerOf(reversed, prefix)).To(BeIdenticalTo(ownerOf(instances, prefix)))
+			Expect(ownerOf(reversed, prefix, false)).To(BeIdenticalTo(ownerOf(instances, prefix, false)))
 		}
 	})
 
@@ -43,10 +43,10 @@
 		instances := hashed(5)
 		owned := map[*instanceState]int{}
 		for prefix := uint64(1); prefix <= 500; prefix++ {
-			owner := ownerOf(instances, prefix)
+			owner := ownerOf(instances, prefix, false)
 			owned[owner]++
 			if owner != instances[4] {
-				Expect(ownerOf(instances[:4], prefix)).To(BeIdenticalTo(owner))
+				Expect(ownerOf(instances[:4], prefix, false)).To(BeIdenticalTo(owner))
 			}
 		}
 		Expect(owned).To(HaveLen(5))
--- a/balance/slow.go
+++ b/balance/slow.go
@@ -60,7 +60,8 @@
 	readRate quantile
 	// hintedSlow holds the instances that another router said to be slow.
 	hintedSlow []granitehoist.Upstream
-	// slowAt is when the slow instances were last decided.
+	// slow is the number of slow instances, as decided at slowAt.
+	slow   int
 	slowAt time.Time
 }
 
@@ -71,12 +72,16 @@
 		return
 	}
 	s.slowAt = now
+	s.slow = 0
 	median := s.medianPace()
 	for _, i := range s.instances {
 		i.slow = isSlow(i.eventGap.value, median, i.slow)
 		if !i.eventGap.known(minGaps) {
 			i.slow = slices.Contains(s.hintedSlow, i.ID)
 		}
+		if i.slow {
+			s.slow++
+		}
 	}
 }
 
@@ -112,34 +117,10 @@
 const slowWeight = 3.5
 
 // prefersSlow decides by a random draw from 0 up to 1 whether a request that is not
-// heavy goes to a slow instance. It is drawn for each request, since a router sees
-// only its own requests there: many routers that all took the emptiest would fill
-// the same few.
-func prefersSlow(choices []*instanceState, draw float64) bool {
-	slow := 0.0
-	for _, i := range choices {
-		if i.slow {
-			slow++
-		}
-	}
-	weighted := slowWeight * slow
-	return draw*(weighted+float64(len(choices))-slow) < weighted
-}
-
-// owners returns the instances that may own the prefix of a prompt: for a heavy one
-// those that are not slow, if there are any.
-func owners(choices []*instanceState, heavy bool) []*instanceState {
-	if !heavy {
-		return choices
-	}
-	fast := make([]*instanceState, 0, len(choices))
-	for _, i := range choices {
-		if !i.slow {
-			fast = append(fast, i)
-		}
-	}
-	if len(fast) == 0 {
-		return choices
-	}
-	return fast
+// heavy goes to a slow instance, of which there are so many among all. It is drawn for
+// each request, since a router sees only its own requests there: many routers that
+// all took the emptiest would fill the same few.
+func prefersSlow(slow, all int, draw float64) bool {
+	weighted := slowWeight * float64(slow)
+	return draw*(weighted+float64(all-slow)) < weighted
 }
