--- a/forward/stalltimer.go
+++ b/forward/stalltimer.go
@@ -38,6 +38,8 @@
 // goroutine of its own.
 func newStallTimer(ctx context.Context, limits stallLimits, payForRetry func() bool, cancel context.CancelCauseFunc) *stallTimer {
 	t := &stallTimer{limits: limits, payForRetry: payForRetry, ctx: ctx, cancel: cancel}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if limits.first > 0 {
 		t.timer = time.AfterFunc(limits.first, t.fire)
 	}
