--- a/balance/slow.go
+++ b/balance/slow.go
@@ -17,8 +17,8 @@
 // make this wait longer than the streams' route allows is heavy. The waits are the
 // longest at slow instances: heavy prompts keep away from those, and more of the other
 // requests go there than to others, since no heavy prompt does. It buys streams in time:
-// on days of trouble with 12 upstreams of which four are slow, 330 late instead of 436
-// of 2,471 a day, 0.0125 +- 0.0043 of worth (12 pairs of days).
+// before 12 upstreams of which four are slow, 330 late instead of 436 of 2,471 a day,
+// 0.0125 +- 0.0043 of worth (12 pairs of days, three of them calm).
 
 const (
 	// heavyPart is the part of the allowed pause beyond which reading a prompt makes
