--- a/escrow/account.go
+++ b/escrow/account.go
@@ -26,6 +26,12 @@
 	waiters []*waiter
 	// limitChanged says that the limit has changed since the last sync.
 	limitChanged bool
+	// standsInUntil is until when this router acts as a holder because others were
+	// not reached; zero if it was never asked to.
+	standsInUntil time.Time
+	// forsaken says that requests wait and no lender answered: the record is read
+	// here then, whatever the role.
+	forsaken bool
 }
 
 // claim is what tokens are wanted for: a request, or a loan to a router that
@@ -34,9 +40,11 @@
 	// bound is the most that the request can cost, or the size of the loan.
 	bound    granitehoist.Tokens
 	priority granitehoist.Priority
-	// loan is set for a loan: it is no demand of this router, and the borrower
-	// applies the rules of the end of a budget.
+	// loan is set for a loan: the borrower applies the rules of the end of a budget.
 	loan bool
+	// counts says that the claim is demand that this router holds tokens for: its
+	// own requests, and the loans of a holder.
+	counts bool
 }
 
 // judgeEnd applies the rules of the end of a budget to a claim, and lets the
@@ -67,8 +75,11 @@
 	h := holding{
 		remaining: remaining, unreserved: a.owned.unreserved(),
 		limit: a.owned.limit, largest: a.demand.largest,
-		ownRate: a.demand.rate.value(c.now), borrowersRate: a.demand.borrowersRate(c.now),
-		othersRate: a.demand.othersRate, fleetRate: a.demand.fleetRate,
+		ownRate: a.demand.rate.value(c.now), othersRate: a.demand.othersRate,
+	}
+	if c.role == Holds {
+		// Its rate is that of the routers that ask it, the other holder's apart.
+		h.othersRate = 0
 	}
 	return h.target(c)
 }
@@ -112,8 +123,8 @@
 // shortageInputs returns what a shortage depends on.
 func (a *account) shortageInputs(c conditions) shortageInputs {
 	s := shortageInputs{
-		unreserved: a.owned.unreserved(), target: a.target(a.fleet.remainingInStore(a.owned.limit), c),
-		rate: a.demand.rate.value(c.now), frozen: a.owned.frozen,
+		unreserved: a.owned.unreserved(),
+		rate:       a.demand.rate.value(c.now),
 	}
 	for i, w := range a.waiters {
 		s.waiting += w.bound
--- /dev/null
+++ b/escrow/ask.go
@@ -0,0 +1,98 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package escrow
+
+import (
+	"context"
+	"time"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/pause"
+)
+
+const (
+	// maxAsked bounds the lenders that are asked for one request: the holders and as
+	// many routers that stand in for them. Chosen, not measured.
+	maxAsked = 2 * HoldersPerWorkspace
+	// hedgeAfter is how long a lender may take before the next one is asked as well.
+	// Chosen, not measured: several times a call between two routers of a region,
+	// and a small part of the time that a request waits for tokens.
+	hedgeAfter = 20 * time.Millisecond
+	// noLenderPause is the time between two looks for lenders while a router that
+	// starts knows of none. Chosen, not measured.
+	noLenderPause = 10 * time.Millisecond
+)
+
+// ask asks lenders for what a request waits for, one after the other, the next as
+// soon as one has answered without helping or is slow. It returns the outcome of
+// the wait: at once when none of them could help, at the end of ctx at the latest.
+// Calls that are under way then go on, since a loan that arrives late serves the
+// next request.
+func (s *Syncer) ask(ctx context.Context, w granitehoist.Workspace, c claim, entered *waiter) Outcome {
+	lenders := s.lendersToAsk(ctx, w)
+	answers := make(chan bool, len(lenders))
+	missing := s.settings.Ledger.requestShortage(w, c)
+	asked, pending, answered := 0, 0, false
+	askNext := func() {
+		if asked == len(lenders) {
+			return
+		}
+		lender := lenders[asked]
+		asked++
+		pending++
+		go func() { answers <- s.borrowFrom(context.WithoutCancel(ctx), lender, missing) }()
+	}
+	askNext()
+	hedge := time.NewTicker(hedgeAfter)
+	defer hedge.Stop()
+	for pending > 0 {
+		select {
+		case outcome := <-entered.outcome:
+			return outcome
+		case <-ctx.Done():
+			return s.settings.Ledger.abandon(w, entered, s.settings.Clock())
+		case <-hedge.C:
+			askNext()
+		case ok := <-answers:
+			pending--
+			answered = answered || ok
+			askNext()
+		}
+	}
+	if !answered {
+		return s.readRecordFor(ctx, w, entered)
+	}
+	return s.settings.Ledger.abandon(w, entered, s.settings.Clock())
+}
+
+// lendersToAsk returns the lenders of a workspace. It waits until there are some, or
+// until ctx ends: a router that starts has not read the list of its fleet yet.
+func (s *Syncer) lendersToAsk(ctx context.Context, w granitehoist.Workspace) []Lender {
+	for {
+		lenders := s.lenders(w)
+		if len(lenders) > 0 || ctx.Err() != nil || s.settings.Caller == nil {
+			return lenders[:min(len(lenders), maxAsked)]
+		}
+		pause.For(ctx, noLenderPause)
+	}
+}
+
+// readRecordFor has the record read for a request that no lender answered.
+func (s *Syncer) readRecordFor(ctx context.Context, w granitehoist.Workspace, entered *waiter) Outcome {
+	s.settings.Ledger.noteForsaken(w)
+	s.Kick()
+	return s.wait(ctx, w, entered)
+}
+
+// requestShortage returns what a request of a router that asks holders asks for.
+func (l *Ledger) requestShortage(w granitehoist.Workspace, c claim) shortage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(w)
+	need := c.bound
+	if len(a.waiters) <= 1 {
+		need = max(1, c.bound-max(0, a.owned.free()))
+	}
+	return shortage{workspace: w, need: need, want: need, priority: c.priority}
+}
--- a/escrow/borrow.go
+++ b/escrow/borrow.go
@@ -5,13 +5,10 @@
 
 import (
 	"context"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
-	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/event"
 )
 
@@ -19,12 +16,9 @@
 	// maxLenders bounds the neighbours that are asked for one shortage. Chosen, not
 	// measured (e36d45a).
 	maxLenders = 12
-	// relaysAsked bounds the relays that are asked for one shortage or offered a
-	// repayment. Chosen, not measured (0c0db10).
-	relaysAsked = 3
-	// relayWait is how long a relay waits for the store on behalf of a neighbour;
+	// relayWait is how long a lender waits for the store on behalf of a neighbour;
 	// it leaves most of the neighbour's lendTimeout to the network and to another
-	// relay. Chosen, not measured (c1de361).
+	// lender. Chosen, not measured (c1de361).
 	relayWait = 45 * time.Millisecond
 )
 
@@ -33,99 +27,64 @@
 	if s.settings.Caller == nil {
 		return
 	}
-	for i, lender := range s.lenders() {
-		shortages := s.settings.Ledger.waiterShortages(s.settings.Clock())
-		if len(shortages) == 0 || i >= maxLenders || ctx.Err() != nil {
-			return
+	for i := range maxLenders {
+		asked := false
+		for _, missing := range s.settings.Ledger.waiterShortages(s.settings.Clock()) {
+			lenders := s.lenders(missing.workspace)
+			if i >= len(lenders) || ctx.Err() != nil {
+				continue
+			}
+			asked = true
+			s.borrowFrom(ctx, lenders[i], missing)
 		}
-		for _, missing := range shortages {
-			s.borrowFrom(ctx, lender, missing)
+		if !asked {
+			return
 		}
 	}
 }
 
-// borrowFrom asks one neighbour for one loan, and reports whether it is in touch
-// with the store.
-func (s *Syncer) borrowFrom(ctx context.Context, lender granitehoist.Peer, missing shortage) bool {
-	ctx, cancel := context.WithTimeout(ctx, missing.timeout())
+// borrowFrom asks one neighbour for one loan, and reports whether it answered.
+func (s *Syncer) borrowFrom(ctx context.Context, lender Lender, missing shortage) bool {
+	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
 	defer cancel()
 	params := LendParams{
 		Borrower: s.settings.Ledger.settings.Incarnation, Workspace: missing.workspace,
-		Need: missing.need, Want: missing.want, Rate: missing.rate, Idle: missing.idle,
+		Need: missing.need, Want: missing.want, Priority: missing.priority, StandIn: lender.StandsIn,
 	}
 	var result LendResult
-	if err := s.settings.Caller.Call(ctx, lender, MethodLend, params, &result); err != nil {
+	if err := s.settings.Caller.Call(ctx, lender.Peer, MethodLend, params, &result); err != nil {
 		// Nothing is lost: a loan whose reply was lost is in the next total. The
 		// lender is left out for a while and another one asked.
 		s.avoid(lender)
 		return false
 	}
-	if result.InTouch && !s.settings.Writes() {
-		s.settings.Ledger.noteRelayAnswer(s.settings.Clock())
-	}
+	s.settings.Ledger.noteHolder(missing.workspace, result.InTouch, s.settings.Clock())
 	if s.settings.Ledger.Borrowed(missing.workspace, lender.Incarnation, result, s.settings.Clock()) {
 		s.settings.Log.Info(event.BudgetLoan,
 			zap.String("workspace", string(missing.workspace)), zap.String("lender", string(lender.Incarnation)),
 			zap.Int64("total", int64(result.Total)))
 	}
-	return result.InTouch
-}
-
-// askRelays fills the holdings from relays, for all workspaces at once, and reports
-// whether the record could add nothing: what a relay in touch with the store can't
-// lend, the store does not have.
-func (s *Syncer) askRelays(ctx context.Context) relayAnswer {
-	shortages := s.settings.Ledger.holdingShortages(s.settings.Routers(), s.settings.Clock())
-	lenders := s.lenders()
-	lenders = lenders[:min(len(lenders), relaysAsked)]
-	var unhelped atomic.Int32
-	var asking sync.WaitGroup
-	for _, missing := range shortages {
-		asking.Go(func() {
-			if !s.borrowFromAny(ctx, lenders, missing) {
-				unhelped.Add(1)
-			}
-		})
-	}
-	asking.Wait()
-	inTouch := unhelped.Load() == 0
-	if !inTouch {
-		s.settings.Ledger.noteStoreFailure(s.settings.Clock())
-	}
-	if s.settings.Ledger.noteRelaysAsked(inTouch) {
-		return relaysHelped
-	}
-	return relaysFailed
-}
-
-// borrowFromAny asks one lender after the other until nothing is missing or one
-// is in touch with the store: then the others can't do more. It reports whether
-// either happened.
-func (s *Syncer) borrowFromAny(ctx context.Context, lenders []granitehoist.Peer, missing shortage) bool {
-	for _, lender := range lenders {
-		if s.borrowFrom(ctx, lender, missing) {
-			return true
-		}
-		if missing = s.settings.Ledger.holdingShortage(missing.workspace, s.settings.Routers(), s.settings.Clock()); missing.want == 0 {
-			return true
-		}
-	}
-	return false
+	return true
 }
 
-// ServeLend answers a neighbour's call of MethodLend. A relay reserves what the
-// borrower wants as a request does, and so asks the store if it owns too little;
-// if that does not work out in relayWait, it lends what it has. A want below the
-// need counts as the need. The error is always nil.
+// ServeLend answers a neighbour's call of MethodLend. A router that uses the record
+// reserves what the borrower wants as a request does, and so asks the store if it
+// owns too little; if that does not work out in relayWait, it lends what it has. A
+// want below the need counts as the need. The error is always nil.
 func (s *Syncer) ServeLend(ctx context.Context, p LendParams) (LendResult, error) {
 	p.Want = max(p.Want, p.Need)
-	if p.Need <= 0 || !s.settings.Serves() {
-		return s.settings.Ledger.Lend(p, s.settings.Clock()), nil
+	ledger, now := s.settings.Ledger, s.settings.Clock()
+	if p.StandIn {
+		ledger.standIn(p.Workspace, now)
+	}
+	if p.Need <= 0 || ledger.Role(p.Workspace, now) == Asks {
+		return ledger.Lend(p, now), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayWait)
 	defer cancel()
-	if s.reserve(ctx, p.Workspace, claim{bound: p.Want, priority: granitehoist.MaxPriority, loan: true}) != Granted {
-		return s.settings.Ledger.Lend(p, s.settings.Clock()), nil
+	c := claim{bound: p.Want, priority: p.Priority, loan: true}
+	if s.reserve(ctx, p.Workspace, c) != Granted {
+		return ledger.Lend(p, s.settings.Clock()), nil
 	}
-	return s.settings.Ledger.lendReserved(p, p.Want, s.settings.Clock()), nil
+	return ledger.lendReserved(p, p.Want, s.settings.Clock()), nil
 }
--- a/escrow/fleetview.go
+++ b/escrow/fleetview.go
@@ -20,10 +20,8 @@
 type recordView struct {
 	// remaining is what the store had left after this router's own write.
 	remaining granitehoist.Tokens
-	// idleElsewhere is what the rows of other incarnations said to be idle, and
-	// idleAtBorrowers what borrowers had reported by then.
-	idleElsewhere   granitehoist.Tokens
-	idleAtBorrowers granitehoist.Tokens
+	// idleElsewhere is what the rows of other incarnations said to be idle.
+	idleElsewhere granitehoist.Tokens
 	// readAt is when the record was last read, zero if never.
 	readAt time.Time
 	// valid is false until the record has been read under the present limit.
@@ -86,7 +84,7 @@
 	case v.lenderIsNewer():
 		return budgetLeft{tokens: v.lender.left + here, reported: true}
 	case v.record.valid:
-		left := max(0, v.record.remaining) + here + v.record.idleElsewhere + v.record.idleAtBorrowers
+		left := max(0, v.record.remaining) + here + v.record.idleElsewhere
 		return budgetLeft{tokens: left, reported: true}
 	}
 	return budgetLeft{}
--- a/escrow/holdings.go
+++ b/escrow/holdings.go
@@ -13,24 +13,24 @@
 // holds mu.
 func (l *Ledger) conditions(routers int, now time.Time) conditions {
 	c := conditions{
-		now: now, routers: max(1, routers), cover: l.settings.Cover, startPart: startPart, sharePart: sharePart,
+		now: now, routers: max(1, routers), cover: l.settings.Cover,
+		startPart: startPart, sharePart: sharePart, sparePart: sparePart,
 		exposedPart: exposedPart(l.contact.outageEnded, now), closing: l.closing,
 	}
-	if l.settings.LendsToAll != nil && l.settings.LendsToAll() {
-		c = c.lendingToAll()
-	}
 	if !l.began.IsZero() {
 		c.confidence = min(1, now.Sub(l.began).Seconds()/rateTime.Seconds())
 	}
 	return c
 }
 
-// mustSync reports whether requests wait or a limit has changed.
-func (l *Ledger) mustSync() bool {
+// mustSync reports whether requests wait or a limit has changed where this router
+// uses the record.
+func (l *Ledger) mustSync(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, a := range l.accounts {
-		if len(a.waiters) > 0 || a.owned.frozen || a.limitChanged {
+	c := l.conditions(0, now)
+	for w, a := range l.accounts {
+		if a.usesRecord(c.as(l.role(w, a, now))) && (len(a.waiters) > 0 || a.owned.frozen || a.limitChanged) {
 			return true
 		}
 	}
@@ -38,16 +38,15 @@
 }
 
 // due reports whether a sync is worth a call: the record is old, or a holding needs
-// one.
+// one. A router that uses the record for no workspace never needs one.
 func (l *Ledger) due(routers int, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if isRecordOld(l.contact.lastDirectAnswer, now) {
-		return true
-	}
+	old := isRecordOld(l.contact.lastDirectAnswer, now)
 	c := l.conditions(routers, now)
-	for _, a := range l.accounts {
-		if a.storeReturn(a.fleet.record.remaining, c).needsSync(c) {
+	for w, a := range l.accounts {
+		c := c.as(l.role(w, a, now))
+		if a.usesRecord(c) && (old || a.storeReturn(a.fleet.record.remaining, c).needsSync(c)) {
 			return true
 		}
 	}
@@ -56,7 +55,11 @@
 
 // anyLow reports whether a holding is low or requests wait. The caller holds mu.
 func (l *Ledger) anyLow(c conditions) bool {
-	for _, a := range l.accounts {
+	for w, a := range l.accounts {
+		c := c.as(l.role(w, a, c.now))
+		if !a.usesRecord(c) {
+			continue
+		}
 		target := a.target(a.fleet.record.remaining, c)
 		if len(a.waiters) > 0 || isLow(a.owned.unreserved(), target, refillBelow) {
 			return true
@@ -65,7 +68,8 @@
 	return false
 }
 
-// waiterShortages returns what requests wait for, by workspace.
+// waiterShortages returns what requests wait for, by workspace. Those of a router
+// that asks holders ask by themselves (Syncer.ask).
 func (l *Ledger) waiterShortages(now time.Time) []shortage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -73,7 +77,7 @@
 	c := l.conditions(0, now)
 	var shortages []shortage
 	for w, a := range l.accounts {
-		if len(a.waiters) == 0 || a.owned.frozen {
+		if len(a.waiters) == 0 || a.owned.frozen || l.role(w, a, now) == Asks {
 			continue
 		}
 		short := a.shortageInputs(c).forWaiters(c)
@@ -83,65 +87,39 @@
 	return shortages
 }
 
-// holdingShortages returns what a router behind relays asks them for, by workspace.
-func (l *Ledger) holdingShortages(routers int, now time.Time) []shortage {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c := l.conditions(routers, now).behindRelay()
-	var shortages []shortage
-	for w, a := range l.accounts {
-		a.routers = routers
-		if short := a.shortageInputs(c).forHolding(); short.want > 0 {
-			short.workspace = w
-			shortages = append(shortages, short)
-		}
-	}
-	return shortages
-}
-
-// holdingShortage returns what a router behind relays asks them for in one workspace.
-func (l *Ledger) holdingShortage(w granitehoist.Workspace, routers int, now time.Time) shortage {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c := l.conditions(routers, now).behindRelay()
-	short := l.account(w).shortageInputs(c).forHolding()
-	short.workspace = w
-	return short
-}
-
-// surpluses returns what a router that does not write the record holds beyond
-// its needs, by workspace.
+// surpluses returns what this router has free and does not need, by workspace: where
+// it asks holders all that is worth a call, elsewhere nothing unless it stops.
 func (l *Ledger) surpluses(routers int, now time.Time) []surplus {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.conditions(routers, now).behindRelay()
 	var found []surplus
 	for w, a := range l.accounts {
 		free := a.owned.free()
-		if free <= 0 || len(a.waiters) > 0 {
+		if free <= 0 || len(a.waiters) > 0 || (l.role(w, a, now) != Asks && !l.closing) {
 			continue
 		}
-		target := a.target(a.fleet.remainingInStore(a.owned.limit), c)
-		if l.closing {
-			target = 0
-		}
-		if tokens := surplusOf(free, target, a.owned.limit); tokens > 0 {
-			found = append(found, surplus{w, tokens})
+		if isSurplus(free, a.owned.limit, routers) || l.closing {
+			found = append(found, surplus{w, free})
 		}
 	}
 	return found
 }
 
-// noteRelaysAsked notes that relays were asked, and reports whether the record is
-// not needed as well. It is needed after a reduction of a limit, and while requests
-// wait and no relay is in touch with the store.
-func (l *Ledger) noteRelaysAsked(inTouch bool) bool {
+// hasFree reports whether anything is free.
+func (l *Ledger) hasFree() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	done := true
 	for _, a := range l.accounts {
-		a.limitChanged = false
-		done = done && !a.owned.frozen && (inTouch || len(a.waiters) == 0)
+		if a.owned.free() > 0 {
+			return true
+		}
 	}
-	return done
+	return false
+}
+
+// noteForsaken notes that no lender answered for a workspace.
+func (l *Ledger) noteForsaken(w granitehoist.Workspace) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.account(w).forsaken = true
 }
--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -33,10 +33,9 @@
 	// Cover is the time of spending at the present rate that a router holds
 	// tokens for; zero means DefaultCover.
 	Cover time.Duration
-	// LendsToAll reports whether this router takes tokens from the store for all
-	// others and lends to them. Nil means that it does not. It is called with the
-	// ledger's lock held and must not call the ledger.
-	LendsToAll func() bool
+	// Role returns this router's role for a workspace; nil means Shares for all. It
+	// is called with the ledger's lock held and must not call the ledger.
+	Role func(granitehoist.Workspace) Role
 }
 
 // NewLedger returns an empty ledger. It panics if the settings have no
@@ -88,7 +87,8 @@
 	if l.began.IsZero() {
 		l.began = now
 	}
-	if !c.loan {
+	c.counts = !c.loan || l.role(w, a, now) == Holds
+	if c.counts {
 		a.demand.measure(c.bound, c.priority)
 	}
 	if a.judgeEnd(c, now).withholds() {
@@ -105,8 +105,10 @@
 		return false
 	}
 	a.owned.reserve(c.bound)
-	if !c.loan {
+	if c.counts {
 		a.demand.rate.add(c.bound, l.began, now)
+	}
+	if !c.loan {
 		a.ration = a.ration.less(c.bound)
 	}
 	return true
@@ -177,12 +179,18 @@
 	l.contact.answeredDirectly(now)
 }
 
-// noteRelayAnswer notes that a relay that is in touch with the store called it
-// for this router.
-func (l *Ledger) noteRelayAnswer(now time.Time) {
+// noteHolder notes whether a holder that this router asked is in touch with the
+// store, which such a router does not call itself.
+func (l *Ledger) noteHolder(w granitehoist.Workspace, inTouch bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.contact.answeredThroughRelay(now)
+	switch {
+	case l.role(w, l.account(w), now) != Asks:
+	case inTouch:
+		l.contact.answeredThroughRelay(now)
+	default:
+		l.contact.failed(now)
+	}
 }
 
 // noteStoreFailure notes that a call to the store failed.
--- a/escrow/lenders.go
+++ b/escrow/lenders.go
@@ -14,19 +14,19 @@
 const avoidTime = 1500 * time.Millisecond
 
 // avoid leaves a neighbour out for avoidTime.
-func (s *Syncer) avoid(lender granitehoist.Peer) {
+func (s *Syncer) avoid(lender Lender) {
 	s.avoiding.Lock()
 	defer s.avoiding.Unlock()
 	s.avoided[lender.Address] = s.settings.Clock().Add(avoidTime)
 }
 
-// lenders returns the neighbours that may lend, the likeliest first, without those
-// that failed to answer in the last avoidTime.
-func (s *Syncer) lenders() []granitehoist.Peer {
-	if s.settings.Lenders == nil {
+// lenders returns the neighbours that may lend a workspace's tokens, the likeliest
+// first, without those that failed to answer in the last avoidTime.
+func (s *Syncer) lenders(w granitehoist.Workspace) []Lender {
+	if s.settings.Lenders == nil || s.settings.Caller == nil {
 		return nil
 	}
-	all := s.settings.Lenders()
+	all := s.settings.Lenders(w)
 	now := s.settings.Clock()
 	s.avoiding.Lock()
 	defer s.avoiding.Unlock()
@@ -36,8 +36,8 @@
 // answering decides which neighbours are asked: those that are not left out, or
 // all if none would remain. avoided holds until when neighbours are left out, by
 // address.
-func answering(all []granitehoist.Peer, avoided map[string]time.Time, now time.Time) []granitehoist.Peer {
-	var answering []granitehoist.Peer
+func answering(all []Lender, avoided map[string]time.Time, now time.Time) []Lender {
+	var answering []Lender
 	for _, lender := range all {
 		if now.After(avoided[lender.Address]) {
 			answering = append(answering, lender)
--- a/escrow/loan.go
+++ b/escrow/loan.go
@@ -15,11 +15,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(p.Workspace)
-	a.demand.noteBorrower(p, now)
-	loan := lending{free: a.owned.free(), need: p.Need, want: p.Want, waiting: len(a.waiters) > 0, closing: l.closing}.loan()
+	holds := l.role(p.Workspace, a, now) == Holds
+	loan := lending{
+		free: a.owned.free(), need: p.Need, want: p.Want,
+		waiting: len(a.waiters) > 0, closing: l.closing, whole: holds,
+	}.loan()
 	if loan > 0 {
 		a.owned.lend(p.Borrower, loan)
 	}
+	if loan > 0 && holds {
+		a.demand.rate.add(loan, l.began, now)
+	}
 	return l.lendResult(a, p.Borrower, now)
 }
 
@@ -33,8 +39,7 @@
 	}
 	result.InTouch = true
 	result.StoreRemaining = max(0, a.fleet.record.remaining)
-	result.LeftAnywhere = result.StoreRemaining + max(0, a.owned.unreserved()) + a.fleet.record.idleElsewhere + a.demand.borrowersIdle(borrower, now)
-	result.FleetRate = granitehoist.Tokens(a.demand.rate.value(now) + a.demand.borrowersRate(now))
+	result.LeftAnywhere = result.StoreRemaining + max(0, a.owned.unreserved()) + a.fleet.record.idleElsewhere
 	return result
 }
 
@@ -43,7 +48,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(p.Workspace)
-	a.demand.noteBorrower(p, now)
 	a.owned.lendReserved(p.Borrower, bound)
 	return l.lendResult(a, p.Borrower, now)
 }
@@ -57,7 +61,6 @@
 	if r.InTouch {
 		l.contact.answeredAnyone(now)
 		a.fleet.lender = lenderView{remaining: r.StoreRemaining, left: r.LeftAnywhere, at: now, valid: true}
-		a.demand.fleetRate = float64(r.FleetRate)
 	}
 	brought := a.owned.borrow(lender, r.Total)
 	if brought {
@@ -69,6 +72,18 @@
 	return brought
 }
 
+// repaid records a repayment. What comes back was not spent, so it is taken off the
+// demand that a holder counted when it lent it.
+func (l *Ledger) repaid(p RepayParams, now time.Time) {
+	l.mu.Lock()
+	a := l.account(p.Workspace)
+	if back := p.Total - a.owned.borrowed[p.Giver]; back > 0 && l.role(p.Workspace, a, now) == Holds {
+		a.demand.rate.add(-back, l.began, now)
+	}
+	l.mu.Unlock()
+	l.Borrowed(p.Workspace, p.Giver, LendResult{Total: p.Total}, now)
+}
+
 // repay deducts tokens from what this ledger owns and returns the message that
 // gives them to the receiver.
 func (l *Ledger) repay(to granitehoist.Incarnation, s surplus) RepayParams {
--- a/escrow/loansize.go
+++ b/escrow/loansize.go
@@ -21,6 +21,9 @@
 	waiting bool
 	// closing says that the lender stops, and gives its tokens back.
 	closing bool
+	// whole says that a loan below the need is of no use: a holder has the tokens
+	// of all, so that parts of loans would only scatter them.
+	whole bool
 }
 
 // loan decides how many tokens a lender gives: what is wanted up to lendPart of
@@ -29,6 +32,9 @@
 	if l.closing || l.waiting || l.need <= 0 || l.free <= 0 {
 		return 0
 	}
+	if l.whole && l.free < l.need {
+		return 0
+	}
 	tokens := min(l.want, granitehoist.Tokens(lendPart*float64(l.free)))
 	if l.free >= l.need {
 		tokens = max(l.need, tokens)
--- a/escrow/messages.go
+++ b/escrow/messages.go
@@ -17,10 +17,12 @@
 	// Need is what one request lacks, Want what would serve for a while, in tokens.
 	Need granitehoist.Tokens `json:"need"`
 	Want granitehoist.Tokens `json:"want"`
-	// Rate is what the borrower spends in tokens a second.
-	Rate granitehoist.Tokens `json:"rate"`
-	// Idle is what the borrower owns and has not reserved, in tokens.
-	Idle granitehoist.Tokens `json:"idle,omitempty"`
+	// Priority is that of the request, the highest if there are several. While the
+	// store is silent a lender leaves tokens for more urgent ones.
+	Priority granitehoist.Priority `json:"priority,omitempty"`
+	// StandIn asks the receiver to act as a holder of the workspace for a while,
+	// since the holders did not help.
+	StandIn bool `json:"stand_in,omitempty"`
 }
 
 // LendResult is a lender's reply.
@@ -36,8 +38,6 @@
 	StoreRemaining granitehoist.Tokens `json:"rest,omitempty"`
 	// LeftAnywhere is the same and what is idle at all routers but the borrower.
 	LeftAnywhere granitehoist.Tokens `json:"left,omitempty"`
-	// FleetRate is what the lender and its borrowers spend in tokens a second.
-	FleetRate granitehoist.Tokens `json:"rate,omitempty"`
 }
 
 // MethodRepay gives tokens to a neighbour that did not ask for them.
--- a/escrow/plan.go
+++ b/escrow/plan.go
@@ -21,6 +21,13 @@
 	limit     granitehoist.Tokens
 }
 
+// usesRecord decides whether this router reads and writes the record for an account:
+// always unless it asks holders. It does so too after the limit was reduced, when
+// it stops, and when no lender answers.
+func (a *account) usesRecord(c conditions) bool {
+	return c.role != Asks || a.owned.frozen || c.closing || a.forsaken
+}
+
 // isWrite reports whether the record has to be written.
 func (p plan) isWrite() bool { return len(p) > 0 }
 
@@ -38,6 +45,10 @@
 	}
 	self := l.settings.Incarnation
 	for w, a := range l.accounts {
+		c := c.as(l.role(w, a, now))
+		if !a.usesRecord(c) {
+			continue
+		}
 		stored := r.account(w)
 		row := stored.Rows[self]
 		a.owned.confirmGranted(row.Granted)
@@ -52,8 +63,7 @@
 		a.lastTarget = a.target(remaining, c)
 		a.routers = routers
 		a.fleet.record = recordView{
-			remaining: after, idleElsewhere: stored.IdleElsewhere(self), idleAtBorrowers: a.demand.borrowersIdle("", now),
-			readAt: now, valid: true,
+			remaining: after, idleElsewhere: stored.IdleElsewhere(self), readAt: now, valid: true,
 		}
 	}
 	return p
@@ -66,7 +76,7 @@
 func (a *account) nextRow(row Row, remaining granitehoist.Tokens, c conditions, lowBelow float64) Row {
 	next := row
 	next.Spent = a.owned.spent
-	next.Rate = granitehoist.Tokens(a.demand.rate.value(c.now) + a.demand.borrowersRate(c.now))
+	next.Rate = granitehoist.Tokens(a.demand.rate.value(c.now))
 	a.owned.returnToStore(a.storeReturn(remaining, c).tokens(c))
 	next.Returned = a.owned.returned
 	if !c.closing {
@@ -81,7 +91,12 @@
 func (l *Ledger) confirm(r *Record, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	c := l.conditions(0, now)
 	for w, a := range l.accounts {
+		if !a.usesRecord(c.as(l.role(w, a, now))) {
+			continue
+		}
+		a.forsaken = false
 		if stored, ok := r.Accounts[w]; ok {
 			a.owned.confirmGranted(stored.Rows[l.settings.Incarnation].Granted)
 		}
--- a/escrow/rate.go
+++ b/escrow/rate.go
@@ -63,8 +63,9 @@
 	r.began = now
 }
 
-// value returns the mean in tokens a second.
+// value returns the mean in tokens a second. It is not below zero, though what comes
+// back in a step may be more than what went out.
 func (r *rate) value(now time.Time) float64 {
 	r.roll(now)
-	return r.perSecond
+	return max(0, r.perSecond)
 }
--- a/escrow/repay.go
+++ b/escrow/repay.go
@@ -5,16 +5,18 @@
 
 import (
 	"context"
+	"math/rand/v2"
 
 	"go.uber.org/zap"
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/event"
+	"granitehoist.example/granitehoist/internal/pause"
 )
 
-// maxHandOverTries bounds the neighbours that are offered one workspace's tokens at
-// a stop. Chosen, not measured (ed11c68).
-const maxHandOverTries = 3
+// maxGiveTries bounds the neighbours that are offered one workspace's tokens.
+// Chosen, not measured (ed11c68).
+const maxGiveTries = 3
 
 // ServeRepay answers a neighbour's call of MethodRepay. A total of zero only asks
 // whether this router would take tokens; ErrUnavailable says that it stops and
@@ -25,18 +27,25 @@
 		// What is given now would be lost with this router.
 		return LendResult{}, granitehoist.ErrUnavailable
 	}
-	s.settings.Ledger.Borrowed(p.Workspace, p.Giver, LendResult{Total: p.Total}, now)
+	s.settings.Ledger.repaid(p, now)
 	return s.settings.Ledger.report(p.Workspace, p.Giver, now), nil
 }
 
-// repaySurplus repays what is held beyond need to the first relay that takes it.
+// repayLoop gives holders back what requests left over, until ctx ends.
+func (s *Syncer) repayLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause.For(ctx, untilNextLook(s.settings.Interval, rand.Float64()))
+		s.repaySurplus(ctx)
+	}
+}
+
+// repaySurplus gives what this router has free of workspaces whose holders it asks
+// to the first of them that takes it.
 func (s *Syncer) repaySurplus(ctx context.Context) {
-	for _, extra := range s.settings.Ledger.surpluses(s.settings.Routers(), s.settings.Clock()) {
-		lenders := s.lenders()
-		for _, to := range lenders[:min(len(lenders), relaysAsked)] {
-			if s.repayTo(ctx, to, extra) {
-				break
-			}
+	ledger, now := s.settings.Ledger, s.settings.Clock()
+	for _, extra := range ledger.surpluses(s.settings.Routers(), now) {
+		if ledger.Role(extra.workspace, now) == Asks {
+			s.give(ctx, extra)
 		}
 	}
 }
@@ -44,38 +53,30 @@
 // handOver gives what is free to neighbours when the router stops and the store
 // does not take it back. They may spend it, and return it when the store answers.
 func (s *Syncer) handOver(ctx context.Context) {
-	lenders := s.lenders()
-	for i, free := range s.settings.Ledger.surpluses(s.settings.Routers(), s.settings.Clock()) {
-		for j := range min(len(lenders), maxHandOverTries) {
-			if s.giveTo(ctx, lenders[(i+j)%len(lenders)], free) {
-				break
-			}
-		}
+	for _, free := range s.settings.Ledger.surpluses(s.settings.Routers(), s.settings.Clock()) {
+		s.give(ctx, free)
 	}
 }
 
-// repayTo gives tokens back to a relay that is in touch with the store, and
-// reports whether it was one.
-func (s *Syncer) repayTo(ctx context.Context, to granitehoist.Peer, extra surplus) bool {
-	return s.offer(ctx, to, extra, func(r LendResult) bool { return r.InTouch })
-}
-
-// giveTo gives tokens to any neighbour that answers, and reports whether it
-// answered.
-func (s *Syncer) giveTo(ctx context.Context, to granitehoist.Peer, extra surplus) bool {
-	return s.offer(ctx, to, extra, func(LendResult) bool { return true })
+// give gives tokens to the first lender of their workspace that takes them.
+func (s *Syncer) give(ctx context.Context, extra surplus) {
+	for i, to := range s.lenders(extra.workspace) {
+		if i >= maxGiveTries || s.offer(ctx, to.Peer, extra) {
+			return
+		}
+	}
 }
 
-// offer gives tokens to a neighbour in two calls: the first asks for a reply that
-// fits, the second gives. It reports whether the tokens have been deducted here.
-func (s *Syncer) offer(ctx context.Context, to granitehoist.Peer, extra surplus, fits func(LendResult) bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, replenishTimeout)
+// offer gives tokens to a neighbour in two calls: the first asks whether it takes
+// them, the second gives. It reports whether the tokens have been deducted here.
+func (s *Syncer) offer(ctx context.Context, to granitehoist.Peer, extra surplus) bool {
+	ctx, cancel := context.WithTimeout(ctx, repayTimeout)
 	defer cancel()
 	// A neighbour that can't be reached must not be given anything. Its error needs
 	// no handling: nothing has been given, and the next neighbour is asked.
 	ask := RepayParams{Giver: s.settings.Ledger.settings.Incarnation, Workspace: extra.workspace}
 	var result LendResult
-	if err := s.settings.Caller.Call(ctx, to, MethodRepay, ask, &result); err != nil || !fits(result) {
+	if err := s.settings.Caller.Call(ctx, to, MethodRepay, ask, &result); err != nil {
 		return false
 	}
 	repayment := s.settings.Ledger.repay(to.Incarnation, extra)
--- a/escrow/run.go
+++ b/escrow/run.go
@@ -28,6 +28,7 @@
 func (s *Syncer) Run(ctx context.Context) {
 	timer := time.NewTimer(untilNextLook(s.settings.Interval, rand.Float64()))
 	defer timer.Stop()
+	go s.repayLoop(ctx)
 	state := loopState{nextPause: failurePause}
 	for {
 		select {
@@ -56,34 +57,17 @@
 	// it will be left alone after its next failure.
 	retryAt   time.Time
 	nextPause time.Duration
-	// relayFailures counts the rounds in which relays failed since they last
-	// helped.
-	relayFailures int
 }
 
 // runRound gathers what a round decides from, and does what it decides.
 func (s *Syncer) runRound(ctx context.Context, state *loopState) {
 	now := s.settings.Clock()
-	writes := s.settings.Writes()
+	ledger := s.settings.Ledger
 	r := round{
-		needed:        s.settings.Ledger.mustSync() || s.isDue(writes, now),
-		writes:        writes,
-		relayFailures: state.relayFailures,
-		pausing:       now.Before(state.retryAt),
+		needed:  ledger.mustSync(now) || ledger.due(s.settings.Routers(), now),
+		pausing: now.Before(state.retryAt),
 	}
-	next := r.next()
-	if next == stepAskRelays {
-		r.relays = s.askRelays(ctx)
-		next = r.next()
-	}
-	if r.relays == relaysHelped {
-		state.relayFailures = 0
-	}
-	switch next {
-	case stepRepay:
-		s.repaySurplus(ctx)
-	case stepCountFailure:
-		state.relayFailures++
+	switch r.next() {
 	case stepBorrow:
 		s.borrow(ctx)
 	case stepSync:
@@ -92,7 +76,7 @@
 			return
 		}
 		state.syncFailed(s.settings.Clock())
-	case stepNothing, stepAskRelays:
+	case stepNothing:
 	}
 }
 
@@ -102,16 +86,6 @@
 	s.nextPause = longerPause(s.nextPause)
 }
 
-// isDue reports whether the record is old or a holding is low or high enough to be
-// worth a call to the store; or whether one is low enough for a call to relays, if
-// this router does not write the record.
-func (s *Syncer) isDue(writes bool, now time.Time) bool {
-	if writes {
-		return s.settings.Ledger.due(s.settings.Routers(), now)
-	}
-	return len(s.settings.Ledger.holdingShortages(s.settings.Routers(), now)) > 0
-}
-
 // syncOrBorrow syncs, asks neighbours as well if that takes long or fails, and
 // reports whether the store answered.
 func (s *Syncer) syncOrBorrow(ctx context.Context) bool {
--- a/escrow/surplus.go
+++ b/escrow/surplus.go
@@ -72,18 +72,13 @@
 	tokens    granitehoist.Tokens
 }
 
-// minRepayPart is the part of the prepaid total below which it is not worth a call
-// to repay a relay. Chosen, not measured (c1de361).
-const minRepayPart = 0.0005
+// strandedPart is the part of the prepaid total that all routers together may keep in
+// remainders that are not worth a call. Chosen, not measured: a third of the 3 % of
+// a budget that the users' pages allow to strand.
+const strandedPart = 0.01
 
-// surplusOf decides how many tokens a router that does not write the record gives
-// to a relay, or hands over to neighbours when it stops: what is beyond its
-// target, if it holds more than returnAboveTarget times that and the surplus is
-// worth a call. At a stop the target is zero.
-func surplusOf(free, target, limit granitehoist.Tokens) granitehoist.Tokens {
-	surplus := free - target
-	if float64(free) <= returnAboveTarget*float64(target) || float64(surplus) <= minRepayPart*float64(limit) {
-		return 0
-	}
-	return surplus
+// isSurplus decides whether what is free at a router that asks holders is worth the
+// call that gives it back: if it is more than the router's part of strandedPart.
+func isSurplus(free, limit granitehoist.Tokens, routers int) bool {
+	return float64(free) > strandedPart*float64(limit)/float64(max(1, routers))
 }
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -42,17 +42,10 @@
 	Store  granitehoist.Store
 	// Routers returns the number of routers that share the budgets.
 	Routers func() int
-	// Lenders returns the neighbours that may lend, the likeliest first, and
-	// Caller reaches them; nil borrows from nobody.
-	Lenders func() []granitehoist.Peer
+	// Lenders returns the neighbours that may lend a workspace's tokens, the
+	// likeliest first, and Caller reaches them; nil borrows from nobody.
+	Lenders func(granitehoist.Workspace) []Lender
 	Caller  granitehoist.Caller
-	// Writes reports whether this router reads and writes the record without being
-	// asked. One that does not borrows from relays, and uses the record only when
-	// they don't help. Nil means always, as does a nil Lenders or Caller.
-	Writes func() bool
-	// Serves reports whether it is a relay, which uses the record when others ask
-	// for loans. Nil means the same as Writes.
-	Serves func() bool
 	// Interval is how often Run checks the holdings; zero means DefaultInterval.
 	Interval time.Duration
 	// Timeout bounds a call to the store; zero means DefaultTimeout.
@@ -81,12 +74,6 @@
 	if s.Routers == nil {
 		s.Routers = func() int { return 1 }
 	}
-	if s.Writes == nil || s.Lenders == nil || s.Caller == nil {
-		s.Writes = func() bool { return true }
-	}
-	if s.Serves == nil {
-		s.Serves = s.Writes
-	}
 	if s.Clock == nil {
 		s.Clock = time.Now
 	}
@@ -112,7 +99,15 @@
 		return Granted
 	}
 	entered := s.settings.Ledger.addWaiter(w, c, s.settings.Clock())
+	if s.settings.Ledger.Role(w, s.settings.Clock()) == Asks && !c.loan {
+		return s.ask(ctx, w, c, entered)
+	}
 	s.Kick()
+	return s.wait(ctx, w, entered)
+}
+
+// wait returns the outcome of a request that waits, at the end of ctx at the latest.
+func (s *Syncer) wait(ctx context.Context, w granitehoist.Workspace, entered *waiter) Outcome {
 	select {
 	case outcome := <-entered.outcome:
 		return outcome
@@ -138,14 +133,18 @@
 // Chosen, not measured (ed11c68).
 const handOverTimeout = 300 * time.Millisecond
 
-// Close returns what is free to the store, or hands it over to neighbours if the
-// store does not take it: at once while the store is silent, as there is little
-// time. After a write of unknown outcome the tokens are already deducted, and
-// nothing is left to hand over. Only tokens that come free afterwards can still
-// be reserved. The error is that of the store; tokens that were handed over are
-// not lost though there is one.
+// Close returns what is free: to holders where this router asks them, else to the
+// store, or to neighbours if the store does not take it; at once while the store is
+// silent, as there is little time. After a write of unknown outcome the tokens are
+// already deducted, and nothing is left to hand over. Only tokens that come free
+// afterwards can still be reserved. The error is that of the store; tokens that
+// were handed over are not lost though there is one.
 func (s *Syncer) Close(ctx context.Context) error {
 	s.settings.Ledger.Close()
+	s.repaySurplus(ctx)
+	if !s.settings.Ledger.hasFree() {
+		return nil
+	}
 	err := error(granitehoist.ErrUnavailable)
 	if !s.settings.Ledger.isStoreSilent() {
 		err = s.Sync(ctx)
--- a/escrow/target.go
+++ b/escrow/target.go
@@ -16,9 +16,6 @@
 	// (docs/design/platform.md): 5 s 0.56 and 0.63, 12 s with a floor of 27 % 0.77
 	// and 0.51, 9 s 0.82 and 0.63; 9.5 s earned no more (332eb91).
 	DefaultCover = 9 * time.Second
-	// lentCover is the time of its borrowers' spending that a router holds tokens
-	// for: they hold their own. Chosen, not measured (c1de361).
-	lentCover = 2 * time.Second
 	// sharePart is the part of what is left that all routers together may hold
 	// ahead of requests. Measured (e3d7583, mean worth at Tuul and Lima): 0.35
 	// 0.591 and 0.595, 0.5 0.602 and 0.599; 0.65 0.602 and 0.614, but too little
@@ -36,27 +33,27 @@
 	// sparePart is the part of what is left that all routers together may hold for
 	// such requests. Chosen, not measured (c814f3e).
 	sparePart = 0.15
-	// lenderStartPart replaces startPart, and lenderSharePart sharePart, at the router
-	// that takes tokens from the store for all of a large fleet: all that it holds is
-	// lost if it dies, and the store gives it more in milliseconds. With the larger
-	// parts 9 to 38 % of the smaller budgets were lost with it on a day of the users'
-	// site of 86 boxes. With these the refused part of the requests for models fell by
-	// 0.043 +- 0.016 in ten pairs of days there. The values themselves are chosen.
-	lenderStartPart = 0.04
-	lenderSharePart = 0.1
+	// holderStartPart replaces startPart, and holderSharePart sharePart, at a holder:
+	// all that it holds is lost if it dies. The values are chosen.
+	holderStartPart = 0.04
+	holderSharePart = 0.25
 )
 
 // conditions are what decisions on a holding depend on besides the account.
 type conditions struct {
 	now time.Time
+	// role is the router's for the workspace.
+	role Role
 	// routers is the number of routers that share the budgets, at least one.
 	routers int
 	// cover is the time of its own spending that the router holds tokens for.
 	cover time.Duration
 	// startPart is the part of what is left that all routers hold before requests
-	// show the demand. It is zero behind a relay, which holds the tokens of
-	// requests that have not come yet.
+	// show the demand.
 	startPart float64
+	// sparePart is the part of what is left that all routers hold for the largest
+	// request each where they see next to no demand.
+	sparePart float64
 	// sharePart is the part of what is left that all routers hold ahead of requests.
 	sharePart float64
 	// confidence grows from 0 to 1 within rateTime of the first request: from then
@@ -68,15 +65,17 @@
 	closing bool
 }
 
-// lendingToAll returns the conditions of the router that takes tokens for all.
-func (c conditions) lendingToAll() conditions {
-	c.startPart, c.sharePart = lenderStartPart, lenderSharePart
-	return c
-}
-
-// behindRelay returns the conditions of a router that borrows from relays.
-func (c conditions) behindRelay() conditions {
-	c.startPart = 0
+// as returns the conditions of a router with a role. One that asks holders owns
+// nothing ahead of its requests.
+func (c conditions) as(r Role) conditions {
+	c.role = r
+	switch r {
+	case Holds:
+		c.routers, c.startPart, c.sharePart = HoldersPerWorkspace, holderStartPart, holderSharePart
+	case Asks:
+		c.cover, c.startPart, c.sparePart = 0, 0, 0
+	case Shares:
+	}
 	return c
 }
 
@@ -90,16 +89,13 @@
 	remaining, unreserved granitehoist.Tokens
 	// limit is the prepaid total, largest the largest bound of a request here.
 	limit, largest granitehoist.Tokens
-	// ownRate is what this router's requests spend, borrowersRate what those of
-	// its borrowers do.
-	ownRate, borrowersRate float64
-	// othersRate is what the rows of other routers say, as old as the record;
-	// fleetRate is what a lender reported of the fleet.
-	othersRate, fleetRate float64
+	// ownRate is what this router's requests and, at a holder, loans take; othersRate
+	// what the rows of other routers say, as old as the record.
+	ownRate, othersRate float64
 }
 
-// target decides how many tokens a router should hold ahead of requests: what it
-// and its borrowers spend in the time to be covered, or a part of the start if the
+// target decides how many tokens a router should hold ahead of requests: what is
+// spent of them in the time to be covered, or a part of the start if the
 // demand is not known yet, within its part of the fleet's demand in sharePart of
 // what is left. It holds enough for its largest request, within sparePart. All of
 // it stays within the router's part of the fleet's demand in exposedPart of the
@@ -109,23 +105,21 @@
 // What is held can be spent while the store is away, and is lost if the router
 // dies.
 func (h holding) target(c conditions) granitehoist.Tokens {
-	want := h.ownRate*c.cover.Seconds() + h.borrowersRate*lentCover.Seconds()
+	want := h.ownRate * c.cover.Seconds()
 	left := float64(max(0, h.remaining+max(0, h.unreserved)))
 	want = max(want, c.startPart*left/float64(c.routers)*(1-c.confidence))
 	held := min(want, c.sharePart*left*h.demandPart(c))
-	spare := min(spareRequests*float64(h.largest), sparePart*left/float64(c.routers))
+	spare := min(spareRequests*float64(h.largest), c.sparePart*left/float64(c.routers))
 	return granitehoist.Tokens(min(max(held, spare), c.exposedPart*float64(h.limit)*h.demandPart(c)))
 }
 
 // demandPart returns the router's part of the fleet's demand, but no less than an
-// equal part while the router does not know its own demand yet. A router that
-// lends holds for its borrowers too, so their demand counts as its own.
+// equal part while the router does not know its own demand yet.
 func (h holding) demandPart(c conditions) float64 {
 	equal := 1 / float64(c.routers)
-	own := h.ownRate + h.borrowersRate
-	fleet := max(own+h.othersRate, h.fleetRate)
+	fleet := h.ownRate + h.othersRate
 	if fleet <= 0 {
 		return equal
 	}
-	return max(equal*(1-c.confidence), own/fleet)
+	return max(equal*(1-c.confidence), h.ownRate/fleet)
 }
--- a/node/budgetroles.go
+++ b/node/budgetroles.go
@@ -6,81 +6,151 @@
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/escrow"
+)
+
+// This file decides which nodes hold a workspace's prepaid tokens, and which ones a
+// node asks for them. In a small fleet every node takes tokens from the record for
+// itself. In a large one each workspace has escrow.HoldersPerWorkspace holders, which
+// see its whole demand and lend to all others. They are chosen by rendezvous
+// hashing, so that all nodes that know the same boxes choose the same ones without
+// a message, and the loss of a box moves only what it held. A wrong answer here
+// costs calls and time, never tokens.
+
+const (
+	// rankedPerWorkspace is the number of nodes that are ranked for a workspace:
+	// the holders, and as many that stand in for them. Chosen, not measured.
+	rankedPerWorkspace = 2 * escrow.HoldersPerWorkspace
+	// holderLinkPart is the part of the fastest link in the fleet that a holder's
+	// link has at least. Chosen, not measured: links on the users' sites differ by
+	// a factor of ten or twenty, and a holder answers for the whole fleet.
+	holderLinkPart = 0.5
 )
 
-// This file decides which nodes write the record of the budgets, and which ones a
-// node asks for a loan of tokens. In a small fleet every node writes. In a large
-// one the relay whose box has the lowest hash writes for all, so that writers
-// don't conflict with each other; the others borrow from it (lenders). While it
-// can't write, the next relay does: a node that gets no loan from the relays goes
-// to the store itself (escrow.Syncer). So a wrong answer here costs conflicts and
-// time, never tokens.
-//
-// Measured on tuul-hire-grown quiet-1 (87 boxes): 1,368 of 1,798 writes
-// conflicted with six writers, 8 of 374 with one (commit c1de361,
-// docs/design/platform.md).
-
-// writer returns the box of the relay that writes for all of a large fleet.
-func (v fleetView) writer() granitehoist.Box {
-	var first granitehoist.Box
-	for box := range v.relays() {
-		if first == "" || rankOf(box) < rankOf(first) {
-			first = box
+// role returns this node's role for a workspace's tokens. A node whose view is not
+// complete yet asks others, since in a fleet that is still filling every node would
+// be a holder.
+func (v fleetView) role(ranked []peerEntry) escrow.Role {
+	switch {
+	case !v.complete:
+		return escrow.Asks
+	case v.isSmall():
+		return escrow.Shares
+	}
+	for _, holder := range ranked[:min(len(ranked), escrow.HoldersPerWorkspace)] {
+		if holder.Box == v.self.Box {
+			return escrow.Holds
 		}
 	}
-	return first
+	return escrow.Asks
 }
 
-// writesRecord reports whether this node writes the record without having asked
-// the relays first. A node whose view is not complete yet does not.
-func (v fleetView) writesRecord() bool {
-	if !v.complete {
-		return false
+// ranked returns the nodes that hold a workspace's tokens and then those that stand
+// in for them. Nodes with links below holderLinkPart of the fastest are left out.
+// The second holder is in another availability zone than the first if there is
+// one, so that one holder goes on when a zone is lost.
+func (v fleetView) ranked(w granitehoist.Workspace) []peerEntry {
+	seed := xxhash.Sum64String(string(w))
+	var first, elsewhere []scoredPeer
+	for _, candidate := range v.holderCandidates() {
+		first = withScored(first, scoredPeer{entry: candidate, score: mix(seed ^ rankOf(candidate.Box))})
+	}
+	for _, candidate := range v.holderCandidates() {
+		if candidate.Zone != first[0].entry.Zone {
+			elsewhere = withScored(elsewhere, scoredPeer{entry: candidate, score: mix(seed ^ rankOf(candidate.Box))})
+		}
 	}
-	return v.isSmall() || v.writer() == v.self.Box
+	ranked := []peerEntry{first[0].entry}
+	for _, next := range append(elsewhere[:min(1, len(elsewhere))], first[1:]...) {
+		if len(ranked) < rankedPerWorkspace && !slices.Contains(ranked, next.entry) {
+			ranked = append(ranked, next.entry)
+		}
+	}
+	return ranked
 }
 
-// sharers returns the number of nodes among which this one shares the tokens that
-// the record has left, itself included. The writer of a large fleet takes for all
-// and lends to them, so that it shares with no other node.
-func (v fleetView) sharers() int {
-	if v.lendsToAll() {
-		return 1
+// holderCandidates returns the nodes that may be holders.
+func (v fleetView) holderCandidates() []peerEntry {
+	all := append([]peerEntry{v.self}, v.others...)
+	fastest := 0.0
+	for _, entry := range all {
+		fastest = max(fastest, entry.LinkMbps)
 	}
-	return v.size()
+	return slices.DeleteFunc(all, func(e peerEntry) bool { return e.LinkMbps < holderLinkPart*fastest })
 }
 
-// lendsToAll reports whether this node is the writer of a large fleet.
-func (v fleetView) lendsToAll() bool { return !v.isSmall() && v.writer() == v.self.Box }
-
-// lenders returns all neighbours in the order in which this node asks them for a
-// loan of tokens. Relays come first, by the rank of their boxes: the first of
-// them writes the record for a large fleet and the next ones stand in for it, so
-// that all nodes ask the same relay. Then come the others, those of this node's
-// own availability zone before those elsewhere, since calls within a zone are
-// shorter and go on when zones are cut from each other. Within these two groups
-// the order begins at index next of the neighbours, which grows with each call,
-// so that the same neighbour is not always asked first.
-func (v fleetView) lenders(next int) []granitehoist.Peer {
-	relayBoxes := v.relays()
-	var relays []peerEntry
-	var sameZone, otherZones []granitehoist.Peer
-	for i := range v.others {
-		other := v.others[(next+i)%len(v.others)]
-		switch {
-		case relayBoxes[other.Box]:
-			relays = append(relays, other)
-		case other.Zone == v.self.Zone:
-			sameZone = append(sameZone, other.peer())
-		default:
-			otherZones = append(otherZones, other.peer())
+// scoredPeer is a node with its score for a workspace.
+type scoredPeer struct {
+	entry peerEntry
+	score uint64
+}
+
+// withScored adds a node to those with the lowest scores, of which it keeps
+// rankedPerWorkspace.
+func withScored(best []scoredPeer, next scoredPeer) []scoredPeer {
+	at, _ := slices.BinarySearchFunc(best, next, func(a, b scoredPeer) int {
+		if a.score < b.score {
+			return -1
 		}
+		return 1
+	})
+	best = slices.Insert(best, at, next)
+	return best[:min(len(best), rankedPerWorkspace)]
+}
+
+// mix spreads the bits of a hash (the finalizer of splitmix64), so that scores of one
+// box for different workspaces are independent.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// lenders returns the neighbours in the order in which this node asks them for a loan
+// of a workspace's tokens. In a small fleet these are all of them by rank. In a large
+// one they are the holders and those that stand in for them: the holder of this
+// node's own availability zone first; if there is none, half of the nodes begin with
+// each holder.
+func (v fleetView) lenders(ranked []peerEntry) []escrow.Lender {
+	if v.isSmall() {
+		others := slices.Clone(v.others)
+		slices.SortFunc(others, compareRank)
+		return lendersOf(others)
 	}
-	slices.SortFunc(relays, compareRank)
-	first := make([]granitehoist.Peer, 0, len(relays))
-	for _, relay := range relays {
-		first = append(first, relay.peer())
+	holders := slices.Clone(ranked[:min(len(ranked), escrow.HoldersPerWorkspace)])
+	if len(holders) > 1 && v.prefersLast(holders) {
+		slices.Reverse(holders)
+	}
+	lenders := lendersOf(v.withoutSelf(holders))
+	for _, standIn := range v.withoutSelf(ranked[len(holders):]) {
+		lenders = append(lenders, escrow.Lender{Peer: standIn.peer(), StandsIn: true})
+	}
+	return lenders
+}
+
+// prefersLast decides whether this node begins with the last of the holders.
+func (v fleetView) prefersLast(holders []peerEntry) bool {
+	last := holders[len(holders)-1]
+	near, far := last.Zone == v.self.Zone, holders[0].Zone == v.self.Zone
+	if near != far {
+		return near
+	}
+	return mix(rankOf(v.self.Box)^rankOf(last.Box))%2 == 0
+}
+
+func (v fleetView) withoutSelf(entries []peerEntry) []peerEntry {
+	return slices.DeleteFunc(slices.Clone(entries), func(e peerEntry) bool { return e.Box == v.self.Box })
+}
+
+func lendersOf(entries []peerEntry) []escrow.Lender {
+	lenders := make([]escrow.Lender, 0, len(entries))
+	for _, entry := range entries {
+		lenders = append(lenders, escrow.Lender{Peer: entry.peer()})
 	}
-	return slices.Concat(first, sameZone, otherZones)
+	return lenders
 }
--- a/node/greeting.go
+++ b/node/greeting.go
@@ -74,9 +74,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	self := p.settings.self.Box
-	p.others = withNeighbour(p.others, self, g.Self, fromItself)
+	p.setOthers(withNeighbour(p.others, self, g.Self, fromItself))
 	for _, other := range g.Others {
-		p.others = withNeighbour(p.others, self, other, fromOther)
+		p.setOthers(withNeighbour(p.others, self, other, fromOther))
 	}
 }
 
--- a/node/nodelist.go
+++ b/node/nodelist.go
@@ -137,7 +137,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.others = others
+	p.setOthers(others)
 	return true
 }
 
@@ -153,7 +153,7 @@
 		p.settings.log.Error(event.PeerBad, zap.String("key", bad.key), zap.Error(bad.err))
 	}
 	p.mu.Lock()
-	p.others = list.others
+	p.setOthers(list.others)
 	p.listsRead++
 	p.listedAt = p.settings.clock()
 	p.mu.Unlock()
--- a/node/parts.go
+++ b/node/parts.go
@@ -46,7 +46,7 @@
 		first: n.config.First,
 		table: p.table,
 	})
-	p.ledger = escrow.NewLedger(escrow.LedgerSettings{Incarnation: n.incarnation, LendsToAll: p.peers.lendsToAll})
+	p.ledger = escrow.NewLedger(escrow.LedgerSettings{Incarnation: n.incarnation, Role: p.peers.role})
 	p.syncer = newSyncer(n, p.ledger, p.peers)
 	p.forwarder = forward.New(forward.Settings{
 		Catalog: current,
@@ -64,16 +64,13 @@
 }
 
 // newSyncer connects the ledger to the store and to the neighbours. The syncer
-// asks peers at each call whether this node writes the record and whom it borrows
-// from, since both change with the fleet.
+// asks peers at each call whom it borrows from, since that changes with the fleet.
 func newSyncer(n *Node, ledger *escrow.Ledger, peers *peers) *escrow.Syncer {
 	return escrow.NewSyncer(escrow.SyncerSettings{
 		Box:     n.config.Box,
 		Ledger:  ledger,
 		Store:   n.adapter.Store,
-		Routers: peers.sharers,
-		Writes:  peers.writesRecord,
-		Serves:  peers.isRelay,
+		Routers: peers.routers,
 		Lenders: peers.lenders,
 		Caller:  peers,
 		Clock:   n.clock,
--- a/node/peers.go
+++ b/node/peers.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/balance"
+	"granitehoist.example/granitehoist/escrow"
 	"granitehoist.example/granitehoist/fleet"
 )
 
@@ -46,6 +48,9 @@
 	// others holds the neighbours, one entry a box. Changes replace the slice,
 	// so that a view may share it.
 	others []peerEntry
+	// ranked holds fleetView.ranked of the workspaces that were asked for since
+	// others last changed.
+	ranked map[granitehoist.Workspace][]peerEntry
 	// next is the index in others from which neighbours are chosen in turn.
 	next int
 	// listsRead counts the lists that this node read from the store, the last
@@ -93,24 +98,41 @@
 // relaysToAsk returns the relays that this node asks in place of the store.
 func (p *peers) relaysToAsk() []granitehoist.Peer { return p.view().relaysToAsk() }
 
-// writesRecord reports whether this node writes the record of the budgets
-// without having asked the relays first.
-func (p *peers) writesRecord() bool { return p.view().writesRecord() }
-
-// lendsToAll reports whether this node takes tokens from the store for all.
-func (p *peers) lendsToAll() bool { return p.view().lendsToAll() }
-
-// sharers returns the number of nodes with which this one shares the budgets.
-func (p *peers) sharers() int { return p.view().sharers() }
+// role returns this node's role for a workspace's tokens.
+func (p *peers) role(w granitehoist.Workspace) escrow.Role {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.viewLocked().role(p.rankedLocked(w))
+}
 
-// lenders returns all neighbours in the order in which they are asked for a
-// loan of tokens.
-func (p *peers) lenders() []granitehoist.Peer {
+// lenders returns the neighbours that this node asks for a loan of a workspace's
+// tokens, in that order.
+func (p *peers) lenders(w granitehoist.Workspace) []escrow.Lender {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	lenders := p.viewLocked().lenders(p.next)
-	p.next++
-	return lenders
+	return p.viewLocked().lenders(p.rankedLocked(w))
+}
+
+// rankedLocked returns fleetView.ranked, which is kept until the neighbours change:
+// each request asks for it. The caller holds mu.
+func (p *peers) rankedLocked(w granitehoist.Workspace) []peerEntry {
+	if ranked, ok := p.ranked[w]; ok {
+		return ranked
+	}
+	if p.ranked == nil {
+		p.ranked = map[granitehoist.Workspace][]peerEntry{}
+	}
+	p.ranked[w] = p.viewLocked().ranked(w)
+	return p.ranked[w]
+}
+
+// setOthers replaces the neighbours. The caller holds mu.
+func (p *peers) setOthers(others []peerEntry) {
+	if slices.Equal(p.others, others) {
+		return
+	}
+	p.others = others
+	p.ranked = nil
 }
 
 // neighboursToAsk returns up to maxAsked neighbours, in turn from call to call.
