--- /dev/null
+++ b/escrow/ask_test.go
@@ -0,0 +1,213 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package escrow_test
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/escrow"
+	"granitehoist.example/granitehoist/standin"
+)
+
+// syncerCaller passes the calls of a router to a relay without a network. The
+// reply to a method named lost is lost.
+type syncerCaller struct {
+	to   *escrow.Syncer
+	lost string
+	// unreachable is an address that nobody reaches, failed counts the calls.
+	unreachable string
+	failed      int
+}
+
+func (c *syncerCaller) Call(ctx context.Context, to granitehoist.Peer, method string, params, result any) error {
+	if c.unreachable != "" && to.Address == c.unreachable {
+		c.failed++
+		return granitehoist.ErrUnknown
+	}
+	var reply escrow.LendResult
+	var err error
+	switch p := params.(type) {
+	case escrow.LendParams:
+		reply, err = c.to.ServeLend(ctx, p)
+	case escrow.RepayParams:
+		reply, err = c.to.ServeRepay(ctx, p)
+	}
+	if err != nil || method == c.lost {
+		return granitehoist.ErrUnknown
+	}
+	*result.(*escrow.LendResult) = reply
+	return nil
+}
+
+// slowCaller answers after a time, and only the calls to one incarnation at once.
+type slowCaller struct {
+	granitehoist.Caller
+	fast granitehoist.Incarnation
+	slow time.Duration
+}
+
+func (c *slowCaller) Call(ctx context.Context, to granitehoist.Peer, method string, params, result any) error {
+	if to.Incarnation != c.fast {
+		time.Sleep(c.slow)
+	}
+	return c.Caller.Call(ctx, to, method, params, result)
+}
+
+var _ = Describe("A router that asks holders", func() {
+	const limit = granitehoist.Tokens(1_000_000)
+	var store *standin.Store
+	var elapsed atomic.Int64
+	var holder *box
+	var line *syncerCaller
+	var ledger *escrow.Ledger
+	clock := func() time.Time { return time.Unix(1000, 0).Add(time.Duration(elapsed.Load())) }
+	pass := func(d time.Duration) { elapsed.Add(int64(d)) }
+	// asking returns a syncer of the router that asks the given lenders.
+	asking := func(caller granitehoist.Caller, lenders ...granitehoist.Incarnation) *escrow.Syncer {
+		return escrow.NewSyncer(escrow.SyncerSettings{
+			Box: "b", Ledger: ledger, Store: store, Clock: clock, Caller: caller,
+			Routers: func() int { return 20 }, Lenders: lendersAlways(lenders...),
+		})
+	}
+	BeforeEach(func() {
+		elapsed.Store(0)
+		store = standin.NewStore(standin.StoreSettings{Clock: clock})
+		holder = newHolder("k", "k1", store, clock)
+		holder.ledger.SetLimit(kiosk, limit)
+		Expect(holder.sync()).To(Succeed())
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go holder.syncer.Run(ctx)
+		line = &syncerCaller{to: holder.syncer}
+		ledger = escrow.NewLedger(escrow.LedgerSettings{Incarnation: "b1", Role: always(escrow.Asks)})
+		ledger.SetLimit(kiosk, limit)
+	})
+	// request reserves and settles one request of the router.
+	request := func(s *escrow.Syncer, bound, used granitehoist.Tokens) escrow.Outcome {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		outcome := s.Reserve(ctx, kiosk, bound, normal).Outcome
+		if outcome == escrow.Granted {
+			s.Settle(kiosk, bound, used)
+		}
+		return outcome
+	}
+	// unspent returns what is left in the store and at both routers.
+	unspent := func() granitehoist.Tokens {
+		return limit - recordOf(store).Accounts[kiosk].Taken() + holder.ledger.State(kiosk).Free + ledger.State(kiosk).Free
+	}
+
+	It("holds nothing but what its last request left over", func() {
+		syncer := asking(line, "k1")
+		for range 50 {
+			Expect(request(syncer, 1000, 900)).To(Equal(escrow.Granted))
+			pass(100 * time.Millisecond)
+		}
+		Expect(ledger.State(kiosk).Free).To(Equal(granitehoist.Tokens(100)))
+		Expect(recordOf(store).Accounts[kiosk].Rows).NotTo(HaveKey(granitehoist.Incarnation("b1")))
+	})
+
+	It("gives back what a request left over, once, though the reply is lost", func() {
+		syncer := asking(line, "k1")
+		Expect(request(syncer, 5000, 1000)).To(Equal(escrow.Granted))
+		before := unspent()
+		line.lost = escrow.MethodRepay
+		escrow.RepaySurplus(syncer)
+		Expect(unspent()).To(Equal(before))
+		line.lost = ""
+		escrow.RepaySurplus(syncer)
+		Expect(ledger.State(kiosk).Free).To(BeZero())
+		Expect(unspent()).To(Equal(before))
+	})
+
+	It("gives it back as well while the store is silent, so that others find it", func() {
+		syncer := asking(line, "k1")
+		Expect(request(syncer, 5000, 1000)).To(Equal(escrow.Granted))
+		store.Fail(standin.StoreFaults{Down: true})
+		Expect(holder.sync()).NotTo(Succeed())
+		escrow.RepaySurplus(syncer)
+		Expect(ledger.State(kiosk).Free).To(BeZero())
+	})
+
+	It("asks a holder that does not answer only now and then", func() {
+		line.unreachable = "dead"
+		syncer := asking(line, "dead", "k1")
+		for range 30 {
+			Expect(request(syncer, 1000, 1000)).To(Equal(escrow.Granted))
+			pass(100 * time.Millisecond)
+		}
+		Expect(line.failed).To(BeNumerically("<=", 3))
+	})
+
+	It("asks the next one when a holder is slow", func() {
+		syncer := asking(&slowCaller{Caller: line, fast: "k1", slow: 2 * time.Second}, "slow", "k1")
+		began := time.Now()
+		Expect(request(syncer, 1000, 1000)).To(Equal(escrow.Granted))
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+	})
+
+	It("learns at once that no holder has the tokens", func() {
+		store.Fail(standin.StoreFaults{Down: true})
+		Expect(holder.sync()).NotTo(Succeed())
+		syncer := asking(line, "k1")
+		began := time.Now()
+		Expect(request(syncer, limit/2, 0)).To(Equal(escrow.Unreachable))
+		Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+		Expect(holder.ledger.State(kiosk).Free).To(BeNumerically(">", 0), "nothing is lent that would not be enough")
+	})
+
+	It("is paid by a router that stands in for the holders, for a while", func() {
+		other := newBox("o", "o1", store, 20, clock)
+		standIn := escrow.NewLedger(escrow.LedgerSettings{Incarnation: "o1", Role: always(escrow.Asks)})
+		other.ledger = standIn
+		other.syncer = escrow.NewSyncer(escrow.SyncerSettings{Box: "o", Ledger: standIn, Store: store, Clock: clock, Routers: func() int { return 20 }})
+		standIn.SetLimit(kiosk, limit)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go other.syncer.Run(ctx)
+		ask := escrow.LendParams{Borrower: "b1", Workspace: kiosk, Need: 500, Want: 500, Priority: normal}
+		Expect(other.syncer.ServeLend(ctx, ask)).To(HaveField("Total", BeZero()))
+		ask.StandIn = true
+		wait, done := context.WithTimeout(ctx, 2*time.Second)
+		defer done()
+		Eventually(func() granitehoist.Tokens {
+			result, err := other.syncer.ServeLend(wait, ask)
+			Expect(err).NotTo(HaveOccurred())
+			return result.Total
+		}).Should(BeNumerically(">=", 500))
+		Expect(standIn.Role(kiosk, clock())).To(Equal(escrow.Holds))
+		pass(4 * time.Second)
+		Expect(standIn.Role(kiosk, clock())).To(Equal(escrow.Asks))
+	})
+})
+
+var _ = Describe("A holder", func() {
+	It("keeps what the loans of all routers take in the time to be covered, and not what came back", func() {
+		now := time.Unix(1000, 0)
+		clock := func() time.Time { return now }
+		store := standin.NewStore(standin.StoreSettings{Clock: clock})
+		holder := newHolder("k", "k1", store, clock)
+		holder.ledger.SetLimit(kiosk, 10_000_000)
+		Expect(holder.sync()).To(Succeed())
+		for i := range 200 {
+			borrower := granitehoist.Incarnation("b" + strconv.Itoa(i%40))
+			result, err := holder.syncer.ServeLend(context.Background(), escrow.LendParams{Borrower: borrower, Workspace: kiosk, Need: 1000, Want: 1000, Priority: normal})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(result.InTouch).To(BeTrue())
+			_, err = holder.syncer.ServeRepay(context.Background(), escrow.RepayParams{Giver: borrower, Workspace: kiosk, Total: granitehoist.Tokens(i/40+1) * 500})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(holder.sync()).To(Succeed())
+			now = now.Add(100 * time.Millisecond)
+		}
+		// 10 loans a second of 1,000 tokens, of which half come back, for 9 s.
+		Expect(holder.ledger.State(kiosk).Free).To(BeNumerically("~", 45_000, 10_000))
+	})
+})
