--- a/escrow/borrow.go
+++ b/escrow/borrow.go
@@ -69,15 +69,16 @@
 
 // ServeLend answers a neighbour's call of MethodLend. A router that uses the record
 // reserves what the borrower wants as a request does, and so asks the store if it
-// owns too little; if that does not work out in relayWait, it lends what it has. A
-// want below the need counts as the need. The error is always nil.
+// owns too little; if that does not work out in relayWait, or the store is silent
+// already, it lends what it has. A want below the need counts as the need. The error
+// is always nil.
 func (s *Syncer) ServeLend(ctx context.Context, p LendParams) (LendResult, error) {
 	p.Want = max(p.Want, p.Need)
 	ledger, now := s.settings.Ledger, s.settings.Clock()
 	if p.StandIn {
 		ledger.standIn(p.Workspace, now)
 	}
-	if p.Need <= 0 || ledger.Role(p.Workspace, now) == Asks {
+	if p.Need <= 0 || ledger.Role(p.Workspace, now) == Asks || ledger.isStoreSilent() {
 		return ledger.Lend(p, now), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayWait)
--- a/escrow/fleetview.go
+++ b/escrow/fleetview.go
@@ -68,6 +68,18 @@
 	return limit
 }
 
+// reported returns what the store had left by the newer source and the age of that;
+// both are zero without any source.
+func (v *fleetView) reported(now time.Time) (remaining granitehoist.Tokens, age time.Duration) {
+	switch {
+	case v.lenderIsNewer():
+		return v.lender.remaining, now.Sub(v.lender.at)
+	case v.record.readAt.IsZero():
+		return 0, 0
+	}
+	return v.record.remaining, now.Sub(v.record.readAt)
+}
+
 // budgetLeft is what is left of a budget in the store and at all routers.
 type budgetLeft struct {
 	tokens granitehoist.Tokens
--- a/escrow/outcome.go
+++ b/escrow/outcome.go
@@ -40,8 +40,8 @@
 	Outcome Outcome
 	// Free is what a request could still reserve here.
 	Free granitehoist.Tokens
-	// StoreRemaining is what the store had left when the record was last read, Age
-	// ago; both are zero if it never was.
+	// StoreRemaining is what the store had left by the newest report, of the record
+	// itself or of a lender, Age ago; both are zero if there was none.
 	StoreRemaining granitehoist.Tokens
 	Age            time.Duration
 	// Silent is for how long the store has answered neither this router nor a
@@ -54,10 +54,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(w)
-	answer := Answer{Outcome: o, Free: a.owned.free(), StoreRemaining: a.fleet.record.remaining}
-	if !a.fleet.record.readAt.IsZero() {
-		answer.Age = now.Sub(a.fleet.record.readAt)
-	}
+	answer := Answer{Outcome: o, Free: a.owned.free()}
+	answer.StoreRemaining, answer.Age = a.fleet.reported(now)
 	answer.Silent = l.contact.silence(now)
 	return answer
 }
