--- a/follow/follow.go
+++ b/follow/follow.go
@@ -82,9 +82,18 @@
 	if !f.HasCopy() {
 		return f.firstList(ctx)
 	}
-	return f.watch(ctx)
+	if f.relays.allSaySilent(f.settings.Relays(), f.settings.Clock()) && !f.settings.Prober.allows(f.settings.Clock()) {
+		return errRelaysCutOff
+	}
+	err := f.watch(ctx)
+	f.settings.Prober.note(err == nil)
+	return err
 }
 
+// errRelaysCutOff says that the store was not asked, since the relays say that it does
+// not answer them.
+var errRelaysCutOff = errors.New("follow: the store does not answer the relays")
+
 // askRelays asks up to relayTries relays, and reports whether one of them gave an
 // answer that can stand for the store's. It avoids the others for a while.
 func (f *Follower) askRelays(ctx context.Context) bool {
@@ -93,28 +102,27 @@
 		if !ok {
 			return false
 		}
-		fresh, err := f.askRelay(ctx, relay)
-		if fresh {
+		verdict, err := f.askRelay(ctx, relay)
+		if verdict == relayFresh {
 			return true
 		}
 		if ctx.Err() != nil {
 			return false
 		}
-		f.relays.avoid(relay, f.settings.Clock())
+		f.relays.note(relay, verdict, f.settings.Clock())
 		f.settings.Log.Warn(event.RelayLost, f.prefixField(), zap.String("relay", string(relay.Incarnation)), f.versionField(), zap.Error(err))
 	}
 	return false
 }
 
-// askRelay applies a relay's answer, and reports whether it can stand for the
-// store's.
-func (f *Follower) askRelay(ctx context.Context, relay granitehoist.Peer) (bool, error) {
+// askRelay applies a relay's answer, and returns how far it can be used.
+func (f *Follower) askRelay(ctx context.Context, relay granitehoist.Peer) (relayVerdict, error) {
 	update, err := f.settings.Updates(ctx, relay, f.settings.Prefix, f.At(), relayWait)
 	verdict := judgeRelay(update, err, f.settings.Prefix)
 	if verdict != relayFailed {
 		f.apply(update)
 	}
-	return verdict == relayFresh, err
+	return verdict, err
 }
 
 // firstList lists a prefix of which there is no copy.
--- a/follow/relay_test.go
+++ b/follow/relay_test.go
@@ -204,4 +204,28 @@
 		}()
 		Expect(relay.Updates(context.Background(), at, 10*time.Second).Entries).To(HaveLen(1))
 	})
+
+	It("does not storm a store that is away from all of its relays, and is told when it is back", func() {
+		relayStore := standin.NewStore(standin.StoreSettings{Watch: 100 * time.Millisecond})
+		_, err := relayStore.CompareAndSwap(context.Background(), granitehoist.Change{Key: "p/a", Value: []byte("1")})
+		Expect(err).NotTo(HaveOccurred())
+		for _, address := range []string{"a", "b", "c"} {
+			run(address, follow.Settings{Store: relayStore})
+		}
+		f := run("f", follow.Settings{Store: cutStore, Relays: peersAt("a", "b", "c")})
+		Eventually(values(f)).Should(ConsistOf("1"))
+		relayStore.Fail(standin.StoreFaults{Down: true})
+		// The relays' copies are old from 1.5 s on.
+		time.Sleep(1700 * time.Millisecond)
+		before := cutStore.Calls()
+		time.Sleep(2 * time.Second)
+		after := cutStore.Calls()
+		Expect(after.Watches + after.Reads - before.Watches - before.Reads).To(BeNumerically("<=", 4))
+		relayStore.Fail(standin.StoreFaults{})
+		entry, err := relayStore.Get(context.Background(), "p/a")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = relayStore.CompareAndSwap(context.Background(), granitehoist.Change{Key: "p/a", Value: []byte("2"), Expect: entry.Version})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(values(f)).WithTimeout(2 * time.Second).Should(ConsistOf("2"))
+	})
 })
--- a/follow/relayrules.go
+++ b/follow/relayrules.go
@@ -23,6 +23,16 @@
 	// avoidRelayFor is how long a relay is left out after it failed. Chosen, not
 	// measured.
 	avoidRelayFor = 2 * time.Second
+	// avoidOldRelayFor is how long a relay is left out whose copy is old. It is
+	// shorter: such a relay finds out soon that the store is back, and asking it
+	// costs the store nothing. Chosen, not measured.
+	avoidOldRelayFor = 500 * time.Millisecond
+	// silentFor is how long a relay's word counts that the store does not answer it.
+	// Chosen, not measured: as long as a relay that failed is left out.
+	silentFor = avoidRelayFor
+	// minSilentRelays is how many relays must say so for the store to count as
+	// away. Chosen, not measured: one or two of a zone may be cut off together.
+	minSilentRelays = 3
 	// relayWatchWait bounds the watches of a router that is a relay itself, so that
 	// its copy stays below maxRelayAge. Chosen, not measured.
 	relayWatchWait = time.Second
@@ -70,8 +80,22 @@
 type relayChoice struct {
 	// turn counts the relays considered, so that each is asked in turn.
 	turn int
-	// avoidUntil has the time until which a relay is left out, by its address.
-	avoidUntil map[string]time.Time
+	// seen has what each relay last answered that was not usable, by its address.
+	seen map[string]relayFailure
+}
+
+// relayFailure is an answer of a relay that could not stand for the store's.
+type relayFailure struct {
+	verdict relayVerdict
+	at      time.Time
+}
+
+// avoids reports whether the relay is still left out.
+func (r relayFailure) avoids(now time.Time) bool {
+	if r.verdict == relayOld {
+		return now.Sub(r.at) <= avoidOldRelayFor
+	}
+	return now.Sub(r.at) <= avoidRelayFor
 }
 
 // next returns the next relay in turn that did not fail a short while ago, and
@@ -80,17 +104,31 @@
 	for range relays {
 		c.turn++
 		relay := relays[c.turn%len(relays)]
-		if now.After(c.avoidUntil[relay.Address]) {
+		if failure, failed := c.seen[relay.Address]; !failed || !failure.avoids(now) {
 			return relay, true
 		}
 	}
 	return granitehoist.Peer{}, false
 }
 
-// avoid keeps next from returning a relay for avoidRelayFor.
-func (c *relayChoice) avoid(relay granitehoist.Peer, now time.Time) {
-	if c.avoidUntil == nil {
-		c.avoidUntil = map[string]time.Time{}
+// note records that a relay's answer was not fresh, which keeps next from returning
+// it for a while.
+func (c *relayChoice) note(relay granitehoist.Peer, verdict relayVerdict, now time.Time) {
+	if c.seen == nil {
+		c.seen = map[string]relayFailure{}
+	}
+	c.seen[relay.Address] = relayFailure{verdict: verdict, at: now}
+}
+
+// allSaySilent reports whether the relays agree that the store is away: at least
+// minSilentRelays, or all if there are fewer, said so within silentFor.
+func (c *relayChoice) allSaySilent(relays []granitehoist.Peer, now time.Time) bool {
+	silent := 0
+	for _, relay := range relays {
+		failure, failed := c.seen[relay.Address]
+		if failed && failure.verdict == relayOld && now.Sub(failure.at) <= silentFor {
+			silent++
+		}
 	}
-	c.avoidUntil[relay.Address] = now.Add(avoidRelayFor)
+	return silent > 0 && silent >= min(minSilentRelays, len(relays))
 }
--- a/follow/relayrules_test.go
+++ b/follow/relayrules_test.go
@@ -57,23 +57,60 @@
 
 		It("that did not fail in the last two seconds", func() {
 			var c relayChoice
-			c.avoid(a, now)
+			c.note(a, relayFailed, now)
 			expectNext(&c, now, b, b, b)
 			expectNext(&c, now.Add(avoidRelayFor), b)
 			expectNext(&c, now.Add(avoidRelayFor+1), a, b, a)
 		})
 
+		It("whose copy was not old in the last half second", func() {
+			var c relayChoice
+			c.note(a, relayOld, now)
+			expectNext(&c, now.Add(avoidOldRelayFor), b)
+			expectNext(&c, now.Add(avoidOldRelayFor+1), a, b, a)
+		})
+
 		It("unless all failed or there is none", func() {
 			var c relayChoice
 			_, ok := c.next(nil, now)
 			Expect(ok).To(BeFalse())
-			c.avoid(a, now)
-			c.avoid(b, now)
+			c.note(a, relayFailed, now)
+			c.note(b, relayFailed, now)
 			_, ok = c.next([]granitehoist.Peer{a, b}, now)
 			Expect(ok).To(BeFalse())
 		})
 	})
 
+	Describe("agree that the store is away", func() {
+		now := time.Unix(1_800_000_000, 0)
+		relays := []granitehoist.Peer{{Address: "a"}, {Address: "b"}, {Address: "c"}, {Address: "d"}}
+		expectSilent := func(expected bool, at time.Time, asked []granitehoist.Peer, verdicts ...relayVerdict) {
+			GinkgoHelper()
+			var c relayChoice
+			for i, verdict := range verdicts {
+				c.note(asked[i], verdict, now)
+			}
+			Expect(c.allSaySilent(asked, at)).To(Equal(expected))
+		}
+
+		It("when three of them say so", func() {
+			expectSilent(true, now, relays, relayOld, relayOld, relayOld)
+			expectSilent(false, now, relays, relayOld, relayOld)
+		})
+		It("when all of fewer say so", func() {
+			expectSilent(true, now, relays[:2], relayOld, relayOld)
+			expectSilent(false, now, relays[:2], relayOld)
+		})
+		It("but not by being dead", func() {
+			expectSilent(false, now, relays, relayOld, relayFailed, relayFailed, relayFailed)
+		})
+		It("but not by what they said two seconds ago", func() {
+			expectSilent(true, now.Add(silentFor), relays, relayOld, relayOld, relayOld)
+			expectSilent(false, now.Add(silentFor+1), relays, relayOld, relayOld, relayOld)
+		})
+		It("but not where there is none", func() { expectSilent(false, now, nil) })
+	})
+
 	It("count a router as a relay for some seconds after a question", func() {
 		now := time.Unix(1_800_000_000, 0)
 		var question lastTime
--- a/follow/settings.go
+++ b/follow/settings.go
@@ -27,6 +27,8 @@
 	// call for up to wait until something changes. It is needed with Relays or
 	// Neighbours.
 	Updates func(ctx context.Context, to granitehoist.Peer, prefix string, after granitehoist.Version, wait time.Duration) (Update, error)
+	// Prober is shared by the followers of one router; nil means one of its own.
+	Prober *Prober
 	// Changed is called with the entries that an update changed, deleted ones
 	// included, and the version of the update. It is also called, perhaps without
 	// entries, when the copy is filled. It runs on the follower's own goroutine.
@@ -58,6 +60,9 @@
 func (s *Settings) setDefaults() {
 	defaults.Set(&s.Pause, DefaultPause)
 	defaults.Set(&s.MaxPause, defaultMaxPauseFactor*s.Pause)
+	if s.Prober == nil {
+		s.Prober = &Prober{}
+	}
 	if s.Changed == nil {
 		s.Changed = func([]granitehoist.Entry, granitehoist.Version) {}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -32,6 +32,8 @@
 	configs   *configCopy
 	instances *instanceCopy
 	servers   *servers
+	// prober bounds the calls of the followers to a store that is away.
+	prober follow.Prober
 
 	// leaving is set once, by Stop. shedding is set by watchLink only.
 	leaving  atomic.Bool
@@ -85,6 +87,7 @@
 	s.Relays = n.parts.peers.relaysToAsk
 	s.Neighbours = n.parts.peers.neighboursToAsk
 	s.Updates = n.askUpdates
+	s.Prober = &n.prober
 	s.Clock = n.clock
 	s.Log = n.log
 	return follow.New(s)
