--- a/escrow/account.go
+++ b/escrow/account.go
@@ -77,8 +77,8 @@
 		limit: a.owned.limit, largest: a.demand.largest,
 		ownRate: a.demand.rate.value(c.now), othersRate: a.demand.othersRate,
 	}
-	if c.role == Holds {
-		// Its rate is that of the routers that ask it, the other holder's apart.
+	if c.role.lends() {
+		// Its rate is that of all routers that ask it.
 		h.othersRate = 0
 	}
 	return h.target(c)
--- a/escrow/ask.go
+++ b/escrow/ask.go
@@ -12,13 +12,14 @@
 )
 
 const (
-	// maxAsked bounds the lenders that are asked for one request: the holders and as
-	// many routers that stand in for them. Chosen, not measured.
-	maxAsked = 2 * HoldersPerWorkspace
+	// maxAsked bounds the lenders that are asked for one request: the holder and two
+	// that stand in for it. Chosen, not measured.
+	maxAsked = 3
 	// hedgeAfter is how long a lender may take before the next one is asked as well.
-	// Chosen, not measured: several times a call between two routers of a region,
-	// and a small part of the time that a request waits for tokens.
-	hedgeAfter = 20 * time.Millisecond
+	// Chosen, not measured: several times a call between two routers of a region
+	// with a write of the record, and a third of the time that the most urgent
+	// requests of the users' sites wait for tokens.
+	hedgeAfter = 30 * time.Millisecond
 	// noLenderPause is the time between two looks for lenders while a router that
 	// starts knows of none. Chosen, not measured.
 	noLenderPause = 10 * time.Millisecond
--- a/escrow/holdings.go
+++ b/escrow/holdings.go
@@ -4,6 +4,7 @@
 package escrow
 
 import (
+	"slices"
 	"time"
 
 	"granitehoist.example/granitehoist"
@@ -23,41 +24,58 @@
 	return c
 }
 
-// mustSync reports whether requests wait or a limit has changed where this router
-// uses the record.
-func (l *Ledger) mustSync(now time.Time) bool {
+// neededShards returns the shards of which a sync is worth a call: requests wait, a
+// limit has changed, or a holding needs one. If there is none and the store has not
+// been heard of for a while, it is one of those for which this router uses the
+// record. A router that uses it for none needs none.
+func (l *Ledger) neededShards(routers int, now time.Time) []Shard {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.conditions(0, now)
+	all := l.conditions(routers, now)
+	var needed, used []Shard
 	for w, a := range l.accounts {
-		if a.usesRecord(c.as(l.role(w, a, now))) && (len(a.waiters) > 0 || a.owned.frozen || a.limitChanged) {
-			return true
+		c := all.as(l.role(w, a, now))
+		if !a.usesRecord(c) {
+			continue
+		}
+		used = append(used, ShardOf(w))
+		if a.mustSync() || a.storeReturn(a.fleet.record.remaining, c).needsSync(c) {
+			needed = append(needed, ShardOf(w))
 		}
 	}
-	return false
+	if len(needed) == 0 && len(used) > 0 && isRecordOld(l.contact.lastDirectAnswer, now) {
+		return used[:1]
+	}
+	slices.Sort(needed)
+	return slices.Compact(needed)
 }
 
-// due reports whether a sync is worth a call: the record is old, or a holding needs
-// one. A router that uses the record for no workspace never needs one.
-func (l *Ledger) due(routers int, now time.Time) bool {
+// usedShards returns the shards for which this router uses the record.
+func (l *Ledger) usedShards(now time.Time) []Shard {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	old := isRecordOld(l.contact.lastDirectAnswer, now)
-	c := l.conditions(routers, now)
+	all := l.conditions(0, now)
+	var used []Shard
 	for w, a := range l.accounts {
-		c := c.as(l.role(w, a, now))
-		if a.usesRecord(c) && (old || a.storeReturn(a.fleet.record.remaining, c).needsSync(c)) {
-			return true
+		if a.usesRecord(all.as(l.role(w, a, now))) {
+			used = append(used, ShardOf(w))
 		}
 	}
-	return false
+	slices.Sort(used)
+	return slices.Compact(used)
+}
+
+// mustSync reports whether requests wait or the limit has changed.
+func (a *account) mustSync() bool {
+	return len(a.waiters) > 0 || a.owned.frozen || a.limitChanged
 }
 
-// anyLow reports whether a holding is low or requests wait. The caller holds mu.
-func (l *Ledger) anyLow(c conditions) bool {
+// anyLow reports whether a holding of a scope is low or requests wait. The caller
+// holds mu.
+func (l *Ledger) anyLow(in scope, all conditions) bool {
 	for w, a := range l.accounts {
-		c := c.as(l.role(w, a, c.now))
-		if !a.usesRecord(c) {
+		c := all.as(l.role(w, a, all.now))
+		if !in.covers(w) || !a.usesRecord(c) {
 			continue
 		}
 		target := a.target(a.fleet.record.remaining, c)
--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -33,9 +33,9 @@
 	// Cover is the time of spending at the present rate that a router holds
 	// tokens for; zero means DefaultCover.
 	Cover time.Duration
-	// Role returns this router's role for a workspace; nil means Shares for all. It
-	// is called with the ledger's lock held and must not call the ledger.
-	Role func(granitehoist.Workspace) Role
+	// Role returns this router's role for the workspaces of a shard; nil means Shares
+	// for all. It is called with the ledger's lock held and must not call the ledger.
+	Role func(Shard) Role
 }
 
 // NewLedger returns an empty ledger. It panics if the settings have no
@@ -87,7 +87,7 @@
 	if l.began.IsZero() {
 		l.began = now
 	}
-	c.counts = !c.loan || l.role(w, a, now) == Holds
+	c.counts = !c.loan || l.role(w, a, now).lends()
 	if c.counts {
 		a.demand.measure(c.bound, c.priority)
 	}
--- a/escrow/lenders.go
+++ b/escrow/lenders.go
@@ -26,7 +26,7 @@
 	if s.settings.Lenders == nil || s.settings.Caller == nil {
 		return nil
 	}
-	all := s.settings.Lenders(w)
+	all := s.settings.Lenders(ShardOf(w))
 	now := s.settings.Clock()
 	s.avoiding.Lock()
 	defer s.avoiding.Unlock()
--- a/escrow/loan.go
+++ b/escrow/loan.go
@@ -15,15 +15,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(p.Workspace)
-	holds := l.role(p.Workspace, a, now) == Holds
+	lends := l.role(p.Workspace, a, now).lends()
 	loan := lending{
 		free: a.owned.free(), need: p.Need, want: p.Want,
-		waiting: len(a.waiters) > 0, closing: l.closing, whole: holds,
+		waiting: len(a.waiters) > 0, closing: l.closing, whole: lends,
 	}.loan()
 	if loan > 0 {
 		a.owned.lend(p.Borrower, loan)
 	}
-	if loan > 0 && holds {
+	if loan > 0 && lends {
 		a.demand.rate.add(loan, l.began, now)
 	}
 	return l.lendResult(a, p.Borrower, now)
@@ -77,7 +77,7 @@
 func (l *Ledger) repaid(p RepayParams, now time.Time) {
 	l.mu.Lock()
 	a := l.account(p.Workspace)
-	if back := p.Total - a.owned.borrowed[p.Giver]; back > 0 && l.role(p.Workspace, a, now) == Holds {
+	if back := p.Total - a.owned.borrowed[p.Giver]; back > 0 && l.role(p.Workspace, a, now).lends() {
 		a.demand.rate.add(-back, l.began, now)
 	}
 	l.mu.Unlock()
--- a/escrow/plan.go
+++ b/escrow/plan.go
@@ -31,22 +31,23 @@
 // isWrite reports whether the record has to be written.
 func (p plan) isWrite() bool { return len(p) > 0 }
 
-// prepare writes into r the grants and returns that the rules ask for; see nextRow.
-// routers is the number of routers that share the budgets. Returns are deducted at
-// once; grants only count when confirm is called with the record that has them.
-func (l *Ledger) prepare(r *Record, routers int, now time.Time) plan {
+// prepare writes into r, the record of a scope, the grants and returns that the rules
+// ask for; see nextRow. routers is the number of routers that share the budgets.
+// Returns are deducted at once; grants only count when confirm is called with the
+// record that has them.
+func (l *Ledger) prepare(r *Record, in scope, routers int, now time.Time) plan {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := plan{}
-	c := l.conditions(routers, now)
+	all := l.conditions(routers, now)
 	lowBelow := refillBelow
-	if l.anyLow(c) {
+	if l.anyLow(in, all) {
 		lowBelow = joinBelow
 	}
 	self := l.settings.Incarnation
 	for w, a := range l.accounts {
-		c := c.as(l.role(w, a, now))
-		if !a.usesRecord(c) {
+		c := all.as(l.role(w, a, now))
+		if !in.covers(w) || !a.usesRecord(c) {
 			continue
 		}
 		stored := r.account(w)
@@ -86,14 +87,14 @@
 	return next
 }
 
-// confirm finishes a sync whose outcome is known; r is the record as the store has
-// it now.
-func (l *Ledger) confirm(r *Record, now time.Time) {
+// confirm finishes a sync whose outcome is known; r is the record of a scope as the
+// store has it now.
+func (l *Ledger) confirm(r *Record, in scope, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.conditions(0, now)
 	for w, a := range l.accounts {
-		if !a.usesRecord(c.as(l.role(w, a, now))) {
+		if !in.covers(w) || !a.usesRecord(c.as(l.role(w, a, now))) {
 			continue
 		}
 		a.forsaken = false
--- a/escrow/record.go
+++ b/escrow/record.go
@@ -5,16 +5,24 @@
 
 import (
 	"encoding/json"
+	"maps"
 
 	"github.com/rotisserie/eris"
 
 	"granitehoist.example/granitehoist"
 )
 
-// recordFormat is the format number of a stored Record.
-const recordFormat = 1
+const (
+	// recordFormat is the format number of a stored Record.
+	recordFormat = 1
+	// dividedFormat is that of a record whose workspaces have moved to shards. A
+	// router that does not know it can't write it, and so owns no more than it did.
+	dividedFormat = 2
+)
 
-// RecordKey is the store's key of the record.
+// RecordKey is the store's key of the record of all workspaces. In a large fleet
+// each shard has a record of its own, and this one is kept as it was when they were
+// divided: what it has of a workspace is where the record of its shard begins.
 const RecordKey = "budget/escrow"
 
 // Row is what one incarnation has had of a workspace's tokens.
@@ -73,9 +81,12 @@
 	return sum
 }
 
-// Record is the state of all workspaces as it is stored.
+// Record is the state of all workspaces, or of those of a shard, as it is stored.
 type Record struct {
 	Format int `json:"format"`
+	// Shards is the number of shards into which the record was divided, zero if it
+	// was not.
+	Shards int `json:"shards,omitempty"`
 	// Boxes names the incarnation that last wrote for each box.
 	Boxes    map[granitehoist.Box]granitehoist.Incarnation `json:"boxes"`
 	Accounts map[granitehoist.Workspace]*StoredAccount     `json:"accounts"`
@@ -90,9 +101,12 @@
 			return nil, eris.Wrapf(err, "escrow: record %s can't be read", e.Key)
 		}
 	}
-	if r.Format != recordFormat {
+	if r.Format != recordFormat && r.Format != dividedFormat {
 		return nil, eris.Errorf("escrow: record %s has format %d, not %d", e.Key, r.Format, recordFormat)
 	}
+	if r.isDivided() && r.Shards != shardCount {
+		return nil, eris.Errorf("escrow: record %s is divided into %d shards, not %d", e.Key, r.Shards, shardCount)
+	}
 	if r.Boxes == nil {
 		r.Boxes = map[granitehoist.Box]granitehoist.Incarnation{}
 	}
@@ -102,6 +116,29 @@
 	return r, nil
 }
 
+// isDivided reports whether the workspaces have moved to shards.
+func (r *Record) isDivided() bool { return r.Format == dividedFormat }
+
+// divide marks the record as one whose workspaces have moved to shards. Nothing else
+// in it may change from then on.
+func (r *Record) divide() { r.Format, r.Shards = dividedFormat, shardCount }
+
+// part returns the record with which a shard of a divided record begins: the rows of
+// its workspaces as they were.
+func (r *Record) part(of Shard) *Record {
+	p := &Record{
+		Format:   recordFormat,
+		Boxes:    maps.Clone(r.Boxes),
+		Accounts: map[granitehoist.Workspace]*StoredAccount{},
+	}
+	for w, account := range r.Accounts {
+		if ShardOf(w) == of {
+			p.Accounts[w] = &StoredAccount{Folded: account.Folded, Rows: maps.Clone(account.Rows)}
+		}
+	}
+	return p
+}
+
 // Encode returns the stored form. The error says that it is larger than
 // granitehoist.MaxValueSize.
 func (r *Record) Encode() ([]byte, error) {
--- a/escrow/role.go
+++ b/escrow/role.go
@@ -18,43 +18,42 @@
 	// Shares is the role of every router of a small fleet: it takes tokens from the
 	// record for its own requests.
 	Shares Role = iota
-	// Holds is the role of the few routers of a large fleet that take a
-	// workspace's tokens from the record for the requests of all, and lend them.
+	// Holds is the role of the router of a large fleet that takes a workspace's
+	// tokens from the record for the requests of all, and lends them.
 	Holds
+	// StandsIn is the role of one that was asked in place of the holder: it does the
+	// same for a while, and holds less.
+	StandsIn
 	// Asks is the role of the others: they own no tokens but those of requests in
 	// progress, and pay each request from a loan of a holder.
 	Asks
 )
 
-const (
-	// HoldersPerWorkspace is the number of routers that hold a workspace's tokens
-	// for a large fleet: the least of which one may die without the others having
-	// to read the record first. Chosen, not measured.
-	HoldersPerWorkspace = 2
-	// standInTime is how long a router that was asked in place of holders goes on
-	// as one after the last such call. Chosen, not measured: twice the time after
-	// which a holder that did not answer is asked again (avoidTime).
-	standInTime = 3 * time.Second
-)
+// standInTime is how long a router that was asked in place of a holder goes on as
+// one after the last such call. Chosen, not measured: twice the time after which a
+// holder that did not answer is asked again (avoidTime).
+const standInTime = 3 * time.Second
 
 // Lender is a neighbour that may lend a workspace's tokens.
 type Lender struct {
 	granitehoist.Peer
-	// StandsIn says that it is no holder, and is asked in place of holders that
-	// did not help.
+	// StandsIn says that it is not the holder, and is asked in its place.
 	StandsIn bool
 }
 
-// role returns this router's role for a workspace: that of a holder while it stands
-// in for one. The caller holds mu.
+// lends reports whether a router with the role lends to a whole fleet.
+func (r Role) lends() bool { return r == Holds || r == StandsIn }
+
+// role returns this router's role for a workspace. The caller holds mu.
 func (l *Ledger) role(w granitehoist.Workspace, a *account, now time.Time) Role {
-	switch {
-	case now.Before(a.standsInUntil):
-		return Holds
-	case l.settings.Role == nil:
+	if l.settings.Role == nil {
 		return Shares
 	}
-	return l.settings.Role(w)
+	role := l.settings.Role(ShardOf(w))
+	if role == Asks && now.Before(a.standsInUntil) {
+		return StandsIn
+	}
+	return role
 }
 
 // Role returns this router's role for a workspace.
@@ -64,7 +63,7 @@
 	return l.role(w, l.account(w), now)
 }
 
-// standIn makes this router a holder of a workspace for standInTime.
+// standIn makes this router stand in for the holder of a workspace for standInTime.
 func (l *Ledger) standIn(w granitehoist.Workspace, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/escrow/run.go
+++ b/escrow/run.go
@@ -62,16 +62,13 @@
 // runRound gathers what a round decides from, and does what it decides.
 func (s *Syncer) runRound(ctx context.Context, state *loopState) {
 	now := s.settings.Clock()
-	ledger := s.settings.Ledger
-	r := round{
-		needed:  ledger.mustSync(now) || ledger.due(s.settings.Routers(), now),
-		pausing: now.Before(state.retryAt),
-	}
+	needed := s.settings.Ledger.neededShards(s.settings.Routers(), now)
+	r := round{needed: len(needed) > 0, pausing: now.Before(state.retryAt)}
 	switch r.next() {
 	case stepBorrow:
 		s.borrow(ctx)
 	case stepSync:
-		if s.syncOrBorrow(ctx) {
+		if s.syncOrBorrow(ctx, needed) {
 			state.nextPause = failurePause
 			return
 		}
@@ -86,11 +83,11 @@
 	s.nextPause = longerPause(s.nextPause)
 }
 
-// syncOrBorrow syncs, asks neighbours as well if that takes long or fails, and
+// syncOrBorrow syncs shards, asks neighbours as well if that takes long or fails, and
 // reports whether the store answered.
-func (s *Syncer) syncOrBorrow(ctx context.Context) bool {
+func (s *Syncer) syncOrBorrow(ctx context.Context, needed []Shard) bool {
 	borrower := time.AfterFunc(borrowAfter, func() { s.borrow(ctx) })
-	err := s.Sync(ctx)
+	err := s.syncShards(ctx, needed)
 	if err == nil {
 		borrower.Stop()
 		return true
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,15 +20,12 @@
 	settings SyncerSettings
 	kicks    chan struct{}
 
-	// mu is held during a sync, its calls included, and guards what follows.
-	mu sync.Mutex
-	// lastEntry is the record as it last was in the store, if lastEntryValid is
-	// set: after a write of unknown outcome it has to be read again.
-	lastEntry      granitehoist.Entry
-	lastEntryValid bool
+	// copies holds the records as they were last seen.
+	copies copies
 	// failures counts the failed syncs in a row. A conflict is no failure: the
-	// store has answered.
-	failures int
+	// store has answered. reached says that the store has ever answered.
+	failures atomic.Int64
+	reached  atomic.Bool
 
 	// avoiding guards avoided, which holds by address until when a neighbour that
 	// did not answer is not asked.
@@ -42,9 +40,12 @@
 	Store  granitehoist.Store
 	// Routers returns the number of routers that share the budgets.
 	Routers func() int
-	// Lenders returns the neighbours that may lend a workspace's tokens, the
+	// Divides reports whether the fleet is so large that its record is divided into
+	// shards, which is not undone; nil means that it is not.
+	Divides func() bool
+	// Lenders returns the neighbours that may lend the tokens of a shard, the
 	// likeliest first, and Caller reaches them; nil borrows from nobody.
-	Lenders func(granitehoist.Workspace) []Lender
+	Lenders func(Shard) []Lender
 	Caller  granitehoist.Caller
 	// Interval is how often Run checks the holdings; zero means DefaultInterval.
 	Interval time.Duration
@@ -74,6 +75,9 @@
 	if s.Routers == nil {
 		s.Routers = func() int { return 1 }
 	}
+	if s.Divides == nil {
+		s.Divides = func() bool { return false }
+	}
 	if s.Clock == nil {
 		s.Clock = time.Now
 	}
@@ -83,7 +87,10 @@
 	if s.Synced == nil {
 		s.Synced = func(error) {}
 	}
-	return &Syncer{settings: s, kicks: make(chan struct{}, 1), avoided: map[string]time.Time{}}
+	return &Syncer{
+		settings: s, kicks: make(chan struct{}, 1), avoided: map[string]time.Time{},
+		copies: copies{whole: recordCopy{key: RecordKey}},
+	}
 }
 
 // Reserve sets bound tokens of a workspace aside. If the router owns too few it
--- a/escrow/target.go
+++ b/escrow/target.go
@@ -36,7 +36,11 @@
 	// holderStartPart replaces startPart, and holderSharePart sharePart, at a holder:
 	// all that it holds is lost if it dies. The values are chosen.
 	holderStartPart = 0.04
-	holderSharePart = 0.25
+	holderSharePart = 0.5
+	// standInCover and standInSharePart are those of a router that stands in for a
+	// holder, which may take over again at any moment. Chosen, not measured.
+	standInCover     = time.Second
+	standInSharePart = 0.1
 )
 
 // conditions are what decisions on a holding depend on besides the account.
@@ -71,7 +75,9 @@
 	c.role = r
 	switch r {
 	case Holds:
-		c.routers, c.startPart, c.sharePart = HoldersPerWorkspace, holderStartPart, holderSharePart
+		c.routers, c.startPart, c.sharePart = 1, holderStartPart, holderSharePart
+	case StandsIn:
+		c.routers, c.startPart, c.sharePart, c.cover = 1, 0, standInSharePart, standInCover
 	case Asks:
 		c.cover, c.startPart, c.sparePart = 0, 0, 0
 	case Shares:
--- a/follow/relay_test.go
+++ b/follow/relay_test.go
@@ -233,7 +233,7 @@
 		time.Sleep(2 * time.Second)
 		before := away.watches.Load()
 		time.Sleep(2 * time.Second)
-		Expect(away.watches.Load()-before).To(BeNumerically("<=", 2))
+		Expect(away.watches.Load() - before).To(BeNumerically("<=", 2))
 		relayStore.Fail(standin.StoreFaults{})
 		entry, err := relayStore.Get(context.Background(), "p/a")
 		Expect(err).NotTo(HaveOccurred())
--- a/node/budgetroles.go
+++ b/node/budgetroles.go
@@ -4,70 +4,59 @@
 package node
 
 import (
+	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
-	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/escrow"
 )
 
-// This file decides which nodes hold a workspace's prepaid tokens, and which ones a
-// node asks for them. In a small fleet every node takes tokens from the record for
-// itself. In a large one each workspace has escrow.HoldersPerWorkspace holders, which
-// see its whole demand and lend to all others. They are chosen by rendezvous
-// hashing, so that all nodes that know the same boxes choose the same ones without
-// a message, and the loss of a box moves only what it held. A wrong answer here
-// costs calls and time, never tokens.
+// This file decides which node holds the prepaid tokens of a shard of the
+// workspaces, and which ones a node asks for them. In a small fleet every node takes
+// tokens from the record for itself. In a large one each shard has one holder, which
+// sees its whole demand and lends to all others. Holders are chosen by rendezvous
+// hashing, so that all nodes that know the same boxes choose the same ones without a
+// message, and the loss of a box moves only what it held. A wrong answer here costs
+// calls and time, never tokens.
 
 const (
-	// rankedPerWorkspace is the number of nodes that are ranked for a workspace:
-	// the holders, and as many that stand in for them. Chosen, not measured.
-	rankedPerWorkspace = 2 * escrow.HoldersPerWorkspace
+	// rankedPerShard is the number of nodes that are ranked for a shard: the holder,
+	// and those that stand in for it, one after the other. Chosen, not measured.
+	rankedPerShard = 3
 	// holderLinkPart is the part of the fastest link in the fleet that a holder's
 	// link has at least. Chosen, not measured: links on the users' sites differ by
 	// a factor of ten or twenty, and a holder answers for the whole fleet.
 	holderLinkPart = 0.5
 )
 
-// role returns this node's role for a workspace's tokens. A node whose view is not
-// complete yet asks others, since in a fleet that is still filling every node would
-// be a holder.
+// role returns this node's role for the tokens of a shard with the given ranked
+// nodes. A node whose view is not complete yet asks others, since in a fleet that is
+// still filling every node would be a holder.
 func (v fleetView) role(ranked []peerEntry) escrow.Role {
 	switch {
 	case !v.complete:
 		return escrow.Asks
 	case v.isSmall():
 		return escrow.Shares
-	}
-	for _, holder := range ranked[:min(len(ranked), escrow.HoldersPerWorkspace)] {
-		if holder.Box == v.self.Box {
-			return escrow.Holds
-		}
+	case ranked[0].Box == v.self.Box:
+		return escrow.Holds
 	}
 	return escrow.Asks
 }
 
-// ranked returns the nodes that hold a workspace's tokens and then those that stand
-// in for them. Nodes with links below holderLinkPart of the fastest are left out.
-// The second holder is in another availability zone than the first if there is
-// one, so that one holder goes on when a zone is lost.
-func (v fleetView) ranked(w granitehoist.Workspace) []peerEntry {
-	seed := xxhash.Sum64String(string(w))
-	var first, elsewhere []scoredPeer
-	for _, candidate := range v.holderCandidates() {
-		first = withScored(first, scoredPeer{entry: candidate, score: mix(seed ^ rankOf(candidate.Box))})
-	}
+// dividesRecord reports whether the fleet is so large that the record of the budgets
+// is divided.
+func (v fleetView) dividesRecord() bool { return v.complete && !v.isSmall() }
+
+// ranked returns the node that holds a shard and then those that stand in for it.
+// Nodes with links below holderLinkPart of the fastest are left out.
+func (v fleetView) ranked(shard escrow.Shard) []peerEntry {
+	var best []scoredPeer
 	for _, candidate := range v.holderCandidates() {
-		if candidate.Zone != first[0].entry.Zone {
-			elsewhere = withScored(elsewhere, scoredPeer{entry: candidate, score: mix(seed ^ rankOf(candidate.Box))})
-		}
+		best = withScored(best, scoredPeer{entry: candidate, score: scoreOf(shard, candidate)})
 	}
-	ranked := []peerEntry{first[0].entry}
-	for _, next := range append(elsewhere[:min(1, len(elsewhere))], first[1:]...) {
-		if len(ranked) < rankedPerWorkspace && !slices.Contains(ranked, next.entry) {
-			ranked = append(ranked, next.entry)
-		}
+	ranked := make([]peerEntry, 0, len(best))
+	for _, each := range best {
+		ranked = append(ranked, each.entry)
 	}
 	return ranked
 }
@@ -82,27 +71,17 @@
 	return slices.DeleteFunc(all, func(e peerEntry) bool { return e.LinkMbps < holderLinkPart*fastest })
 }
 
-// scoredPeer is a node with its score for a workspace.
+// scoredPeer is a node with its score for a shard.
 type scoredPeer struct {
 	entry peerEntry
 	score uint64
 }
 
-// withScored adds a node to those with the lowest scores, of which it keeps
-// rankedPerWorkspace.
-func withScored(best []scoredPeer, next scoredPeer) []scoredPeer {
-	at, _ := slices.BinarySearchFunc(best, next, func(a, b scoredPeer) int {
-		if a.score < b.score {
-			return -1
-		}
-		return 1
-	})
-	best = slices.Insert(best, at, next)
-	return best[:min(len(best), rankedPerWorkspace)]
-}
+// scoreOf returns the score of a node for a shard. The lowest one holds it.
+func scoreOf(shard escrow.Shard, e peerEntry) uint64 { return mix(uint64(shard) ^ rankOf(e.Box)) }
 
-// mix spreads the bits of a hash (the finalizer of splitmix64), so that scores of one
-// box for different workspaces are independent.
+// mix spreads the bits of a number (the finalizer of splitmix64), so that the scores
+// of one box for different shards are independent.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
@@ -111,40 +90,29 @@
 	return x ^ x>>31
 }
 
+// withScored adds a node to those with the lowest scores, of which it keeps
+// rankedPerShard.
+func withScored(best []scoredPeer, next scoredPeer) []scoredPeer {
+	at, _ := slices.BinarySearchFunc(best, next, func(a, b scoredPeer) int { return cmp.Compare(a.score, b.score) })
+	best = slices.Insert(best, at, next)
+	return best[:min(len(best), rankedPerShard)]
+}
+
 // lenders returns the neighbours in the order in which this node asks them for a loan
-// of a workspace's tokens. In a small fleet these are all of them by rank. In a large
-// one they are the holders and those that stand in for them: the holder of this
-// node's own availability zone first; if there is none, half of the nodes begin with
-// each holder.
+// of the tokens of a shard with the given ranked nodes: in a small fleet all of them
+// by rank, in a large one the holder and those that stand in for it.
 func (v fleetView) lenders(ranked []peerEntry) []escrow.Lender {
 	if v.isSmall() {
 		others := slices.Clone(v.others)
 		slices.SortFunc(others, compareRank)
 		return lendersOf(others)
 	}
-	holders := slices.Clone(ranked[:min(len(ranked), escrow.HoldersPerWorkspace)])
-	if len(holders) > 1 && v.prefersLast(holders) {
-		slices.Reverse(holders)
-	}
-	lenders := lendersOf(v.withoutSelf(holders))
-	for _, standIn := range v.withoutSelf(ranked[len(holders):]) {
-		lenders = append(lenders, escrow.Lender{Peer: standIn.peer(), StandsIn: true})
-	}
-	return lenders
-}
-
-// prefersLast decides whether this node begins with the last of the holders.
-func (v fleetView) prefersLast(holders []peerEntry) bool {
-	last := holders[len(holders)-1]
-	near, far := last.Zone == v.self.Zone, holders[0].Zone == v.self.Zone
-	if near != far {
-		return near
+	lenders := lendersOf(ranked)
+	for i := range lenders {
+		lenders[i].StandsIn = i > 0
 	}
-	return mix(rankOf(v.self.Box)^rankOf(last.Box))%2 == 0
-}
-
-func (v fleetView) withoutSelf(entries []peerEntry) []peerEntry {
-	return slices.DeleteFunc(slices.Clone(entries), func(e peerEntry) bool { return e.Box == v.self.Box })
+	self := v.self.peer()
+	return slices.DeleteFunc(lenders, func(l escrow.Lender) bool { return l.Peer == self })
 }
 
 func lendersOf(entries []peerEntry) []escrow.Lender {
--- a/node/parts.go
+++ b/node/parts.go
@@ -71,6 +71,7 @@
 		Ledger:  ledger,
 		Store:   n.adapter.Store,
 		Routers: peers.routers,
+		Divides: peers.dividesRecord,
 		Lenders: peers.lenders,
 		Caller:  peers,
 		Clock:   n.clock,
--- a/node/peers.go
+++ b/node/peers.go
@@ -48,9 +48,9 @@
 	// others holds the neighbours, one entry a box. Changes replace the slice,
 	// so that a view may share it.
 	others []peerEntry
-	// ranked holds fleetView.ranked of the workspaces that were asked for since
-	// others last changed.
-	ranked map[granitehoist.Workspace][]peerEntry
+	// ranked holds fleetView.ranked of the shards that were asked for since others
+	// last changed.
+	ranked map[escrow.Shard][]peerEntry
 	// next is the index in others from which neighbours are chosen in turn.
 	next int
 	// listsRead counts the lists that this node read from the store, the last
@@ -98,32 +98,35 @@
 // relaysToAsk returns the relays that this node asks in place of the store.
 func (p *peers) relaysToAsk() []granitehoist.Peer { return p.view().relaysToAsk() }
 
-// role returns this node's role for a workspace's tokens.
-func (p *peers) role(w granitehoist.Workspace) escrow.Role {
+// role returns this node's role for the tokens of a shard.
+func (p *peers) role(shard escrow.Shard) escrow.Role {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.viewLocked().role(p.rankedLocked(w))
+	return p.viewLocked().role(p.rankedLocked(shard))
 }
 
-// lenders returns the neighbours that this node asks for a loan of a workspace's
-// tokens, in that order.
-func (p *peers) lenders(w granitehoist.Workspace) []escrow.Lender {
+// dividesRecord reports whether the record of the budgets is divided.
+func (p *peers) dividesRecord() bool { return p.view().dividesRecord() }
+
+// lenders returns the neighbours that this node asks for a loan of the tokens of a
+// shard, in that order.
+func (p *peers) lenders(shard escrow.Shard) []escrow.Lender {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.viewLocked().lenders(p.rankedLocked(w))
+	return p.viewLocked().lenders(p.rankedLocked(shard))
 }
 
 // rankedLocked returns fleetView.ranked, which is kept until the neighbours change:
 // each request asks for it. The caller holds mu.
-func (p *peers) rankedLocked(w granitehoist.Workspace) []peerEntry {
-	if ranked, ok := p.ranked[w]; ok {
+func (p *peers) rankedLocked(shard escrow.Shard) []peerEntry {
+	if ranked, ok := p.ranked[shard]; ok {
 		return ranked
 	}
 	if p.ranked == nil {
-		p.ranked = map[granitehoist.Workspace][]peerEntry{}
+		p.ranked = map[escrow.Shard][]peerEntry{}
 	}
-	p.ranked[w] = p.viewLocked().ranked(w)
-	return p.ranked[w]
+	p.ranked[shard] = p.viewLocked().ranked(shard)
+	return p.ranked[shard]
 }
 
 // setOthers replaces the neighbours. The caller holds mu.
