--- a/escrow/account.go
+++ b/escrow/account.go
@@ -29,6 +29,8 @@
 	// standsInUntil is until when this router acts as a holder because others were
 	// not reached; zero if it was never asked to.
 	standsInUntil time.Time
+	// refilling says that the next packet is being asked for.
+	refilling bool
 	// forsaken says that requests wait and no lender answered: the record is read
 	// here then, whatever the role.
 	forsaken bool
--- a/escrow/ask.go
+++ b/escrow/ask.go
@@ -33,7 +33,7 @@
 func (s *Syncer) ask(ctx context.Context, w granitehoist.Workspace, c claim, entered *waiter) Outcome {
 	lenders := s.lendersToAsk(ctx, w)
 	answers := make(chan bool, len(lenders))
-	missing := s.settings.Ledger.requestShortage(w, c)
+	missing := s.settings.Ledger.requestShortage(w, c, s.settings.Clock())
 	asked, pending, answered := 0, 0, false
 	askNext := func() {
 		if asked == len(lenders) {
@@ -67,6 +67,21 @@
 	return s.settings.Ledger.abandon(w, entered, s.settings.Clock())
 }
 
+// refill asks the first lender for the next packet of a workspace if it is time to,
+// without waiting for the answer. If that fails, the next request asks.
+func (s *Syncer) refill(w granitehoist.Workspace) {
+	missing, needed := s.settings.Ledger.startRefill(w, s.settings.Clock())
+	if !needed {
+		return
+	}
+	go func() {
+		defer s.settings.Ledger.endRefill(w)
+		if lenders := s.lenders(w); len(lenders) > 0 {
+			s.borrowFrom(context.Background(), lenders[0], missing)
+		}
+	}()
+}
+
 // lendersToAsk returns the lenders of a workspace. It waits until there are some, or
 // until ctx ends: a router that starts has not read the list of its fleet yet.
 func (s *Syncer) lendersToAsk(ctx context.Context, w granitehoist.Workspace) []Lender {
@@ -87,7 +102,7 @@
 }
 
 // requestShortage returns what a request of a router that asks holders asks for.
-func (l *Ledger) requestShortage(w granitehoist.Workspace, c claim) shortage {
+func (l *Ledger) requestShortage(w granitehoist.Workspace, c claim, now time.Time) shortage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(w)
@@ -95,5 +110,5 @@
 	if len(a.waiters) <= 1 {
 		need = max(1, c.bound-max(0, a.owned.free()))
 	}
-	return shortage{workspace: w, need: need, want: need, priority: c.priority}
+	return shortage{workspace: w, need: need, want: need + a.packet(now), priority: c.priority}
 }
--- a/escrow/holdings.go
+++ b/escrow/holdings.go
@@ -106,7 +106,8 @@
 }
 
 // surpluses returns what this router has free and does not need, by workspace: where
-// it asks holders all that is worth a call, elsewhere nothing unless it stops.
+// it asks holders what is beyond two packets and worth a call, elsewhere nothing
+// unless it stops.
 func (l *Ledger) surpluses(routers int, now time.Time) []surplus {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -116,8 +117,12 @@
 		if free <= 0 || len(a.waiters) > 0 || (l.role(w, a, now) != Asks && !l.closing) {
 			continue
 		}
-		if isSurplus(free, a.owned.limit, routers) || l.closing {
-			found = append(found, surplus{w, free})
+		extra := free - 2*a.packet(now)
+		if l.closing {
+			extra = free
+		}
+		if isSurplus(extra, a.owned.limit, routers) || l.closing {
+			found = append(found, surplus{w, extra})
 		}
 	}
 	return found
