--- a/escrow/ask.go
+++ b/escrow/ask.go
@@ -33,7 +33,7 @@
 func (s *Syncer) ask(ctx context.Context, w granitehoist.Workspace, c claim, entered *waiter) Outcome {
 	lenders := s.lendersToAsk(ctx, w)
 	answers := make(chan bool, len(lenders))
-	missing := s.settings.Ledger.requestShortage(w, c, s.settings.Clock())
+	missing := s.settings.Ledger.requestShortage(w, c)
 	asked, pending, answered := 0, 0, false
 	askNext := func() {
 		if asked == len(lenders) {
@@ -102,7 +102,7 @@
 }
 
 // requestShortage returns what a request of a router that asks holders asks for.
-func (l *Ledger) requestShortage(w granitehoist.Workspace, c claim, now time.Time) shortage {
+func (l *Ledger) requestShortage(w granitehoist.Workspace, c claim) shortage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(w)
@@ -110,5 +110,5 @@
 	if len(a.waiters) <= 1 {
 		need = max(1, c.bound-max(0, a.owned.free()))
 	}
-	return shortage{workspace: w, need: need, want: need + a.packet(now), priority: c.priority}
+	return shortage{workspace: w, need: need, want: need, priority: c.priority}
 }
--- a/escrow/packet.go
+++ b/escrow/packet.go
@@ -42,7 +42,8 @@
 }
 
 // startRefill reports whether a packet is to be asked for before requests need it,
-// and which. The caller calls endRefill after the call.
+// and which. The caller calls endRefill after the call: one packet is asked for at a
+// time, since each of many requests that wait would otherwise bring one.
 func (l *Ledger) startRefill(w granitehoist.Workspace, now time.Time) (shortage, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -97,9 +97,7 @@
 // waits for a sync or a loan, until ctx ends.
 func (s *Syncer) Reserve(ctx context.Context, w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority) Answer {
 	outcome := s.reserve(ctx, w, claim{bound: bound, priority: priority})
-	if outcome == Granted {
-		s.refill(w)
-	}
+	s.refill(w)
 	return s.settings.Ledger.answer(w, outcome, s.settings.Clock())
 }
 
