--- a/escrow/borrow.go
+++ b/escrow/borrow.go
@@ -78,7 +78,12 @@
 	if p.StandIn {
 		ledger.standIn(p.Workspace, now)
 	}
-	if p.Need <= 0 || ledger.Role(p.Workspace, now) == Asks || ledger.isStoreSilent() {
+	if p.Need <= 0 || ledger.Role(p.Workspace, now) == Asks {
+		return ledger.Lend(p, now), nil
+	}
+	if ledger.isStoreSilent() {
+		// The borrower is not kept waiting, but the store is tried again.
+		s.Kick()
 		return ledger.Lend(p, now), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayWait)
--- /dev/null
+++ b/escrow/largefleet_test.go
@@ -0,0 +1,214 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package escrow_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/escrow"
+	"granitehoist.example/granitehoist/standin"
+)
+
+// largeFleet is a fleet in which each router sees a workspace only now and then. It
+// runs on a clock of its own and without a network: calls between routers take no
+// time, and fail if the receiver is dead.
+type largeFleet struct {
+	elapsed atomic.Int64
+	store   *standin.Store
+	random  *rand.Rand
+	limit   granitehoist.Tokens
+	boxes   []*box
+	dead    map[granitehoist.Incarnation]bool
+	byName  map[granitehoist.Incarnation]*box
+	lenders []escrow.Lender
+	// asked and refused count the requests, paid the tokens of those that were
+	// served.
+	asked, refused int
+	paid           granitehoist.Tokens
+}
+
+// The pattern is that of a mid-size workspace on the users' sites of 75 to 300
+// routers: some 20 requests a second in all, from 500 to 20,000 tokens each, of which
+// a router sees one in five to fifteen seconds; outages of the store of 8 s.
+const (
+	largeFleetRouters = 100
+	largeFleetStep    = 50 * time.Millisecond
+	largeFleetOutage  = 8 * time.Second
+	// largeFleetLook is how often each router looks at its holdings, as Run does.
+	largeFleetLook = 700 * time.Millisecond
+)
+
+// newLargeFleet returns a fleet of which the first router is the holder and the next
+// two stand in for it. Their loops run until the test ends.
+func newLargeFleet(seed uint64, limit granitehoist.Tokens) *largeFleet {
+	f := &largeFleet{
+		random: rand.New(rand.NewPCG(seed, 3)), limit: limit,
+		dead: map[granitehoist.Incarnation]bool{}, byName: map[granitehoist.Incarnation]*box{},
+	}
+	f.store = standin.NewStore(standin.StoreSettings{Clock: f.clock})
+	for i := range 3 {
+		name := granitehoist.Incarnation("r" + strconv.Itoa(i))
+		f.lenders = append(f.lenders, escrow.Lender{Peer: granitehoist.Peer{Incarnation: name, Address: string(name)}, StandsIn: i > 0})
+	}
+	for i := range largeFleetRouters {
+		f.add(i)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	for i := range f.lenders {
+		go f.boxes[i].syncer.Run(ctx)
+	}
+	return f
+}
+
+func (f *largeFleet) clock() time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(f.elapsed.Load()))
+}
+
+func (f *largeFleet) pass(d time.Duration) { f.elapsed.Add(int64(d)) }
+
+func (f *largeFleet) add(i int) {
+	name := granitehoist.Incarnation("r" + strconv.Itoa(i))
+	role, lenders := escrow.Asks, f.lenders
+	if i == 0 {
+		role, lenders = escrow.Holds, f.lenders[1:]
+	}
+	ledger := escrow.NewLedger(escrow.LedgerSettings{Incarnation: name, Role: always(role)})
+	ledger.SetLimit(kiosk, f.limit)
+	b := &box{ledger, escrow.NewSyncer(escrow.SyncerSettings{
+		Box: granitehoist.Box(name), Ledger: ledger, Store: f.store, Clock: f.clock, Caller: f,
+		Routers: func() int { return largeFleetRouters },
+		Divides: func() bool { return true },
+		Lenders: func(escrow.Shard) []escrow.Lender { return lenders },
+	})}
+	f.boxes = append(f.boxes, b)
+	f.byName[name] = b
+}
+
+// Call implements granitehoist.Caller.
+func (f *largeFleet) Call(ctx context.Context, to granitehoist.Peer, _ string, params, result any) error {
+	if f.dead[to.Incarnation] {
+		return granitehoist.ErrUnknown
+	}
+	receiver := f.byName[to.Incarnation]
+	var reply escrow.LendResult
+	var err error
+	switch p := params.(type) {
+	case escrow.LendParams:
+		reply, err = receiver.syncer.ServeLend(ctx, p)
+	case escrow.RepayParams:
+		reply, err = receiver.syncer.ServeRepay(ctx, p)
+	}
+	*result.(*escrow.LendResult) = reply
+	return err
+}
+
+// run lets requests arrive at random routers for a while. Each is used in full or in
+// part, at once.
+func (f *largeFleet) run(lasting time.Duration) {
+	for end := f.clock().Add(lasting); f.clock().Before(end); f.pass(largeFleetStep) {
+		if time.Duration(f.elapsed.Load())%largeFleetLook < largeFleetStep {
+			f.look()
+		}
+		f.arrive(f.boxes[f.random.IntN(len(f.boxes))])
+	}
+}
+
+// look lets each router do what its loop does now and then.
+func (f *largeFleet) look() {
+	for i, b := range f.boxes {
+		if f.dead[f.nameOf(i)] {
+			continue
+		}
+		if b.ledger.Role(kiosk, f.clock()) != escrow.Asks {
+			_ = b.sync()
+		}
+		escrow.RepaySurplus(b.syncer)
+	}
+}
+
+func (f *largeFleet) nameOf(i int) granitehoist.Incarnation {
+	return granitehoist.Incarnation("r" + strconv.Itoa(i))
+}
+
+func (f *largeFleet) arrive(b *box) {
+	bound := granitehoist.Tokens(500 + f.random.IntN(19_500))
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	f.asked++
+	if b.syncer.Reserve(ctx, kiosk, bound, normal).Outcome != escrow.Granted {
+		f.refused++
+		return
+	}
+	used := bound - granitehoist.Tokens(f.random.IntN(int(bound/8)))
+	b.syncer.Settle(kiosk, bound, used)
+	f.paid += used
+}
+
+// held returns what all routers own and have not spent.
+func (f *largeFleet) held() granitehoist.Tokens {
+	var held granitehoist.Tokens
+	for i, b := range f.boxes {
+		if !f.dead[f.nameOf(i)] {
+			held += b.ledger.State(kiosk).Free
+		}
+	}
+	return held
+}
+
+// refusedIn runs for a while and returns the refused part of its requests.
+func (f *largeFleet) refusedIn(lasting time.Duration) float64 {
+	f.asked, f.refused = 0, 0
+	f.run(lasting)
+	return float64(f.refused) / float64(f.asked)
+}
+
+var _ = Describe("A budget of which each of many routers sees a request now and then", func() {
+	// 20 requests a second of 10,000 tokens use 200,000 tokens a second.
+	const limit = granitehoist.Tokens(10_000_000)
+	for _, seed := range []uint64{1, 2, 3} {
+		var f *largeFleet
+		BeforeEach(func() { f = newLargeFleet(seed, limit) })
+		name := ", seed " + strconv.FormatUint(seed, 10)
+
+		It("is not scattered over them"+name, func() {
+			f.run(10 * time.Second)
+			Expect(f.refused).To(BeZero())
+			scattered := f.held() - f.boxes[0].ledger.State(kiosk).Free
+			Expect(scattered).To(BeNumerically("<", limit/100))
+		})
+
+		It("pays for nearly all requests of an outage of the store"+name, func() {
+			f.run(10 * time.Second)
+			f.store.Fail(standin.StoreFaults{Down: true})
+			Expect(f.refusedIn(largeFleetOutage)).To(BeNumerically("<", 0.1))
+			f.store.Fail(standin.StoreFaults{})
+			f.pass(time.Second)
+			f.look()
+			Expect(f.refusedIn(5 * time.Second)).To(BeNumerically("<", 0.02))
+		})
+
+		It("is paid by one that stands in when the holder dies"+name, func() {
+			f.run(10 * time.Second)
+			f.dead["r0"] = true
+			lost := f.boxes[0].ledger.State(kiosk).Free
+			Expect(f.refusedIn(5 * time.Second)).To(BeNumerically("<", 0.01))
+			Expect(lost).To(BeNumerically("<", limit/4))
+		})
+
+		It("is never overspent, and all but 3 % of it is used"+name, func() {
+			f.run(60 * time.Second)
+			Expect(f.paid).To(BeNumerically("<=", limit))
+			Expect(f.paid).To(BeNumerically(">=", limit*97/100))
+		})
+	}
+})
