Put the grace and the link of a changed settings file in force at SIGHUP

Cause: SIGHUP read the file and applied nothing, and did not say so. Change: the time to stop in, the link's rate and the memory are put in force in the running process; the log names the settings that differ and wait for a restart (addresses, names, the figures of the retry budget).

--- a/cmd/granitehoist-edge/main.go
+++ b/cmd/granitehoist-edge/main.go
@@ -76,9 +76,7 @@
 	if metricsPort > 0 {
 		config.Metrics = fmt.Sprintf("%s:%d", config.IP, metricsPort)
 	}
-	if config.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(config.Memory)))
-	}
+	limitMemory(config)
 	sink := logsink.New(os.Stdout, logLines)
 	defer sink.Close(logFlush)
 	config.LogDropped = sink.Dropped
@@ -94,19 +92,34 @@
 		if received != syscall.SIGHUP {
 			break
 		}
-		reload(file, log)
+		reload(n, file, log)
 	}
 	n.Stop()
 	return nil
 }
 
-// reload reads the settings file again after SIGHUP and logs whether it can be
-// read. It changes no setting of the running process: a restart is needed for
-// that.
-func reload(file string, log *zap.Logger) {
-	if _, err := platform.ReadSettings(file); err != nil {
+// limitMemory tells the runtime how much memory the process may use.
+func limitMemory(c *node.Config) {
+	if c.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(c.Memory)))
+	}
+}
+
+// reload reads the settings file again after SIGHUP and puts in force what a running
+// process can change: the memory, and what node.Node.Reload names. The log tells which
+// other settings differ and wait for a restart. A file that can't be read changes
+// nothing.
+func reload(n *node.Node, file string, log *zap.Logger) {
+	config, err := platform.ReadSettings(file)
+	if err != nil {
+		log.Error(event.ReloadFailed, zap.Error(err))
+		return
+	}
+	waiting, err := n.Reload(config)
+	if err != nil {
 		log.Error(event.ReloadFailed, zap.Error(err))
 		return
 	}
-	log.Info(event.Reload, zap.String("file", file))
+	limitMemory(config)
+	log.Info(event.Reload, zap.String("file", file), zap.Strings("waiting_for_restart", waiting))
 }
--- a/node/node.go
+++ b/node/node.go
@@ -21,7 +21,9 @@
 
 // Node is one router process. Its methods are safe for concurrent use.
 type Node struct {
+	// config holds the settings at the start, live those that Reload may change.
 	config      *Config
+	live        atomic.Pointer[liveSettings]
 	adapter     Adapter
 	log         *zap.Logger
 	clock       granitehoist.Clock
@@ -62,6 +64,7 @@
 		incarnation: granitehoist.Incarnation(granitehoist.NewID(string(c.Box)+"-", rand.Reader)),
 		counters:    newCounters(),
 	}
+	n.live.Store(liveOf(c))
 	n.adapter.Store = &countedStore{Store: a.Store, count: n.counters.noteStoreCall}
 	current := &catalog.Current{}
 	n.parts = newParts(n, selfEntry(c, n.incarnation, open.peers.Addr().String()), current)
--- /dev/null
+++ b/node/reload_test.go
@@ -0,0 +1,61 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package node
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// startedConfig returns settings that Check allows.
+func startedConfig() *Config {
+	return &Config{
+		Box: "edge-1", IP: "10.0.0.1", PeerPort: 7000, Callers: "10.0.0.1:80", Ready: "10.0.0.1:81",
+		Store: "10.0.0.9:82", Grace: 8 * time.Second, LinkMbps: 20,
+	}
+}
+
+// TestReload checks which changed settings a running node takes, and which it names
+// as waiting for a restart.
+func TestReload(t *testing.T) {
+	cases := []struct {
+		name    string
+		change  func(*Config)
+		waiting []string
+		grace   time.Duration
+		mbps    float64
+	}{
+		{"nothing", func(*Config) {}, nil, 8 * time.Second, 20},
+		{"the grace", func(c *Config) { c.Grace = 4 * time.Second }, nil, 4 * time.Second, 20},
+		{"the link", func(c *Config) { c.LinkMbps = 100 }, nil, 8 * time.Second, 100},
+		{"the store and the retries", func(c *Config) { c.Store, c.Retry.Slack = "10.0.0.8:82", 9 }, []string{"store", "retry"}, 8 * time.Second, 20},
+		{"whether it is the first start", func(c *Config) { c.First = true }, nil, 8 * time.Second, 20},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := &Node{config: startedConfig()}
+			n.live.Store(liveOf(n.config))
+			changed := startedConfig()
+			c.change(changed)
+			waiting, err := n.Reload(changed)
+			if err != nil || !slices.Equal(waiting, c.waiting) {
+				t.Fatalf("waiting %v, error %v", waiting, err)
+			}
+			if live := n.live.Load(); live.grace != c.grace || live.linkMbps != c.mbps {
+				t.Fatalf("in force %+v", live)
+			}
+		})
+	}
+	t.Run("settings that are wrong change nothing", func(t *testing.T) {
+		n := &Node{config: startedConfig()}
+		n.live.Store(liveOf(n.config))
+		if _, err := n.Reload(&Config{}); err == nil {
+			t.Fatal("no error")
+		}
+		if live := n.live.Load(); live.grace != 8*time.Second {
+			t.Fatalf("in force %+v", live)
+		}
+	})
+}
--- a/node/shedding.go
+++ b/node/shedding.go
@@ -95,7 +95,7 @@
 // watchLink reads the meter each linkInterval and stores in n.shedding whether
 // this box sheds callers, until ctx ends.
 func (n *Node) watchLink(ctx context.Context) {
-	watch := linkWatch{capacity: n.config.LinkMbps * bitsPerMbit / bitsPerByte}
+	var watch linkWatch
 	ticker := time.NewTicker(linkInterval)
 	defer ticker.Stop()
 	for {
@@ -104,12 +104,14 @@
 			return
 		case <-ticker.C:
 		}
+		linkMbps := n.live.Load().linkMbps
+		watch.capacity = linkMbps * bitsPerMbit / bitsPerByte
 		before := watch.shedding
 		after := watch.observe(n.parts.meter.Read(n.clock()))
 		if before == after {
 			continue
 		}
 		n.shedding.Store(after)
-		n.log.Warn(event.Shedding, zap.Bool("on", after), zap.Float64("link_mbps", n.config.LinkMbps), zap.Int("active", n.parts.forwarder.Active()))
+		n.log.Warn(event.Shedding, zap.Bool("on", after), zap.Float64("link_mbps", linkMbps), zap.Int("active", n.parts.forwarder.Active()))
 	}
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -105,10 +105,11 @@
 // are cut off when the callers' connections close.
 func (n *Node) stop() {
 	start := n.clock()
-	plan := newStopPlan(start, n.config.Grace)
+	grace := n.live.Load().grace
+	plan := newStopPlan(start, grace)
 	forwarder := n.parts.forwarder
 	n.leaving.Store(true)
-	n.log.Info(event.Stop, zap.Int("active", forwarder.Active()), zap.Duration("grace", n.config.Grace))
+	n.log.Info(event.Stop, zap.Int("active", forwarder.Active()), zap.Duration("grace", grace))
 	// phaseServe has one length, whatever happens in it.
 	time.Sleep(plan.serveUntil.Sub(n.clock()))
 	// The listener stays open, so that a caller that still arrives gets the
