--- a/cmd/granitehoist/explain.go
+++ b/cmd/granitehoist/explain.go
@@ -26,3 +26,16 @@
 		return story.Write(out)
 	}}
 }
+
+// newExplainBudget returns the command that explains a workspace's budget.
+func newExplainBudget(app *kingpin.Application, out io.Writer) command {
+	clause := app.Command("explain-budget", "Tell where a workspace's prepaid tokens went, from the nodes' log lines on standard input.")
+	workspace := clause.Arg("workspace", "The workspace's name.").Required().String()
+	return command{clause, func(context.Context) error {
+		budget, err := explain.ReadBudget(os.Stdin, granitehoist.Workspace(*workspace))
+		if err != nil {
+			return err
+		}
+		return budget.Write(out)
+	}}
+}
--- a/cmd/granitehoist/main.go
+++ b/cmd/granitehoist/main.go
@@ -78,6 +78,7 @@
 		newReportBurn(app, out),
 		newMeasureCapacity(app, out),
 		newExplain(app, out),
+		newExplainBudget(app, out),
 		newVersion(app, out),
 	}
 	return app, commands
