--- a/node/relays.go
+++ b/node/relays.go
@@ -15,10 +15,11 @@
 // This file decides which nodes are relays. Relays read the configuration, the
 // instances and the list of nodes from the store; all others ask a relay, so that
 // the store's calls don't grow with the fleet. In a fleet of fewer than
-// largeFleet nodes every node is one. In a larger one relaysPerZone nodes of each
-// availability zone are: those with the fastest links, then those whose boxes
-// have the lowest hash, so that all nodes that know the same boxes choose the
-// same relays without a message.
+// largeFleet nodes every node is one. In a larger one there is a relay for each
+// routersPerRelay nodes, but no fewer than minRelays and no more than relaysPerZone
+// for each availability zone. They are those with the fastest links, then those whose
+// boxes have the lowest hash, taken from the zones in turn, so that all nodes that
+// know the same boxes choose the same relays without a message.
 //
 // The input is the node's view of the fleet, which is up to listInterval old,
 // or older while the store does not answer. Two nodes whose views differ may
@@ -36,6 +37,14 @@
 	// relaysPerZone is two, so that a zone keeps a relay when one dies. Chosen,
 	// not measured against other numbers.
 	relaysPerZone = 2
+	// routersPerRelay bounds what the relays of a fleet cost: each makes two calls
+	// a second, which with ten relays for 17 routers were half of all calls of a
+	// day. Chosen, not measured against other numbers.
+	routersPerRelay = 15
+	// minRelays is how many a large fleet has at least: with a third of the nodes
+	// cut off from the store, all of four are in one case of a hundred, and then
+	// every node finds out for itself (package follow).
+	minRelays = 4
 )
 
 // fleetView is the fleet as one node sees it at one moment. It does not change.
@@ -58,26 +67,43 @@
 
 // relays returns the boxes that are relays.
 func (v fleetView) relays() map[granitehoist.Box]bool {
-	limit := relaysPerZone
-	if v.isSmall() {
-		limit = v.size()
-	}
-	zones := map[granitehoist.AvailabilityZone][]peerEntry{}
-	for _, entry := range append([]peerEntry{v.self}, v.others...) {
-		zones[entry.Zone] = append(zones[entry.Zone], entry)
+	zones := v.zones()
+	limit := v.size()
+	if !v.isSmall() {
+		limit = min(relaysPerZone*len(zones), max(minRelays, v.size()/routersPerRelay))
 	}
 	relays := map[granitehoist.Box]bool{}
-	for _, entries := range zones {
-		slices.SortFunc(entries, func(a, b peerEntry) int {
-			return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), compareRank(a, b))
-		})
-		for _, entry := range entries[:min(limit, len(entries))] {
-			relays[entry.Box] = true
+	for turn := 0; len(relays) < limit; turn++ {
+		for _, entries := range zones {
+			if turn < len(entries) && len(relays) < limit {
+				relays[entries[turn].Box] = true
+			}
 		}
 	}
 	return relays
 }
 
+// zones returns the nodes of each availability zone, the likeliest relay first, in
+// the order of these.
+func (v fleetView) zones() [][]peerEntry {
+	byZone := map[granitehoist.AvailabilityZone][]peerEntry{}
+	for _, entry := range append([]peerEntry{v.self}, v.others...) {
+		byZone[entry.Zone] = append(byZone[entry.Zone], entry)
+	}
+	zones := make([][]peerEntry, 0, len(byZone))
+	for _, entries := range byZone {
+		slices.SortFunc(entries, compareRelays)
+		zones = append(zones, entries)
+	}
+	slices.SortFunc(zones, func(a, b []peerEntry) int { return compareRelays(a[0], b[0]) })
+	return zones
+}
+
+// compareRelays orders nodes by how likely they are relays.
+func compareRelays(a, b peerEntry) int {
+	return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), compareRank(a, b))
+}
+
 // isRelay reports whether this node reads from the store itself. A node whose
 // view is not complete yet is no relay: in a fleet that is still filling, every
 // node would be one.
--- a/node/relays_test.go
+++ b/node/relays_test.go
@@ -5,6 +5,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"granitehoist.example/granitehoist"
@@ -41,7 +43,7 @@
 		}
 	}
 	relays := map[granitehoist.Incarnation]granitehoist.AvailabilityZone{}
-	fleet := fleetOf(60)
+	fleet := fleetOf(90)
 	for _, p := range fleet {
 		if p.isRelay() {
 			relays[p.settings.self.Incarnation] = p.settings.self.Zone
@@ -61,6 +63,26 @@
 	}
 }
 
+// TestRelayCount checks how many relays fleets of three availability zones have, and
+// that no zone has two more than another.
+func TestRelayCount(t *testing.T) {
+	for _, c := range []struct{ routers, relays int }{{9, 9}, {16, 4}, {30, 4}, {60, 4}, {75, 5}, {90, 6}, {300, 6}} {
+		t.Run(fmt.Sprint(c.routers), func(t *testing.T) {
+			v := fleetOf(c.routers)[0].view()
+			zones := map[granitehoist.AvailabilityZone]int{}
+			for _, entry := range append(slices.Clone(v.others), v.self) {
+				if v.relays()[entry.Box] {
+					zones[entry.Zone]++
+				}
+			}
+			counts := slices.Sorted(maps.Values(zones))
+			if sum := len(v.relays()); sum != c.relays || len(counts) != 3 || counts[2]-counts[0] > 1 {
+				t.Fatalf("%d relays, by zone %v", sum, zones)
+			}
+		})
+	}
+}
+
 // TestFirstStart checks that nobody takes itself for a relay before the list
 // of nodes has had time to fill.
 func TestFirstStart(t *testing.T) {
@@ -78,7 +100,7 @@
 // TestFastRelays checks that relays are the boxes with the fastest links, and that
 // only such a box holds a shard's tokens, which all others ask first.
 func TestFastRelays(t *testing.T) {
-	fleet := fleetOf(60)
+	fleet := fleetOf(90)
 	fast := map[granitehoist.Box]bool{"edge-7": true, "edge-8": true, "edge-9": true, "edge-30": true, "edge-31": true, "edge-32": true}
 	for _, p := range fleet {
 		if fast[p.settings.self.Box] {
