--- a/escrow/refill.go
+++ b/escrow/refill.go
@@ -15,7 +15,7 @@
 	refillBelow = 0.75
 	// holderRefillBelow replaces it at a holder, which refills each of its shards by
 	// a write of its own. Chosen, not measured on its own.
-	holderRefillBelow = 0.5
+	holderRefillBelow = 0.75
 	// joinBelow is the part under which a holding is filled if the record is going
 	// to be written for another workspace anyway. Chosen, not measured (f7eef06).
 	joinBelow = 0.9
