--- a/escrow/ask.go
+++ b/escrow/ask.go
@@ -110,5 +110,5 @@
 	if len(a.waiters) <= 1 {
 		need = max(1, c.bound-max(0, a.owned.free()))
 	}
-	return shortage{workspace: w, need: need, want: need, priority: c.priority}
+	return shortage{workspace: w, need: need, want: need}
 }
--- a/escrow/borrow.go
+++ b/escrow/borrow.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/event"
 )
 
@@ -49,7 +50,7 @@
 	defer cancel()
 	params := LendParams{
 		Borrower: s.settings.Ledger.settings.Incarnation, Workspace: missing.workspace,
-		Need: missing.need, Want: missing.want, Priority: missing.priority, StandIn: lender.StandsIn,
+		Need: missing.need, Want: missing.want, StandIn: lender.StandsIn,
 	}
 	var result LendResult
 	if err := s.settings.Caller.Call(ctx, lender.Peer, MethodLend, params, &result); err != nil {
@@ -69,28 +70,37 @@
 
 // ServeLend answers a neighbour's call of MethodLend. A router that uses the record
 // reserves what the borrower wants as a request does, and so asks the store if it
-// owns too little; if that does not work out in relayWait, or the store is silent
-// already, it lends what it has. A want below the need counts as the need. The error
-// is always nil.
+// owns too little; if that does not work out in relayWait, it lends what it has. One
+// that lends to a whole fleet does not keep the borrower waiting for a store that is
+// silent. A want below the need counts as the need. The error is always nil.
 func (s *Syncer) ServeLend(ctx context.Context, p LendParams) (LendResult, error) {
 	p.Want = max(p.Want, p.Need)
 	ledger, now := s.settings.Ledger, s.settings.Clock()
 	if p.StandIn {
 		ledger.standIn(p.Workspace, now)
 	}
-	if p.Need <= 0 || ledger.Role(p.Workspace, now) == Asks {
+	role := ledger.Role(p.Workspace, now)
+	if p.Need <= 0 || role == Asks {
 		return ledger.Lend(p, now), nil
 	}
-	if ledger.isStoreSilent() {
-		// The borrower is not kept waiting, but the store is tried again.
-		s.Kick()
-		return ledger.Lend(p, now), nil
+	c := claim{bound: p.Want, priority: granitehoist.MaxPriority, loan: true}
+	if s.reserveForLoan(ctx, p.Workspace, c, role) {
+		return ledger.lendReserved(p, p.Want, s.settings.Clock()), nil
+	}
+	return ledger.Lend(p, s.settings.Clock()), nil
+}
+
+// reserveForLoan reserves for a loan, and reports whether it did.
+func (s *Syncer) reserveForLoan(ctx context.Context, w granitehoist.Workspace, c claim, role Role) bool {
+	if role.lends() && s.settings.Ledger.isStoreSilent() {
+		granted := s.settings.Ledger.reserve(w, c, s.settings.Clock())
+		if !granted {
+			// The store is tried again for the next borrower.
+			s.Kick()
+		}
+		return granted
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayWait)
 	defer cancel()
-	c := claim{bound: p.Want, priority: p.Priority, loan: true}
-	if s.reserve(ctx, p.Workspace, c) != Granted {
-		return ledger.Lend(p, s.settings.Clock()), nil
-	}
-	return ledger.lendReserved(p, p.Want, s.settings.Clock()), nil
+	return s.reserve(ctx, w, c) == Granted
 }
--- a/escrow/messages.go
+++ b/escrow/messages.go
@@ -17,9 +17,6 @@
 	// Need is what one request lacks, Want what would serve for a while, in tokens.
 	Need granitehoist.Tokens `json:"need"`
 	Want granitehoist.Tokens `json:"want"`
-	// Priority is that of the request, the highest if there are several. While the
-	// store is silent a lender leaves tokens for more urgent ones.
-	Priority granitehoist.Priority `json:"priority,omitempty"`
 	// StandIn asks the receiver to act as a holder of the workspace for a while,
 	// since the holders did not help.
 	StandIn bool `json:"stand_in,omitempty"`
--- a/escrow/packet.go
+++ b/escrow/packet.go
@@ -54,7 +54,7 @@
 		return shortage{}, false
 	}
 	a.refilling = true
-	return shortage{workspace: w, need: 1, want: packet - max(0, free), priority: granitehoist.MaxPriority}, true
+	return shortage{workspace: w, need: 1, want: packet - max(0, free)}, true
 }
 
 func (l *Ledger) endRefill(w granitehoist.Workspace) {
--- a/escrow/shortage.go
+++ b/escrow/shortage.go
@@ -26,8 +26,6 @@
 	// need is what the lender should have at least, want what would serve for a
 	// while.
 	need, want granitehoist.Tokens
-	// priority is that of the request, or the highest if there are several.
-	priority granitehoist.Priority
 }
 
 // shortageInputs is what a shortage depends on.
@@ -52,5 +50,5 @@
 	if !c.isExposureBounded() {
 		want += granitehoist.Tokens(s.rate * loanCover.Seconds())
 	}
-	return shortage{need: need, want: max(need, want), priority: granitehoist.MaxPriority}
+	return shortage{need: need, want: max(need, want)}
 }
