--- a/escrow/borrow.go
+++ b/escrow/borrow.go
@@ -28,15 +28,18 @@
 	if s.settings.Caller == nil {
 		return
 	}
+	lenders := map[granitehoist.Workspace][]Lender{}
 	for i := range maxLenders {
 		asked := false
 		for _, missing := range s.settings.Ledger.waiterShortages(s.settings.Clock()) {
-			lenders := s.lenders(missing.workspace)
-			if i >= len(lenders) || ctx.Err() != nil {
+			if _, ok := lenders[missing.workspace]; !ok {
+				lenders[missing.workspace] = s.lenders(missing.workspace)
+			}
+			if i >= len(lenders[missing.workspace]) || ctx.Err() != nil {
 				continue
 			}
 			asked = true
-			s.borrowFrom(ctx, lenders[i], missing)
+			s.borrowFrom(ctx, lenders[missing.workspace][i], missing)
 		}
 		if !asked {
 			return
@@ -83,7 +86,7 @@
 	if p.Need <= 0 || role == Asks {
 		return ledger.Lend(p, now), nil
 	}
-	c := claim{bound: p.Want, priority: granitehoist.MaxPriority, loan: true}
+	c := claim{bound: p.Want, priority: granitehoist.MaxPriority, loan: true, counts: role.lends()}
 	if s.reserveForLoan(ctx, p.Workspace, c, role) {
 		return ledger.lendReserved(p, p.Want, s.settings.Clock()), nil
 	}
--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -75,7 +75,7 @@
 // many and the rules of admission allow it. Each success is to be followed by one
 // Settle. It panics if bound is negative.
 func (l *Ledger) Reserve(w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority, now time.Time) bool {
-	return l.reserve(w, claim{bound: bound, priority: priority}, now)
+	return l.reserve(w, claim{bound: bound, priority: priority, counts: true}, now)
 }
 
 // reserve is Reserve for a claim of any kind.
@@ -87,7 +87,6 @@
 	if l.began.IsZero() {
 		l.began = now
 	}
-	c.counts = !c.loan || l.role(w, a, now).lends()
 	if c.counts {
 		a.demand.measure(c.bound, c.priority)
 	}
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -96,7 +96,7 @@
 // Reserve sets bound tokens of a workspace aside. If the router owns too few it
 // waits for a sync or a loan, until ctx ends.
 func (s *Syncer) Reserve(ctx context.Context, w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority) Answer {
-	outcome := s.reserve(ctx, w, claim{bound: bound, priority: priority})
+	outcome := s.reserve(ctx, w, claim{bound: bound, priority: priority, counts: true})
 	s.refill(w)
 	return s.settings.Ledger.answer(w, outcome, s.settings.Clock())
 }
--- a/escrow/waiters_test.go
+++ b/escrow/waiters_test.go
@@ -4,10 +4,14 @@
 package escrow
 
 import (
+	"context"
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/standin"
 )
 
 var _ = Describe("A request that waits for what is reserved for urgent ones", func() {
@@ -26,3 +30,20 @@
 		Expect(waits.outcome).To(Receive(Equal(Granted)))
 	})
 })
+
+var _ = Describe("A request that is granted after a wait", func() {
+	It("counts as demand as one that did not wait", func() {
+		const kiosk = granitehoist.Workspace("kiosk")
+		l := NewLedger(LedgerSettings{Incarnation: "a1"})
+		l.SetLimit(kiosk, 10_000)
+		s := NewSyncer(SyncerSettings{Box: "a", Ledger: l, Store: standin.NewStore(standin.StoreSettings{}), Clock: func() time.Time { return at }})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go s.Run(ctx)
+		Expect(s.Reserve(ctx, kiosk, 900, granitehoist.MaxPriority).Outcome).To(Equal(Granted))
+		s.Settle(kiosk, 900, 800)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		Expect(l.account(kiosk).demand.rate.value(at.Add(rateStep))).To(BeNumerically("~", 800/rateStep.Seconds(), 1))
+	})
+})
