--- a/escrow/bench_test.go
+++ b/escrow/bench_test.go
@@ -69,3 +69,48 @@
 		}
 	}
 }
+
+// BenchmarkHolder is what a holder does for one request of another router: a loan, a
+// part of it repaid, and a write of the record for each hundredth loan, store
+// included. It tells the bytes of the record too, whose size does not depend on the
+// number of routers.
+func BenchmarkHolder(b *testing.B) {
+	for _, routers := range []int{22, 87, 295, 1100} {
+		b.Run(fmt.Sprintf("routers=%d", routers), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			store := standin.NewStore(standin.StoreSettings{Clock: func() time.Time { return now }})
+			holder := newHolder("edge-hall-1", "edge-hall-1-0123456789abcdef01234567", store, func() time.Time { return now })
+			holder.ledger.SetLimit(kiosk, 1<<50)
+			if err := holder.sync(); err != nil {
+				b.Fatal(err)
+			}
+			repaid := make([]granitehoist.Tokens, routers)
+			b.ResetTimer()
+			for i := range b.N {
+				borrower := granitehoist.Incarnation(fmt.Sprintf("edge-hall-%d-0123456789abcdef01234567", i%routers))
+				loan := escrow.LendParams{Borrower: borrower, Workspace: kiosk, Need: 1000, Want: 1000}
+				if _, err := holder.syncer.ServeLend(b.Context(), loan); err != nil {
+					b.Fatal(err)
+				}
+				repaid[i%routers] += 100
+				rest := escrow.RepayParams{Giver: borrower, Workspace: kiosk, Total: repaid[i%routers]}
+				if _, err := holder.syncer.ServeRepay(b.Context(), rest); err != nil {
+					b.Fatal(err)
+				}
+				now = now.Add(time.Millisecond)
+				if i%100 > 0 {
+					continue
+				}
+				if err := holder.sync(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.StopTimer()
+			entry, err := store.Get(b.Context(), escrow.RecordKey)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(len(entry.Value)), "record-bytes")
+		})
+	}
+}
--- a/escrow/contact.go
+++ b/escrow/contact.go
@@ -27,7 +27,7 @@
 	// lastDirectAnswer is when the store last answered this router itself.
 	lastDirectAnswer time.Time
 	// cutOffSince is when a call first failed since the store answered this router
-	// itself, or a relay that called it for this router.
+	// itself, or a holder that it asks.
 	cutOffSince time.Time
 	// outageEnded is when the last outage ended, here or at a neighbour.
 	outageEnded time.Time
@@ -36,12 +36,12 @@
 // answeredDirectly notes that the store answered this router.
 func (c *contact) answeredDirectly(now time.Time) {
 	c.lastDirectAnswer = now
-	c.answeredThroughRelay(now)
+	c.answeredThroughLender(now)
 }
 
-// answeredThroughRelay notes that the store answered this router, or a relay that
-// called it for this router.
-func (c *contact) answeredThroughRelay(now time.Time) {
+// answeredThroughLender notes that the store answered this router, or a holder that
+// it asks.
+func (c *contact) answeredThroughLender(now time.Time) {
 	if c.cutOffTime(now) >= minOutage {
 		c.outageEnded = now
 	}
@@ -86,7 +86,7 @@
 }
 
 // cutOffTime returns for how long the store has not answered this router itself, nor a
-// relay for it; zero if it does.
+// holder that it asks; zero if it does.
 func (c contact) cutOffTime(now time.Time) time.Duration {
 	if c.cutOffSince.IsZero() {
 		return 0
--- a/escrow/contact_test.go
+++ b/escrow/contact_test.go
@@ -44,7 +44,7 @@
 	DescribeTable("ends an outage if it was silent for long enough",
 		func(silence time.Duration, outage bool) {
 			c := failedFor(silence)
-			c.answeredThroughRelay(at)
+			c.answeredThroughLender(at)
 			Expect(c.outageEnded.Equal(at)).To(Equal(outage))
 			Expect(c.cutOffTime(at)).To(BeZero())
 		},
--- a/escrow/doc.go
+++ b/escrow/doc.go
@@ -10,8 +10,8 @@
 // A Record in the store holds, for each workspace and incarnation of a router,
 // the tokens that were ever granted to it and that it ever returned. A router
 // owns what its row grants and others lent it, less what it returned, lent and
-// spent, and spends nothing else. A request reserves the most that it can cost before it is sent to an
-// upstream, and is settled to its use.
+// spent, and spends nothing else. A request reserves the most that it can cost before
+// it is sent to an upstream, and is settled to its use.
 //
 // Rows only grow and each has one writer, so a write whose answer is lost needs
 // no repair: the next read shows whether it took effect, and a write that the
@@ -21,6 +21,15 @@
 // is left of the budget. Loans between routers are totals that only grow, so that
 // messages may be lost, doubled or late.
 //
+// # Who holds tokens
+//
+// In a small fleet every router takes tokens from one record for its own requests
+// (Shares), and routers lend to each other while the store is away. In a large one
+// each shard of the workspaces has a record of its own and one router that takes
+// tokens from it and lends them (Holds); the others borrow for each request (Asks).
+// Role says what a router does for a shard; nothing that is safe depends on it. See
+// docs/design/budgets-at-scale.md for the ways that were weighed.
+//
 // # State
 //
 // Ledger.mu guards all that this router owns and knows of budgets: one account a
@@ -32,9 +41,9 @@
 //   - demand, the rates and sizes of requests;
 //   - ration, what may be spent of the last part of the budget.
 //
-// No call is made while Ledger.mu is held. Syncer.mu is held during a sync, calls
-// included; it guards the record last seen. A sync takes Ledger.mu while it holds
-// Syncer.mu, never the other way around.
+// No call is made while Ledger.mu is held. recordCopy.mu is held during a sync of
+// that record, calls included. A sync takes Ledger.mu while it holds recordCopy.mu,
+// never the other way around.
 //
 // # What it relies on
 //
@@ -47,13 +56,14 @@
 // # Where to begin reading
 //
 // Read owned.go, then ledger.go (reserve and settle), plan.go (what a sync grants
-// and returns), sync.go (how it is written), run.go and round.go (when). The rules
+// and returns), sync.go and recordcopy.go (how it is written), run.go and round.go
+// (when), ask.go (how a router of a large fleet borrows). The rules
 // are functions of their inputs and the time, in files with the reasons for their
 // numbers:
 //
 //   - what is admitted: admit.go, budgetend.go, wait.go;
-//   - where tokens are placed: target.go, exposure.go, refill.go, surplus.go,
-//     loansize.go, shortage.go, due.go;
+//   - where tokens are placed: role.go, shard.go, target.go, exposure.go, refill.go,
+//     packet.go, surplus.go, loansize.go, shortage.go, due.go;
 //   - what is known of the store and other routers: contact.go, fleetview.go;
 //   - what the syncer does: round.go, storefailures.go.
 //
--- a/escrow/export_test.go
+++ b/escrow/export_test.go
@@ -45,6 +45,9 @@
 			lowest = min(lowest, loan)
 		}
 	}
+	if sumOf(o.lent) != o.lentSum || sumOf(o.borrowed) != o.borrowedSum {
+		return fmt.Errorf("the sums %d lent and %d borrowed are wrong", o.lentSum, o.borrowedSum)
+	}
 	if lowest < 0 {
 		return fmt.Errorf("a total is %d", lowest)
 	}
@@ -53,3 +56,11 @@
 	}
 	return nil
 }
+
+func sumOf(loans map[granitehoist.Incarnation]granitehoist.Tokens) granitehoist.Tokens {
+	var total granitehoist.Tokens
+	for _, loan := range loans {
+		total += loan
+	}
+	return total
+}
--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -186,7 +186,7 @@
 	switch {
 	case l.role(w, l.account(w), now) != Asks:
 	case inTouch:
-		l.contact.answeredThroughRelay(now)
+		l.contact.answeredThroughLender(now)
 	default:
 		l.contact.failed(now)
 	}
@@ -200,7 +200,7 @@
 }
 
 // CutOffTime returns for how long the store has answered neither this router itself
-// nor a relay that called for it; zero if it answers. Answer.Silent differs: an
+// nor a holder that it asks; zero if it answers. Answer.Silent differs: an
 // answer to any lender ends that silence.
 func (l *Ledger) CutOffTime(now time.Time) time.Duration {
 	l.mu.Lock()
--- a/escrow/owned.go
+++ b/escrow/owned.go
@@ -30,9 +30,12 @@
 	// the others.
 	spent    granitehoist.Tokens
 	reserved granitehoist.Tokens
-	// lent and borrowed are the totals of all loans by the other's incarnation.
-	lent     map[granitehoist.Incarnation]granitehoist.Tokens
-	borrowed map[granitehoist.Incarnation]granitehoist.Tokens
+	// lent and borrowed are the totals of all loans by the other's incarnation,
+	// lentSum and borrowedSum their sums: a holder lends to hundreds of routers.
+	lent        map[granitehoist.Incarnation]granitehoist.Tokens
+	borrowed    map[granitehoist.Incarnation]granitehoist.Tokens
+	lentSum     granitehoist.Tokens
+	borrowedSum granitehoist.Tokens
 	// limit is the prepaid total in force.
 	limit granitehoist.Tokens
 	// frozen says that the limit was reduced and the record has not been read
@@ -42,7 +45,7 @@
 
 // unreserved returns the tokens that are neither spent nor reserved.
 func (o *owned) unreserved() granitehoist.Tokens {
-	return o.granted - o.returned - o.spent - o.reserved + sum(o.borrowed) - sum(o.lent)
+	return o.granted - o.returned - o.spent - o.reserved + o.borrowedSum - o.lentSum
 }
 
 // free returns the tokens that a request may reserve.
@@ -92,6 +95,7 @@
 		o.lent = map[granitehoist.Incarnation]granitehoist.Tokens{}
 	}
 	o.lent[to] += tokens
+	o.lentSum += tokens
 }
 
 // lendReserved turns a reservation into a loan.
@@ -109,14 +113,7 @@
 	if o.borrowed == nil {
 		o.borrowed = map[granitehoist.Incarnation]granitehoist.Tokens{}
 	}
+	o.borrowedSum += total - o.borrowed[from]
 	o.borrowed[from] = total
 	return true
 }
-
-func sum(loans map[granitehoist.Incarnation]granitehoist.Tokens) granitehoist.Tokens {
-	var total granitehoist.Tokens
-	for _, loan := range loans {
-		total += loan
-	}
-	return total
-}
--- a/escrow/repay.go
+++ b/escrow/repay.go
@@ -40,7 +40,7 @@
 }
 
 // repaySurplus gives what this router has free of workspaces whose holders it asks
-// to the first of them that takes it.
+// to the first lender that takes it.
 func (s *Syncer) repaySurplus(ctx context.Context) {
 	ledger, now := s.settings.Ledger, s.settings.Clock()
 	for _, extra := range ledger.surpluses(s.settings.Routers(), now) {
--- a/node/roles_test.go
+++ b/node/roles_test.go
@@ -194,3 +194,16 @@
 		}
 	})
 }
+
+// BenchmarkRanked is the choice of the holder of a shard, made once for each shard
+// after the list of nodes has changed.
+func BenchmarkRanked(b *testing.B) {
+	for _, routers := range []int{22, 87, 295, 1100} {
+		b.Run(fmt.Sprintf("routers=%d", routers), func(b *testing.B) {
+			v := viewOf(true, nil, numbered(routers)...)
+			for i := range b.N {
+				v.ranked(escrow.Shard(i % 256))
+			}
+		})
+	}
+}
