--- a/escrow/ask.go
+++ b/escrow/ask.go
@@ -31,6 +31,11 @@
 // Calls that are under way then go on, since a loan that arrives late serves the
 // next request.
 func (s *Syncer) ask(ctx context.Context, w granitehoist.Workspace, c claim, entered *waiter) Outcome {
+	select {
+	case outcome := <-entered.outcome:
+		return outcome
+	default:
+	}
 	lenders := s.lendersToAsk(ctx, w)
 	answers := make(chan bool, len(lenders))
 	missing := s.settings.Ledger.requestShortage(w, c)
@@ -61,7 +66,7 @@
 			askNext()
 		}
 	}
-	if !answered {
+	if !answered && len(lenders) > 0 {
 		return s.readRecordFor(ctx, w, entered)
 	}
 	return s.settings.Ledger.abandon(w, entered, s.settings.Clock())
@@ -83,11 +88,12 @@
 }
 
 // lendersToAsk returns the lenders of a workspace. It waits until there are some, or
-// until ctx ends: a router that starts has not read the list of its fleet yet.
+// until ctx ends: a router that starts has not read the list of its fleet yet, and
+// hundreds that start together must not all go to the record.
 func (s *Syncer) lendersToAsk(ctx context.Context, w granitehoist.Workspace) []Lender {
 	for {
 		lenders := s.lenders(w)
-		if len(lenders) > 0 || ctx.Err() != nil || s.settings.Caller == nil {
+		if len(lenders) > 0 || ctx.Err() != nil {
 			return lenders[:min(len(lenders), maxAsked)]
 		}
 		pause.For(ctx, noLenderPause)
--- a/escrow/ask_test.go
+++ b/escrow/ask_test.go
@@ -22,12 +22,15 @@
 type syncerCaller struct {
 	to   *escrow.Syncer
 	lost string
-	// unreachable is an address that nobody reaches, failed counts the calls.
+	// unreachable is an address that nobody reaches, failed counts the calls to it,
+	// calls all.
 	unreachable string
 	failed      int
+	calls       atomic.Int64
 }
 
 func (c *syncerCaller) Call(ctx context.Context, to granitehoist.Peer, method string, params, result any) error {
+	c.calls.Add(1)
 	if c.unreachable != "" && to.Address == c.unreachable {
 		c.failed++
 		return granitehoist.ErrUnknown
@@ -147,6 +150,23 @@
 		Expect(line.failed).To(BeNumerically("<=", 3))
 	})
 
+	It("asks nobody again for a budget of which a holder has just said that it is spent", func() {
+		holder.ledger.SetLimit(kiosk, 1000)
+		Expect(holder.sync()).To(Succeed())
+		syncer := asking(line, "k1")
+		Expect(request(syncer, 5000, 0)).To(Equal(escrow.Exhausted))
+		asked := line.calls.Load()
+		Expect(request(syncer, 5000, 0)).To(Equal(escrow.Exhausted))
+		Expect(line.calls.Load()).To(Equal(asked))
+	})
+
+	It("waits for the list of its fleet and does not go to the record without it", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		Expect(asking(line).Reserve(ctx, kiosk, 1000, normal).Outcome).NotTo(Equal(escrow.Granted))
+		Expect(recordOf(store).Accounts[kiosk].Rows).NotTo(HaveKey(granitehoist.Incarnation("b1")))
+	})
+
 	It("asks the next one when a holder is slow", func() {
 		syncer := asking(&slowCaller{Caller: line, fast: "k1", slow: 2 * time.Second}, "slow", "k1")
 		began := time.Now()
