Let one holder a shard pay for the requests of a large fleet

Cause: on a large fleet a caller who paid was refused because the tokens lay in pieces at hundreds of routers, each holding for a demand that it could not know; one lender wrote one record for all, and requests waited behind the loans of other workspaces. Followers stormed a store that was away; small "large" fleets had as many relays as half of their routers. Change: each of 256 shards of the workspaces has a record of its own and one holder, chosen by rendezvous hashing, that sees the whole demand; all others borrow for each request, from a router that stands in if the holder does not help, in packets where many requests come to one router. The one record is divided by compare-and-swap, with old and new routers side by side. Routers call a store that is away from three relays once in 2.5 s. One relay for 15 routers.

--- a/escrow/export_test.go
+++ b/escrow/export_test.go
@@ -14,12 +14,9 @@
 // Enter enters a request that waits, as Syncer.Reserve does, and returns where
 // its outcome arrives.
 func (l *Ledger) Enter(w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority, now time.Time) <-chan Outcome {
-	return l.addWaiter(w, claim{bound: bound, priority: priority}, now).outcome
+	return l.addWaiter(w, claim{bound: bound, priority: priority, counts: true}, now).outcome
 }
 
-// AskRelays and RepaySurplus do one step of a syncer that does not write the record.
-func AskRelays(s *Syncer) { s.askRelays(context.Background()) }
-
 // RepaySurplus gives back what the syncer's ledger holds beyond its needs.
 func RepaySurplus(s *Syncer) { s.repaySurplus(context.Background()) }
 
@@ -48,6 +45,9 @@
 			lowest = min(lowest, loan)
 		}
 	}
+	if sumOf(o.lent) != o.lentSum || sumOf(o.borrowed) != o.borrowedSum {
+		return fmt.Errorf("the sums %d lent and %d borrowed are wrong", o.lentSum, o.borrowedSum)
+	}
 	if lowest < 0 {
 		return fmt.Errorf("a total is %d", lowest)
 	}
@@ -56,3 +56,11 @@
 	}
 	return nil
 }
+
+func sumOf(loans map[granitehoist.Incarnation]granitehoist.Tokens) granitehoist.Tokens {
+	var total granitehoist.Tokens
+	for _, loan := range loans {
+		total += loan
+	}
+	return total
+}
--- a/escrow/holdings.go
+++ b/escrow/holdings.go
@@ -4,6 +4,7 @@
 package escrow
 
 import (
+	"slices"
 	"time"
 
 	"granitehoist.example/granitehoist"
@@ -13,59 +14,80 @@
 // holds mu.
 func (l *Ledger) conditions(routers int, now time.Time) conditions {
 	c := conditions{
-		now: now, routers: max(1, routers), cover: l.settings.Cover, startPart: startPart, sharePart: sharePart,
+		now: now, routers: max(1, routers), cover: l.settings.Cover,
+		startPart: startPart, sharePart: sharePart, sparePart: sparePart,
 		exposedPart: exposedPart(l.contact.outageEnded, now), closing: l.closing,
 	}
-	if l.settings.LendsToAll != nil && l.settings.LendsToAll() {
-		c = c.lendingToAll()
-	}
 	if !l.began.IsZero() {
 		c.confidence = min(1, now.Sub(l.began).Seconds()/rateTime.Seconds())
 	}
 	return c
 }
 
-// mustSync reports whether requests wait or a limit has changed.
-func (l *Ledger) mustSync() bool {
+// neededShards returns the shards of which a sync is worth a call: requests wait, a
+// limit has changed, or a holding needs one. If there is none and the store has not
+// been heard of for a while, it is one of those for which this router uses the
+// record. A router that uses it for none needs none.
+func (l *Ledger) neededShards(routers int, now time.Time) []Shard {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, a := range l.accounts {
-		if len(a.waiters) > 0 || a.owned.frozen || a.limitChanged {
-			return true
+	all := l.conditions(routers, now)
+	var needed, used []Shard
+	for w, a := range l.accounts {
+		c := all.as(l.role(w, a, now))
+		if !a.usesRecord(c) {
+			continue
+		}
+		used = append(used, ShardOf(w))
+		if a.mustSync() || a.storeReturn(a.fleet.record.remaining, c).needsSync(c) {
+			needed = append(needed, ShardOf(w))
 		}
 	}
-	return false
+	if len(needed) == 0 && len(used) > 0 && isRecordOld(l.contact.lastDirectAnswer, now) {
+		return used[:1]
+	}
+	slices.Sort(needed)
+	return slices.Compact(needed)
 }
 
-// due reports whether a sync is worth a call: the record is old, or a holding needs
-// one.
-func (l *Ledger) due(routers int, now time.Time) bool {
+// usedShards returns the shards for which this router uses the record.
+func (l *Ledger) usedShards(now time.Time) []Shard {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if isRecordOld(l.contact.lastDirectAnswer, now) {
-		return true
-	}
-	c := l.conditions(routers, now)
-	for _, a := range l.accounts {
-		if a.storeReturn(a.fleet.record.remaining, c).needsSync(c) {
-			return true
+	all := l.conditions(0, now)
+	var used []Shard
+	for w, a := range l.accounts {
+		if a.usesRecord(all.as(l.role(w, a, now))) {
+			used = append(used, ShardOf(w))
 		}
 	}
-	return false
+	slices.Sort(used)
+	return slices.Compact(used)
 }
 
-// anyLow reports whether a holding is low or requests wait. The caller holds mu.
-func (l *Ledger) anyLow(c conditions) bool {
-	for _, a := range l.accounts {
+// mustSync reports whether requests wait or the limit has changed.
+func (a *account) mustSync() bool {
+	return len(a.waiters) > 0 || a.owned.frozen || a.limitChanged
+}
+
+// anyLow reports whether a holding of a scope is low or requests wait. The caller
+// holds mu.
+func (l *Ledger) anyLow(in scope, all conditions) bool {
+	for w, a := range l.accounts {
+		c := all.as(l.role(w, a, all.now))
+		if !in.covers(w) || !a.usesRecord(c) {
+			continue
+		}
 		target := a.target(a.fleet.record.remaining, c)
-		if len(a.waiters) > 0 || isLow(a.owned.unreserved(), target, refillBelow) {
+		if len(a.waiters) > 0 || isLow(a.owned.unreserved(), target, c.refillBelow()) {
 			return true
 		}
 	}
 	return false
 }
 
-// waiterShortages returns what requests wait for, by workspace.
+// waiterShortages returns what requests wait for, by workspace. Those of a router
+// that asks holders ask by themselves (Syncer.ask).
 func (l *Ledger) waiterShortages(now time.Time) []shortage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -73,7 +95,7 @@
 	c := l.conditions(0, now)
 	var shortages []shortage
 	for w, a := range l.accounts {
-		if len(a.waiters) == 0 || a.owned.frozen {
+		if len(a.waiters) == 0 || a.owned.frozen || l.role(w, a, now) == Asks {
 			continue
 		}
 		short := a.shortageInputs(c).forWaiters(c)
@@ -83,65 +105,44 @@
 	return shortages
 }
 
-// holdingShortages returns what a router behind relays asks them for, by workspace.
-func (l *Ledger) holdingShortages(routers int, now time.Time) []shortage {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c := l.conditions(routers, now).behindRelay()
-	var shortages []shortage
-	for w, a := range l.accounts {
-		a.routers = routers
-		if short := a.shortageInputs(c).forHolding(); short.want > 0 {
-			short.workspace = w
-			shortages = append(shortages, short)
-		}
-	}
-	return shortages
-}
-
-// holdingShortage returns what a router behind relays asks them for in one workspace.
-func (l *Ledger) holdingShortage(w granitehoist.Workspace, routers int, now time.Time) shortage {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c := l.conditions(routers, now).behindRelay()
-	short := l.account(w).shortageInputs(c).forHolding()
-	short.workspace = w
-	return short
-}
-
-// surpluses returns what a router that does not write the record holds beyond
-// its needs, by workspace.
+// surpluses returns what this router has free and does not need, by workspace: where
+// it asks holders what is beyond two packets and worth a call, elsewhere nothing
+// unless it stops.
 func (l *Ledger) surpluses(routers int, now time.Time) []surplus {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.conditions(routers, now).behindRelay()
 	var found []surplus
 	for w, a := range l.accounts {
 		free := a.owned.free()
-		if free <= 0 || len(a.waiters) > 0 {
+		if free <= 0 || len(a.waiters) > 0 || (l.role(w, a, now) != Asks && !l.closing) {
 			continue
 		}
-		target := a.target(a.fleet.remainingInStore(a.owned.limit), c)
+		extra := free - 2*a.packet(now)
 		if l.closing {
-			target = 0
+			extra = free
 		}
-		if tokens := surplusOf(free, target, a.owned.limit); tokens > 0 {
-			found = append(found, surplus{w, tokens})
+		if isSurplus(extra, a.owned.limit, routers) || l.closing {
+			found = append(found, surplus{w, extra})
 		}
 	}
 	return found
 }
 
-// noteRelaysAsked notes that relays were asked, and reports whether the record is
-// not needed as well. It is needed after a reduction of a limit, and while requests
-// wait and no relay is in touch with the store.
-func (l *Ledger) noteRelaysAsked(inTouch bool) bool {
+// hasFree reports whether anything is free.
+func (l *Ledger) hasFree() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	done := true
 	for _, a := range l.accounts {
-		a.limitChanged = false
-		done = done && !a.owned.frozen && (inTouch || len(a.waiters) == 0)
+		if a.owned.free() > 0 {
+			return true
+		}
 	}
-	return done
+	return false
+}
+
+// noteForsaken notes that no lender answered for a workspace.
+func (l *Ledger) noteForsaken(w granitehoist.Workspace) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.account(w).forsaken = true
 }
--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -33,10 +33,9 @@
 	// Cover is the time of spending at the present rate that a router holds
 	// tokens for; zero means DefaultCover.
 	Cover time.Duration
-	// LendsToAll reports whether this router takes tokens from the store for all
-	// others and lends to them. Nil means that it does not. It is called with the
-	// ledger's lock held and must not call the ledger.
-	LendsToAll func() bool
+	// Role returns this router's role for the workspaces of a shard; nil means Shares
+	// for all. It is called with the ledger's lock held and must not call the ledger.
+	Role func(Shard) Role
 }
 
 // NewLedger returns an empty ledger. It panics if the settings have no
@@ -76,7 +75,7 @@
 // many and the rules of admission allow it. Each success is to be followed by one
 // Settle. It panics if bound is negative.
 func (l *Ledger) Reserve(w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority, now time.Time) bool {
-	return l.reserve(w, claim{bound: bound, priority: priority}, now)
+	return l.reserve(w, claim{bound: bound, priority: priority, counts: true}, now)
 }
 
 // reserve is Reserve for a claim of any kind.
@@ -88,7 +87,7 @@
 	if l.began.IsZero() {
 		l.began = now
 	}
-	if !c.loan {
+	if c.counts {
 		a.demand.measure(c.bound, c.priority)
 	}
 	if a.judgeEnd(c, now).withholds() {
@@ -105,8 +104,10 @@
 		return false
 	}
 	a.owned.reserve(c.bound)
-	if !c.loan {
+	if c.counts {
 		a.demand.rate.add(c.bound, l.began, now)
+	}
+	if !c.loan {
 		a.ration = a.ration.less(c.bound)
 	}
 	return true
@@ -177,12 +178,18 @@
 	l.contact.answeredDirectly(now)
 }
 
-// noteRelayAnswer notes that a relay that is in touch with the store called it
-// for this router.
-func (l *Ledger) noteRelayAnswer(now time.Time) {
+// noteHolder notes whether a holder that this router asked is in touch with the
+// store, which such a router does not call itself.
+func (l *Ledger) noteHolder(w granitehoist.Workspace, inTouch bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.contact.answeredThroughRelay(now)
+	switch {
+	case l.role(w, l.account(w), now) != Asks:
+	case inTouch:
+		l.contact.answeredThroughLender(now)
+	default:
+		l.contact.failed(now)
+	}
 }
 
 // noteStoreFailure notes that a call to the store failed.
@@ -193,7 +200,7 @@
 }
 
 // CutOffTime returns for how long the store has answered neither this router itself
-// nor a relay that called for it; zero if it answers. Answer.Silent differs: an
+// nor a holder that it asks; zero if it answers. Answer.Silent differs: an
 // answer to any lender ends that silence.
 func (l *Ledger) CutOffTime(now time.Time) time.Duration {
 	l.mu.Lock()
--- a/escrow/plan.go
+++ b/escrow/plan.go
@@ -21,28 +21,41 @@
 	limit     granitehoist.Tokens
 }
 
+// usesRecord decides whether this router reads and writes the record for an account:
+// always unless it asks holders. It does so too after the limit was reduced, when
+// it stops, and when no lender answers.
+func (a *account) usesRecord(c conditions) bool {
+	return c.role != Asks || a.owned.frozen || c.closing || a.forsaken
+}
+
 // isWrite reports whether the record has to be written.
 func (p plan) isWrite() bool { return len(p) > 0 }
 
-// prepare writes into r the grants and returns that the rules ask for; see nextRow.
-// routers is the number of routers that share the budgets. Returns are deducted at
-// once; grants only count when confirm is called with the record that has them.
-func (l *Ledger) prepare(r *Record, routers int, now time.Time) plan {
+// prepare writes into r, the record of a scope, the grants and returns that the rules
+// ask for; see nextRow. routers is the number of routers that share the budgets.
+// Returns are deducted at once; grants only count when confirm is called with the
+// record that has them.
+func (l *Ledger) prepare(r *Record, in scope, routers int, now time.Time) plan {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := plan{}
-	c := l.conditions(routers, now)
-	lowBelow := refillBelow
-	if l.anyLow(c) {
-		lowBelow = joinBelow
-	}
+	all := l.conditions(routers, now)
+	anyLow := l.anyLow(in, all)
 	self := l.settings.Incarnation
 	for w, a := range l.accounts {
+		c := all.as(l.role(w, a, now))
+		if !in.covers(w) || !a.usesRecord(c) {
+			continue
+		}
 		stored := r.account(w)
 		row := stored.Rows[self]
 		a.owned.confirmGranted(row.Granted)
 		a.demand.othersRate = float64(stored.rateElsewhere(self))
 		remaining := a.owned.limit - stored.Taken()
+		lowBelow := c.refillBelow()
+		if anyLow {
+			lowBelow = joinBelow
+		}
 		next := a.nextRow(row, remaining, c, lowBelow)
 		after := remaining - (next.Granted - row.Granted) + (next.Returned - row.Returned)
 		if isRowStale(row, next, remaining, a.owned.limit) {
@@ -52,8 +65,7 @@
 		a.lastTarget = a.target(remaining, c)
 		a.routers = routers
 		a.fleet.record = recordView{
-			remaining: after, idleElsewhere: stored.IdleElsewhere(self), idleAtBorrowers: a.demand.borrowersIdle("", now),
-			readAt: now, valid: true,
+			remaining: after, idleElsewhere: stored.IdleElsewhere(self), readAt: now, valid: true,
 		}
 	}
 	return p
@@ -66,7 +78,7 @@
 func (a *account) nextRow(row Row, remaining granitehoist.Tokens, c conditions, lowBelow float64) Row {
 	next := row
 	next.Spent = a.owned.spent
-	next.Rate = granitehoist.Tokens(a.demand.rate.value(c.now) + a.demand.borrowersRate(c.now))
+	next.Rate = granitehoist.Tokens(a.demand.rate.value(c.now))
 	a.owned.returnToStore(a.storeReturn(remaining, c).tokens(c))
 	next.Returned = a.owned.returned
 	if !c.closing {
@@ -76,12 +88,17 @@
 	return next
 }
 
-// confirm finishes a sync whose outcome is known; r is the record as the store has
-// it now.
-func (l *Ledger) confirm(r *Record, now time.Time) {
+// confirm finishes a sync whose outcome is known; r is the record of a scope as the
+// store has it now.
+func (l *Ledger) confirm(r *Record, in scope, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	c := l.conditions(0, now)
 	for w, a := range l.accounts {
+		if !in.covers(w) || !a.usesRecord(c.as(l.role(w, a, now))) {
+			continue
+		}
+		a.forsaken = false
 		if stored, ok := r.Accounts[w]; ok {
 			a.owned.confirmGranted(stored.Rows[l.settings.Incarnation].Granted)
 		}
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,15 +20,12 @@
 	settings SyncerSettings
 	kicks    chan struct{}
 
-	// mu is held during a sync, its calls included, and guards what follows.
-	mu sync.Mutex
-	// lastEntry is the record as it last was in the store, if lastEntryValid is
-	// set: after a write of unknown outcome it has to be read again.
-	lastEntry      granitehoist.Entry
-	lastEntryValid bool
+	// copies holds the records as they were last seen.
+	copies copies
 	// failures counts the failed syncs in a row. A conflict is no failure: the
-	// store has answered.
-	failures int
+	// store has answered. reached says that the store has ever answered.
+	failures atomic.Int64
+	reached  atomic.Bool
 
 	// avoiding guards avoided, which holds by address until when a neighbour that
 	// did not answer is not asked.
@@ -42,17 +40,13 @@
 	Store  granitehoist.Store
 	// Routers returns the number of routers that share the budgets.
 	Routers func() int
-	// Lenders returns the neighbours that may lend, the likeliest first, and
-	// Caller reaches them; nil borrows from nobody.
-	Lenders func() []granitehoist.Peer
+	// Divides reports whether the fleet is so large that its record is divided into
+	// shards, which is not undone; nil means that it is not.
+	Divides func() bool
+	// Lenders returns the neighbours that may lend the tokens of a shard, the
+	// likeliest first, and Caller reaches them; nil borrows from nobody.
+	Lenders func(Shard) []Lender
 	Caller  granitehoist.Caller
-	// Writes reports whether this router reads and writes the record without being
-	// asked. One that does not borrows from relays, and uses the record only when
-	// they don't help. Nil means always, as does a nil Lenders or Caller.
-	Writes func() bool
-	// Serves reports whether it is a relay, which uses the record when others ask
-	// for loans. Nil means the same as Writes.
-	Serves func() bool
 	// Interval is how often Run checks the holdings; zero means DefaultInterval.
 	Interval time.Duration
 	// Timeout bounds a call to the store; zero means DefaultTimeout.
@@ -81,11 +75,8 @@
 	if s.Routers == nil {
 		s.Routers = func() int { return 1 }
 	}
-	if s.Writes == nil || s.Lenders == nil || s.Caller == nil {
-		s.Writes = func() bool { return true }
-	}
-	if s.Serves == nil {
-		s.Serves = s.Writes
+	if s.Divides == nil {
+		s.Divides = func() bool { return false }
 	}
 	if s.Clock == nil {
 		s.Clock = time.Now
@@ -96,13 +87,17 @@
 	if s.Synced == nil {
 		s.Synced = func(error) {}
 	}
-	return &Syncer{settings: s, kicks: make(chan struct{}, 1), avoided: map[string]time.Time{}}
+	return &Syncer{
+		settings: s, kicks: make(chan struct{}, 1), avoided: map[string]time.Time{},
+		copies: copies{whole: recordCopy{key: RecordKey}},
+	}
 }
 
 // Reserve sets bound tokens of a workspace aside. If the router owns too few it
 // waits for a sync or a loan, until ctx ends.
 func (s *Syncer) Reserve(ctx context.Context, w granitehoist.Workspace, bound granitehoist.Tokens, priority granitehoist.Priority) Answer {
-	outcome := s.reserve(ctx, w, claim{bound: bound, priority: priority})
+	outcome := s.reserve(ctx, w, claim{bound: bound, priority: priority, counts: true})
+	s.refill(w)
 	return s.settings.Ledger.answer(w, outcome, s.settings.Clock())
 }
 
@@ -112,7 +107,15 @@
 		return Granted
 	}
 	entered := s.settings.Ledger.addWaiter(w, c, s.settings.Clock())
+	if s.settings.Ledger.Role(w, s.settings.Clock()) == Asks && !c.loan {
+		return s.ask(ctx, w, c, entered)
+	}
 	s.Kick()
+	return s.wait(ctx, w, entered)
+}
+
+// wait returns the outcome of a request that waits, at the end of ctx at the latest.
+func (s *Syncer) wait(ctx context.Context, w granitehoist.Workspace, entered *waiter) Outcome {
 	select {
 	case outcome := <-entered.outcome:
 		return outcome
@@ -138,14 +141,18 @@
 // Chosen, not measured (ed11c68).
 const handOverTimeout = 300 * time.Millisecond
 
-// Close returns what is free to the store, or hands it over to neighbours if the
-// store does not take it: at once while the store is silent, as there is little
-// time. After a write of unknown outcome the tokens are already deducted, and
-// nothing is left to hand over. Only tokens that come free afterwards can still
-// be reserved. The error is that of the store; tokens that were handed over are
-// not lost though there is one.
+// Close returns what is free: to holders where this router asks them, else to the
+// store, or to neighbours if the store does not take it; at once while the store is
+// silent, as there is little time. After a write of unknown outcome the tokens are
+// already deducted, and nothing is left to hand over. Only tokens that come free
+// afterwards can still be reserved. The error is that of the store; tokens that
+// were handed over are not lost though there is one.
 func (s *Syncer) Close(ctx context.Context) error {
 	s.settings.Ledger.Close()
+	s.repaySurplus(ctx)
+	if !s.settings.Ledger.hasFree() {
+		return nil
+	}
 	err := error(granitehoist.ErrUnavailable)
 	if !s.settings.Ledger.isStoreSilent() {
 		err = s.Sync(ctx)
--- a/follow/relay_test.go
+++ b/follow/relay_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -53,6 +54,17 @@
 	return l.calls[address]
 }
 
+// watchCounter counts the watches of a store, also those that fail.
+type watchCounter struct {
+	granitehoist.Store
+	watches atomic.Int64
+}
+
+func (s *watchCounter) Watch(ctx context.Context, prefix string, after granitehoist.Version, wait time.Duration) ([]granitehoist.Entry, granitehoist.Version, error) {
+	s.watches.Add(1)
+	return s.Store.Watch(ctx, prefix, after, wait)
+}
+
 func peersAt(addresses ...string) func() []granitehoist.Peer {
 	var peers []granitehoist.Peer
 	for _, address := range addresses {
@@ -204,4 +216,29 @@
 		}()
 		Expect(relay.Updates(context.Background(), at, 10*time.Second).Entries).To(HaveLen(1))
 	})
+
+	It("does not storm a store that is away from all of its relays, and is told when it is back", func() {
+		relayStore := standin.NewStore(standin.StoreSettings{Watch: 100 * time.Millisecond})
+		_, err := relayStore.CompareAndSwap(context.Background(), granitehoist.Change{Key: "p/a", Value: []byte("1")})
+		Expect(err).NotTo(HaveOccurred())
+		for _, address := range []string{"a", "b", "c"} {
+			Eventually(values(run(address, follow.Settings{Store: relayStore}))).Should(ConsistOf("1"))
+		}
+		away := &watchCounter{Store: cutStore}
+		f := run("f", follow.Settings{Store: away, Relays: peersAt("a", "b", "c")})
+		Eventually(values(f)).Should(ConsistOf("1"))
+		relayStore.Fail(standin.StoreFaults{Down: true})
+		// The relays' copies are old from 1.5 s on; a call that began before is held
+		// for 0.4 s.
+		time.Sleep(2 * time.Second)
+		before := away.watches.Load()
+		time.Sleep(2 * time.Second)
+		Expect(away.watches.Load() - before).To(BeNumerically("<=", 2))
+		relayStore.Fail(standin.StoreFaults{})
+		entry, err := relayStore.Get(context.Background(), "p/a")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = relayStore.CompareAndSwap(context.Background(), granitehoist.Change{Key: "p/a", Value: []byte("2"), Expect: entry.Version})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(values(f)).WithTimeout(2 * time.Second).Should(ConsistOf("2"))
+	})
 })
--- a/node/node.go
+++ b/node/node.go
@@ -21,7 +21,9 @@
 
 // Node is one router process. Its methods are safe for concurrent use.
 type Node struct {
+	// config holds the settings at the start, live those that Reload may change.
 	config      *Config
+	live        atomic.Pointer[liveSettings]
 	adapter     Adapter
 	log         *zap.Logger
 	clock       granitehoist.Clock
@@ -32,6 +34,8 @@
 	configs   *configCopy
 	instances *instanceCopy
 	servers   *servers
+	// prober bounds the calls of the followers to a store that is away.
+	prober follow.Prober
 
 	// leaving is set once, by Stop. shedding is set by watchLink only.
 	leaving  atomic.Bool
@@ -60,6 +64,7 @@
 		incarnation: granitehoist.Incarnation(granitehoist.NewID(string(c.Box)+"-", rand.Reader)),
 		counters:    newCounters(),
 	}
+	n.live.Store(liveOf(c))
 	n.adapter.Store = &countedStore{Store: a.Store, count: n.counters.noteStoreCall}
 	current := &catalog.Current{}
 	n.parts = newParts(n, selfEntry(c, n.incarnation, open.peers.Addr().String()), current)
@@ -85,6 +90,7 @@
 	s.Relays = n.parts.peers.relaysToAsk
 	s.Neighbours = n.parts.peers.neighboursToAsk
 	s.Updates = n.askUpdates
+	s.Prober = &n.prober
 	s.Clock = n.clock
 	s.Log = n.log
 	return follow.New(s)
--- a/node/relays_test.go
+++ b/node/relays_test.go
@@ -5,9 +5,12 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/escrow"
 )
 
 // fleetOf returns the peers of each node of a fleet in three availability zones.
@@ -35,12 +38,12 @@
 // a large one agree on two a zone and ask those of their own zone first.
 func TestRelays(t *testing.T) {
 	for _, p := range fleetOf(9) {
-		if !p.isRelay() || !p.writesRecord() || len(p.relaysToAsk()) > 0 || p.sharers() != 9 {
-			t.Fatalf("%s: direct %v, writes %v, relays %v, %d sharers", p.settings.self.Box, p.isRelay(), p.writesRecord(), p.relaysToAsk(), p.sharers())
+		if !p.isRelay() || p.role(some) != escrow.Shares || len(p.relaysToAsk()) > 0 || p.routers() != 9 {
+			t.Fatalf("%s: direct %v, role %v, relays %v, %d routers", p.settings.self.Box, p.isRelay(), p.role(some), p.relaysToAsk(), p.routers())
 		}
 	}
 	relays := map[granitehoist.Incarnation]granitehoist.AvailabilityZone{}
-	fleet := fleetOf(60)
+	fleet := fleetOf(90)
 	for _, p := range fleet {
 		if p.isRelay() {
 			relays[p.settings.self.Incarnation] = p.settings.self.Zone
@@ -60,6 +63,26 @@
 	}
 }
 
+// TestRelayCount checks how many relays fleets of three availability zones have, and
+// that no zone has two more than another.
+func TestRelayCount(t *testing.T) {
+	for _, c := range []struct{ routers, relays int }{{9, 9}, {16, 4}, {30, 4}, {60, 4}, {75, 5}, {90, 6}, {300, 6}} {
+		t.Run(fmt.Sprint(c.routers), func(t *testing.T) {
+			v := fleetOf(c.routers)[0].view()
+			zones := map[granitehoist.AvailabilityZone]int{}
+			for _, entry := range append(slices.Clone(v.others), v.self) {
+				if v.relays()[entry.Box] {
+					zones[entry.Zone]++
+				}
+			}
+			counts := slices.Sorted(maps.Values(zones))
+			if sum := len(v.relays()); sum != c.relays || len(counts) != 3 || counts[2]-counts[0] > 1 {
+				t.Fatalf("%d relays, by zone %v", sum, zones)
+			}
+		})
+	}
+}
+
 // TestFirstStart checks that nobody takes itself for a relay before the list
 // of nodes has had time to fill.
 func TestFirstStart(t *testing.T) {
@@ -74,10 +97,10 @@
 	}
 }
 
-// TestFastRelays checks that relays are the boxes with the fastest links, and
-// that a single one of them writes the record of the budgets.
+// TestFastRelays checks that relays are the boxes with the fastest links, and that
+// only such a box holds a shard's tokens, which all others ask first.
 func TestFastRelays(t *testing.T) {
-	fleet := fleetOf(60)
+	fleet := fleetOf(90)
 	fast := map[granitehoist.Box]bool{"edge-7": true, "edge-8": true, "edge-9": true, "edge-30": true, "edge-31": true, "edge-32": true}
 	for _, p := range fleet {
 		if fast[p.settings.self.Box] {
@@ -89,25 +112,24 @@
 			}
 		}
 	}
-	writers := 0
+	holders := map[granitehoist.Incarnation]bool{}
 	for _, p := range fleet {
 		if p.isRelay() != fast[p.settings.self.Box] {
 			t.Fatalf("%s: direct %v", p.settings.self.Box, p.isRelay())
 		}
-		if p.writesRecord() {
-			writers++
+		if p.role(some) == escrow.Holds {
+			holders[p.settings.self.Incarnation] = fast[p.settings.self.Box]
 		}
 		if relays := p.relaysToAsk(); p.isRelay() == (len(relays) == 6) {
 			t.Fatalf("%s has relays %v", p.settings.self.Box, relays)
 		}
 	}
-	if writers != 1 {
-		t.Fatalf("%d writers", writers)
+	if len(holders) != 1 {
+		t.Fatalf("holders %v", holders)
 	}
-	first := fleet[0].lenders()[0]
 	for _, p := range fleet {
-		if lender := p.lenders()[0]; !p.writesRecord() && lender != first {
-			t.Fatalf("%s asks %v first and not %v", p.settings.self.Box, lender, first)
+		if first := p.lenders(some)[0].Incarnation; !holders[first] && p.role(some) != escrow.Holds {
+			t.Fatalf("%s asks %v first, holders are %v", p.settings.self.Box, first, holders)
 		}
 	}
 }
--- a/node/roles_test.go
+++ b/node/roles_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/escrow"
 )
 
 // viewOf returns the view that the first of the given boxes has of the others,
@@ -44,78 +45,165 @@
 
 // roles is what a node does in the fleet.
 type roles struct {
-	relay, writes  bool
-	sharers, asked int
+	relay bool
+	asked int
+	// tokens is its role for the tokens of the shard some.
+	tokens escrow.Role
 }
 
+// some is a shard.
+const some = escrow.Shard(7)
+
 func expectRoles(t *testing.T, v fleetView, want roles) {
 	t.Helper()
-	got := roles{relay: v.isRelay(), writes: v.writesRecord(), sharers: v.sharers(), asked: len(v.relaysToAsk())}
+	got := roles{relay: v.isRelay(), asked: len(v.relaysToAsk()), tokens: v.role(v.ranked(some))}
 	if got != want {
 		t.Fatalf("%s of %d: %+v, not %+v", v.self.Box, v.size(), got, want)
 	}
 }
 
-// TestRoles checks which nodes are relays, who writes the record, with how many
-// it is shared and how many relays are asked. Boxes are numbered by rank.
+// TestRoles checks which nodes are relays, how many relays are asked and which node
+// holds a shard. Boxes are numbered by rank.
 func TestRoles(t *testing.T) {
 	small, large := numbered(largeFleet-1), numbered(largeFleet)
+	holder := slices.Index(large, viewOf(true, nil, large...).ranked(some)[0].Box)
+	other := (holder + 1) % 2
 	cases := []struct {
 		name     string
 		complete bool
 		boxes    []granitehoist.Box
 		want     roles
 	}{
-		{"alone", true, numbered(1), roles{relay: true, writes: true, sharers: 1}},
-		{"small fleet, lowest rank", true, startingWith(small, 0), roles{relay: true, writes: true, sharers: 15}},
-		{"small fleet, highest rank", true, startingWith(small, 14), roles{relay: true, writes: true, sharers: 15}},
-		{"large fleet, lowest rank", true, startingWith(large, 0), roles{relay: true, writes: true, sharers: 1}},
-		{"large fleet, second relay", true, startingWith(large, 1), roles{relay: true, sharers: 16}},
-		{"large fleet, behind relays", true, startingWith(large, 2), roles{sharers: 16, asked: 2}},
-		{"small fleet, view not complete", false, startingWith(small, 0), roles{sharers: 15}},
-		{"large fleet, view not complete", false, startingWith(large, 5), roles{sharers: 16}},
+		{"alone", true, numbered(1), roles{relay: true, tokens: escrow.Shares}},
+		{"small fleet, lowest rank", true, startingWith(small, 0), roles{relay: true, tokens: escrow.Shares}},
+		{"small fleet, highest rank", true, startingWith(small, 14), roles{relay: true, tokens: escrow.Shares}},
+		{"large fleet, the holder", true, startingWith(large, holder), roles{relay: holder < 2, asked: 2 * min(1, holder/2), tokens: escrow.Holds}},
+		{"large fleet, a relay", true, startingWith(large, other), roles{relay: true, tokens: escrow.Asks}},
+		{"small fleet, view not complete", false, startingWith(small, 0), roles{tokens: escrow.Asks}},
+		{"large fleet, view not complete", false, startingWith(large, holder), roles{tokens: escrow.Asks}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { expectRoles(t, viewOf(c.complete, nil, c.boxes...), c.want) })
 	}
 }
 
-func expectLenders(t *testing.T, v fleetView, next int, want ...granitehoist.Box) {
+// halls returns the boxes' availability zones, in turn of count.
+func halls(boxes []granitehoist.Box, count int) map[granitehoist.Box]granitehoist.AvailabilityZone {
+	zones := map[granitehoist.Box]granitehoist.AvailabilityZone{}
+	for i, box := range boxes {
+		zones[box] = granitehoist.AvailabilityZone(fmt.Sprint("hall-", i%count))
+	}
+	return zones
+}
+
+func expectRanked(t *testing.T, v fleetView, shard escrow.Shard, want []peerEntry) {
 	t.Helper()
-	var got []granitehoist.Box
-	for _, lender := range v.lenders(next) {
-		for _, other := range v.others {
-			if other.peer() == lender {
-				got = append(got, other.Box)
+	if got := v.ranked(shard); !slices.Equal(got, want) {
+		t.Fatalf("%s ranks %v for %d, not %v", v.self.Box, got, shard, want)
+	}
+}
+
+// TestRanked checks which nodes hold a shard's tokens and stand in for each other.
+func TestRanked(t *testing.T) {
+	boxes := numbered(60)
+	zones := halls(boxes, 3)
+	v := viewOf(true, zones, boxes...)
+	t.Run("all nodes agree", func(t *testing.T) {
+		for i := range boxes {
+			expectRanked(t, viewOf(true, zones, startingWith(boxes, i)...), some, v.ranked(some))
+		}
+	})
+	t.Run("nobody stands twice", func(t *testing.T) {
+		for shard := range escrow.Shard(256) {
+			ranked := boxesOf(v.ranked(shard))
+			if slices.Sort(ranked); len(slices.Compact(ranked)) != rankedPerShard {
+				t.Fatalf("%d: %v", shard, ranked)
+			}
+		}
+	})
+	t.Run("shards are spread over the nodes", func(t *testing.T) {
+		held := map[granitehoist.Box]int{}
+		for shard := range escrow.Shard(6000) {
+			held[v.ranked(shard)[0].Box]++
+		}
+		// 100 for each in the mean; the standard deviation of a fair draw is 10.
+		for _, box := range boxes {
+			if held[box] < 60 || held[box] > 140 {
+				t.Fatalf("%s holds %d", box, held[box])
+			}
+		}
+	})
+	t.Run("a box that leaves moves only what it held", func(t *testing.T) {
+		gone := v.ranked(some)[0].Box
+		left := viewOf(true, zones, slices.DeleteFunc(slices.Clone(boxes), func(b granitehoist.Box) bool { return b == gone })...)
+		for shard := range escrow.Shard(256) {
+			if before := v.ranked(shard); !slices.Contains(boxesOf(before), gone) {
+				expectRanked(t, left, shard, before)
+			}
+		}
+	})
+	t.Run("boxes with slow links hold nothing", func(t *testing.T) {
+		v := viewOf(true, zones, boxes...)
+		for i := range v.others {
+			v.others[i].LinkMbps = 10
+		}
+		v.self.LinkMbps, v.others[0].LinkMbps = 200, 100
+		for shard := range escrow.Shard(50) {
+			if ranked := boxesOf(v.ranked(shard)); len(ranked) != 2 {
+				t.Fatalf("%d: %v", shard, ranked)
 			}
 		}
+	})
+	t.Run("a node alone holds all", func(t *testing.T) {
+		alone := viewOf(true, nil, "edge-0")
+		expectRanked(t, alone, some, []peerEntry{alone.self})
+	})
+}
+
+func boxesOf(entries []peerEntry) []granitehoist.Box {
+	var boxes []granitehoist.Box
+	for _, entry := range entries {
+		boxes = append(boxes, entry.Box)
 	}
-	if !slices.Equal(got, want) {
-		t.Fatalf("lenders from %d on: %v, not %v", next, got, want)
+	return boxes
+}
+
+func expectLenders(t *testing.T, v fleetView, want []escrow.Lender) {
+	t.Helper()
+	if got := v.lenders(v.ranked(some)); !slices.Equal(got, want) {
+		t.Fatalf("%s asks %v, not %v", v.self.Box, got, want)
 	}
 }
 
 // TestLenders checks in which order neighbours are asked for a loan.
 func TestLenders(t *testing.T) {
-	t.Run("alone", func(t *testing.T) { expectLenders(t, viewOf(true, nil, "edge-0"), 3) })
-	t.Run("a small fleet: by rank, the same for all calls", func(t *testing.T) {
+	t.Run("alone", func(t *testing.T) { expectLenders(t, viewOf(true, nil, "edge-0"), nil) })
+	t.Run("a small fleet: by rank", func(t *testing.T) {
 		boxes := numbered(4)
 		v := viewOf(true, nil, boxes[3], boxes[2], boxes[0], boxes[1])
-		for next := range 4 {
-			expectLenders(t, v, next, boxes[0], boxes[1], boxes[2])
-		}
+		expectLenders(t, v, lendersOf([]peerEntry{v.others[1], v.others[2], v.others[0]}))
 	})
-	t.Run("a large fleet: relays, the own zone in turn, other zones", func(t *testing.T) {
-		boxes := numbered(largeFleet)
-		zones := map[granitehoist.Box]granitehoist.AvailabilityZone{}
-		for _, box := range boxes[6:] {
-			zones[box] = "attic"
+	t.Run("a large fleet: the holder, then those that stand in, without oneself", func(t *testing.T) {
+		boxes := numbered(60)
+		ranked := viewOf(true, nil, boxes...).ranked(some)
+		all := lendersOf(ranked)
+		all[1].StandsIn, all[2].StandsIn = true, true
+		for i, box := range boxes {
+			want := slices.DeleteFunc(slices.Clone(all), func(l escrow.Lender) bool { return l.Incarnation == granitehoist.Incarnation(box)+"-1" })
+			expectLenders(t, viewOf(true, nil, startingWith(boxes, i)...), want)
 		}
-		relays := []granitehoist.Box{boxes[0], boxes[1], boxes[6], boxes[7]}
-		v := viewOf(true, zones, startingWith(boxes, 2)...)
-		own, far := boxes[3:6], boxes[8:]
-		expectLenders(t, v, 0, slices.Concat(relays, own, far)...)
-		fromThird := slices.Concat(relays, []granitehoist.Box{boxes[4], boxes[5], boxes[3]}, far)
-		expectLenders(t, v, 3, fromThird...)
 	})
 }
+
+// BenchmarkRanked is the choice of the holder of a shard, made once for each shard
+// after the list of nodes has changed.
+func BenchmarkRanked(b *testing.B) {
+	for _, routers := range []int{22, 87, 295, 1100} {
+		b.Run(fmt.Sprintf("routers=%d", routers), func(b *testing.B) {
+			v := viewOf(true, nil, numbered(routers)...)
+			for i := range b.N {
+				v.ranked(escrow.Shard(i % 256))
+			}
+		})
+	}
+}
