--- a/escrow/repay.go
+++ b/escrow/repay.go
@@ -33,8 +33,11 @@
 
 // repayLoop gives holders back what requests left over, until ctx ends.
 func (s *Syncer) repayLoop(ctx context.Context) {
-	for ctx.Err() == nil {
+	for {
 		pause.For(ctx, untilNextLook(s.settings.Interval, rand.Float64()))
+		if ctx.Err() != nil {
+			return
+		}
 		s.repaySurplus(ctx)
 	}
 }
