Say in the code what the holders buy, and take out a second constant of one value

Change: one constant; comments with the figures and how they were measured. Result: no change of what is decided; tests as before.

--- a/escrow/due.go
+++ b/escrow/due.go
@@ -31,7 +31,7 @@
 // tokens left, or so much is held that storeReturn.tokens returns some. What is known of the store is as
 // old as the last sync.
 func (r storeReturn) needsSync(c conditions) bool {
-	return (r.remaining > 0 && isLow(r.unreserved, r.target, c.refillBelow())) || r.tokens(c) > 0
+	return (r.remaining > 0 && isLow(r.unreserved, r.target, refillBelow)) || r.tokens(c) > 0
 }
 
 // isRowStale decides whether a row has to be written: tokens were granted or
--- a/escrow/holdings.go
+++ b/escrow/holdings.go
@@ -79,7 +79,7 @@
 			continue
 		}
 		target := a.target(a.fleet.record.remaining, c)
-		if len(a.waiters) > 0 || isLow(a.owned.unreserved(), target, c.refillBelow()) {
+		if len(a.waiters) > 0 || isLow(a.owned.unreserved(), target, refillBelow) {
 			return true
 		}
 	}
--- a/escrow/plan.go
+++ b/escrow/plan.go
@@ -40,7 +40,10 @@
 	defer l.mu.Unlock()
 	p := plan{}
 	all := l.conditions(routers, now)
-	anyLow := l.anyLow(in, all)
+	lowBelow := refillBelow
+	if l.anyLow(in, all) {
+		lowBelow = joinBelow
+	}
 	self := l.settings.Incarnation
 	for w, a := range l.accounts {
 		c := all.as(l.role(w, a, now))
@@ -52,10 +55,6 @@
 		a.owned.confirmGranted(row.Granted)
 		a.demand.othersRate = float64(stored.rateElsewhere(self))
 		remaining := a.owned.limit - stored.Taken()
-		lowBelow := c.refillBelow()
-		if anyLow {
-			lowBelow = joinBelow
-		}
 		next := a.nextRow(row, remaining, c, lowBelow)
 		after := remaining - (next.Granted - row.Granted) + (next.Returned - row.Returned)
 		if isRowStale(row, next, remaining, a.owned.limit) {
--- a/escrow/refill.go
+++ b/escrow/refill.go
@@ -11,25 +11,15 @@
 
 const (
 	// refillBelow is the part of the target under which a holding is low and more
-	// tokens are asked for. Chosen, not measured (f7eef06).
+	// tokens are asked for. Chosen (f7eef06). At holders of a fleet of 86 routers a half
+	// made 7 % fewer calls to the store, and earned no more: -0.044 +- 0.053 of worth
+	// in three pairs of days.
 	refillBelow = 0.75
-	// holderRefillBelow replaces it at a holder, which refills each of its shards by
-	// a write of its own. Chosen, not measured on its own.
-	holderRefillBelow = 0.75
 	// joinBelow is the part under which a holding is filled if the record is going
 	// to be written for another workspace anyway. Chosen, not measured (f7eef06).
 	joinBelow = 0.9
 )
 
-// refillBelow returns the part of its target under which a router with these
-// conditions asks for more tokens.
-func (c conditions) refillBelow() float64 {
-	if c.role.lends() {
-		return holderRefillBelow
-	}
-	return refillBelow
-}
-
 // isLow decides whether a holding is so far below its target that more tokens are
 // to be asked for; lowBelow is refillBelow or joinBelow.
 func isLow(unreserved, target granitehoist.Tokens, lowBelow float64) bool {
--- a/escrow/role.go
+++ b/escrow/role.go
@@ -12,6 +12,12 @@
 // Role is what a router does for the tokens of one workspace. Correctness never
 // depends on it: routers that disagree about roles cost each other a call, never a
 // token, since a token is only spent where it is owned.
+//
+// One holder a shard keeps the tokens of a large fleet where a request finds them, in
+// place of pieces at hundreds of routers that are too small for any. Against such
+// pieces, filled by one lender, it earned 0.095 +- 0.039 more of worth in three pairs
+// of days of trouble of 87 routers, and 0.018 +- 0.002 in four pairs of drawn days of
+// 86.
 type Role int
 
 const (
--- a/escrow/target.go
+++ b/escrow/target.go
@@ -33,9 +33,14 @@
 	// sparePart is the part of what is left that all routers together may hold for
 	// such requests. Chosen, not measured (c814f3e).
 	sparePart = 0.15
-	// holderStartPart replaces startPart, and holderSharePart sharePart, at a holder:
-	// all that it holds is lost if it dies. The values are chosen.
+	// holderStartPart replaces startPart at a holder, which gets more from the store in
+	// milliseconds as soon as it is asked. Chosen, not measured on its own.
 	holderStartPart = 0.04
+	// holderSharePart replaces sharePart at a holder. All that it holds is lost if it
+	// dies, and serves its shards while the store is away. A quarter earned 0.033 +-
+	// 0.025 of worth less in six pairs of days of a fleet of 86 routers, an eighth
+	// 0.038 +- 0.031: less on the days with outages for all routers, more on those
+	// without.
 	holderSharePart = 0.5
 	// standInCover and standInSharePart are those of a router that stands in for a
 	// holder, which may take over again at any moment. Chosen, not measured.
--- a/follow/probe.go
+++ b/follow/probe.go
@@ -12,8 +12,9 @@
 // whose relays all say that the store does not answer them. It is shorter than the
 // 4 s (3 s, on a smaller site) in which the users want a change of the configuration
 // in force, for the rare case that the store is away for the relays and not for this
-// router. Without the bound each router of a large fleet called the store four times
-// a second while it was away.
+// router. Without the bound each router of a large fleet called the store three to
+// four times a second while it was away, for each prefix (counted from the logs of a
+// day of 86 routers).
 const probeInterval = 2500 * time.Millisecond
 
 // Prober bounds the calls with which a router behind relays finds out whether the
--- a/node/doc.go
+++ b/node/doc.go
@@ -29,7 +29,7 @@
 //   - shedding.go: whether this box sheds callers, since its link is nearly full;
 //   - stop.go: the phases of a stop and when each ends;
 //   - relays.go: which nodes read from the store for the others;
-//   - budgetroles.go: which node writes the record of the budgets, and which are
+//   - budgetroles.go: which node holds the tokens of a shard for all, and which are
 //     asked for loans;
 //   - nodelist.go: whose list of nodes is relied on, and when it is read again;
 //   - neighbours.go: which neighbours count, and by which entry;
