Yield while a round of the large fleet's test runs

Cause: beside eight busy loops the test that runs the rounds itself took 14 s in one run and refused 0.875: it kept its processor from the goroutine that it waited for. Change: it yields after each round; the bound of 0.1 has its grounds beside it.

--- a/escrow/largefleet_test.go
+++ b/escrow/largefleet_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"runtime"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -31,7 +32,7 @@
 	limit   granitehoist.Tokens
 	boxes   []*box
 	dead    map[granitehoist.Incarnation]bool
-	rounds  map[granitehoist.Incarnation]*escrow.Rounds
+	rounds  map[*box]*escrow.Rounds
 	byName  map[granitehoist.Incarnation]*box
 	lenders []escrow.Lender
 	// asked and refused count the requests, paid the tokens of those that were
@@ -56,7 +57,7 @@
 func newLargeFleet(seed uint64, limit granitehoist.Tokens) *largeFleet {
 	f := &largeFleet{
 		random: rand.New(rand.NewPCG(seed, 3)), limit: limit,
-		dead: map[granitehoist.Incarnation]bool{}, rounds: map[granitehoist.Incarnation]*escrow.Rounds{}, byName: map[granitehoist.Incarnation]*box{},
+		dead: map[granitehoist.Incarnation]bool{}, rounds: map[*box]*escrow.Rounds{}, byName: map[granitehoist.Incarnation]*box{},
 	}
 	f.store = standin.NewStore(standin.StoreSettings{Clock: f.clock})
 	for i := range 3 {
@@ -91,7 +92,7 @@
 	})}
 	f.boxes = append(f.boxes, b)
 	f.byName[name] = b
-	f.rounds[name] = &escrow.Rounds{}
+	f.rounds[b] = &escrow.Rounds{}
 }
 
 // Call implements granitehoist.Caller.
@@ -128,6 +129,7 @@
 			return reply, err
 		default:
 			f.round(receiver)
+			runtime.Gosched()
 		}
 	}
 }
@@ -136,11 +138,7 @@
 func (f *largeFleet) round(b *box) {
 	f.running.Lock()
 	defer f.running.Unlock()
-	for name, each := range f.byName {
-		if each == b {
-			f.rounds[name].Run(b.syncer)
-		}
-	}
+	f.rounds[b].Run(b.syncer)
 }
 
 // run lets requests arrive at random routers for a while. Each is used in full or in
@@ -221,6 +219,8 @@
 		It("pays for nearly all requests of an outage of the store"+name, func() {
 			f.run(10 * time.Second)
 			f.store.Fail(standin.StoreFaults{Down: true})
+			// The holder has between three quarters of 9 s of the demand and all of it
+			// when the outage begins, so that up to 16 % of 8 s may find nothing.
 			Expect(f.refusedIn(largeFleetOutage)).To(BeNumerically("<", 0.1))
 			f.store.Fail(standin.StoreFaults{})
 			f.pass(time.Second)
