--- a/escrow/ask.go
+++ b/escrow/ask.go
@@ -15,11 +15,11 @@
 	// maxAsked bounds the lenders that are asked for one request: the holder and two
 	// that stand in for it. Chosen, not measured.
 	maxAsked = 3
-	// hedgeAfter is how long a lender may take before the next one is asked as well.
+	// DefaultHedgeAfter is how long a lender may take before the next one is asked as well.
 	// Chosen, not measured: several times a call between two routers of a region
 	// with a write of the record, and a third of the time that the most urgent
 	// requests of the users' sites wait for tokens.
-	hedgeAfter = 30 * time.Millisecond
+	DefaultHedgeAfter = 30 * time.Millisecond
 	// noLenderPause is the time between two looks for lenders while a router that
 	// starts knows of none. Chosen, not measured.
 	noLenderPause = 10 * time.Millisecond
@@ -50,7 +50,7 @@
 		go func() { answers <- s.borrowFrom(context.WithoutCancel(ctx), lender, missing) }()
 	}
 	askNext()
-	hedge := time.NewTicker(hedgeAfter)
+	hedge := time.NewTicker(s.settings.HedgeAfter)
 	defer hedge.Stop()
 	for pending > 0 {
 		select {
--- a/escrow/borrow.go
+++ b/escrow/borrow.go
@@ -17,10 +17,10 @@
 	// maxLenders bounds the neighbours that are asked for one shortage. Chosen, not
 	// measured (e36d45a).
 	maxLenders = 12
-	// lendWait is how long a lender waits for the store on behalf of a neighbour;
+	// DefaultLendWait is how long a lender waits for the store on behalf of a neighbour;
 	// it leaves most of the neighbour's lendTimeout to the network and to another
 	// lender. Chosen, not measured (c1de361).
-	lendWait = 45 * time.Millisecond
+	DefaultLendWait = 45 * time.Millisecond
 )
 
 // borrow asks neighbours, one after the other, until no request waits.
@@ -73,7 +73,7 @@
 
 // ServeLend answers a neighbour's call of MethodLend. A router that uses the record
 // reserves what the borrower wants as a request does, and so asks the store if it
-// owns too little; if that does not work out in lendWait, it lends what it has. One
+// owns too little; if that does not work out in LendWait, it lends what it has. One
 // that lends to a whole fleet does not keep the borrower waiting for a store that is
 // silent. A want below the need counts as the need. The error is always nil.
 func (s *Syncer) ServeLend(ctx context.Context, p LendParams) (LendResult, error) {
@@ -103,7 +103,7 @@
 		}
 		return granted
 	}
-	ctx, cancel := context.WithTimeout(ctx, lendWait)
+	ctx, cancel := context.WithTimeout(ctx, s.settings.LendWait)
 	defer cancel()
 	return s.reserve(ctx, w, c) == Granted
 }
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -51,8 +51,14 @@
 	Interval time.Duration
 	// Timeout bounds a call to the store; zero means DefaultTimeout.
 	Timeout time.Duration
-	Clock   granitehoist.Clock
-	Log     *zap.Logger
+	// LendWait is how long this router waits for the store on behalf of a neighbour;
+	// zero means DefaultLendWait.
+	LendWait time.Duration
+	// HedgeAfter is how long a lender may take before the next one is asked as well;
+	// zero means DefaultHedgeAfter.
+	HedgeAfter time.Duration
+	Clock      granitehoist.Clock
+	Log        *zap.Logger
 	// Synced, if set, is called with the result of each sync. It must not call the
 	// syncer.
 	Synced func(error)
@@ -72,6 +78,8 @@
 	}
 	defaults.Set(&s.Interval, DefaultInterval)
 	defaults.Set(&s.Timeout, DefaultTimeout)
+	defaults.Set(&s.LendWait, DefaultLendWait)
+	defaults.Set(&s.HedgeAfter, DefaultHedgeAfter)
 	if s.Routers == nil {
 		s.Routers = func() int { return 1 }
 	}
