Obey evacuations, cold upstreams, homes and lives of upstreams

Change: one rule of eligibility in balance, which attempts, retries, resumed streams and affinity all pass: zones that are evacuated and regions that are no home are excluded; a cold upstream gets half of what it bears, shared by the routers without a message (a draw for each second). Of an evacuated zone that comes back all upstreams count as cold for 2 s. Entries that can't be read are logged once. born decides which life an announcement is of.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,8 +24,14 @@
 	Capacity int
 	// Draining instances finish the requests that they have and get no new one.
 	Draining bool
-	// Cold instances are slow for a while after their start.
-	Cold bool
+	// ColdFor is for how much longer the instance was cold when it announced itself:
+	// it then bears only so many requests a second (Query.ColdPerSecond). Zero says
+	// that it is warm.
+	ColdFor time.Duration
+	// Born is when this life of the instance began, in milliseconds since 1970; zero
+	// where the announcement does not say. An instance that starts again may keep its
+	// ID: of two announcements the one with the later Born is of a new life.
+	Born int64
 	// Version is the store's version of the announcement.
 	Version granitehoist.Version
 }
@@ -36,6 +42,8 @@
 	Zone granitehoist.AvailabilityZone
 	// Seed seeds the random choice among equals.
 	Seed uint64
+	// Regions holds the region of each availability zone.
+	Regions map[granitehoist.AvailabilityZone]granitehoist.Region
 }
 
 // Table holds the instances of all services, and for each instance this
@@ -50,6 +58,8 @@
 	random    *rand.Rand
 	services  map[granitehoist.Service]*serviceState
 	instances map[granitehoist.Upstream]*instanceState
+	// evacuated holds the zones whose instances get no attempt.
+	evacuated map[granitehoist.AvailabilityZone]bool
 }
 
 // instanceState is an instance with what this router observed of it. The lock of its
@@ -63,6 +73,10 @@
 	unreadTokens granitehoist.Tokens
 	// removedAt is when its announcement was removed; zero while it is there.
 	removedAt time.Time
+	// coldUntil is when it is expected to be warm; zero if it never was cold.
+	coldUntil time.Time
+	// admitted is what this router may send it in the present second while it is cold.
+	admitted coldAdmission
 	// idHash is the hash of its ID, for the choice of a prefix's owner.
 	idHash uint64
 	// eventGap follows the milliseconds between two events of its streams.
@@ -81,5 +95,6 @@
 		random:    rand.New(rand.NewPCG(s.Seed, 1)),
 		services:  map[granitehoist.Service]*serviceState{},
 		instances: map[granitehoist.Upstream]*instanceState{},
+		evacuated: map[granitehoist.AvailabilityZone]bool{},
 	}
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -20,7 +20,7 @@
 	newTable := func(count int) *balance.Table {
 		t := balance.New(balance.Settings{Seed: 1})
 		for i := range count {
-			t.Announce(balance.Instance{ID: granitehoist.Upstream(fmt.Sprintf("i-%d", i)), Service: pool, Capacity: 64, Version: 1})
+			t.Announce(balance.Instance{ID: granitehoist.Upstream(fmt.Sprintf("i-%d", i)), Service: pool, Capacity: 64, Version: 1}, now)
 		}
 		return t
 	}
@@ -51,11 +51,11 @@
 
 	It("never is one that drains, was tried or has moved", func() {
 		t := newTable(3)
-		t.Announce(balance.Instance{ID: "i-0", Service: pool, Capacity: 64, Version: 2, Draining: true})
+		t.Announce(balance.Instance{ID: "i-0", Service: pool, Capacity: 64, Version: 2, Draining: true}, now)
 		for range 20 {
 			Expect(pick(t, balance.Query{Tried: map[granitehoist.Upstream]bool{"i-1": true}}).ID).To(Equal(granitehoist.Upstream("i-2")))
 		}
-		t.Announce(balance.Instance{ID: "i-0", Service: pool, Capacity: 64, Version: 1})
+		t.Announce(balance.Instance{ID: "i-0", Service: pool, Capacity: 64, Version: 1}, now)
 		for range 20 {
 			Expect(pick(t, balance.Query{}).ID).NotTo(Equal(granitehoist.Upstream("i-0")))
 		}
--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -19,7 +19,7 @@
 			now := time.Unix(1000, 0)
 			t := balance.New(balance.Settings{})
 			for i := range count {
-				t.Announce(balance.Instance{ID: granitehoist.Upstream(fmt.Sprint("i-", i)), Service: "pool", Capacity: 64})
+				t.Announce(balance.Instance{ID: granitehoist.Upstream(fmt.Sprint("i-", i)), Service: "pool", Capacity: 64}, now)
 			}
 			for i := range b.N {
 				lease, err := t.Pick(balance.Query{Service: "pool", PrefixHash: uint64(i), PrefixTokens: 5000, PromptTokens: 6000}, now)
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -15,7 +15,8 @@
 
 const (
 	// excluded instances get no attempt: they drain, this request has tried them,
-	// or their announcement was removed too long ago.
+	// their zone is evacuated, their region is no home of the request, they are cold
+	// and got enough, or their announcement was removed too long ago.
 	excluded eligibility = iota
 	// removed instances have lost their announcement less than removedGrace ago.
 	removed
@@ -25,12 +26,38 @@
 	live
 )
 
-// eligibility decides whether an instance may get an attempt of a request that has
-// tried the instances in tried. The announcement that it reads is as old as this
-// router's copy of the store.
-func (s *instanceState) eligibility(tried map[granitehoist.Upstream]bool, now time.Time) eligibility {
+// bars is what keeps instances from an attempt whatever their own state is, and what
+// the decision on cold ones depends on.
+type bars struct {
+	now time.Time
+	// tried holds the instances that the request was sent to.
+	tried map[granitehoist.Upstream]bool
+	// evacuated holds the zones that get nothing, as this router's copy of the
+	// operators' orders has them.
+	evacuated map[granitehoist.AvailabilityZone]bool
+	homes     []Homes
+	regions   map[granitehoist.AvailabilityZone]granitehoist.Region
+	cold      coldShare
+}
+
+// bars returns what keeps instances from an attempt of a query. The caller holds mu.
+func (t *Table) bars(q *Query, now time.Time) bars {
+	return bars{
+		now: now, tried: q.Tried, evacuated: t.evacuated, homes: q.Homes, regions: t.settings.Regions,
+		cold: coldShare{perSecond: shareOfCold(q.ColdPerSecond, q.Routers), random: t.random},
+	}
+}
+
+// eligibility decides whether an instance may get an attempt. The announcement that
+// it reads is as old as this router's copy of the store.
+func (s *instanceState) eligibility(b bars) eligibility {
+	now := b.now
 	switch {
-	case tried[s.ID] || s.Draining:
+	case b.tried[s.ID] || s.Draining || b.evacuated[s.Zone]:
+		return excluded
+	case !allAllow(b.homes, b.regions[s.Zone]):
+		return excluded
+	case s.isCold(now) && !s.admitsCold(b.cold, now):
 		return excluded
 	case !s.removedAt.IsZero() && usableAfterRemoval(s.removedAt, now):
 		return removed
@@ -47,12 +74,12 @@
 // since a try there may succeed and a refusal can't; if there is none either, those
 // that were removed lately. It returns none if all are excluded. The result has
 // the order of states, on which the random choice among equals depends.
-func candidates(states []*instanceState, tried map[granitehoist.Upstream]bool, now time.Time) []*instanceState {
+func candidates(states []*instanceState, b bars) []*instanceState {
 	liveStates := make([]*instanceState, 0, len(states))
 	var removedStates []*instanceState
 	var endsFirst *instanceState
 	for _, s := range states {
-		switch s.eligibility(tried, now) {
+		switch s.eligibility(b) {
 		case live:
 			liveStates = append(liveStates, s)
 		case ejected:
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -22,6 +22,14 @@
 	// Pause is the longest pause between events that the route allows; zero sets no
 	// bound.
 	Pause time.Duration
+	// ColdPerSecond is the number of requests a second, of all routers together, that
+	// a cold instance of the service bears; zero sets no bound.
+	ColdPerSecond float64
+	// Routers is the number of routers that share ColdPerSecond; zero stands for one.
+	Routers int
+	// Homes holds the regions that the request may be sent to, once for each rule that
+	// names some: all of them bind.
+	Homes []Homes
 	// heavy and prefersSlow are what isHeavy and prefersSlow decide (slow.go),
 	// which Pick takes for each query.
 	heavy, prefersSlow bool
@@ -38,7 +46,7 @@
 	defer t.mu.Unlock()
 	service := t.service(q.Service)
 	service.markSlow(now)
-	choices := candidates(service.instances, q.Tried, now)
+	choices := candidates(service.instances, t.bars(&q, now))
 	if len(choices) == 0 {
 		return nil, granitehoist.Errorf(granitehoist.NoUpstream, "service %s", q.Service)
 	}
@@ -95,5 +103,8 @@
 	lease := &Lease{Instance: s.Instance, Owner: s == owner, Load: s.inFlight, table: t, state: s, unreadTokens: unread, picked: now, Heavy: q.heavy, Slow: s.slow}
 	s.inFlight++
 	s.unreadTokens += unread
+	if s.isCold(now) {
+		s.admitted.take()
+	}
 	return lease
 }
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -13,9 +13,9 @@
 // One attempt: choose an instance, send the request to its address, report the
 // result.
 func Example() {
-	table := balance.New(balance.Settings{Zone: "north"})
-	table.Announce(balance.Instance{ID: "i-1", Service: "answers", Address: "10.0.0.1:80", Zone: "north", Version: 1})
 	now := time.Unix(1000, 0)
+	table := balance.New(balance.Settings{Zone: "north"})
+	table.Announce(balance.Instance{ID: "i-1", Service: "answers", Address: "10.0.0.1:80", Zone: "north", Version: 1}, now)
 	lease, err := table.Pick(balance.Query{Service: "answers"}, now)
 	if err != nil {
 		fmt.Println(err)
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -43,7 +43,7 @@
 		l.observeReading(now)
 		l.readPrompt()
 	} else {
-		l.observePause(now.Sub(l.lastEvent), count)
+		l.observePause(count, now)
 	}
 	l.lastEvent = now
 }
@@ -62,11 +62,12 @@
 	}
 }
 
-// observePause records the pause before events that arrived together. The caller
+// observePause records the pause before events that arrived together now. The caller
 // holds the table's lock.
-func (l *Lease) observePause(pause time.Duration, events int) {
+func (l *Lease) observePause(events int, now time.Time) {
+	pause := now.Sub(l.lastEvent)
 	l.longestPause = max(l.longestPause, pause)
-	if !l.state.Cold {
+	if !l.state.isCold(now) {
 		l.state.eventGap.observe(inMilliseconds(pause)/float64(events), gapPart)
 	}
 }
--- a/balance/membership.go
+++ b/balance/membership.go
@@ -11,27 +11,32 @@
 	"granitehoist.example/granitehoist"
 )
 
-// Announce records an instance's announcement. It returns the announcement that
-// it replaces and whether there was one. An announcement older than the recorded
-// one changes nothing. Any other cancels an earlier removal.
-func (t *Table) Announce(i Instance) (before Instance, found bool) {
+// Announce records an instance's announcement, which arrived now. It returns the
+// announcement that it replaces and whether there was one. An announcement that is
+// older than the recorded one, or of an earlier life, changes nothing. Any other
+// cancels an earlier removal. One of a new life begins with nothing observed, and
+// attempts that began in the life before say nothing of it.
+func (t *Table) Announce(i Instance, now time.Time) (before Instance, found bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, found := t.instances[i.ID]
-	if !found {
-		s = &instanceState{idHash: xxhash.Sum64String(string(i.ID))}
-		t.instances[i.ID] = s
+	if found {
+		before = s.Instance
 	}
-	before = s.Instance
-	if found && i.Version < before.Version {
+	if found && isOutdated(i, before) {
 		return before, true
 	}
-	if found && before.Service != i.Service {
+	if found && (before.Service != i.Service || isNewLife(i, before)) {
 		t.unlist(s)
 	}
+	if !found || isNewLife(i, before) {
+		s = &instanceState{idHash: xxhash.Sum64String(string(i.ID))}
+		t.instances[i.ID] = s
+	}
 	s.Instance = i
 	s.removedAt = time.Time{}
-	if !found || before.Service != i.Service {
+	s.coldUntil = coldUntil(i.ColdFor, now)
+	if !found || before.Service != i.Service || isNewLife(i, before) {
 		service := t.service(i.Service)
 		service.instances = append(service.instances, s)
 		service.slowAt = time.Time{}
@@ -39,6 +44,19 @@
 	return before, found
 }
 
+// isOutdated decides whether an announcement is older than another of the same ID, by
+// the store's version of the two or by the life that they are of.
+func isOutdated(i, than Instance) bool {
+	return i.Version < than.Version || (i.Born != 0 && i.Born < than.Born)
+}
+
+// isNewLife decides whether an announcement is of a later life than the one before. One
+// that does not say when its life began goes on with the life before, and so does the
+// first that says so: what was observed is as likely of it.
+func isNewLife(i, before Instance) bool {
+	return before.Born != 0 && i.Born > before.Born
+}
+
 // Remove records that an instance's announcement was removed from the store. It
 // returns the instance and whether the table had it. A second removal does not
 // extend the time for which the instance may be used.
--- a/balance/slow_test.go
+++ b/balance/slow_test.go
@@ -57,7 +57,7 @@
 	newTable := func() *Table {
 		t := New(Settings{Seed: 1})
 		for i := range 6 {
-			t.Announce(Instance{ID: granitehoist.Upstream(fmt.Sprintf("i-%d", i)), Service: pool, Capacity: 64, Version: 1})
+			t.Announce(Instance{ID: granitehoist.Upstream(fmt.Sprintf("i-%d", i)), Service: pool, Capacity: 64, Version: 1}, noon)
 			gap := 20 * time.Millisecond
 			if i < 2 {
 				gap = 30 * time.Millisecond
@@ -107,7 +107,7 @@
 		fresh := New(Settings{Seed: 2})
 		fresh.NoteHints(hints)
 		for i := range 6 {
-			fresh.Announce(Instance{ID: granitehoist.Upstream(fmt.Sprintf("i-%d", i)), Service: pool, Version: 1})
+			fresh.Announce(Instance{ID: granitehoist.Upstream(fmt.Sprintf("i-%d", i)), Service: pool, Version: 1}, noon)
 		}
 		picked := pickMany(fresh, heavy)
 		Expect(picked["i-0"] + picked["i-1"]).To(BeZero())
@@ -115,7 +115,7 @@
 
 	It("learns nothing of cold ones", func() {
 		t := New(Settings{})
-		t.Announce(Instance{ID: "i-0", Service: pool, Cold: true})
+		t.Announce(Instance{ID: "i-0", Service: pool, ColdFor: time.Minute}, noon)
 		lease, err := t.Pick(Query{Service: pool}, now)
 		Expect(err).NotTo(HaveOccurred())
 		lease.Events(1, now)
--- a/catalog/document.go
+++ b/catalog/document.go
@@ -69,6 +69,9 @@
 	Affinity bool
 	// Resume says that a stream that broke off may continue at another upstream.
 	Resume bool
+	// Homes are the only regions whose upstreams may get its requests; none set no
+	// bound.
+	Homes []granitehoist.Region
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -89,6 +92,9 @@
 	// TokensPerEvent is the most tokens that one event of a stream holds; zero
 	// where events are not counted.
 	TokensPerEvent granitehoist.Tokens
+	// ColdPerSecond is the number of requests a second, of all routers together, that
+	// an upstream bears while it is cold; zero sets no bound.
+	ColdPerSecond float64
 }
 
 // Workspace is a customer and its rights.
@@ -100,6 +106,8 @@
 	// Priority replaces that of the route if HasPriority is set.
 	Priority    granitehoist.Priority
 	HasPriority bool
+	// Homes are as those of a route. Both bind where both have some.
+	Homes []granitehoist.Region
 	// Prepaid is the total that the workspace may ever spend, if Limited is set.
 	Prepaid granitehoist.Tokens
 	Limited bool
--- a/forward/active.go
+++ b/forward/active.go
@@ -211,7 +211,13 @@
 
 // query returns the query for the instance of the next attempt.
 func (a *activeRequest) query() balance.Query {
-	query := balance.Query{Service: a.admission.service.Name, Tried: a.progress.tried}
+	query := balance.Query{
+		Service:       a.admission.service.Name,
+		Tried:         a.progress.tried,
+		ColdPerSecond: a.admission.service.ColdPerSecond,
+		Routers:       a.forwarder.settings.Routers(),
+		Homes:         a.homes(),
+	}
 	if a.request.Cost == nil {
 		return query
 	}
@@ -224,6 +230,19 @@
 	return query
 }
 
+// homes returns the regions that the route and the workspace allow; none, which is
+// nearly always so, if they set no bound.
+func (a *activeRequest) homes() []balance.Homes {
+	var homes []balance.Homes
+	if len(a.admission.route.Homes) > 0 {
+		homes = append(homes, a.admission.route.Homes)
+	}
+	if a.admission.workspace != nil && len(a.admission.workspace.Homes) > 0 {
+		homes = append(homes, a.admission.workspace.Homes)
+	}
+	return homes
+}
+
 // end logs and reports a request.
 func (a *activeRequest) end(err error) {
 	now := a.forwarder.settings.Clock()
--- a/forward/bench_test.go
+++ b/forward/bench_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -21,7 +22,7 @@
 	w, err := standin.NewWorker("i-1", always(answer))
 	Expect(err).NotTo(HaveOccurred())
 	b.Cleanup(w.Close)
-	s.table.Announce(balance.Instance{ID: "i-1", Service: service, Address: w.Address(), Version: 1})
+	s.table.Announce(balance.Instance{ID: "i-1", Service: service, Address: w.Address(), Version: 1}, time.Now())
 	b.ReportAllocs()
 	for b.Loop() {
 		if _, err := s.forwarder.Serve(context.Background(), request(path), &fakeSink{}); err != nil {
--- a/forward/fakes_test.go
+++ b/forward/fakes_test.go
@@ -149,7 +149,7 @@
 	w, err := standin.NewWorker(instance, answer)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(w.Close)
-	s.table.Announce(balance.Instance{ID: granitehoist.Upstream(instance), Service: service, Address: w.Address(), Version: 1})
+	s.table.Announce(balance.Instance{ID: granitehoist.Upstream(instance), Service: service, Address: w.Address(), Version: 1}, time.Now())
 	s.workers = append(s.workers, w)
 	return w
 }
--- a/forward/stalledunpaid_test.go
+++ b/forward/stalledunpaid_test.go
@@ -20,7 +20,7 @@
 
 // TestStalledAttemptGoesOnWithoutRetry holds that an attempt without progress is
 // not cancelled if the retry budget can't pay for another. It stands in
-// KNOWN-RED.txt: the stall timer does not ask the retry budget.
+// Ktime.Now()N-RED.txt: the stall timer does not ask the retry budget.
 func TestStalledAttemptGoesOnWithoutRetry(t *testing.T) {
 	RegisterTestingT(t)
 	s := newSite()
@@ -31,7 +31,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(w.Close)
-		s.table.Announce(balance.Instance{ID: granitehoist.Upstream(instance), Service: model, Address: w.Address(), Version: 1})
+		s.table.Announce(balance.Instance{ID: granitehoist.Upstream(instance), Service: model, Address: w.Address(), Version: 1}, time.Now())
 	}
 	f := forward.New(forward.Settings{
 		Catalog: s.current, Funds: s.funds, Table: s.table, Codec: platform.Codec{},
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -37,6 +37,8 @@
 const (
 	ConfigInForce     Name = "config_in_force"
 	ConfigBad         Name = "config_bad"
+	ZoneEvacuated     Name = "zone_evacuated"
+	ZoneRestored      Name = "zone_restored"
 	Upstream          Name = "upstream"
 	UpstreamGone      Name = "upstream_gone"
 	UpstreamBad       Name = "upstream_bad"
@@ -58,7 +60,7 @@
 	return []Name{
 		Start, Stop, Stopped, Reload, ReloadFailed, ServeFailed, ReturnFailed, LeaveFailed, LogDropped,
 		Request, Attempt,
-		ConfigInForce, ConfigBad, Upstream, UpstreamGone, UpstreamBad, StoreLost, StoreRegained, HistoryGone,
+		ConfigInForce, ConfigBad, ZoneEvacuated, ZoneRestored, Upstream, UpstreamGone, UpstreamBad, StoreLost, StoreRegained, HistoryGone,
 		CopyFromNeighbour, RelayLost, Shedding, PeerBad, BudgetGrant, BudgetLoan, BudgetRepaid, BudgetSyncFailed,
 	}
 }
--- a/node/adapter.go
+++ b/node/adapter.go
@@ -22,6 +22,9 @@
 	ConfigPrefix    string
 	ConfigKey       string
 	InstancesPrefix string
+	// EvacuatedZone returns the zone that an entry under ConfigPrefix asks to evacuate
+	// as long as it is there, and whether its key is such a one.
+	EvacuatedZone func(key string) (granitehoist.AvailabilityZone, bool)
 	// DecodeConfig and DecodeInstance decode entries that are not deleted. Their
 	// errors name the field that can't be read.
 	DecodeConfig   func(granitehoist.Entry) (*catalog.Document, error)
--- a/node/config.go
+++ b/node/config.go
@@ -18,6 +18,8 @@
 type Config struct {
 	Box  granitehoist.Box
 	Zone granitehoist.AvailabilityZone
+	// Regions holds the region of each availability zone.
+	Regions map[granitehoist.AvailabilityZone]granitehoist.Region
 	// IP and PeerPort are the address at which neighbours reach the node.
 	IP       string
 	PeerPort int
--- a/node/configcopy.go
+++ b/node/configcopy.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/balance"
 	"granitehoist.example/granitehoist/catalog"
 	"granitehoist.example/granitehoist/escrow"
 	"granitehoist.example/granitehoist/follow"
@@ -21,21 +22,28 @@
 	// catalog holds the configuration in force, nothing before the first.
 	catalog *catalog.Current
 	// ledger and syncer are given the workspaces' budgets.
-	ledger   *escrow.Ledger
-	syncer   *escrow.Syncer
+	ledger *escrow.Ledger
+	syncer *escrow.Syncer
+	// table is told of the zones that are evacuated.
+	table    *balance.Table
+	clock    granitehoist.Clock
 	log      *zap.Logger
 	follower *follow.Follower
 }
 
 func newConfigCopy(n *Node, current *catalog.Current) *configCopy {
-	c := &configCopy{adapter: &n.adapter, catalog: current, ledger: n.parts.ledger, syncer: n.parts.syncer, log: n.log}
+	c := &configCopy{adapter: &n.adapter, catalog: current, ledger: n.parts.ledger, syncer: n.parts.syncer, table: n.parts.table, clock: n.clock, log: n.log}
 	c.follower = n.newFollower(follow.Settings{Prefix: n.adapter.ConfigPrefix, Changed: c.changed})
 	return c
 }
 
-// changed applies changed entries. Only that of ConfigKey matters; if it is
-// deleted, the last configuration stays in force.
+// changed applies changed entries: first the evacuations, so that a router that starts
+// serves no request without them, then that of ConfigKey. If that is deleted, the last
+// configuration stays in force.
 func (c *configCopy) changed(entries []granitehoist.Entry, _ granitehoist.Version) {
+	for _, e := range entries {
+		c.evacuate(e)
+	}
 	for _, e := range entries {
 		if e.Key != c.adapter.ConfigKey || e.Deleted {
 			continue
@@ -49,6 +57,18 @@
 	}
 }
 
+// evacuate begins or ends the evacuation of a zone, if the entry is about one.
+func (c *configCopy) evacuate(e granitehoist.Entry) {
+	zone, found := c.adapter.EvacuatedZone(e.Key)
+	switch {
+	case !found:
+	case e.Deleted && c.table.Restore(zone, c.clock()):
+		c.log.Info(event.ZoneRestored, zap.String("zone", string(zone)), zap.Uint64("version", uint64(e.Version)))
+	case !e.Deleted && c.table.Evacuate(zone):
+		c.log.Info(event.ZoneEvacuated, zap.String("zone", string(zone)), zap.Uint64("version", uint64(e.Version)))
+	}
+}
+
 func (c *configCopy) decode(e granitehoist.Entry) (*catalog.Snapshot, error) {
 	document, err := c.adapter.DecodeConfig(e)
 	if err != nil {
--- /dev/null
+++ b/node/evacuation_test.go
@@ -0,0 +1,92 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package node_test
+
+import (
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist/internal/event"
+	"granitehoist.example/granitehoist/standin"
+)
+
+var _ = Describe("A zone that the operators evacuate", func() {
+	const order = "op/evacuate/hall"
+	// knows reports whether a node has logged an event so many times.
+	knows := func(m *member, name event.Name, times int) func() bool {
+		return func() bool { return m.logs.FilterMessage(name).Len() == times }
+	}
+	// newServing returns a site with a worker in the zone, which all nodes use.
+	newServing := func(nodes int) (*site, *standin.Worker) {
+		s := newSite(nodes)
+		s.configure(1, 100_000, "/a/")
+		w := s.worker(standin.WorkerAnswer{Body: "answer"})
+		for _, m := range s.members {
+			Eventually(m.status("/a/x")).Should(Equal(http.StatusOK))
+			Eventually(m.node.Routers).Should(Equal(nodes))
+		}
+		return s, w
+	}
+	expectNothingSent := func(m *member, w *standin.Worker) {
+		GinkgoHelper()
+		before := len(w.Arrivals())
+		got, err := m.ask("/a/x", "refused")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(w.Arrivals()).To(HaveLen(before))
+	}
+
+	It("gets nothing until that is withdrawn, and callers are refused at once", func() {
+		s, w := newServing(1)
+		m := s.members[0]
+		s.put(order, []byte(`{}`))
+		Eventually(knows(m, event.ZoneEvacuated, 1)).Should(BeTrue())
+		expectNothingSent(m, w)
+		s.remove(order)
+		Eventually(knows(m, event.ZoneRestored, 1)).Should(BeTrue())
+		Expect(m.status("/a/x")()).To(Equal(http.StatusOK))
+	})
+
+	It("is known to a node that the store turns away, through a neighbour", func() {
+		s, w := newServing(2)
+		m := s.members[0]
+		m.store.Fail(standin.PlatformFaults{Hang: true})
+		s.put(order, []byte(`{}`))
+		Eventually(knows(m, event.ZoneEvacuated, 1), 5*time.Second).Should(BeTrue())
+		expectNothingSent(m, w)
+		s.remove(order)
+		Eventually(knows(m, event.ZoneRestored, 1), 5*time.Second).Should(BeTrue())
+	})
+
+	It("is known to a node that starts, before it serves anything", func() {
+		s, w := newServing(1)
+		s.put(order, []byte(`{}`))
+		started := s.start()
+		Eventually(started.ready).Should(Equal(http.StatusOK))
+		expectNothingSent(started, w)
+	})
+})
+
+var _ = Describe("Entries of another writer", func() {
+	It("name no worker, are logged once, and leave what others said", func() {
+		s := newSite(1)
+		s.configure(1, 100_000, "/a/")
+		w := s.worker(standin.WorkerAnswer{Body: "answer"})
+		m := s.members[0]
+		Eventually(m.status("/a/x")).Should(Equal(http.StatusOK))
+		bad := func() int { return m.logs.FilterMessage(event.UpstreamBad).Len() }
+		for i, entry := range []string{`[]`, `{"backend":7}`, "\xff", `{"backend":"pool","address":"","phase":"ready"}`} {
+			s.put("servers/i-other", []byte(entry))
+			Eventually(bad).Should(Equal(1), "entry %d", i)
+		}
+		s.put("servers/i-unknown", []byte(`{"backend":"pool","address":"127.0.0.1:9","zone":"hall","phase":"resting","capacity":8}`))
+		s.put("servers/"+w.Instance(), []byte(`{"backend":["pool"]}`))
+		Eventually(bad).Should(Equal(2))
+		m.expectOnly("answer")
+	})
+})
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -170,8 +170,10 @@
 }
 
 // withdraw deletes the entry of a worker that goes on serving.
-func (s *site) withdraw(w *standin.Worker) {
-	key := platform.WorkersPrefix + w.Instance()
+func (s *site) withdraw(w *standin.Worker) { s.remove(platform.WorkersPrefix + w.Instance()) }
+
+// remove deletes a key.
+func (s *site) remove(key string) {
 	entry, err := s.store.Get(context.Background(), key)
 	Expect(err).NotTo(HaveOccurred())
 	_, err = s.store.CompareAndSwap(context.Background(), granitehoist.Change{Key: key, Expect: entry.Version, Delete: true})
--- a/node/instancecopy.go
+++ b/node/instancecopy.go
@@ -28,16 +28,23 @@
 // but its version, so that it need not be passed on. Instances write their
 // entries again as a heartbeat: on tuul-hire-grown quiet-1 11,761 of 17,106 calls
 // to the store were watches that heartbeats woke (commit c1de361).
+//
+// While an instance is cold the time that it remains so is shorter in each entry. That
+// is no news, but a longer one is: it has become cold again.
 func repeatsAnnouncement(before, after balance.Instance) bool {
 	before.Version = after.Version
+	if after.ColdFor > 0 && after.ColdFor <= before.ColdFor {
+		before.ColdFor = after.ColdFor
+	}
 	return before == after
 }
 
 // isNewsOfInstance decides whether an announcement is logged, of an instance that
-// the table has already: if its address changed, or it began or stopped draining. Its load changes often and is
-// not logged.
+// the table has already: if its address changed, it began or stopped draining, became
+// cold or warm, or began a new life.
 func isNewsOfInstance(before, after balance.Instance) bool {
-	return before.Draining != after.Draining || before.Address != after.Address
+	return before.Draining != after.Draining || before.Address != after.Address ||
+		(before.ColdFor > 0) != (after.ColdFor > 0) || before.Born != after.Born
 }
 
 // instanceCopy is the node's copy of the instances' announcements. Only its
@@ -57,15 +64,15 @@
 	return c
 }
 
-// same reports whether an entry only repeats the announcement before it. Entries
-// that can't be read never count as the same.
+// same reports whether an entry only repeats the announcement before it. Of entries
+// that can't be read only the first is news: their writer writes them again and again.
 func (c *instanceCopy) same(before, after granitehoist.Entry) bool {
-	old, err := c.adapter.DecodeInstance(before)
-	if err != nil {
-		return false
+	old, errBefore := c.adapter.DecodeInstance(before)
+	now, errAfter := c.adapter.DecodeInstance(after)
+	if errBefore != nil || errAfter != nil {
+		return errBefore != nil && errAfter != nil
 	}
-	now, err := c.adapter.DecodeInstance(after)
-	return err == nil && repeatsAnnouncement(old, now)
+	return repeatsAnnouncement(old, now)
 }
 
 // changed applies changed announcements; at is the store's version of the copy
@@ -88,7 +95,7 @@
 // announce enters an instance in the table, which keeps the newer of two
 // announcements.
 func (c *instanceCopy) announce(instance balance.Instance) {
-	before, known := c.table.Announce(instance)
+	before, known := c.table.Announce(instance, c.clock())
 	if known && !isNewsOfInstance(before, instance) {
 		return
 	}
@@ -97,6 +104,7 @@
 		zap.String("service", string(instance.Service)),
 		zap.String("address", instance.Address),
 		zap.Bool("draining", instance.Draining),
+		zap.Duration("cold", instance.ColdFor),
 		zap.Uint64("version", uint64(instance.Version)))
 }
 
--- a/node/parts.go
+++ b/node/parts.go
@@ -36,7 +36,11 @@
 // serve by, self is the node's own entry.
 func newParts(n *Node, self peerEntry, current *catalog.Current) *parts {
 	p := &parts{meter: &linkmeter.Meter{}}
-	p.table = balance.New(balance.Settings{Zone: n.config.Zone, Seed: uint64(n.clock().UnixNano())})
+	p.table = balance.New(balance.Settings{
+		Zone:    n.config.Zone,
+		Seed:    uint64(n.clock().UnixNano()),
+		Regions: n.config.Regions,
+	})
 	p.pool = exchange.NewPool(exchange.Settings{Opened: n.counters.counter(metricConnections), Meter: p.meter})
 	p.peers = newPeers(peersSettings{
 		self:  self,
