Write all shards of a holder with one call

Change: Store.CompareAndSwapAll makes up to 32 conditional writes, all or none. A sync drafts the records of all shards that need it and of those that are nearly low, and writes them with one call; after a conflict each goes by itself.

TestHistoriesOfManyShards checks that nothing is granted twice.

--- a/escrow/history_test.go
+++ b/escrow/history_test.go
@@ -21,7 +21,7 @@
 type lateStore struct {
 	granitehoist.Store
 	fault string
-	late  []granitehoist.Change
+	late  [][]granitehoist.Change
 }
 
 func (s *lateStore) Get(ctx context.Context, key string) (granitehoist.Entry, error) {
@@ -34,26 +34,26 @@
 	return s.Store.Get(ctx, key)
 }
 
-func (s *lateStore) CompareAndSwap(ctx context.Context, change granitehoist.Change) (granitehoist.Version, error) {
+func (s *lateStore) CompareAndSwapAll(ctx context.Context, changes []granitehoist.Change) (granitehoist.Version, error) {
 	switch s.fault {
 	case "down":
 		return 0, granitehoist.ErrUnavailable
 	case "silent", "late":
-		s.late = append(s.late, change)
+		s.late = append(s.late, changes)
 		return 0, granitehoist.ErrUnknown
 	case "lost":
-		if _, err := s.Store.CompareAndSwap(ctx, change); err != nil {
+		if _, err := s.Store.CompareAndSwapAll(ctx, changes); err != nil {
 			return 0, err
 		}
 		return 0, granitehoist.ErrUnknown
 	}
-	return s.Store.CompareAndSwap(ctx, change)
+	return s.Store.CompareAndSwapAll(ctx, changes)
 }
 
 // arrive performs the writes that were held.
 func (s *lateStore) arrive() {
-	for _, change := range s.late {
-		_, _ = s.Store.CompareAndSwap(context.Background(), change)
+	for _, changes := range s.late {
+		_, _ = s.Store.CompareAndSwapAll(context.Background(), changes)
 	}
 	s.late = nil
 }
--- a/escrow/holdings.go
+++ b/escrow/holdings.go
@@ -25,14 +25,15 @@
 }
 
 // neededShards returns the shards of which a sync is worth a call: requests wait, a
-// limit has changed, or a holding needs one. If there is none and the store has not
+// limit has changed, or a holding needs one. If there are some, those whose holdings are
+// nearly low join them, since one call writes all. If there is none and the store has not
 // been heard of for a while, it is one of those for which this router uses the
 // record. A router that uses it for none needs none.
 func (l *Ledger) neededShards(routers int, now time.Time) []Shard {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	all := l.conditions(routers, now)
-	var needed, used []Shard
+	var needed, joining, used []Shard
 	for w, a := range l.accounts {
 		c := all.as(l.role(w, a, now))
 		if !a.usesRecord(c) {
@@ -41,11 +42,19 @@
 		used = append(used, ShardOf(w))
 		if a.mustSync() || a.storeReturn(a.fleet.record.remaining, c).needsSync(c) {
 			needed = append(needed, ShardOf(w))
+			continue
+		}
+		remaining := a.fleet.record.remaining
+		if remaining > 0 && isLow(a.owned.unreserved(), a.target(remaining, c), joinBelow) {
+			joining = append(joining, ShardOf(w))
 		}
 	}
 	if len(needed) == 0 && len(used) > 0 && isRecordOld(l.contact.lastDirectAnswer, now) {
 		return used[:1]
 	}
+	if len(needed) > 0 {
+		needed = append(needed, joining...)
+	}
 	slices.Sort(needed)
 	return slices.Compact(needed)
 }
--- a/escrow/plan.go
+++ b/escrow/plan.go
@@ -32,16 +32,17 @@
 func (p plan) isWrite() bool { return len(p) > 0 }
 
 // prepare writes into r, the record of a scope, the grants and returns that the rules
-// ask for; see nextRow. routers is the number of routers that share the budgets.
+// ask for; see nextRow. joins says that it is written together with other records, so
+// that holdings which are nearly low are filled as well. routers is the number of routers that share the budgets.
 // Returns are deducted at once; grants only count when confirm is called with the
 // record that has them.
-func (l *Ledger) prepare(r *Record, in scope, routers int, now time.Time) plan {
+func (l *Ledger) prepare(r *Record, in scope, joins bool, routers int, now time.Time) plan {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := plan{}
 	all := l.conditions(routers, now)
 	lowBelow := refillBelow
-	if l.anyLow(in, all) {
+	if joins || l.anyLow(in, all) {
 		lowBelow = joinBelow
 	}
 	self := l.settings.Incarnation
--- a/escrow/recordcopy.go
+++ b/escrow/recordcopy.go
@@ -129,7 +129,7 @@
 	}
 	if !record.isDivided() {
 		record.divide()
-		if err := s.write(ctx, whole, record); err != nil {
+		if err := s.write(ctx, []draft{{copy: whole, record: record}}); err != nil {
 			return err
 		}
 	}
--- a/escrow/sync.go
+++ b/escrow/sync.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,6 +63,37 @@
 		}
 		records = records[1:]
 	}
+	return s.syncRecords(ctx, records)
+}
+
+// syncRecords syncs records with one write for up to granitehoist.MaxChanges of them: a
+// holder of several shards makes a call for all, where it made one for each. If one of
+// the records has another version than expected the write has no effect, and each of
+// them is synced by itself.
+func (s *Syncer) syncRecords(ctx context.Context, records []*recordCopy) error {
+	var errs []error
+	for together := range slices.Chunk(records, granitehoist.MaxChanges) {
+		err := s.syncTogether(ctx, together)
+		if errors.Is(err, granitehoist.ErrConflict) {
+			err = s.syncEach(ctx, together)
+		}
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
+// syncTogether makes one attempt to sync records. They are locked in their order, which
+// is that of their shards everywhere.
+func (s *Syncer) syncTogether(ctx context.Context, records []*recordCopy) error {
+	for _, record := range records {
+		record.mu.Lock()
+		defer record.mu.Unlock()
+	}
+	return s.try(ctx, records)
+}
+
+// syncEach syncs records at the same time, each by itself.
+func (s *Syncer) syncEach(ctx context.Context, records []*recordCopy) error {
 	errs := make([]error, len(records))
 	var syncing sync.WaitGroup
 	for i, record := range records {
@@ -78,7 +110,7 @@
 	err := granitehoist.ErrConflict
 	for try := 0; try < conflictTries && errors.Is(err, granitehoist.ErrConflict); try++ {
 		pause.For(ctx, time.Duration(try)*conflictPause)
-		err = s.try(ctx, record)
+		err = s.try(ctx, []*recordCopy{record})
 	}
 	return err
 }
@@ -97,39 +129,66 @@
 	return callTimeout(int(s.failures.Load()), s.reached.Load(), s.settings.Timeout)
 }
 
-// try makes one attempt of a sync with the record last seen, or the newest if none
-// was seen or it leaves nothing to write.
-func (s *Syncer) try(ctx context.Context, c *recordCopy) error {
+// draft is a record with this router's rows as they are to be written.
+type draft struct {
+	copy    *recordCopy
+	record  *Record
+	planned plan
+}
+
+// try makes one attempt of a sync of records that the caller has locked: it drafts each,
+// and writes those that change all at once. A record that can't be drafted does not keep
+// the others from being synced.
+func (s *Syncer) try(ctx context.Context, records []*recordCopy) error {
 	ctx, cancel := context.WithTimeout(ctx, s.callTimeout())
 	defer cancel()
-	fresh := !c.lastEntryValid
-	if fresh {
-		if err := s.read(ctx, c); err != nil {
-			return err
+	drafts := make([]draft, len(records))
+	errs := make([]error, len(records))
+	var drafting sync.WaitGroup
+	for i, c := range records {
+		drafting.Go(func() { drafts[i], errs[i] = s.draft(ctx, c, len(records) > 1) })
+	}
+	drafting.Wait()
+	var writes []draft
+	for i, d := range drafts {
+		switch {
+		case errs[i] != nil:
+		case d.planned.isWrite():
+			writes = append(writes, d)
+		default:
+			s.settings.Ledger.confirm(d.record, d.copy.scope, s.settings.Clock())
 		}
 	}
-	record, planned, err := s.plan(c)
-	if err != nil {
-		return err
+	if err := s.write(ctx, writes); err != nil {
+		return errors.Join(append(errs, err)...)
+	}
+	for _, d := range writes {
+		s.logGrants(d.planned, d.copy.lastEntry.Version)
+		s.settings.Ledger.confirm(d.record, d.copy.scope, s.settings.Clock())
 	}
-	if !planned.isWrite() && !fresh {
-		// By the record last seen there is nothing to grant or return; the newest
-		// may differ.
+	return errors.Join(errs...)
+}
+
+// draft drafts a record from the one last seen, or the newest if none was seen or it
+// leaves nothing to write. joins says that it is to be written together with others.
+func (s *Syncer) draft(ctx context.Context, c *recordCopy, joins bool) (draft, error) {
+	fresh := !c.lastEntryValid
+	if fresh {
 		if err := s.read(ctx, c); err != nil {
-			return err
-		}
-		if record, planned, err = s.plan(c); err != nil {
-			return err
+			return draft{}, err
 		}
 	}
-	if planned.isWrite() {
-		if err := s.write(ctx, c, record); err != nil {
-			return err
-		}
-		s.logGrants(planned, c.lastEntry.Version)
+	record, planned, err := s.plan(c, joins)
+	if err != nil || planned.isWrite() || fresh {
+		return draft{c, record, planned}, err
 	}
-	s.settings.Ledger.confirm(record, c.scope, s.settings.Clock())
-	return nil
+	// By the record last seen there is nothing to grant or return; the newest may
+	// differ.
+	if err := s.read(ctx, c); err != nil {
+		return draft{}, err
+	}
+	record, planned, err = s.plan(c, joins)
+	return draft{c, record, planned}, err
 }
 
 // read reads a record from the store.
@@ -146,7 +205,7 @@
 }
 
 // plan writes the ledger's grants and returns into a copy of the record last seen.
-func (s *Syncer) plan(c *recordCopy) (*Record, plan, error) {
+func (s *Syncer) plan(c *recordCopy, joins bool) (*Record, plan, error) {
 	record, err := c.decode()
 	if err != nil {
 		c.lastEntryValid = false
@@ -157,33 +216,61 @@
 		return nil, nil, errDivided
 	}
 	record.Enter(s.settings.Box, s.settings.Ledger.settings.Incarnation)
-	return record, s.settings.Ledger.prepare(record, c.scope, s.settings.Routers(), s.settings.Clock()), nil
+	return record, s.settings.Ledger.prepare(record, c.scope, joins, s.settings.Routers(), s.settings.Clock()), nil
 }
 
-// write writes a record in place of the one last seen.
-func (s *Syncer) write(ctx context.Context, c *recordCopy, record *Record) error {
-	value, err := record.Encode()
+// write writes records in place of those last seen, all or none.
+func (s *Syncer) write(ctx context.Context, drafts []draft) error {
+	if len(drafts) == 0 {
+		return nil
+	}
+	changes, err := changesOf(drafts)
+	if err != nil {
+		return err
+	}
+	version, err := s.settings.Store.CompareAndSwapAll(ctx, changes)
 	if err != nil {
+		s.noteWriteFailure(drafts, err)
 		return err
 	}
-	version, err := s.settings.Store.CompareAndSwap(ctx, granitehoist.Change{Key: c.key, Value: value, Expect: c.lastEntry.Version})
+	s.settings.Ledger.noteStoreAnswer(s.settings.Clock())
+	for i, d := range drafts {
+		d.copy.lastEntry = granitehoist.Entry{Key: d.copy.key, Value: changes[i].Value, Version: version}
+	}
+	return nil
+}
+
+// changesOf returns the write of drafts. The error says that one of them is too large.
+func changesOf(drafts []draft) ([]granitehoist.Change, error) {
+	changes := make([]granitehoist.Change, 0, len(drafts))
+	for _, d := range drafts {
+		value, err := d.record.Encode()
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, granitehoist.Change{Key: d.copy.key, Value: value, Expect: d.copy.lastEntry.Version})
+	}
+	return changes, nil
+}
+
+// noteWriteFailure notes what a failed write says of the records: after a conflict their
+// states as the store has them, else that they have to be read again.
+func (s *Syncer) noteWriteFailure(drafts []draft, err error) {
 	var conflict *granitehoist.Conflict
+	isConflict := errors.As(err, &conflict)
 	switch {
-	case err == nil:
+	case isConflict:
 		s.settings.Ledger.noteStoreAnswer(s.settings.Clock())
-		c.lastEntry = granitehoist.Entry{Key: c.key, Value: value, Version: version}
-		return nil
-	case errors.As(err, &conflict):
-		s.settings.Ledger.noteStoreAnswer(s.settings.Clock())
-		c.lastEntry = conflict.Current
-		return err
-	case errors.Is(err, granitehoist.ErrConflict):
-		// The store answered without the newest record: it is read again.
-	default:
+	case !errors.Is(err, granitehoist.ErrConflict):
 		s.settings.Ledger.noteStoreFailure(s.settings.Clock())
 	}
-	c.lastEntryValid = false
-	return err
+	for _, d := range drafts {
+		current, known := granitehoist.Entry{}, false
+		if isConflict {
+			current, known = conflict.Of(d.copy.key)
+		}
+		d.copy.lastEntry, d.copy.lastEntryValid = current, known
+	}
 }
 
 // logGrants logs the rows that were written with a version of their record.
--- /dev/null
+++ b/escrow/together_test.go
@@ -0,0 +1,194 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package escrow_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/escrow"
+	"granitehoist.example/granitehoist/standin"
+)
+
+// manyShards is a fleet of two holders that both take themselves for the holder of all
+// shards, so that their writes conflict, over a store that loses, refuses and delays
+// writes of several records at once.
+type manyShards struct {
+	now    time.Time
+	store  *lateStore
+	boxes  []*box
+	starts int
+	// paid counts what each workspace's requests used.
+	paid map[granitehoist.Workspace]granitehoist.Tokens
+}
+
+const manyShardsLimit = granitehoist.Tokens(20_000)
+
+// manyShardsWorkspaces are of different shards.
+var manyShardsWorkspaces = []granitehoist.Workspace{"kiosk", "lock", "quay", "gate"}
+
+func newManyShards() *manyShards {
+	f := &manyShards{now: time.Unix(1000, 0), paid: map[granitehoist.Workspace]granitehoist.Tokens{}, boxes: make([]*box, 2)}
+	f.store = &lateStore{Store: standin.NewStore(standin.StoreSettings{Clock: f.clock})}
+	for i := range f.boxes {
+		f.start(i)
+	}
+	return f
+}
+
+func (f *manyShards) clock() time.Time { return f.now }
+
+// start starts a box, in place of one that dies with all that it owns.
+func (f *manyShards) start(i int) {
+	f.starts++
+	ledger := escrow.NewLedger(escrow.LedgerSettings{
+		Incarnation: granitehoist.Incarnation(fmt.Sprintf("i-%d", f.starts)),
+		Role:        func(escrow.Shard) escrow.Role { return escrow.Holds },
+	})
+	for _, w := range manyShardsWorkspaces {
+		ledger.SetLimit(w, manyShardsLimit)
+	}
+	f.boxes[i] = &box{ledger, escrow.NewSyncer(escrow.SyncerSettings{
+		Box: granitehoist.Box(fmt.Sprint("box-", i)), Ledger: ledger, Store: f.store, Clock: f.clock,
+		Routers: func() int { return len(f.boxes) },
+		Divides: func() bool { return true },
+	})}
+}
+
+// use serves a request if the box owns enough for it.
+func (f *manyShards) use(i int, w granitehoist.Workspace, bound, used granitehoist.Tokens) {
+	if f.boxes[i].ledger.Reserve(w, bound, 5, f.now) {
+		f.boxes[i].ledger.Settle(w, bound, used, f.now)
+		f.paid[w] += used
+	}
+}
+
+// TestHistoriesOfManyShards checks random histories in which one write changes the
+// records of several shards: no workspace is overspent, and what the rows of the records
+// grant is never more than the prepaid total.
+func TestHistoriesOfManyShards(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newManyShards()
+		box := rapid.IntRange(0, 1)
+		for range rapid.IntRange(20, 60).Draw(t, "steps") {
+			i := box.Draw(t, "box")
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0, 1:
+				w := rapid.SampledFrom(manyShardsWorkspaces).Draw(t, "workspace")
+				bound := granitehoist.Tokens(rapid.IntRange(1, 6000).Draw(t, "bound"))
+				f.use(i, w, bound, bound/2)
+			case 2, 3:
+				// A failed sync is part of the history.
+				_ = f.boxes[i].sync()
+			case 4:
+				f.store.fault = rapid.SampledFrom([]string{"", "", "down", "silent", "late", "lost"}).Draw(t, "fault")
+			case 5:
+				f.store.arrive()
+			case 6:
+				f.start(i)
+			}
+			f.now = f.now.Add(300 * time.Millisecond)
+			f.check(t)
+		}
+	})
+}
+
+func (f *manyShards) check(t *rapid.T) {
+	entries, _, err := f.store.Store.List(context.Background(), escrow.RecordKey+"/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		record, err := escrow.DecodeRecord(e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for w, account := range record.Accounts {
+			if account.Taken() > manyShardsLimit {
+				t.Fatalf("%s: %d taken of %d", w, account.Taken(), manyShardsLimit)
+			}
+		}
+	}
+	for w, paid := range f.paid {
+		if paid > manyShardsLimit {
+			t.Fatalf("%s: %d used of %d", w, paid, manyShardsLimit)
+		}
+	}
+}
+
+// TestOneWriteForAllShards checks what syncs of a holder of several shards cost.
+func TestOneWriteForAllShards(t *testing.T) {
+	newHolder := func() *manyShards {
+		f := newManyShards()
+		if err := f.boxes[0].sync(); err != nil {
+			t.Fatal(err)
+		}
+		return f
+	}
+	writes := func(f *manyShards) int { return f.store.Store.(*standin.Store).Calls().Writes }
+	drain := func(f *manyShards) {
+		for _, w := range manyShardsWorkspaces {
+			for f.boxes[0].ledger.State(w).Free > 0 {
+				f.use(0, w, 1, 1)
+			}
+		}
+		f.now = f.now.Add(time.Second)
+	}
+	t.Run("one call fills all that are low", func(t *testing.T) {
+		f := newHolder()
+		drain(f)
+		before := writes(f)
+		if err := f.boxes[0].sync(); err != nil {
+			t.Fatal(err)
+		}
+		if made := writes(f) - before; made != 1 {
+			t.Fatalf("%d writes", made)
+		}
+		for _, w := range manyShardsWorkspaces {
+			if f.boxes[0].ledger.State(w).Free == 0 {
+				t.Fatalf("%s was not filled", w)
+			}
+		}
+	})
+	t.Run("a conflict in one of them keeps none from being filled", func(t *testing.T) {
+		f := newHolder()
+		drain(f)
+		f.use(1, "kiosk", 1, 1)
+		if err := f.boxes[1].sync(); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.boxes[0].sync(); err != nil {
+			t.Fatal(err)
+		}
+		for _, w := range manyShardsWorkspaces {
+			if f.boxes[0].ledger.State(w).Free == 0 {
+				t.Fatalf("%s was not filled", w)
+			}
+		}
+	})
+	t.Run("after a lost answer all are read again, and nothing is granted twice", func(t *testing.T) {
+		f := newHolder()
+		drain(f)
+		f.store.fault = "lost"
+		if err := f.boxes[0].sync(); !errors.Is(err, granitehoist.ErrUnknown) {
+			t.Fatal(err)
+		}
+		f.store.fault = ""
+		if err := f.boxes[0].sync(); err != nil {
+			t.Fatal(err)
+		}
+		for _, w := range manyShardsWorkspaces {
+			state := f.boxes[0].ledger.State(w)
+			if state.Free == 0 || state.Granted+state.StoreRemaining > manyShardsLimit {
+				t.Fatalf("%s: %+v", w, state)
+			}
+		}
+	})
+}
--- a/node/storecalls.go
+++ b/node/storecalls.go
@@ -56,6 +56,13 @@
 	return version, err
 }
 
+// CompareAndSwapAll implements granitehoist.Store.
+func (s *countedStore) CompareAndSwapAll(ctx context.Context, changes []granitehoist.Change) (granitehoist.Version, error) {
+	version, err := s.Store.CompareAndSwapAll(ctx, changes)
+	s.countResult("write", err)
+	return version, err
+}
+
 // Watch implements granitehoist.Store.
 func (s *countedStore) Watch(ctx context.Context, prefix string, after granitehoist.Version, wait time.Duration) ([]granitehoist.Entry, granitehoist.Version, error) {
 	entries, at, err := s.Store.Watch(ctx, prefix, after, wait)
--- a/standin/platformmessages.go
+++ b/standin/platformmessages.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"slices"
 	"strconv"
 
 	"granitehoist.example/granitehoist"
@@ -55,20 +56,30 @@
 	return items
 }
 
-// change returns the change of a transaction of one key.
-func (t platformTransaction) change() granitehoist.Change {
-	expected := t.ExpectedRevision[0]
-	c := granitehoist.Change{
-		Key:    expected.PrivateKey,
-		Expect: granitehoist.Version(expected.ModRevision),
-		Delete: len(t.Delete) > 0,
+// changes returns the changes of a transaction, one for each key that it expects
+// something of.
+func (t platformTransaction) changes() []granitehoist.Change {
+	var changes []granitehoist.Change
+	for _, expected := range t.ExpectedRevision {
+		c := granitehoist.Change{
+			Key:    expected.PrivateKey,
+			Expect: granitehoist.Version(expected.ModRevision),
+			Delete: slices.Contains(t.Delete, expected.PrivateKey),
+		}
+		for _, put := range t.Put {
+			if put.PrivateKey == c.Key {
+				c.Value, c.Lease = put.Data, put.lease()
+			}
+		}
+		changes = append(changes, c)
 	}
-	if len(t.Put) == 0 {
-		return c
-	}
-	c.Value = t.Put[0].Data
-	if lease := t.Put[0].Lease; lease != 0 {
-		c.Lease = granitehoist.LeaseID(strconv.FormatUint(lease, 10))
+	return changes
+}
+
+// lease returns the lease of an item, empty if it has none.
+func (i platformItem) lease() granitehoist.LeaseID {
+	if i.Lease == 0 {
+		return ""
 	}
-	return c
+	return granitehoist.LeaseID(strconv.FormatUint(i.Lease, 10))
 }
--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -191,21 +191,22 @@
 	reply(w, platformEvents{Events: itemsOf(entries), At: uint64(at)}, nil)
 }
 
-// write serves transactions of one key, which is all that the project makes.
+// write serves transactions that expect something of each key that they write, which is
+// all that the project makes.
 func (p *PlatformStore) write(w http.ResponseWriter, r *http.Request) {
 	var transaction platformTransaction
 	if !read(w, r, &transaction) {
 		return
 	}
-	if len(transaction.ExpectedRevision) != 1 {
+	if len(transaction.ExpectedRevision) != len(transaction.Put)+len(transaction.Delete) {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	change := transaction.change()
-	version, err := p.Store.CompareAndSwap(r.Context(), change)
+	changes := transaction.changes()
+	version, err := p.Store.CompareAndSwapAll(r.Context(), changes)
 	switch {
 	case errors.Is(err, granitehoist.ErrConflict):
-		p.answerConflict(w, r, change.Key)
+		p.answerConflict(w, r, changes)
 	case err != nil:
 		p.refuse(w, err)
 	default:
@@ -213,15 +214,19 @@
 	}
 }
 
-// answerConflict answers with the state that the key has instead.
-func (p *PlatformStore) answerConflict(w http.ResponseWriter, r *http.Request, key string) {
-	current, err := p.Store.Get(r.Context(), key)
-	if err != nil {
-		p.refuse(w, err)
-		return
+// answerConflict answers with the states that the keys have instead.
+func (p *PlatformStore) answerConflict(w http.ResponseWriter, r *http.Request, changes []granitehoist.Change) {
+	var items []platformItem
+	for _, change := range changes {
+		current, err := p.Store.Get(r.Context(), change.Key)
+		if err != nil {
+			p.refuse(w, err)
+			return
+		}
+		items = append(items, itemOf(current))
 	}
 	w.WriteHeader(http.StatusPreconditionFailed)
-	reply(w, platformWritten{Entries: []platformItem{itemOf(current)}}, nil)
+	reply(w, platformWritten{Entries: items}, nil)
 }
 
 // grantLease answers the number of a new lease.
--- a/standin/store.go
+++ b/standin/store.go
@@ -86,16 +86,14 @@
 	return maps.Clone(s.boxes), nil
 }
 
-// put stores an entry under the next version and wakes the watches. The caller
+// put stores an entry under the present version and wakes the watches. The caller
 // holds the lock.
-func (s *Store) put(key string, e storedEntry) granitehoist.Version {
-	s.version++
+func (s *Store) put(key string, e storedEntry) {
 	e.Key = key
 	e.Version = s.version
 	s.entries[key] = e
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return s.version
 }
 
 // Get implements granitehoist.Store.
@@ -137,6 +135,11 @@
 
 // CompareAndSwap implements granitehoist.Store.
 func (s *Store) CompareAndSwap(ctx context.Context, c granitehoist.Change) (granitehoist.Version, error) {
+	return s.CompareAndSwapAll(ctx, []granitehoist.Change{c})
+}
+
+// CompareAndSwapAll implements granitehoist.Store.
+func (s *Store) CompareAndSwapAll(ctx context.Context, changes []granitehoist.Change) (granitehoist.Version, error) {
 	if err := s.enter(ctx); err != nil {
 		return 0, err
 	}
@@ -145,31 +148,49 @@
 	if isEveryNth(s.faults.DropEvery, s.calls.Writes) {
 		return 0, granitehoist.ErrUnknown
 	}
-	version, err := s.change(c)
+	version, err := s.change(changes)
 	if err == nil && isEveryNth(s.faults.LoseEvery, s.calls.Writes) {
 		return 0, granitehoist.ErrUnknown
 	}
 	return version, err
 }
 
-// change makes a write, if the key has the expected version and the lease is there.
-// The caller holds the lock.
-func (s *Store) change(c granitehoist.Change) (granitehoist.Version, error) {
+// change makes a write of all changes, if all of them may be made. The caller holds the
+// lock.
+func (s *Store) change(changes []granitehoist.Change) (granitehoist.Version, error) {
+	if len(changes) > granitehoist.MaxChanges {
+		return 0, fmt.Errorf("standin: write of %d changes", len(changes))
+	}
+	for _, c := range changes {
+		if err := s.allows(c); err != nil {
+			return 0, err
+		}
+	}
+	s.version++
+	for _, c := range changes {
+		e := storedEntry{Entry: granitehoist.Entry{Value: append([]byte(nil), c.Value...), Deleted: c.Delete}, lease: c.Lease}
+		s.put(c.Key, e)
+	}
+	return s.version, nil
+}
+
+// allows returns why a change may not be made, nil if its key has the expected version
+// and its lease is there. The caller holds the lock.
+func (s *Store) allows(c granitehoist.Change) error {
 	var current granitehoist.Version
 	if e, ok := s.entries[c.Key]; ok && !e.Deleted {
 		current = e.Version
 	}
 	if current != c.Expect {
-		return 0, granitehoist.ErrConflict
+		return granitehoist.ErrConflict
 	}
 	if len(c.Value) > granitehoist.MaxValueSize {
-		return 0, fmt.Errorf("standin: value of %d bytes", len(c.Value))
+		return fmt.Errorf("standin: value of %d bytes", len(c.Value))
 	}
 	if _, ok := s.leases[c.Lease]; c.Lease != "" && !ok {
-		return 0, granitehoist.ErrNoLease
+		return granitehoist.ErrNoLease
 	}
-	e := storedEntry{Entry: granitehoist.Entry{Value: append([]byte(nil), c.Value...), Deleted: c.Delete}, lease: c.Lease}
-	return s.put(c.Key, e), nil
+	return nil
 }
 
 // Watch implements granitehoist.Store.
--- a/standin/storeleases.go
+++ b/standin/storeleases.go
@@ -58,6 +58,7 @@
 		delete(s.leases, id)
 		for key, e := range s.entries {
 			if e.lease == id && !e.Deleted {
+				s.version++
 				s.put(key, storedEntry{Entry: granitehoist.Entry{Deleted: true}})
 			}
 		}
--- a/store.go
+++ b/store.go
@@ -62,11 +62,23 @@
 	ErrHistoryGone = errors.New("store: history gone")
 )
 
-// Conflict is an ErrConflict with the state that the key has instead, if the store
-// returned it.
+// Conflict is an ErrConflict with the states that the keys have instead, if the store
+// returned them.
 type Conflict struct {
-	// Current is the key's state when the write was refused.
-	Current Entry
+	// Current has the states of the keys of the write when it was refused, also of
+	// those that had the expected version.
+	Current []Entry
+}
+
+// Of returns the state of one key when the write was refused, and whether the store
+// returned it.
+func (c *Conflict) Of(key string) (Entry, bool) {
+	for _, e := range c.Current {
+		if e.Key == key {
+			return e, true
+		}
+	}
+	return Entry{}, false
 }
 
 // Error implements error.
@@ -79,6 +91,9 @@
 // brief says up to a megabyte.
 const MaxValueSize = 1 << 20
 
+// MaxChanges is the most changes that one write makes: the users' pages allow 32.
+const MaxChanges = 32
+
 // Store is the platform's key-value store, the only durable state of the fleet.
 // The platform limits the rate of calls and charges for each. Implementations are safe
 // for concurrent use. An answer reflects every write that was acknowledged before
@@ -95,6 +110,11 @@
 	// It returns ErrConflict, perhaps as a *Conflict, if the key has another
 	// version than change.Expect.
 	CompareAndSwap(ctx context.Context, change Change) (Version, error)
+	// CompareAndSwapAll makes up to MaxChanges conditional writes to different keys,
+	// all of them or none, and returns the new version of all keys. It returns
+	// ErrConflict, perhaps as a *Conflict, if a key has another version than its
+	// change expects.
+	CompareAndSwapAll(ctx context.Context, changes []Change) (Version, error)
 	// Watch waits until an entry whose key begins with prefix has a version above
 	// after, and returns those entries and the version after which the next watch
 	// continues. It returns no entries if nothing changed in wait, or in the client's
