Hold less of the end of a budget until an outage was seen

Change: the share of what is left that a holder holds shrinks with the part of the prepaid total that is left, to half of it, as long as the router has lived through no outage of the store; after one it stays at a half.

--- a/escrow/ask_test.go
+++ b/escrow/ask_test.go
@@ -230,4 +230,24 @@
 		// 10 loans a second of 1,000 tokens, of which half come back, for 9 s.
 		Expect(holder.ledger.State(kiosk).Free).To(BeNumerically("~", 45_000, 10_000))
 	})
+
+	It("loses little of a budget if all routers die late in it, with the store well until then", func() {
+		// 5,000 tokens a second use up 200,000 in 40 s; the loss comes after 30 s.
+		const limit = granitehoist.Tokens(200_000)
+		now := time.Unix(1000, 0)
+		clock := func() time.Time { return now }
+		holder := newHolder("k", "k1", standin.NewStore(standin.StoreSettings{Clock: clock}), clock)
+		holder.ledger.SetLimit(kiosk, limit)
+		for i := range 300 {
+			borrower := granitehoist.Incarnation("b" + strconv.Itoa(i%40))
+			_, err := holder.syncer.ServeLend(context.Background(), escrow.LendParams{Borrower: borrower, Workspace: kiosk, Need: 1000, Want: 1000})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = holder.syncer.ServeRepay(context.Background(), escrow.RepayParams{Giver: borrower, Workspace: kiosk, Total: granitehoist.Tokens(i/40+1) * 500})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(holder.sync()).To(Succeed())
+			now = now.Add(100 * time.Millisecond)
+		}
+		// 9 s of the demand, which were held before, are 22 % of the budget.
+		Expect(holder.ledger.State(kiosk).Free).To(BeNumerically("<=", limit*5/100))
+	})
 })
--- a/escrow/holdings.go
+++ b/escrow/holdings.go
@@ -17,6 +17,7 @@
 		now: now, routers: max(1, routers), cover: l.settings.Cover,
 		startPart: startPart, sharePart: sharePart, sparePart: sparePart,
 		exposedPart: exposedPart(l.contact.outageEnded, now), closing: l.closing,
+		sawOutage: !l.contact.outageEnded.IsZero(),
 	}
 	if !l.began.IsZero() {
 		c.confidence = min(1, now.Sub(l.began).Seconds()/rateTime.Seconds())
--- a/escrow/target.go
+++ b/escrow/target.go
@@ -42,6 +42,15 @@
 	// 0.038 +- 0.031: less on the days with outages for all routers, more on those
 	// without.
 	holderSharePart = 0.5
+	// endShare replaces holderSharePart at a holder that has not lived through an outage,
+	// in proportion to the part of the prepaid total that is left: little of the end of a
+	// budget is then lost if all routers die, and callers find something afterwards. On
+	// the small twin of a site of 87 routers, on a day that ends with a loss of all, it
+	// keeps the users' rule that a quarter of the requests is served then: 0 of 16 plays
+	// broke it, 3 of 28 without. It is not for routers that saw an outage, which is then
+	// likely to come again: for these too it cost 0.027 +- 0.011 of worth in six pairs of
+	// days, with the exception -0.009 +- 0.010.
+	endShare = 0.5
 	// leastCover is the least time of the demand that a holder holds tokens for, also
 	// right after an outage: it looks at its holdings each 0.7 s or so
 	// (DefaultInterval), and would write the record for single requests between two
@@ -75,6 +84,9 @@
 	confidence float64
 	// exposedPart is the part of a prepaid total that all routers may hold.
 	exposedPart float64
+	// sawOutage says that this router has lived through an outage of the store, its own
+	// or a neighbour's.
+	sawOutage bool
 	// closing says that the router stops and is to hold nothing.
 	closing bool
 }
@@ -125,7 +137,7 @@
 	want := h.ownRate * c.cover.Seconds()
 	left := float64(max(0, h.remaining+max(0, h.unreserved)))
 	want = max(want, c.startPart*left/float64(c.routers)*(1-c.confidence))
-	held := min(want, c.sharePart*left*h.demandPart(c))
+	held := min(want, h.share(c, left)*left*h.demandPart(c))
 	spare := min(spareRequests*float64(h.largest), c.sparePart*left/float64(c.routers))
 	most := c.exposedPart * float64(h.limit) * h.demandPart(c)
 	if c.role.lends() {
@@ -134,6 +146,15 @@
 	return granitehoist.Tokens(min(max(held, spare), most))
 }
 
+// share returns the part of what is left that all routers hold ahead of requests. That
+// of a holder shrinks with what is left of the budget until it has seen an outage.
+func (h holding) share(c conditions, left float64) float64 {
+	if c.role.lends() && !c.sawOutage && h.limit > 0 {
+		return min(c.sharePart, endShare*left/float64(h.limit))
+	}
+	return c.sharePart
+}
+
 // demandPart returns the router's part of the fleet's demand, but no less than an
 // equal part while the router does not know its own demand yet.
 func (h holding) demandPart(c conditions) float64 {
--- a/escrow/target_test.go
+++ b/escrow/target_test.go
@@ -32,6 +32,13 @@
 	return c
 }
 
+// sawOutage are those of routers that have seen an outage some time ago.
+func sawOutage() conditions {
+	c := settled()
+	c.sawOutage = true
+	return c
+}
+
 // busy is a router that has half of the fleet's demand of a budget of 100,000
 // tokens, of which 60,000 are in the store and 20,000 here.
 func busy() holding {
@@ -53,7 +60,9 @@
 	Entry("is nothing at a router that asks holders, at the start", atStart().as(Asks), func(h *holding) { h.ownRate, h.othersRate = 0, 0 }, granitehoist.Tokens(0)),
 	Entry("is nothing at one later", settled().as(Asks), func(*holding) {}, granitehoist.Tokens(0)),
 	Entry("is 4 % of what is left at a holder at the start", atStart().as(Holds), func(h *holding) { h.ownRate, h.othersRate = 0, 0 }, granitehoist.Tokens(3_200)),
-	Entry("is half of what is left at most at a holder", settled().as(Holds), func(h *holding) { h.ownRate, h.othersRate = 50_000, 0 }, granitehoist.Tokens(40_000)),
+	Entry("is less of the end of a budget at a holder", settled().as(Holds), func(h *holding) { h.ownRate, h.othersRate, h.remaining, h.unreserved = 50_000, 0, 15_000, 5_000 }, granitehoist.Tokens(2_000)),
+	Entry("is half of it at one that has seen an outage", sawOutage().as(Holds), func(h *holding) { h.ownRate, h.othersRate, h.remaining, h.unreserved = 50_000, 0, 15_000, 5_000 }, granitehoist.Tokens(10_000)),
+	Entry("is half of what is left at most at a holder", sawOutage().as(Holds), func(h *holding) { h.ownRate, h.othersRate = 50_000, 0 }, granitehoist.Tokens(40_000)),
 	Entry("is 1 s of the demand at a router that stands in for one", settled().as(StandsIn), func(h *holding) { h.othersRate = 0 }, granitehoist.Tokens(1_000)),
 	Entry("is a tenth of what is left at most there", settled().as(StandsIn), func(h *holding) { h.ownRate, h.othersRate = 50_000, 0 }, granitehoist.Tokens(8_000)),
 	Entry("is nothing there at the start but for the largest request", atStart().as(StandsIn), func(h *holding) { h.ownRate, h.othersRate = 0, 0 }, granitehoist.Tokens(500)),
