--- /dev/null
+++ b/escrow/fuzz_test.go
@@ -0,0 +1,29 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package escrow_test
+
+import (
+	"testing"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/escrow"
+)
+
+// FuzzRecord checks that no value under a record's key stops a router: it is a record
+// that can be written again, or an error.
+func FuzzRecord(f *testing.F) {
+	f.Add([]byte(`{"format":1,"boxes":{"edge-1":"edge-1-a"},"accounts":{"kiosk":{"f":7,"rows":{"edge-1-a":{"g":500,"r":20,"s":300,"i":180,"v":40}}}}}`))
+	f.Add([]byte(`{"format":2,"shards":256,"boxes":{},"accounts":{}}`))
+	f.Add([]byte(`{"format":1,"boxes":{"edge-2":"edge-2-old"},"accounts":{"kiosk":null}}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		record, err := escrow.DecodeRecord(granitehoist.Entry{Key: escrow.RecordKey, Version: 1, Value: raw})
+		if err != nil {
+			return
+		}
+		record.Enter("edge-2", "edge-2-a")
+		if _, err := record.Encode(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/escrow/record.go
+++ b/escrow/record.go
@@ -107,6 +107,11 @@
 	if r.isDivided() && r.Shards != shardCount {
 		return nil, eris.Errorf("escrow: record %s is divided into %d shards, not %d", e.Key, r.Shards, shardCount)
 	}
+	for w, account := range r.Accounts {
+		if account == nil {
+			return nil, eris.Errorf("escrow: record %s has nothing of workspace %q", e.Key, w)
+		}
+	}
 	if r.Boxes == nil {
 		r.Boxes = map[granitehoist.Box]granitehoist.Incarnation{}
 	}
