--- a/balance/doc.go
+++ b/balance/doc.go
@@ -12,7 +12,7 @@
 // guards all of it. Nothing of it is stored: a router that starts has no record of
 // loads or failures, and the table does not see the requests of other routers. Only
 // which instances are slow is passed on, to routers that start (hints.go). The package
-// makes no calls and relies on the announcements being current.
+// makes no calls and relies on the announcements and evacuations being current.
 //
 // The choice is the instance with the least estimated cost (cost.go) among the
 // candidates (candidates.go). Requests with a common prefix have the same owner
@@ -24,5 +24,11 @@
 // ejected, for a time that doubles with each further one (ejection.go). An instance
 // whose announcement was removed is the last resort for a short time (removal.go).
 //
+// What the operators forbid goes before all of that: instances of a zone that is
+// evacuated (evacuation.go) or of a region that is no home of the request (homes.go) are
+// never candidates. A cold instance is one only as often as the routers together may
+// send it requests (cold.go). An instance that starts again under its ID begins with
+// nothing observed (membership.go).
+//
 // Begin reading at Table.Pick in choice.go.
 package balance
