--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -26,9 +26,9 @@
 	live
 )
 
-// bars is what keeps instances from an attempt whatever their own state is, and what
+// constraints are what keeps instances from an attempt whatever their own state is, and what
 // the decision on cold ones depends on.
-type bars struct {
+type constraints struct {
 	now time.Time
 	// tried holds the instances that the request was sent to.
 	tried map[granitehoist.Upstream]bool
@@ -40,9 +40,9 @@
 	cold      coldShare
 }
 
-// bars returns what keeps instances from an attempt of a query. The caller holds mu.
-func (t *Table) bars(q *Query, now time.Time) bars {
-	return bars{
+// constraints returns what keeps instances from an attempt of a query. The caller holds mu.
+func (t *Table) constraints(q *Query, now time.Time) constraints {
+	return constraints{
 		now: now, tried: q.Tried, evacuated: t.evacuated, homes: q.Homes, regions: t.settings.Regions,
 		cold: coldShare{perSecond: shareOfCold(q.ColdPerSecond, q.Routers), random: t.random},
 	}
@@ -50,14 +50,14 @@
 
 // eligibility decides whether an instance may get an attempt. The announcement that
 // it reads is as old as this router's copy of the store.
-func (s *instanceState) eligibility(b bars) eligibility {
-	now := b.now
+func (s *instanceState) eligibility(c constraints) eligibility {
+	now := c.now
 	switch {
-	case b.tried[s.ID] || s.Draining || b.evacuated[s.Zone]:
+	case c.tried[s.ID] || s.Draining || c.evacuated[s.Zone]:
 		return excluded
-	case !allAllow(b.homes, b.regions[s.Zone]):
+	case len(c.homes) > 0 && !allAllow(c.homes, c.regions[s.Zone]):
 		return excluded
-	case s.isCold(now) && !s.admitsCold(b.cold, now):
+	case s.isCold(now) && !s.admitsCold(c.cold, now):
 		return excluded
 	case !s.removedAt.IsZero() && usableAfterRemoval(s.removedAt, now):
 		return removed
@@ -74,12 +74,12 @@
 // since a try there may succeed and a refusal can't; if there is none either, those
 // that were removed lately. It returns none if all are excluded. The result has
 // the order of states, on which the random choice among equals depends.
-func candidates(states []*instanceState, b bars) []*instanceState {
+func candidates(states []*instanceState, c constraints) []*instanceState {
 	liveStates := make([]*instanceState, 0, len(states))
 	var removedStates []*instanceState
 	var endsFirst *instanceState
 	for _, s := range states {
-		switch s.eligibility(b) {
+		switch s.eligibility(c) {
 		case live:
 			liveStates = append(liveStates, s)
 		case ejected:
--- a/balance/candidates_test.go
+++ b/balance/candidates_test.go
@@ -46,7 +46,7 @@
 
 	DescribeTable("of one instance",
 		func(id granitehoist.Upstream, change func(*instanceState), expected eligibility) {
-			Expect(announced(id, change).eligibility(bars{now: noon, tried: tried})).To(Equal(expected))
+			Expect(announced(id, change).eligibility(constraints{now: noon, tried: tried})).To(Equal(expected))
 		},
 		Entry("announced", granitehoist.Upstream("a"), nil, live),
 		Entry("tried before", granitehoist.Upstream("tried"), nil, excluded),
@@ -61,7 +61,7 @@
 
 	DescribeTable("are",
 		func(instances []*instanceState, expected ...granitehoist.Upstream) {
-			Expect(idsOf(candidates(instances, bars{now: noon, tried: tried}))).To(Equal(append([]granitehoist.Upstream{}, expected...)))
+			Expect(idsOf(candidates(instances, constraints{now: noon, tried: tried}))).To(Equal(append([]granitehoist.Upstream{}, expected...)))
 		},
 		Entry("none of no instances", nil),
 		Entry("none if all are excluded", []*instanceState{announced("tried", nil), announced("b", draining)}),
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -46,7 +46,7 @@
 	defer t.mu.Unlock()
 	service := t.service(q.Service)
 	service.markSlow(now)
-	choices := candidates(service.instances, t.bars(&q, now))
+	choices := candidates(service.instances, t.constraints(&q, now))
 	if len(choices) == 0 {
 		return nil, granitehoist.Errorf(granitehoist.NoUpstream, "service %s", q.Service)
 	}
--- a/escrow/target.go
+++ b/escrow/target.go
@@ -137,22 +137,30 @@
 	want := h.ownRate * c.cover.Seconds()
 	left := float64(max(0, h.remaining+max(0, h.unreserved)))
 	want = max(want, c.startPart*left/float64(c.routers)*(1-c.confidence))
-	held := min(want, h.share(c, left)*left*h.demandPart(c))
+	held := min(want, h.shared(c, left)*h.demandPart(c))
 	spare := min(spareRequests*float64(h.largest), c.sparePart*left/float64(c.routers))
-	most := c.exposedPart * float64(h.limit) * h.demandPart(c)
-	if c.role.lends() {
-		most = max(most, h.ownRate*leastCover.Seconds())
-	}
+	most := max(c.exposedPart*float64(h.limit)*h.demandPart(c), h.least(c))
 	return granitehoist.Tokens(min(max(held, spare), most))
 }
 
-// share returns the part of what is left that all routers hold ahead of requests. That
-// of a holder shrinks with what is left of the budget until it has seen an outage.
-func (h holding) share(c conditions, left float64) float64 {
-	if c.role.lends() && !c.sawOutage && h.limit > 0 {
-		return min(c.sharePart, endShare*left/float64(h.limit))
+// shared returns the part of what is left, in tokens, that all routers hold ahead of
+// requests. That of a holder shrinks with what is left of the budget until it has seen an
+// outage, but not below leastCover.
+func (h holding) shared(c conditions, left float64) float64 {
+	most := c.sharePart * left
+	if !c.role.lends() || c.sawOutage || h.limit <= 0 {
+		return most
+	}
+	end := endShare * left / float64(h.limit) * left
+	return min(most, max(end, h.least(c)))
+}
+
+// least returns the tokens of leastCover at a holder, none at other routers.
+func (h holding) least(c conditions) float64 {
+	if !c.role.lends() {
+		return 0
 	}
-	return c.sharePart
+	return h.ownRate * leastCover.Seconds()
 }
 
 // demandPart returns the router's part of the fleet's demand, but no less than an
