--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -97,6 +97,7 @@
 func TestColdInstanceBesideHotPrefix(t *testing.T) {
 	for _, routers := range []int{1, 6, 87, 295} {
 		t.Run(fmt.Sprint("routers=", routers), func(t *testing.T) {
+			t.Parallel()
 			worst, sum := 0, 0
 			const starts = 100
 			for seed := range uint64(starts) {
