Run the loop of a router that stands in while its own request waits, in the test of a large fleet

Change: the test runs the loop for such a request too. No check changed. A round that is reached from another one is passed over in place of waiting for it.

--- a/escrow/largefleet_test.go
+++ b/escrow/largefleet_test.go
@@ -118,23 +118,29 @@
 	return err
 }
 
-// serveLend serves a loan while the receiver's loop runs, here and not on a timer of
-// its own: the test's clock stands still meanwhile, however busy the machine is.
+// serveLend serves a loan while the receiver's loop runs. The time of the call is not
+// that of the test's clock.
 func (f *largeFleet) serveLend(ctx context.Context, receiver *box, p escrow.LendParams) (escrow.LendResult, error) {
 	var reply escrow.LendResult
 	var err error
-	served := make(chan struct{})
+	f.runLoopDuring(receiver, func() { reply, err = receiver.syncer.ServeLend(context.WithoutCancel(ctx), p) })
+	return reply, err
+}
+
+// runLoopDuring makes a call at a router while its loop runs, here and not on a timer of
+// its own: the test's clock stands still meanwhile, however busy the machine is.
+func (f *largeFleet) runLoopDuring(b *box, call func()) {
+	ended := make(chan struct{})
 	go func() {
-		defer close(served)
-		// The time of the call is not that of the test's clock.
-		reply, err = receiver.syncer.ServeLend(context.WithoutCancel(ctx), p)
+		defer close(ended)
+		call()
 	}()
 	for {
 		select {
-		case <-served:
-			return reply, err
+		case <-ended:
+			return
 		default:
-			f.round(receiver)
+			f.round(b)
 			runtime.Gosched()
 		}
 	}
@@ -142,7 +148,10 @@
 
 // round runs one round of a router's loop, one at a time.
 func (f *largeFleet) round(b *box) {
-	f.running.Lock()
+	if !f.running.TryLock() {
+		// A round that borrows has another router serve a loan.
+		return
+	}
 	defer f.running.Unlock()
 	f.rounds[b].Run(b.syncer)
 }
@@ -180,7 +189,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), largeFleetPatience)
 	defer cancel()
 	f.asked++
-	if b.syncer.Reserve(ctx, kiosk, bound, normal).Outcome != escrow.Granted {
+	var answer escrow.Answer
+	reserve := func() { answer = b.syncer.Reserve(ctx, kiosk, bound, normal) }
+	if b.ledger.Role(kiosk, f.clock()) == escrow.StandsIn {
+		// Its request waits for its own loop.
+		f.runLoopDuring(b, reserve)
+	} else {
+		reserve()
+	}
+	if answer.Outcome != escrow.Granted {
 		f.refused++
 		return
 	}
