Tell in the log of an attempt whether the upstream ended under it, and which request it was

Cause: the logs could not tell the incident's hypotheses apart. An arrival's id says nothing of its content, and a broken attempt did not say whether the upstream ended or only its connection.

The stand-in worker can crash under a request.

--- /dev/null
+++ b/exchange/ended_test.go
@@ -0,0 +1,58 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package exchange_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/exchange"
+)
+
+var _ = DescribeTable("An error tells whether the upstream ended the connection", func(err error, ended bool) {
+	Expect(exchange.ConnectionEnded(granitehoist.Wrap(granitehoist.UpstreamLost, err, ""))).To(Equal(ended))
+},
+	Entry("closed before the answer", io.ErrUnexpectedEOF, true),
+	Entry("reset", &net.OpError{Op: "read", Err: syscall.ECONNRESET}, true),
+	Entry("closed by this router", &net.OpError{Op: "read", Err: net.ErrClosed}, false),
+	Entry("silent for too long", &net.OpError{Op: "read", Err: syscall.ETIMEDOUT}, false),
+	Entry("no progress", errors.New("no progress"), false),
+)
+
+var _ = Describe("An upstream", func() {
+	listen := func() net.Listener {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = listener.Close() })
+		return listener
+	}
+
+	It("has ended if nobody listens at its address", func() {
+		listener := listen()
+		Expect(listener.Close()).To(Succeed())
+		Expect(exchange.NewPool(exchange.Settings{}).Ended(context.Background(), listener.Addr().String())).To(BeTrue())
+	})
+
+	It("has not ended if it takes connections, and keeps none", func() {
+		listener := listen()
+		Expect(exchange.NewPool(exchange.Settings{}).Ended(context.Background(), listener.Addr().String())).To(BeFalse())
+		conn, err := listener.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+	})
+
+	It("has not ended if it is cut off", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		Expect(exchange.NewPool(exchange.Settings{}).Ended(ctx, listen().Addr().String())).To(BeFalse())
+	})
+})
--- a/forward/active.go
+++ b/forward/active.go
@@ -12,6 +12,8 @@
 	"granitehoist.example/granitehoist/balance"
 	"granitehoist.example/granitehoist/catalog"
 	"granitehoist.example/granitehoist/escrow"
+	"granitehoist.example/granitehoist/exchange"
+	"granitehoist.example/granitehoist/suspect"
 )
 
 // activeRequest is one request while a Forwarder serves it. Only the goroutine that
@@ -160,6 +162,7 @@
 	a.progress.attempts++
 	sent := settings.Clock()
 	result := a.attempt(ctx, lease, afterEvent)
+	result.ended = a.instanceEnded(ctx, lease, result.err)
 	a.countRun(result.err)
 	verdict := a.nextAttempt(ctx, &result)
 	if result.failure != nil && !verdict.allowed {
@@ -171,6 +174,30 @@
 	return verdict, result.err
 }
 
+// instanceEnded reports whether the instance of a failed attempt has ended: it broke
+// the connection off and nobody listens at its address.
+func (a *activeRequest) instanceEnded(ctx context.Context, lease *balance.Lease, err error) bool {
+	if !exchange.ConnectionEnded(err) || ctx.Err() != nil {
+		return false
+	}
+	return a.forwarder.settings.Pool.Ended(ctx, lease.Address)
+}
+
+// digest returns the digest of the request.
+func (a *activeRequest) digest() suspect.Digest {
+	facts := suspect.Facts{
+		Method: a.request.Method,
+		Host:   a.request.Host,
+		Target: a.request.Target,
+		Body:   a.request.Body,
+		Key:    a.request.Key,
+	}
+	if a.admission.workspace != nil {
+		facts.Workspace = a.admission.workspace.Name
+	}
+	return facts.Digest()
+}
+
 // countRun counts an attempt that ran or may have run. err is its result.
 func (a *activeRequest) countRun(err error) {
 	if fateOf(err) != granitehoist.NotRun {
--- a/forward/log.go
+++ b/forward/log.go
@@ -58,6 +58,8 @@
 }
 
 // logAttempt logs an attempt. took is the time from before it was sent to its end.
+// "ended" says that the upstream ended under it; "digest" then tells whether it is the
+// same request that upstreams ended under before, whatever its id.
 func (a *activeRequest) logAttempt(l *balance.Lease, result *attemptResult, took time.Duration) {
 	fields := []zap.Field{
 		zap.String("request", string(a.request.ID)),
@@ -76,5 +78,8 @@
 	if result.err != nil {
 		fields = append(fields, zap.Error(result.err))
 	}
+	if result.ended {
+		fields = append(fields, zap.Bool("ended", true), zap.Stringer("digest", a.digest()))
+	}
 	a.forwarder.settings.Log.Info(event.Attempt, fields...)
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -74,7 +74,7 @@
 // is complete only if there are none.
 func (a *activeRequest) endStream(response *exchange.Response, remaining []byte) error {
 	if !response.Framed && len(remaining) > 0 {
-		return granitehoist.Errorf(granitehoist.UpstreamCut, "the stream ended within an event")
+		return granitehoist.Wrap(granitehoist.UpstreamCut, io.ErrUnexpectedEOF, "the stream ended within an event")
 	}
 	if err := a.passHead(response.Status, response.Header); err != nil {
 		return err
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -85,6 +85,20 @@
 	w.done.Wait()
 }
 
+// crash ends the worker as Close does, for one of its own connections: it does not
+// wait for them. Each is reset.
+func (w *Worker) crash() {
+	// accept ends with the listener; one that was closed before is no failure.
+	_ = w.listener.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		reset(c)
+		// Its goroutine may have closed it already.
+		_ = c.Close()
+	}
+}
+
 // accept serves each connection on a goroutine of its own, until Close.
 func (w *Worker) accept() {
 	for {
--- a/standin/workeranswer.go
+++ b/standin/workeranswer.go
@@ -41,6 +41,9 @@
 	Crossed bool
 	// NoSeal leaves the worker's signature out.
 	NoSeal bool
+	// Crash ends the worker after the head of a stream, and before any answer that
+	// is no stream: nobody listens at its address any more.
+	Crash bool
 }
 
 // Cut says whether and where an answer breaks off. The zero value leaves the
@@ -75,6 +78,10 @@
 	if a.Events > 0 {
 		return w.writeStream(conn, arrival, a)
 	}
+	if a.Crash {
+		w.crash()
+		return false
+	}
 	body := a.Body
 	if a.Cut.Set {
 		body = body[:min(a.Cut.After, len(body))]
@@ -148,6 +155,11 @@
 	if _, err := io.WriteString(conn, w.head(arrival, a, framing)); err != nil {
 		return false
 	}
+	if a.Crash {
+		time.Sleep(a.Gap)
+		w.crash()
+		return false
+	}
 	for n := arrival.After + 1; n <= a.Events; n++ {
 		time.Sleep(a.Gap)
 		event := StreamEvent(arrival.ID, n)
--- /dev/null
+++ b/suspect/digest.go
@@ -0,0 +1,64 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package suspect
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"hash"
+
+	"granitehoist.example/granitehoist"
+)
+
+// digestBytes is the length of a Digest. With 128 bits of a keyed hash two
+// requests of one fleet are not expected to share a digest, so that none is held
+// responsible for another.
+const digestBytes = 16
+
+// Digest names a request by what it asks for. The zero value names none.
+type Digest [digestBytes]byte
+
+// String returns the digest in hexadecimal digits.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// Facts are what makes two requests the same.
+type Facts struct {
+	Method string
+	Host   string
+	// Target is the path and query.
+	Target string
+	// Workspace is empty for requests that need no key.
+	Workspace granitehoist.Workspace
+	Body      []byte
+	// Key is the caller's key, empty if it gave none. The digest is keyed with it:
+	// who does not hold the key can't try out bodies until one has a digest that
+	// stands in a log.
+	Key string
+}
+
+// Digest returns the digest of the facts. It is safe for concurrent use as long
+// as nobody changes the facts.
+func (f *Facts) Digest() Digest {
+	mac := hmac.New(sha256.New, []byte(f.Key))
+	addField(mac, []byte(f.Method))
+	addField(mac, []byte(f.Host))
+	addField(mac, []byte(f.Target))
+	addField(mac, []byte(f.Workspace))
+	addField(mac, f.Body)
+	var d Digest
+	copy(d[:], mac.Sum(nil))
+	return d
+}
+
+// addField adds a field behind its length, which keeps ("ab", "c") and ("a", "bc")
+// apart.
+func addField(h hash.Hash, field []byte) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+	// A hash takes every write: its error is always nil.
+	_, _ = h.Write(length[:])
+	_, _ = h.Write(field)
+}
