--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -63,6 +63,8 @@
 	store   *standin.Store
 	members []*member
 	workers int
+	// atEnd registers what ends with the test.
+	atEnd func(func())
 }
 
 // lastIP is the number of the last loopback address that a node of any test got,
@@ -80,7 +82,13 @@
 
 // newSite starts a site with nodes that have no configuration yet.
 func newSite(nodes int) *site {
-	s := &site{store: standin.NewStore(standin.StoreSettings{})}
+	return newSiteUntil(func(end func()) { DeferCleanup(end) }, nodes)
+}
+
+// newSiteUntil starts a site as newSite does. What it starts is ended by the functions
+// that it gives to atEnd.
+func newSiteUntil(atEnd func(func()), nodes int) *site {
+	s := &site{store: standin.NewStore(standin.StoreSettings{}), atEnd: atEnd}
 	for range nodes {
 		s.members = append(s.members, s.start())
 	}
@@ -95,7 +103,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	server := &http.Server{Handler: front, ReadHeaderTimeout: stepTimeout}
 	go func() { _ = server.Serve(listener) }()
-	DeferCleanup(server.Close)
+	s.atEnd(func() { _ = server.Close() })
 	settings := fmt.Sprintf(`{"nodeName":"edge-%s","ipAddress":%q,"zone":"hall","listenAddrs":{"frontend":"%s:8227","ready":"%s:8220"},
 		"internalPortRange":[7340,7355],"bounds":{"gracePeriodS":4,"drainMs":500,"retryBudgetRatio":0.2,"retryWindowS":10,"budgetSlack":50},
 		"platform":{"address":%q}}`, ip, ip, ip, ip, listener.Addr().String())
@@ -109,7 +117,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	n.Start()
 	m := &member{node: n, config: config, store: front, logs: logs, text: text}
-	DeferCleanup(n.Stop)
+	s.atEnd(n.Stop)
 	return m
 }
 
@@ -160,7 +168,7 @@
 	id := fmt.Sprintf("i-%d", s.workers)
 	w, err := standin.NewWorker(id, answers)
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(w.Close)
+	s.atEnd(w.Close)
 	s.announce(w, "ready")
 	return w
 }
