Count the time in which the machine is suspended

Cause: machines may be suspended. Go's steady clock, timers and the deadlines of contexts stand still then: a router that wakes took a caller's time, its copies, idle connections, retry windows and the grace of a stop for younger than they are, and told an upstream that more time is left than the caller has.

Change: internal/boottime adds to the steady clock what CLOCK_BOOTTIME counted beyond it. It is read when the time of day has moved against the steady clock, and each second. The node hands this clock to all that takes one; contexts of requests are also ended by it, looked at every 0.1 s; a request is looked at once more before each send.

--- a/cmd/granitehoist-edge/main.go
+++ b/cmd/granitehoist-edge/main.go
@@ -28,6 +28,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"granitehoist.example/granitehoist/internal/boottime"
 	"granitehoist.example/granitehoist/internal/event"
 	"granitehoist.example/granitehoist/internal/logsink"
 	"granitehoist.example/granitehoist/node"
@@ -81,6 +82,11 @@
 	defer sink.Close(logFlush)
 	config.LogDropped = sink.Dropped
 	log := logsink.NewLogger(sink, zapcore.InfoLevel)
+	clock, err := boottime.New()
+	if err != nil {
+		return err
+	}
+	config.Clock = clock.Now
 	n, err := node.New(config, platform.NewAdapter(platform.StoreSettings{Address: config.Store}), log)
 	if err != nil {
 		return err
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -103,7 +103,7 @@
 		discard(c)
 		return
 	}
-	p.put(c, keepAlive(header), time.Now())
+	p.put(c, keepAlive(header), p.settings.Clock())
 }
 
 // isFramed reports whether an answer states where its body ends.
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/linkmeter"
 )
 
@@ -18,6 +19,9 @@
 type Settings struct {
 	// Meter, if set, counts the bytes of the connections.
 	Meter *linkmeter.Meter
+	// Clock returns the present time, by which idle connections are kept; nil means
+	// time.Now. Do must get times of the same clock.
+	Clock granitehoist.Clock
 	// Opened, if set, is called for each new connection, by the goroutine that
 	// opened it.
 	Opened func()
@@ -67,6 +71,9 @@
 
 // NewPool returns an empty pool.
 func NewPool(s Settings) *Pool {
+	if s.Clock == nil {
+		s.Clock = time.Now
+	}
 	p := &Pool{settings: s, idle: map[string][]*conn{}}
 	p.dialer = net.Dialer{
 		Timeout: connectTimeout,
--- a/forward/active.go
+++ b/forward/active.go
@@ -75,7 +75,8 @@
 	if refused != noRefusal {
 		return refused.error(a.timeLeft())
 	}
-	ctx, cancel := context.WithDeadline(ctx, a.admission.deadline)
+	now := settings.Clock()
+	ctx, cancel := settings.Deadlines.With(ctx, a.admission.deadline.Sub(now), now)
 	defer cancel()
 	if err := a.checkSuspicion(); err != nil {
 		return err
@@ -157,8 +158,12 @@
 }
 
 // pick chooses the instance of the next attempt. The request may have become suspect
-// while it waited for tokens or for the attempt before, so that this is looked at last.
+// while it waited for tokens or for the attempt before, and its time may have passed
+// while the machine was suspended, which no timer shows: so both are looked at last.
 func (a *activeRequest) pick() (*balance.Lease, error) {
+	if left := a.timeLeft(); left <= 0 {
+		return nil, granitehoist.Errorf(granitehoist.DeadlineTooNear, "it passed %s ago", -left)
+	}
 	if err := a.checkSuspicion(); err != nil {
 		return nil, err
 	}
--- a/forward/fakes_test.go
+++ b/forward/fakes_test.go
@@ -98,10 +98,12 @@
 // site is a Forwarder before workers over real sockets.
 type site struct {
 	forwarder *forward.Forwarder
-	table     *balance.Table
-	funds     *fakeFunds
-	current   *catalog.Current
-	workers   []*standin.Worker
+	// settings are the forwarder's.
+	settings forward.Settings
+	table    *balance.Table
+	funds    *fakeFunds
+	current  *catalog.Current
+	workers  []*standin.Worker
 }
 
 func newSite() *site {
@@ -122,17 +124,19 @@
 	snapshot, err := catalog.Build(document, 7)
 	Expect(err).NotTo(HaveOccurred())
 	s.current.Offer(snapshot)
-	s.suspects(nil)
+	s.settings = forward.Settings{
+		Catalog: s.current, Funds: s.funds, Table: s.table, Codec: platform.Codec{},
+		Pool:  exchange.NewPool(exchange.Settings{}),
+		Retry: forward.RetrySettings{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+	}
+	s.forwarder = forward.New(s.settings)
 	return s
 }
 
 // suspects makes the forwarder anew, with a table of suspect requests.
 func (s *site) suspects(table *suspect.Table) {
-	s.forwarder = forward.New(forward.Settings{
-		Catalog: s.current, Funds: s.funds, Table: s.table, Codec: platform.Codec{}, Suspects: table,
-		Pool:  exchange.NewPool(exchange.Settings{}),
-		Retry: forward.RetrySettings{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
-	})
+	s.settings.Suspects = table
+	s.forwarder = forward.New(s.settings)
 }
 
 func route(name, prefix string, kind catalog.Kind, service granitehoist.Service, attempts int, resume bool) catalog.Route {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,6 +15,7 @@
 	"granitehoist.example/granitehoist/catalog"
 	"granitehoist.example/granitehoist/escrow"
 	"granitehoist.example/granitehoist/exchange"
+	"granitehoist.example/granitehoist/internal/boottime"
 	"granitehoist.example/granitehoist/suspect"
 )
 
@@ -50,6 +51,9 @@
 	Routers func() int
 	// Clock returns the present time; nil means time.Now.
 	Clock granitehoist.Clock
+	// Deadlines ends requests whose time is over by Clock; nil means one that nobody
+	// checks, so that only their timers end them.
+	Deadlines *boottime.Deadlines
 	// Log receives a line for each attempt and each request; nil drops them.
 	Log *zap.Logger
 	// Ended, if set, receives a report of each request when it ends. It is called
@@ -98,6 +102,9 @@
 	if s.Clock == nil {
 		s.Clock = time.Now
 	}
+	if s.Deadlines == nil {
+		s.Deadlines = &boottime.Deadlines{}
+	}
 	if s.Log == nil {
 		s.Log = zap.NewNop()
 	}
--- /dev/null
+++ b/internal/boottime/deadlines_test.go
@@ -0,0 +1,51 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package boottime
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Deadlines", func() {
+	now := time.Unix(1_000_000, 0)
+
+	It("end a context whose time passed while its timer stood still", func() {
+		var d Deadlines
+		ctx, cancel := d.With(context.Background(), time.Hour, now)
+		defer cancel()
+		d.Check(now.Add(time.Hour - 1))
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+		d.Check(now.Add(time.Hour))
+		Expect(ctx.Err()).To(MatchError(context.Canceled))
+	})
+
+	It("end a context on time without a check", func() {
+		var d Deadlines
+		ctx, cancel := d.With(context.Background(), time.Millisecond, now)
+		defer cancel()
+		Eventually(ctx.Done()).Should(BeClosed())
+		Expect(ctx.Err()).To(MatchError(context.DeadlineExceeded))
+	})
+
+	It("keep nothing of a context that is no longer needed", func() {
+		var d Deadlines
+		_, cancel := d.With(context.Background(), time.Hour, now)
+		cancel()
+		Expect(d.pending).To(BeEmpty())
+	})
+
+	It("are checked by the clock that Run is given", func() {
+		var d Deadlines
+		running, stop := context.WithCancel(context.Background())
+		defer stop()
+		ctx, cancel := d.With(context.Background(), time.Hour, now)
+		defer cancel()
+		go d.Run(running, func() time.Time { return now.Add(2 * time.Hour) })
+		Eventually(ctx.Done()).Should(BeClosed())
+	})
+})
--- a/node/config.go
+++ b/node/config.go
@@ -41,6 +41,9 @@
 	// zero is no bound.
 	Memory int64
 	Retry  forward.RetrySettings
+	// Clock returns the present time; nil means time.Now, which does not count while
+	// the machine is suspended (package internal/boottime).
+	Clock granitehoist.Clock
 	// First says that all routers of the fleet start for the first time, so that
 	// the list of nodes in the store is empty or still filling.
 	First bool
--- a/node/crashing_test.go
+++ b/node/crashing_test.go
@@ -22,6 +22,8 @@
 // poolUnderAttack is a service whose workers are replaced as they end.
 type poolUnderAttack struct {
 	site *site
+	// turn counts the requests of attack.
+	turn int
 
 	// mu guards ended.
 	mu    sync.Mutex
@@ -57,6 +59,22 @@
 	return p.ended
 }
 
+// attack sends the deadly request to nodes in turn, until one refuses it, and replaces
+// the workers that end.
+func (p *poolUnderAttack) attack(members []*member) {
+	Eventually(func() int {
+		m := members[p.turn%len(members)]
+		p.turn++
+		before := p.endings()
+		got, err := m.ask("/once/"+deadly, fmt.Sprintf("attack-%d", p.turn))
+		Expect(err).NotTo(HaveOccurred())
+		for range p.endings() - before {
+			p.add()
+		}
+		return got.status
+	}, stepTimeout).Should(Equal(http.StatusServiceUnavailable))
+}
+
 // TestCrashingRequestIsRefused is the incident of the requests that ended 15 and 19
 // upstreams. One request, which no upstream survives, came again and again: at other
 // routers, under a new id each time, every 0.1 to 2 s. Each router took it for a first
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -65,6 +65,8 @@
 	workers int
 	// atEnd registers what ends with the test.
 	atEnd func(func())
+	// clock is that of the nodes that are started; nil stands for time.Now.
+	clock granitehoist.Clock
 }
 
 // lastIP is the number of the last loopback address that a node of any test got,
@@ -110,6 +112,7 @@
 	config, err := platform.ParseSettings("test", []byte(settings))
 	Expect(err).NotTo(HaveOccurred())
 	config.Metrics = ip + ":9464"
+	config.Clock = s.clock
 	core, logs := observer.New(zapcore.InfoLevel)
 	text := &logText{}
 	log := zap.New(zapcore.NewTee(core, logsink.NewLogger(text, zapcore.InfoLevel).Core()))
@@ -188,6 +191,34 @@
 	Expect(err).NotTo(HaveOccurred())
 }
 
+// keysUnder returns the keys that begin with a prefix.
+func (s *site) keysUnder(prefix string) []string {
+	entries, _, err := s.store.List(context.Background(), prefix)
+	Expect(err).NotTo(HaveOccurred())
+	var keys []string
+	for _, e := range entries {
+		keys = append(keys, e.Key)
+	}
+	return keys
+}
+
+// metric returns the value of a metric without labels, empty if there is none.
+func (m *member) metric(name string) string {
+	response, err := http.Get("http://" + m.config.Metrics + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if value, found := strings.CutPrefix(line, name+" "); found {
+			return value
+		}
+	}
+	return ""
+}
+
 // knowsDraining reports whether the node has logged that a worker drains.
 func (m *member) knowsDraining(w *standin.Worker) func() bool {
 	return func() bool {
--- a/node/node.go
+++ b/node/node.go
@@ -60,7 +60,7 @@
 		config:      c,
 		adapter:     a,
 		log:         log,
-		clock:       time.Now,
+		clock:       clockOf(c),
 		incarnation: granitehoist.Incarnation(granitehoist.NewID(string(c.Box)+"-", rand.Reader)),
 		counters:    newCounters(),
 	}
@@ -74,6 +74,14 @@
 	return n, nil
 }
 
+// clockOf returns the clock of the settings.
+func clockOf(c *Config) granitehoist.Clock {
+	if c.Clock == nil {
+		return time.Now
+	}
+	return c.Clock
+}
+
 // gatherChanges is the least time from one watch of the store to the next, so that
 // changes within it cost one call. It is a quarter of the 2 s in which the users'
 // pages want the routers to act on a configuration and on an upstream that leaves.
@@ -118,6 +126,7 @@
 	go n.parts.suspects.runTelling(ctx)
 	go n.parts.suspects.runKeeping(ctx)
 	go n.watchLink(ctx)
+	go n.parts.deadlines.Run(ctx, n.clock)
 	go n.parts.syncer.Run(ctx)
 	go n.serveCalls()
 	go n.serve(readyServer, n.servers.ready)
--- a/node/parts.go
+++ b/node/parts.go
@@ -10,6 +10,7 @@
 	"granitehoist.example/granitehoist/escrow"
 	"granitehoist.example/granitehoist/exchange"
 	"granitehoist.example/granitehoist/forward"
+	"granitehoist.example/granitehoist/internal/boottime"
 	"granitehoist.example/granitehoist/internal/linkmeter"
 )
 
@@ -26,8 +27,9 @@
 	// the record in the store and with neighbours.
 	ledger *escrow.Ledger
 	syncer *escrow.Syncer
-	// forwarder serves requests.
+	// forwarder serves requests, deadlines ends those whose time is over.
 	forwarder *forward.Forwarder
+	deadlines *boottime.Deadlines
 	// peers holds and calls the neighbours.
 	peers *peers
 	// suspects holds what speaks against requests.
@@ -37,13 +39,13 @@
 // newParts builds the parts of a node. current holds the configuration that they
 // serve by, self is the node's own entry.
 func newParts(n *Node, self peerEntry, current *catalog.Current) *parts {
-	p := &parts{meter: &linkmeter.Meter{}}
+	p := &parts{meter: &linkmeter.Meter{}, deadlines: &boottime.Deadlines{}}
 	p.table = balance.New(balance.Settings{
 		Zone:    n.config.Zone,
 		Seed:    uint64(n.clock().UnixNano()),
 		Regions: n.config.Regions,
 	})
-	p.pool = exchange.NewPool(exchange.Settings{Opened: n.counters.counter(metricConnections), Meter: p.meter})
+	p.pool = exchange.NewPool(exchange.Settings{Clock: n.clock, Opened: n.counters.counter(metricConnections), Meter: p.meter})
 	p.peers = newPeers(peersSettings{
 		self:  self,
 		store: n.adapter.Store,
@@ -56,17 +58,18 @@
 	p.ledger = escrow.NewLedger(escrow.LedgerSettings{Incarnation: n.incarnation, Role: p.peers.role})
 	p.syncer = newSyncer(n, p.ledger, p.peers)
 	p.forwarder = forward.New(forward.Settings{
-		Catalog:  current,
-		Funds:    p.syncer,
-		Table:    p.table,
-		Pool:     p.pool,
-		Codec:    n.adapter.Codec,
-		Suspects: p.suspects.table,
-		Retry:    n.config.Retry,
-		Routers:  p.peers.routers,
-		Clock:    n.clock,
-		Log:      n.log,
-		Ended:    n.counters.noteRequest,
+		Catalog:   current,
+		Funds:     p.syncer,
+		Table:     p.table,
+		Pool:      p.pool,
+		Codec:     n.adapter.Codec,
+		Suspects:  p.suspects.table,
+		Retry:     n.config.Retry,
+		Routers:   p.peers.routers,
+		Clock:     n.clock,
+		Deadlines: p.deadlines,
+		Log:       n.log,
+		Ended:     n.counters.noteRequest,
 	})
 	return p
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -110,8 +110,11 @@
 	forwarder := n.parts.forwarder
 	n.leaving.Store(true)
 	n.log.Info(event.Stop, zap.Int("active", forwarder.Active()), zap.Duration("grace", grace))
-	// phaseServe has one length, whatever happens in it.
-	time.Sleep(plan.serveUntil.Sub(n.clock()))
+	// phaseServe has one length, whatever happens in it. The platform counts the grace
+	// also while the machine is suspended, which one long sleep would not.
+	for plan.phase(n.clock(), forwarder.Active()) == phaseServe {
+		time.Sleep(stopPollInterval)
+	}
 	// The listener stays open, so that a caller that still arrives gets the
 	// answer that its request was not run.
 	forwarder.Stop()
--- /dev/null
+++ b/node/suspectnews_test.go
@@ -0,0 +1,146 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package node_test
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist/internal/event"
+	"granitehoist.example/granitehoist/standin"
+)
+
+// leapingClock is the clock of a machine that a test suspends: the time leaps, and
+// timers notice nothing of it.
+type leapingClock struct {
+	mu   sync.Mutex
+	leap time.Duration
+}
+
+func (c *leapingClock) now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Round(0).Add(c.leap)
+}
+
+func (c *leapingClock) suspend(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leap += d
+}
+
+var _ = Describe("A request that is refused for the upstreams that ended under it", func() {
+	// newServing returns a site whose nodes serve and know each other. Each is started
+	// once the one before is in the list, so that no list has to be read again.
+	newServing := func(nodes int) (*site, *poolUnderAttack) {
+		s := newSite(0)
+		s.configure(1, 1_000_000, "/once/")
+		pool := newPoolUnderAttack(s, 6)
+		for i := range nodes {
+			s.members = append(s.members, s.start())
+			Eventually(func() int { return len(s.keysUnder("boxes/")) }).Should(Equal(i + 1))
+		}
+		for _, m := range s.members {
+			Eventually(m.status("/once/x")).Should(Equal(http.StatusOK))
+			Eventually(m.node.Routers).Should(Equal(nodes))
+		}
+		return s, pool
+	}
+	// newRefusing returns a site whose nodes refuse the deadly request.
+	newRefusing := func(nodes int) (*site, *poolUnderAttack) {
+		s, pool := newServing(nodes)
+		pool.attack(s.members)
+		return s, pool
+	}
+
+	expectRefused := func(m *member, pool *poolUnderAttack) {
+		GinkgoHelper()
+		before := pool.endings()
+		got, err := m.ask("/once/"+deadly, "refused")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(got.body).To(ContainSubstring(`"code":4004`))
+		Expect(pool.endings()).To(Equal(before))
+	}
+	knows := func(m *member) func() bool { return func() bool { return m.metric("suspects_refused") == "1" } }
+
+	It("is refused by a node that starts, and nobody logs its key or body", func() {
+		s, pool := newRefusing(2)
+		started := s.start()
+		Eventually(started.ready).Should(Equal(http.StatusOK))
+		Eventually(knows(started)).Should(BeTrue())
+		expectRefused(started, pool)
+		ends := 0
+		for _, m := range s.members {
+			Expect(m.text.String()).NotTo(ContainSubstring("a-key"))
+			Expect(m.text.String()).NotTo(ContainSubstring("question"))
+			ends += m.logs.FilterMessage(event.Suspect).Len()
+		}
+		Expect(ends).To(BeNumerically(">=", 3))
+	})
+
+	It("is refused by nodes that all start anew, from what the store keeps", func() {
+		s, pool := newRefusing(2)
+		Eventually(func() int { return len(s.keysUnder("suspects/refused/")) }).Should(Equal(1))
+		for _, m := range s.members {
+			m.node.Stop()
+		}
+		started := s.start()
+		Eventually(started.ready).Should(Equal(http.StatusOK))
+		Eventually(knows(started)).Should(BeTrue())
+		expectRefused(started, pool)
+	})
+
+	It("is refused though the store answers nobody", func() {
+		s, pool := newServing(2)
+		for _, m := range s.members {
+			m.store.Fail(standin.PlatformFaults{Hang: true})
+		}
+		// The pool has workers enough, though no new one becomes known now.
+		pool.attack(s.members)
+		for _, m := range s.members {
+			Eventually(knows(m)).Should(BeTrue())
+			expectRefused(m, pool)
+		}
+		Expect(s.keysUnder("suspects/refused/")).To(BeEmpty())
+		for _, m := range s.members {
+			m.store.Fail(standin.PlatformFaults{})
+		}
+		Eventually(func() int { return len(s.keysUnder("suspects/refused/")) }).Should(Equal(1))
+	})
+
+	It("stays refused by a node whose machine was suspended, by the time that passed", func() {
+		s, pool := newRefusing(1)
+		clock := &leapingClock{}
+		s.clock = clock.now
+		late := s.start()
+		Eventually(knows(late)).Should(BeTrue())
+		s.members[0].node.Stop()
+		clock.suspend(time.Minute)
+		expectRefused(late, pool)
+	})
+})
+
+var _ = Describe("A node whose machine was suspended", func() {
+	It("gives the final answer of a request whose time is over", func() {
+		clock := &leapingClock{}
+		s := newSite(0)
+		s.clock = clock.now
+		m := s.start()
+		s.configure(1, 1_000_000, "/once/")
+		s.worker(standin.WorkerAnswer{Silent: true})
+		Eventually(func() int { return m.logs.FilterMessage(event.Upstream).Len() }).Should(Equal(1))
+		Eventually(m.ready).Should(Equal(http.StatusOK))
+		status := make(chan int, 1)
+		go func() { status <- m.status("/once/x")() }()
+		Eventually(func() string { return m.metric("active_requests") }).Should(Equal("1"))
+		clock.suspend(10 * time.Second)
+		Eventually(status, time.Second).Should(Receive(Equal(http.StatusBadGateway)))
+	})
+})
