Read the store when most neighbours can't be told; clear requests by success only

Cause: reading the design again. A node that is cut off from the other nodes, and from nothing else, hears of no refusal and ends three upstreams of its own. An upstream that answers all requests with 500 cleared the one that ends others.

Change: a node that could not tell most of those that it called what it observed in the last 16 s reads the store, where each refusal is kept. Only a 2xx answer clears a request. A node that is no relay asks the store itself if no relay has told the secret for 3 s.

Measured: a node that reaches no other refuses after its own first end, three before.

--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"go.uber.org/zap"
 
@@ -86,11 +87,12 @@
 }
 
 // noteEvidence notes what an attempt says for or against the request: that it was
-// answered completely, or that the instance ended under it.
+// answered with success, or that the instance ended under it. An instance's own failure
+// says neither: one that fails all its requests would otherwise clear them.
 func (a *activeRequest) noteEvidence(ctx context.Context, lease *balance.Lease, result *attemptResult) {
 	settings := &a.forwarder.settings
 	switch {
-	case result.err == nil, result.failure != nil:
+	case result.err == nil && result.status < http.StatusMultipleChoices:
 		if settings.Suspects.Any() && a.setDigest() {
 			settings.Suspects.NoteAnswer(a.progress.suspicion.digest, settings.Clock())
 		}
--- a/forward/suspicion_test.go
+++ b/forward/suspicion_test.go
@@ -233,11 +233,15 @@
 		Expect(table.Any()).To(BeFalse())
 	})
 
-	It("is evidence against all that ran there, and each is cleared by its own answer", func() {
+	It("is evidence against what ran there until that is answered, which a failure is not", func() {
 		s.worker(desk, "i-1", always(standin.WorkerAnswer{Crash: true}))
 		Expect(serve("/unsafe/x")).NotTo(Succeed())
 		Expect(table.Any()).To(BeTrue())
-		s.worker(desk, "i-2", always(standin.WorkerAnswer{Status: 500, Body: "own failure"}))
+		answer := standin.WorkerAnswer{Status: 500, Body: "own failure"}
+		s.worker(desk, "i-2", func(standin.Arrival) standin.WorkerAnswer { return answer })
+		Expect(serve("/unsafe/x")).To(Succeed())
+		Expect(table.Any()).To(BeTrue())
+		answer = standin.WorkerAnswer{Body: "permit"}
 		Expect(serve("/unsafe/x")).To(Succeed())
 		Expect(table.Any()).To(BeFalse())
 	})
--- a/node/suspectnews_test.go
+++ b/node/suspectnews_test.go
@@ -4,6 +4,7 @@
 package node_test
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -115,6 +116,26 @@
 		Eventually(func() int { return len(s.keysUnder("suspects/refused/")) }).Should(Equal(1))
 	})
 
+	It("is refused by a node that reaches no other, from what these keep in the store", func() {
+		s := newSite(0)
+		for _, box := range []string{"ghost-1", "ghost-2"} {
+			s.put("boxes/"+box, []byte(fmt.Sprintf(`{"incarnation":%q,"box":%q,"place":"hall","address":"127.0.0.1:9"}`, box, box)))
+		}
+		s.configure(1, 1_000_000, "/once/")
+		pool := newPoolUnderAttack(s, 6)
+		m := s.start()
+		Eventually(m.status("/once/x")).Should(Equal(http.StatusOK))
+		Eventually(m.node.Routers).Should(Equal(3))
+		_, err := m.ask("/once/"+deadly, "first")
+		Expect(err).NotTo(HaveOccurred())
+		lines := m.logs.FilterMessage(event.Suspect).All()
+		Expect(lines).To(HaveLen(1))
+		digest := fmt.Sprint(lines[0].ContextMap()["digest"])
+		s.put("suspects/refused/"+digest, []byte(fmt.Sprintf(`{"digest":%q,"ends":[{"life":"i-90","round":2},{"life":"i-91","round":3}]}`, digest)))
+		Eventually(knows(m)).Should(BeTrue())
+		expectRefused(m, pool)
+	})
+
 	It("stays refused by a node whose machine was suspended, by the time that passed", func() {
 		s, pool := newRefusing(1)
 		clock := &leapingClock{}
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,7 +26,8 @@
 // reached is called again after tellRetry; one that started anew is told everything.
 //
 // A node that starts, and one that stood still for a while, asks some neighbours in
-// addition: others may not know of it yet, or have told the process before it.
+// addition: others may not know of it yet, or have told the process before it. One that
+// reaches few neighbours reads the store.
 
 // methodTellSuspects is the method by which a node tells a neighbour what it observed,
 // methodAskSuspects the one by which it asks for all that the neighbour knows.
@@ -83,10 +85,14 @@
 	first bool
 	// toTell and toKeep wake the goroutines of runTelling and runKeeping. Both hold one.
 	toTell, toKeep chan struct{}
+	// cutOff says that most neighbours could not be told.
+	cutOff atomic.Bool
 
-	// mu guards told.
+	// mu guards what follows.
 	mu   sync.Mutex
 	told map[granitehoist.Incarnation]toldState
+	// notedAt is when the table last changed by what this node observed.
+	notedAt time.Time
 }
 
 // toldState is how far a neighbour has been told.
@@ -109,6 +115,9 @@
 
 // noted wakes what passes on a change of the table.
 func (s *suspects) noted() {
+	s.mu.Lock()
+	s.notedAt = s.clock()
+	s.mu.Unlock()
 	wake(s.toTell)
 	wake(s.toKeep)
 }
@@ -185,6 +194,7 @@
 func (s *suspects) tellAll(ctx context.Context, now time.Time) (pending bool) {
 	var calls errgroup.Group
 	calls.SetLimit(maxTelling)
+	var called, failed atomic.Int64
 	neighbours := s.peers.view().others
 	s.forgetOthersThan(neighbours)
 	for _, other := range neighbours {
@@ -197,18 +207,34 @@
 		if now.Before(state.retryAt) {
 			continue
 		}
+		called.Add(1)
 		calls.Go(func() error {
-			s.tell(ctx, other.peer(), records, version)
+			if s.tell(ctx, other.peer(), records, version) != nil {
+				failed.Add(1)
+			}
 			return nil
 		})
 	}
 	// The functions return no error: a neighbour that failed is called again.
 	_ = calls.Wait()
+	if s.isCutOff(int(called.Load()), int(failed.Load()), now) {
+		s.cutOff.Store(true)
+		wake(s.toKeep)
+	}
 	return pending
 }
 
+// isCutOff decides whether this node takes itself for cut off from the others: what it
+// observed a short while ago could not be told to most of those that it called. It then
+// reads in the store what they observed, as it would not hear of it.
+func (s *suspects) isCutOff(called, failed int, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return 2*failed > called && now.Sub(s.notedAt) < askFor
+}
+
 // tell tells one neighbour.
-func (s *suspects) tell(ctx context.Context, to granitehoist.Peer, records []suspect.Record, version uint64) {
+func (s *suspects) tell(ctx context.Context, to granitehoist.Peer, records []suspect.Record, version uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	err := s.peers.Call(ctx, to, methodTellSuspects, suspectNews{Records: records}, &suspectNews{})
@@ -222,6 +248,7 @@
 		state = toldState{version: version}
 	}
 	s.told[to.Incarnation] = state
+	return err
 }
 
 func (s *suspects) stateOf(i granitehoist.Incarnation) toldState {
--- a/node/suspectstore.go
+++ b/node/suspectstore.go
@@ -35,23 +35,34 @@
 // runKeeping reads what the store keeps, then keeps there what this node observed,
 // until ctx ends.
 func (s *suspects) runKeeping(ctx context.Context) {
-	for ctx.Err() == nil && !s.load(ctx) {
+	for try := 1; ctx.Err() == nil && !s.load(ctx, try); try++ {
 		pause.For(ctx, keepRetryPause)
 	}
 	kept := uint64(0)
 	for ctx.Err() == nil {
 		records, version := s.table.ObservedAfter(kept)
-		if len(records) == 0 {
-			waitFor(ctx, s.toKeep)
-			continue
-		}
 		if err := s.keepAll(ctx, records); err != nil {
 			s.logKeepFailed(err)
 			pause.For(ctx, keepRetryPause)
 			continue
 		}
 		kept = version
+		if len(records) == suspect.MaxRecords {
+			continue
+		}
+		if s.cutOff.Swap(false) {
+			s.catchUp(ctx)
+		}
+		waitFor(ctx, s.toKeep)
+	}
+}
+
+// catchUp reads what the store keeps, for a node that the others can't tell.
+func (s *suspects) catchUp(ctx context.Context) {
+	if err := s.read(ctx); err != nil {
+		s.logKeepFailed(err)
 	}
+	pause.For(ctx, keepRetryPause)
 }
 
 // waitFor waits until c has something or ctx ends.
@@ -62,14 +73,23 @@
 	}
 }
 
+// relayLoads is the number of tries in which a node that is no relay asks these only.
+// Chosen, not measured: 3 s, in which relays that start together with it have read the
+// store.
+const relayLoads = 6
+
 // load learns the secret and what is kept, from relays or from the store, and reports
-// whether it did.
-func (s *suspects) load(ctx context.Context) bool {
+// whether it did. try counts the calls.
+func (s *suspects) load(ctx context.Context, try int) bool {
 	if !s.peers.knowsRelays() {
 		return false
 	}
-	if relays := s.peers.view().relayEntries(); len(relays) > 0 {
-		return s.ask(ctx, relays)
+	relays := s.peers.view().relayEntries()
+	if len(relays) > 0 && s.ask(ctx, relays) {
+		return true
+	}
+	if len(relays) > 0 && try <= relayLoads {
+		return false
 	}
 	err := s.read(ctx)
 	if err != nil {
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -143,7 +143,7 @@
 	return verdict
 }
 
-// NoteAnswer notes that an upstream answered a request completely, which clears it of
+// NoteAnswer notes that an upstream answered a request with success, which clears it of
 // all ends that are known here.
 func (t *Table) NoteAnswer(d Digest, now time.Time) {
 	t.mu.Lock()
