--- a/internal/boottime/deadlines.go
+++ b/internal/boottime/deadlines.go
@@ -9,14 +9,10 @@
 	"time"
 )
 
-// checkInterval is how often Run looks for deadlines that have passed. Timers end
-// contexts on time unless the machine was suspended; then they are late by as long as
-// it was, and this bounds it. Chosen, not measured: far below the 0.5 s for which the
-// users' pages let an answer be late.
-const checkInterval = 100 * time.Millisecond
-
 // Deadlines ends contexts whose deadlines have passed by a clock that counts
-// suspensions. The zero value works. It is safe for concurrent use.
+// suspensions. Timers end contexts on time unless the machine was suspended; then they
+// are late by as long as it was, unless somebody calls Check. The zero value works. It is
+// safe for concurrent use.
 type Deadlines struct {
 	// mu guards pending.
 	mu      sync.Mutex
@@ -61,17 +57,3 @@
 		}
 	}
 }
-
-// Run checks the deadlines by a clock until ctx ends.
-func (d *Deadlines) Run(ctx context.Context, clock func() time.Time) {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			d.Check(clock())
-		}
-	}
-}
--- a/internal/boottime/deadlines_test.go
+++ b/internal/boottime/deadlines_test.go
@@ -38,14 +38,4 @@
 		cancel()
 		Expect(d.pending).To(BeEmpty())
 	})
-
-	It("are checked by the clock that Run is given", func() {
-		var d Deadlines
-		running, stop := context.WithCancel(context.Background())
-		defer stop()
-		ctx, cancel := d.With(context.Background(), time.Hour, now)
-		defer cancel()
-		go d.Run(running, func() time.Time { return now.Add(2 * time.Hour) })
-		Eventually(ctx.Done()).Should(BeClosed())
-	})
 })
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -22,6 +22,7 @@
 	ReturnFailed Name = "return_failed"
 	LeaveFailed  Name = "leave_failed"
 	LogDropped   Name = "log_dropped"
+	Woke         Name = "woke"
 )
 
 // The events of a request. Package forward logs them.
@@ -61,7 +62,7 @@
 // All returns the names of all events, in the order of the groups above.
 func All() []Name {
 	return []Name{
-		Start, Stop, Stopped, Reload, ReloadFailed, ServeFailed, ReturnFailed, LeaveFailed, LogDropped,
+		Start, Stop, Stopped, Reload, ReloadFailed, ServeFailed, ReturnFailed, LeaveFailed, LogDropped, Woke,
 		Request, Attempt, Suspect,
 		ConfigInForce, ConfigBad, ZoneEvacuated, ZoneRestored, Upstream, UpstreamGone, UpstreamBad, StoreLost, StoreRegained, HistoryGone,
 		CopyFromNeighbour, RelayLost, Shedding, PeerBad, SuspectBad, SuspectKeepFailed, BudgetGrant, BudgetLoan, BudgetRepaid, BudgetSyncFailed,
--- a/node/node.go
+++ b/node/node.go
@@ -126,7 +126,7 @@
 	go n.parts.suspects.runTelling(ctx)
 	go n.parts.suspects.runKeeping(ctx)
 	go n.watchLink(ctx)
-	go n.parts.deadlines.Run(ctx, n.clock)
+	go n.watchSuspensions(ctx)
 	go n.parts.syncer.Run(ctx)
 	go n.serveCalls()
 	go n.serve(readyServer, n.servers.ready)
--- a/node/suspectnews_test.go
+++ b/node/suspectnews_test.go
@@ -163,5 +163,6 @@
 		Eventually(func() string { return m.metric("active_requests") }).Should(Equal("1"))
 		clock.suspend(10 * time.Second)
 		Eventually(status, time.Second).Should(Receive(Equal(http.StatusBadGateway)))
+		Expect(m.logs.FilterMessage(event.Woke).Len()).To(Equal(1))
 	})
 })
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -14,6 +14,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/event"
+	"granitehoist.example/granitehoist/internal/pause"
 	"granitehoist.example/granitehoist/suspect"
 )
 
@@ -142,9 +143,9 @@
 			asked = now
 		}
 		round = now
-		pending := s.tellAll(ctx, now)
+		told := s.tellAll(ctx, now)
 		s.table.Sweep(now)
-		s.waitToTell(ctx, pending)
+		s.waitToTell(ctx, told)
 	}
 }
 
@@ -167,21 +168,25 @@
 	return !in.first && in.now.Sub(in.started) < askFor && in.now.Sub(in.asked) >= askPause
 }
 
-// waitToTell waits until there is something to tell. pending says that a neighbour has
-// not taken everything yet.
-func (s *suspects) waitToTell(ctx context.Context, pending bool) {
-	pause := max(minTellPause, time.Duration(s.peers.routers())*tellPause)
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return
-	case <-timer.C:
-	}
-	if pending {
+// tellResult is what came of telling the neighbours.
+type tellResult struct {
+	// called is the number of messages, failed that of those without an answer.
+	called, failed int
+	// waiting is the number of neighbours that have not been told everything and may
+	// not be called yet.
+	waiting int
+}
+
+// waitToTell waits until there may be something to tell: for the least time between two
+// messages after some were sent or while a neighbour may not be called yet, and else
+// until something is noted.
+func (s *suspects) waitToTell(ctx context.Context, told tellResult) {
+	if told.called > 0 || told.waiting > 0 {
+		pause.For(ctx, max(minTellPause, time.Duration(s.peers.routers())*tellPause))
 		return
 	}
-	timer.Reset(askPause)
+	timer := time.NewTimer(askPause)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
@@ -189,27 +194,28 @@
 	}
 }
 
-// tellAll tells all neighbours that may be called now what they have not been told. It
-// reports whether one of them has not taken everything.
-func (s *suspects) tellAll(ctx context.Context, now time.Time) (pending bool) {
+// tellAll tells all neighbours that may be called now what they have not been told.
+func (s *suspects) tellAll(ctx context.Context, now time.Time) tellResult {
 	var calls errgroup.Group
 	calls.SetLimit(maxTelling)
-	var called, failed atomic.Int64
+	var result tellResult
+	var failed atomic.Int64
+	news := newsCache{table: s.table}
 	neighbours := s.peers.view().others
 	s.forgetOthersThan(neighbours)
 	for _, other := range neighbours {
 		state := s.stateOf(other.Incarnation)
-		records, version := s.table.ObservedAfter(state.version)
-		if len(records) == 0 {
+		told := news.after(state.version)
+		switch {
+		case len(told.records) == 0:
 			continue
-		}
-		pending = true
-		if now.Before(state.retryAt) {
+		case now.Before(state.retryAt):
+			result.waiting++
 			continue
 		}
-		called.Add(1)
+		result.called++
 		calls.Go(func() error {
-			if s.tell(ctx, other.peer(), records, version) != nil {
+			if s.tell(ctx, other.peer(), told) != nil {
 				failed.Add(1)
 			}
 			return nil
@@ -217,27 +223,55 @@
 	}
 	// The functions return no error: a neighbour that failed is called again.
 	_ = calls.Wait()
-	if s.isCutOff(int(called.Load()), int(failed.Load()), now) {
+	result.failed = int(failed.Load())
+	if s.isCutOff(result, now) {
 		s.cutOff.Store(true)
 		wake(s.toKeep)
 	}
-	return pending
+	return result
+}
+
+// newsCache holds what is to be told in one round, by how far a neighbour has been told:
+// most have been told as much. It is used by one goroutine.
+type newsCache struct {
+	table *suspect.Table
+	news  map[uint64]observed
+}
+
+// observed is what this node observed, up to a version of the table.
+type observed struct {
+	records []suspect.Record
+	version uint64
+}
+
+// after returns what was observed after a version.
+func (c *newsCache) after(version uint64) observed {
+	if news, found := c.news[version]; found {
+		return news
+	}
+	if c.news == nil {
+		c.news = map[uint64]observed{}
+	}
+	var news observed
+	news.records, news.version = c.table.ObservedAfter(version)
+	c.news[version] = news
+	return news
 }
 
 // isCutOff decides whether this node takes itself for cut off from the others: what it
 // observed a short while ago could not be told to most of those that it called. It then
 // reads in the store what they observed, as it would not hear of it.
-func (s *suspects) isCutOff(called, failed int, now time.Time) bool {
+func (s *suspects) isCutOff(r tellResult, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return 2*failed > called && now.Sub(s.notedAt) < askFor
+	return 2*r.failed > r.called && now.Sub(s.notedAt) < askFor
 }
 
 // tell tells one neighbour.
-func (s *suspects) tell(ctx context.Context, to granitehoist.Peer, records []suspect.Record, version uint64) error {
+func (s *suspects) tell(ctx context.Context, to granitehoist.Peer, news observed) error {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	err := s.peers.Call(ctx, to, methodTellSuspects, suspectNews{Records: records}, &suspectNews{})
+	err := s.peers.Call(ctx, to, methodTellSuspects, suspectNews{Records: news.records}, &suspectNews{})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.told[to.Incarnation]
@@ -245,7 +279,7 @@
 		// It may have taken the message. Told twice, it knows no more than once.
 		state.retryAt = s.clock().Add(tellRetry)
 	} else {
-		state = toldState{version: version}
+		state = toldState{version: news.version}
 	}
 	s.told[to.Incarnation] = state
 	return err
@@ -276,12 +310,12 @@
 // ask asks neighbours for all that they know, and reports whether one has told the
 // fleet's secret.
 func (s *suspects) ask(ctx context.Context, neighbours []peerEntry) bool {
+	var calls errgroup.Group
 	for _, other := range neighbours {
-		if err := s.askOne(ctx, other.peer()); err != nil {
-			// The next one is asked, and all of them again in the next round.
-			continue
-		}
+		calls.Go(func() error { return s.askOne(ctx, other.peer()) })
 	}
+	// One that does not answer is asked again in the next round, or another is.
+	_ = calls.Wait()
 	return s.table.Secret() != nil
 }
 
