Attack a service in the soak with a request that ends each worker that runs it

Cause: the soak's processes are killed, frozen and cut off from the store, which no other test does while such a request comes again and again.

Change: a service of three workers without a proxy, replaced 0.3 s after their ends, and one caller that sends the request every 0.1 s to a random process. At most 15 workers may end: three for each of four processes that learns by itself, and three after a restart.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -95,10 +95,11 @@
 	f.put(platform.ConfigKey, fmt.Sprintf(`{"revision":1,"routes":[
 		{"name":"safe","hostname":"h.example","pathPrefix":"/safe/","type":"safe","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":2},
 		{"name":"once","hostname":"h.example","pathPrefix":"/once/","type":"unsafe","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":1},
-		{"name":"stream","hostname":"h.example","pathPrefix":"/stream/","type":"streaming","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":2,"streamResume":true}],
-		"backends":[{"name":"pool","healthPath":"/healthz","runtime":{"capacity":64,"increment":%d}}],
+		{"name":"stream","hostname":"h.example","pathPrefix":"/stream/","type":"streaming","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":2,"streamResume":true},
+		{"name":"fragile","hostname":"h.example","pathPrefix":"/fragile/","type":"unsafe","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"fragile","maxAttempts":1}],
+		"backends":[{"name":"fragile","healthPath":"/healthz","runtime":{"capacity":64,"increment":%[1]d}},{"name":"pool","healthPath":"/healthz","runtime":{"capacity":64,"increment":%[1]d}}],
 		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-		"tenants":[{"name":"kiosk","apiKeys":["a-key"],"reserved":%d}]}`, perEvent, reserved))
+		"tenants":[{"name":"kiosk","apiKeys":["a-key"],"reserved":%[2]d}]}`, perEvent, reserved))
 	for i := range workerCount {
 		f.addWorker(fmt.Sprintf("i-%d", i), fmt.Sprintf("127.%d.%d.%d:0", ownNetwork(), block, 100+i))
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -58,6 +58,7 @@
 // play runs callers and faults against the site of one seed and judges the answers.
 func play(t *testing.T, binary string, seed int) {
 	f := newFleet(t, binary, firstBlock+seed%100)
+	attack := newAttack(f)
 	f.awaitReady(recoveryTime)
 	results := &outcomes{answers: map[string]int{}}
 	stop := make(chan struct{})
@@ -65,6 +66,7 @@
 	for i := range callers {
 		calling.Go(func() { f.sendRequests(i, rand.New(rand.NewPCG(uint64(seed), uint64(i))), results, stop) })
 	}
+	calling.Go(func() { attack.run(rand.New(rand.NewPCG(uint64(seed), 200)), stop) })
 	for i := range series {
 		failing.Go(func() { f.playFaults(rand.New(rand.NewPCG(uint64(seed), uint64(100+i))), time.Now().Add(faultTime)) })
 	}
@@ -73,6 +75,7 @@
 	close(stop)
 	calling.Wait()
 	f.judge(results)
+	attack.judge()
 	if t.Failed() {
 		for _, p := range f.processes {
 			t.Logf("log of %s:\n%s", p.ip, p.log.String())
