--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -57,10 +57,12 @@
 	ip       string
 	settings string
 	store    *proxy
-	mu       sync.Mutex
-	command  *exec.Cmd
-	ended    chan struct{}
-	log      bytes.Buffer
+	// restarting lets one series of faults restart the process at a time.
+	restarting sync.Mutex
+	mu         sync.Mutex
+	command    *exec.Cmd
+	ended      chan struct{}
+	log        bytes.Buffer
 }
 
 // fleet is the site of one seed: the store, the workers and the routers.
@@ -181,8 +183,11 @@
 	<-ended
 }
 
-// restart ends a process by a signal and starts it again.
+// restart ends a process by a signal and starts it again. Two series that restart the
+// same process do so one after the other: at the same time both would start one.
 func (f *fleet) restart(p *process, s os.Signal, pause time.Duration) {
+	p.restarting.Lock()
+	defer p.restarting.Unlock()
 	p.signal(s)
 	p.wait()
 	time.Sleep(pause)
