Refuse such requests at the partners' routers too, each by what it observed

Cause: the class of the incident's cause is there as well: attempts are bounded for one request under its id, and nothing is known of an equal one.

Change: the gate uses package suspect as the edge router does.

--- a/partner/gate/gate.go
+++ b/partner/gate/gate.go
@@ -9,7 +9,9 @@
 	"sync/atomic"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/exchange"
 	"granitehoist.example/granitehoist/internal/retrybudget"
+	"granitehoist.example/granitehoist/suspect"
 )
 
 // Gate serves the callers. It implements http.Handler and is safe for
@@ -23,6 +25,10 @@
 	draining atomic.Bool
 	retries  *retrybudget.Budget
 	targets  targetCache
+	// suspects holds what this router observed of requests under which upstreams ended,
+	// and prober finds out whether one has.
+	suspects *suspect.Table
+	prober   *exchange.Pool
 	// background counts the requests that are answered but whose cost is still
 	// being asked for.
 	background sync.WaitGroup
@@ -34,7 +40,14 @@
 		panic("gate: a setting is missing")
 	}
 	s.Limits.setDefaults()
-	g := &Gate{settings: s, mux: http.NewServeMux(), retries: newRetryBudget()}
+	g := &Gate{
+		settings: s,
+		mux:      http.NewServeMux(),
+		retries:  newRetryBudget(),
+		suspects: suspect.New(suspect.Settings{}),
+		prober:   exchange.NewPool(exchange.Settings{}),
+	}
+	g.suspects.SetSecret(suspect.NewSecret(s.Random))
 	g.mux.HandleFunc("POST "+pathChat, g.serveCompletion)
 	g.mux.HandleFunc("POST "+pathCompletions, g.serveCompletion)
 	g.mux.HandleFunc("GET "+pathModels, g.serveModels)
--- a/partner/gate/request.go
+++ b/partner/gate/request.go
@@ -18,7 +18,9 @@
 	asked    asked
 	decided  decided
 	progress progress
-	sink     *sink
+	// suspicion is what spoke against the request before its latest attempt.
+	suspicion suspicion
+	sink      *sink
 }
 
 // asked is what the caller sent.
--- a/partner/gate/run.go
+++ b/partner/gate/run.go
@@ -57,6 +57,9 @@
 	if req.decided.call.Body, err = req.asked.writeBody(priority); err != nil {
 		return granitehoist.Wrap(granitehoist.BadRequest, err, "")
 	}
+	if err := g.checkSuspicion(req); err != nil {
+		return err
+	}
 	if !g.settings.Ledger.ReserveRoom() {
 		return granitehoist.Errorf(granitehoist.BillsFull, "")
 	}
@@ -101,6 +104,9 @@
 	var binding *once.Binding
 	var uncertain error
 	for attempt := 1; ; attempt++ {
+		if err := g.checkSuspicion(req); err != nil {
+			return g.release(ctx, binding, overallError(uncertain, err))
+		}
 		slot, err := g.settings.Table.Acquire(ctx, want, g.settings.Clock())
 		if err != nil {
 			return g.release(ctx, binding, overallError(uncertain, err))
@@ -141,6 +147,7 @@
 	call.Address = u.Address
 	protocol := g.settings.Protocols[req.asked.offer.Kind]
 	usage, err := protocol.Do(ctx, call, req.sink)
+	g.noteEvidence(ctx, req, u, err)
 	slot.Done(upstreamResult(err, ctx.Err() != nil), g.settings.Clock())
 	s.attemptEnded(id, u, usage, err)
 	if err != nil {
--- /dev/null
+++ b/suspect/example_test.go
@@ -0,0 +1,31 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package suspect_test
+
+import (
+	"fmt"
+	"time"
+
+	"granitehoist.example/granitehoist/suspect"
+)
+
+// A request ends one upstream after the other, until it is refused.
+func ExampleTable() {
+	table := suspect.New(suspect.Settings{})
+	table.SetSecret(suspect.Secret{1})
+	request := suspect.Facts{Method: "POST", Host: "h.example", Target: "/ask", Workspace: "kiosk", Body: []byte("why?")}
+	digest, _ := table.Digest(&request)
+	now := time.Now()
+	for _, upstream := range []suspect.Life{"i-1", "i-2", "i-3"} {
+		known := table.Look(digest, now)
+		fmt.Println(known.Round, known.Refused)
+		table.NoteEnd(digest, upstream, known, now)
+	}
+	fmt.Println(table.Look(digest, now).Refused, table.Look(digest, now).Left)
+	// Output:
+	// 0 false
+	// 1 false
+	// 2 false
+	// true 10m0s
+}
