Count early ends apart, so that crashes that no request causes refuse nobody

Change: an end is early if no event of the answer had arrived. Three rounds of early ends refuse a request, or five of any kind.

--- a/balance/lease.go
+++ b/balance/lease.go
@@ -81,6 +81,10 @@
 	l.unreadTokens = 0
 }
 
+// HasEvents reports whether an event of the stream has arrived. It is called by the
+// goroutine that calls Events.
+func (l *Lease) HasEvents() bool { return !l.lastEvent.IsZero() }
+
 // LongestPause returns the longest pause between two events so far.
 func (l *Lease) LongestPause() time.Duration { return l.longestPause }
 
--- a/explain/sentences.go
+++ b/explain/sentences.go
@@ -86,7 +86,7 @@
 	if l.Get("digest") == "" {
 		return
 	}
-	s.add(l, "  %s upstreams ended while the same request (digest %s) may have run there, in %s rounds; its lines are those with this digest", l.Get("ends"), l.Get("digest"), l.Get("round"))
+	s.add(l, "  %s upstreams ended while the same request (digest %s) may have run there, in %s rounds, %s of them before any event; its lines are those with this digest", l.Get("ends"), l.Get("digest"), l.Get("round"), l.Get("early"))
 	if left := l.Number("left"); left > 0 {
 		s.add(l, "  that is enough to refuse it, for another %s", seconds(left))
 	}
--- a/forward/log.go
+++ b/forward/log.go
@@ -50,6 +50,7 @@
 	return []zap.Field{
 		zap.Stringer("digest", a.progress.suspicion.digest),
 		zap.Int("round", a.progress.suspicion.verdict.Round),
+		zap.Int("early", a.progress.suspicion.verdict.Early),
 		zap.Int("ends", a.progress.suspicion.verdict.Ends),
 		zap.Duration("left", a.progress.suspicion.verdict.Left),
 	}
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -30,6 +30,9 @@
 	// Round is one more than the latest round that the router knew of when it sent
 	// the request there; see evidence.
 	Round int `json:"round"`
+	// Early is the same among the early ends: those before any event of the answer had
+	// arrived. It is zero if this was none.
+	Early int `json:"early,omitempty"`
 	// Cleared says that the request was answered since: the end had another cause.
 	Cleared bool `json:"cleared,omitempty"`
 }
@@ -42,6 +45,10 @@
 // request has to be sent once more and an upstream has to end again; what ended the
 // first would have to strike just there.
 //
+// An upstream that ends for a reason of its own mostly strikes streams that have made
+// progress, while a request that ends upstreams does so soon after it begins to run. So
+// early ends have rounds of their own, of which fewer are enough.
+//
 // Evidence of two routers is joined by union, so that it may arrive in any order, more
 // than once, and by any way.
 type evidence struct {
@@ -75,6 +82,19 @@
 	return latest
 }
 
+// earlyRound returns the latest round of the early ends that are not cleared, and the
+// number of these ends.
+func (e *evidence) earlyRound() (round, ends int) {
+	for _, end := range e.ends {
+		if end.Early == 0 || end.Cleared {
+			continue
+		}
+		round = max(round, end.Early)
+		ends++
+	}
+	return round, ends
+}
+
 // openRound returns the round of an end, zero if it is cleared.
 func (end End) openRound() int {
 	if end.Cleared {
@@ -91,7 +111,12 @@
 		e.trim()
 		return slices.Contains(e.ends, end)
 	}
-	joined := End{Life: end.Life, Round: max(end.Round, e.ends[i].Round), Cleared: end.Cleared || e.ends[i].Cleared}
+	joined := End{
+		Life:    end.Life,
+		Round:   max(end.Round, e.ends[i].Round),
+		Early:   max(end.Early, e.ends[i].Early),
+		Cleared: end.Cleared || e.ends[i].Cleared,
+	}
 	if joined == e.ends[i] {
 		return false
 	}
@@ -119,19 +144,21 @@
 }
 
 const (
-	// enoughRounds is the round from which a request is refused. Two are not enough:
-	// of the requests that the incident broke off, 20 of 218 met the end of the next
-	// upstream too, and these were innocent. The platform allows three more runs after
-	// the third end.
-	enoughRounds = 3
-	// enoughEnds is the number of ends from which the second round is enough: a
+	// enoughEarly is the round of early ends from which a request is refused. Two are
+	// not enough: see docs/design/suspects.md.
+	enoughEarly = 3
+	// enoughRounds is the same for ends of any kind, of which a request that ends
+	// upstreams only after a part of its answer has more. The platform allows three more
+	// runs after the third end.
+	enoughRounds = 5
+	// enoughEnds is the number of early ends from which their second round is enough: a
 	// request that comes at many routers at once ends many upstreams a round. Chosen,
-	// not measured: twice enoughRounds.
-	enoughEnds = 2 * enoughRounds
+	// not measured: twice enoughEarly.
+	enoughEnds = 2 * enoughEarly
 )
 
 // enough decides whether the evidence is enough to refuse the request.
 func (e *evidence) enough() bool {
-	round := e.round()
-	return round >= enoughRounds || (round == enoughRounds-1 && e.openEnds() >= enoughEnds)
+	early, ends := e.earlyRound()
+	return early >= enoughEarly || e.round() >= enoughRounds || (early == enoughEarly-1 && ends >= enoughEnds)
 }
--- a/suspect/record.go
+++ b/suspect/record.go
@@ -78,8 +78,8 @@
 }
 
 // Merge joins what another router or the store says with what is known. Ends without
-// a life or with a round below 1 are left out, as are records beyond MaxRecords: no
-// router sends them.
+// a life, with a round below 1, or with more early rounds than rounds are left out, as are
+// records beyond MaxRecords: no router sends them.
 func (t *Table) Merge(told []Record, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -95,7 +95,7 @@
 func validEnds(ends []End) []End {
 	var valid []End
 	for _, end := range ends[:min(len(ends), maxEnds)] {
-		if end.Life != "" && end.Round >= 1 {
+		if end.Life != "" && end.Round >= 1 && end.Early >= 0 && end.Early <= end.Round {
 			valid = append(valid, end)
 		}
 	}
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -55,6 +55,8 @@
 type Verdict struct {
 	// Round is the latest round of ends; zero if nothing speaks against the request.
 	Round int
+	// Early is the latest round of early ends.
+	Early int
 	// Ends is the number of upstreams that ended under it.
 	Ends int
 	// Refused says that the request must not be sent, for another Left.
@@ -120,18 +122,38 @@
 // verdict returns what speaks against the request now.
 func (e *entry) verdict(now time.Time) Verdict {
 	v := Verdict{Round: e.round(), Ends: e.openEnds()}
+	v.Early, _ = e.earlyRound()
 	if now.Before(e.refusedUntil) {
 		v.Refused, v.Left = true, e.refusedUntil.Sub(now)
 	}
 	return v
 }
 
-// NoteEnd notes that an upstream ended while a request may have run there. known is
-// what spoke against the request when it was sent. It returns what does now.
-func (t *Table) NoteEnd(d Digest, life Life, known Verdict, now time.Time) Verdict {
+// Observation is what a router observed of a request and an upstream that ended.
+type Observation struct {
+	// Life is the run of the upstream.
+	Life Life
+	// Known is what spoke against the request when it was sent there.
+	Known Verdict
+	// Early says that no event of the answer had arrived.
+	Early bool
+}
+
+// end returns the observation as an end.
+func (o Observation) end() End {
+	end := End{Life: o.Life, Round: o.Known.Round + 1}
+	if o.Early {
+		end.Early = o.Known.Early + 1
+	}
+	return end
+}
+
+// NoteEnd notes that an upstream ended while a request may have run there. It returns
+// what speaks against the request now.
+func (t *Table) NoteEnd(d Digest, o Observation, now time.Time) Verdict {
 	t.mu.Lock()
 	e := t.entryOf(d, now)
-	changed := t.add(e, []End{{Life: life, Round: known.Round + 1}}, now)
+	changed := t.add(e, []End{o.end()}, now)
 	if changed {
 		t.noteOwn(e)
 	}
@@ -188,7 +210,7 @@
 // add joins ends with the evidence against a request, and reports whether that changed
 // anything. Evidence that is enough starts the hold anew. The caller holds mu.
 func (t *Table) add(e *entry, ends []End, now time.Time) bool {
-	before := e.round()
+	before, wasEnough := e.round(), e.enough()
 	changed := false
 	for _, end := range ends {
 		changed = e.evidence.add(end) || changed
@@ -200,7 +222,7 @@
 	switch {
 	case !e.enough():
 		e.refusedUntil = time.Time{}
-	case e.refusedUntil.IsZero(), e.round() > before:
+	case !wasEnough, e.round() > before:
 		e.refusedUntil = now.Add(t.settings.Hold)
 	}
 	t.recount(before, e.round())
