--- a/node/doc.go
+++ b/node/doc.go
@@ -37,8 +37,8 @@
 //   - nodelist.go: whose list of nodes is relied on, and when it is read again;
 //   - neighbours.go: which neighbours count, and by which entry;
 //   - instancecopy.go: when an instance counts as removed;
-//   - suspects.go: when neighbours are asked what speaks against requests, and when
-//     this node takes itself for cut off from them.
+//   - suspects.go, suspecttelling.go: when neighbours are asked what speaks against
+//     requests, and when this node takes itself for cut off from them.
 //
 // It relies on forward, balance, escrow, exchange, catalog and follow for what
 // they do, on fleet for calls between nodes, and on internal/httpserver.
--- /dev/null
+++ b/suspect/forget.go
@@ -0,0 +1,76 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// roomShare is the part of a full table that is forgotten at once, so that a flood
+	// of new entries does not sort it for each: an entry takes 2.2 µs, and took 314 µs
+	// when one was forgotten at a time (BenchmarkNoteEndInFullTable).
+	roomShare = 16
+	// clearedMemory is how long the evidence against a request that was answered is
+	// kept, so that a late message does not bring it back. Chosen, not measured: above
+	// the time in which routers that were cut off for a while have caught up.
+	clearedMemory = 30 * time.Second
+)
+
+// makeRoom forgets what is no longer needed, and if that leaves no room a roomShare of
+// the entries, those that count least: those of the earliest round, and of these the
+// ones that have not changed for longest. Requests of a few ends therefore never push
+// out one of more. The caller holds mu.
+func (t *Table) makeRoom(now time.Time) {
+	t.sweep(now)
+	if len(t.entries) < t.settings.Max {
+		return
+	}
+	all := t.sorted(func(*entry) bool { return true }, (*entry).compare)
+	for _, e := range all[:max(1, len(all)/roomShare)] {
+		t.forget(e)
+	}
+}
+
+// forgettable decides whether an entry is no longer needed.
+func (e *entry) forgettable(memory time.Duration, now time.Time) bool {
+	age := now.Sub(e.changedAt)
+	return age > memory || (e.round() == 0 && age > clearedMemory)
+}
+
+// compare orders entries by how much they count.
+func (e *entry) compare(other *entry) int {
+	return cmp.Or(cmp.Compare(e.round(), other.round()), e.changedAt.Compare(other.changedAt))
+}
+
+// Sweep forgets what is no longer needed now.
+func (t *Table) Sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+}
+
+// sweep is Sweep for a caller that holds mu.
+func (t *Table) sweep(now time.Time) {
+	for _, e := range t.entries {
+		if e.forgettable(t.settings.Memory, now) {
+			t.forget(e)
+		}
+	}
+}
+
+// sorted returns the entries for which keep is true, in the order of compare. The
+// caller holds mu.
+func (t *Table) sorted(keep func(*entry) bool, compare func(a, b *entry) int) []*entry {
+	var kept []*entry
+	for _, e := range t.entries {
+		if keep(e) {
+			kept = append(kept, e)
+		}
+	}
+	slices.SortFunc(kept, compare)
+	return kept
+}
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -4,8 +4,6 @@
 package suspect
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,17 +23,9 @@
 	// DefaultMax bounds the requests with evidence, some 0.2 KB each. Upstreams that
 	// end under a router's load leave some 30 each. Chosen, not measured.
 	DefaultMax = 4096
-	// roomShare is the part of a full table that is forgotten at once, so that a flood
-	// of new entries does not sort it for each: an entry takes 2.2 µs, and took 314 µs
-	// when one was forgotten at a time (BenchmarkNoteEndInFullTable).
-	roomShare = 16
-	// clearedMemory is how long the evidence against a request that was answered is
-	// kept, so that a late message does not bring it back. Chosen, not measured: above
-	// the time in which routers that were cut off for a while have caught up.
-	clearedMemory = 30 * time.Second
 )
 
-// Settings configure a Table. The zero value works, but for Secret.
+// Settings configure a Table. The zero value works.
 type Settings struct {
 	// Hold is how long a request is refused after the latest end; zero means
 	// DefaultHold.
@@ -246,48 +236,6 @@
 	delete(t.entries, e.digest)
 }
 
-// makeRoom forgets what is no longer needed, and if that leaves no room a roomShare of
-// the entries, those that count least: those of the earliest round, and of these the
-// ones that have not changed for longest. Requests of a few ends therefore never push
-// out one of more. The caller holds mu.
-func (t *Table) makeRoom(now time.Time) {
-	t.sweep(now)
-	if len(t.entries) < t.settings.Max {
-		return
-	}
-	all := t.sorted(func(*entry) bool { return true }, (*entry).compare)
-	for _, e := range all[:max(1, len(all)/roomShare)] {
-		t.forget(e)
-	}
-}
-
-// forgettable decides whether an entry is no longer needed.
-func (e *entry) forgettable(memory time.Duration, now time.Time) bool {
-	age := now.Sub(e.changedAt)
-	return age > memory || (e.round() == 0 && age > clearedMemory)
-}
-
-// compare orders entries by how much they count.
-func (e *entry) compare(other *entry) int {
-	return cmp.Or(cmp.Compare(e.round(), other.round()), e.changedAt.Compare(other.changedAt))
-}
-
-// Sweep forgets what is no longer needed now.
-func (t *Table) Sweep(now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.sweep(now)
-}
-
-// sweep is Sweep for a caller that holds mu.
-func (t *Table) sweep(now time.Time) {
-	for _, e := range t.entries {
-		if e.forgettable(t.settings.Memory, now) {
-			t.forget(e)
-		}
-	}
-}
-
 // Counts returns the number of requests that something speaks against, and of those
 // that are refused now.
 func (t *Table) Counts(now time.Time) (suspects, refused int) {
@@ -304,16 +252,3 @@
 	}
 	return suspects, refused
 }
-
-// sorted returns the entries for which keep is true, in the order of compare. The
-// caller holds mu.
-func (t *Table) sorted(keep func(*entry) bool, compare func(a, b *entry) int) []*entry {
-	var kept []*entry
-	for _, e := range t.entries {
-		if keep(e) {
-			kept = append(kept, e)
-		}
-	}
-	slices.SortFunc(kept, compare)
-	return kept
-}
