Look for suspensions four times a second

The look for suspensions ran ten times a second.

Change: four times a second; answers of requests whose time passed are up to 0.25 s late.

--- a/node/suspension.go
+++ b/node/suspension.go
@@ -14,9 +14,10 @@
 
 const (
 	// suspensionInterval is how often a node looks whether the machine was suspended,
-	// and ends requests whose time passed meanwhile. Chosen, not measured: far below the
-	// 0.5 s for which the users' pages let an answer be late.
-	suspensionInterval = 100 * time.Millisecond
+	// and ends requests whose time passed meanwhile: half of the 0.5 s for which the
+	// users' pages let an answer be late. At 100 ms a router woke 20 times a second more
+	// than without, 61 for 41 a second at 31 routers of Dafatir grown.
+	suspensionInterval = 250 * time.Millisecond
 	// loggedSuspension is the least one that is logged. Chosen, not measured.
 	loggedSuspension = 50 * time.Millisecond
 )
