--- a/escrow/largefleet_test.go
+++ b/escrow/largefleet_test.go
@@ -258,6 +258,12 @@
 			Expect(f.refusedIn(5 * time.Second)).To(BeNumerically("<", 0.02))
 		})
 
+		It("pays for all but what its holder may lack at a random moment"+name, func() {
+			f.run(10 * time.Second)
+			f.store.Fail(standin.StoreFaults{Down: true})
+			Expect(f.refusedIn(largeFleetOutage)).To(BeNumerically("<=", 0.16))
+		})
+
 		It("is paid by one that stands in when the holder dies"+name, func() {
 			f.run(10 * time.Second)
 			f.dead["r0"] = true
--- a/internal/boottime/clock.go
+++ b/internal/boottime/clock.go
@@ -67,6 +67,7 @@
 	})
 }
 
+// newClock is New for the clocks of any system.
 func newClock(system system) (*Clock, error) {
 	boot, err := system.boot()
 	if err != nil {
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -80,6 +80,7 @@
 	notedAt time.Time
 }
 
+// newSuspects returns a node's suspects before anything is known of any request.
 func newSuspects(n *Node, p *peers) *suspects {
 	s := &suspects{
 		peers: p, store: n.adapter.Store, clock: n.clock, log: n.log, first: n.config.First,
@@ -173,6 +174,7 @@
 	return s.table.Secret() != nil
 }
 
+// askOne asks one neighbour. Its error is that of the call.
 func (s *suspects) askOne(ctx context.Context, to granitehoist.Peer) error {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
