--- a/explain/budget.go
+++ b/explain/budget.go
@@ -120,6 +120,7 @@
 	}
 }
 
+// noteGrant adds what a line of a written record says of the budget.
 func (b *Budget) noteGrant(l *Line, process string) {
 	t, ok := b.takers[process]
 	if !ok {
@@ -137,6 +138,7 @@
 	totals[between] = max(totals[between], tokens(l, "total"))
 }
 
+// noteRequest adds what the end of a request says of the budget.
 func (b *Budget) noteRequest(l *Line) {
 	outcome := l.Get("budget")
 	if outcome == "" {
--- a/suspect/digest.go
+++ b/suspect/digest.go
@@ -59,6 +59,6 @@
 	binary.BigEndian.PutUint64(length[:], uint64(len(field)))
 	// A hash takes every write: its error is always nil.
 	_, _ = h.Write(length[:])
-	// The same.
+	// Nor does the second write fail.
 	_, _ = h.Write(field)
 }
