Mend comments of the clock and of the pushes

Cause: read again: the clock's page said that both programs use it, which is untrue, and some sentences were no engineer's. Change: comments, and the name of one function.

--- a/internal/boottime/clock.go
+++ b/internal/boottime/clock.go
@@ -13,18 +13,18 @@
 )
 
 const (
-	// noticed is the least time that counts as a suspension, and the least jump of the
-	// time of day that makes the Clock look for one. It is above what the readings of
-	// two clocks, one after the other, differ by, and far below the shortest time that
-	// anything here is held to. Chosen, not measured.
+	// noticed is the shortest suspension that counts, and the smallest jump of the time of
+	// day that makes the Clock look for one. It is above the difference of two clocks that
+	// are read in turn, and below the shortest timeout of the router (20 ms, forward's
+	// minRetryTime). Chosen, not measured.
 	noticed = 5 * time.Millisecond
-	// lookAgain is how often the Clock looks for a suspension that the time of day does
-	// not show, since it was set back by as much. Chosen, not measured.
+	// lookAgain is how often the Clock looks for a suspension that the time of day hides,
+	// because it was set back by the same amount. Chosen, not measured.
 	lookAgain = time.Second
 )
 
-// Clock tells the time from its making on, suspensions included. New makes one. It is
-// safe for concurrent use.
+// Clock tells the time, suspensions included. New returns one that works. It is safe for
+// concurrent use.
 type Clock struct {
 	system system
 	// begin is the time of day at the start, startBoot the reading of boot then.
@@ -103,15 +103,15 @@
 }
 
 // look looks for a suspension. The steady clock is read again after CLOCK_BOOTTIME, so
-// that a goroutine that had to wait between the two takes no wait for a suspension.
+// that a delay between the two readings is not mistaken for a suspension.
 func (c *Clock) look(steady, drift time.Duration) *state {
 	c.looking.Lock()
 	defer c.looking.Unlock()
 	found := *c.state.Load()
 	boot, err := c.system.boot()
 	_, after := c.system.now()
-	// It could be read at the start. Should it fail now, the suspensions found so far
-	// stay, and the next look tries again.
+	// CLOCK_BOOTTIME could be read at the start. If it fails now, what was found so far
+	// stays, and the next look tries again.
 	if suspended := boot - c.startBoot - after; err == nil && suspended >= found.suspended+noticed {
 		found.suspended = suspended
 	}
--- a/internal/boottime/deadlines.go
+++ b/internal/boottime/deadlines.go
@@ -9,9 +9,9 @@
 	"time"
 )
 
-// Deadlines ends contexts whose deadlines have passed by a clock that counts
-// suspensions. Timers end contexts on time unless the machine was suspended; then they
-// are late by as long as it was, unless somebody calls Check. The zero value works. It is
+// Deadlines cancels contexts whose deadline has passed by a clock that counts suspensions.
+// After a suspension the contexts' own timers fire late by its length; Check cancels what is
+// due by then. The zero value works. It is
 // safe for concurrent use.
 type Deadlines struct {
 	// mu guards pending.
--- a/internal/boottime/doc.go
+++ b/internal/boottime/doc.go
@@ -1,20 +1,20 @@
 // Copyright ©2026 The granitehoist Authors. All rights reserved.
 // Use of this source code is governed by the MIT licence in the file LICENSE.
 
-// Package boottime tells a time that also counts while the machine is suspended, and
-// ends what is due by it.
+// Package boottime provides a clock that also counts while the machine is suspended, and
+// ends contexts whose deadline has passed by it.
 //
-// The steady clock that Go measures durations with stands still while a machine is
-// suspended, and so do timers and the deadlines of contexts. Whoever measures by it
-// takes a caller's time, a copy of the store or an idle connection for younger than
-// it is after the machine wakes. The time of day runs on, but jumps when it is set.
-// A Clock takes neither for granted: it adds to the steady clock what CLOCK_BOOTTIME
-// has counted beyond it.
+// The steady clock by which Go measures durations stops while a machine is suspended, and
+// so do timers and context deadlines. After the machine wakes, a request's deadline, a copy
+// of the store or an idle connection then seems younger than it is. The time of day goes
+// on, but jumps when it is set. A Clock therefore adds to the steady clock what
+// CLOCK_BOOTTIME has counted beyond it.
 //
-// Both programs use a Clock wherever they take a granitehoist.Clock. Its times have no
-// reading of the steady clock: they must be compared with each other only, and not
-// with time.Now, or given to the operating system as a deadline.
+// granitehoist-edge uses a Clock wherever a granitehoist.Clock is taken; 'granitehoist
+// router' still measures by the steady clock. A Clock's times have no steady reading: they
+// may be compared with each other only, not with time.Now, and must not be given to the
+// operating system as a deadline.
 //
-// State: a Clock keeps how long the machine was suspended, atomically; Deadlines keeps
-// what is due, under its own lock. Begin reading at Clock.Now.
+// State: a Clock keeps atomically how long the machine was suspended; Deadlines keeps the
+// open contexts under its own lock. Begin reading at Clock.Now.
 package boottime
--- a/node/suspectpush.go
+++ b/node/suspectpush.go
@@ -58,7 +58,7 @@
 	var failed atomic.Int64
 	news := newsCache{table: s.table}
 	neighbours := s.peers.view().others
-	s.forgetOthersThan(neighbours)
+	s.dropFormerPeers(neighbours)
 	for _, other := range neighbours {
 		state := s.stateOf(other.Incarnation)
 		pending := news.after(state.version)
@@ -141,14 +141,15 @@
 	return err
 }
 
+// stateOf returns the state of a neighbour, the zero state if nothing was pushed to it.
 func (s *suspects) stateOf(i granitehoist.Incarnation) pushState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.pushed[i]
 }
 
-// forgetOthersThan forgets the state of incarnations that are no neighbours any more.
-func (s *suspects) forgetOthersThan(neighbours []peerEntry) {
+// dropFormerPeers drops the state of incarnations that are no longer neighbours.
+func (s *suspects) dropFormerPeers(neighbours []peerEntry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.pushed) <= len(neighbours) {
