Log the rate that an upstream names in its answers

Cause: an upstream in need names how many requests a second it takes from all routers together. No line told that an answer had named one, so that the logs of the incident could not tell which routers knew it, and until when. Nothing else uses it.

--- a/forward/log.go
+++ b/forward/log.go
@@ -92,6 +92,9 @@
 	if result.err != nil {
 		fields = append(fields, zap.Error(result.err))
 	}
+	if result.rateLimit.Stated() {
+		fields = append(fields, zap.Stringer("limit", result.rateLimit))
+	}
 	if result.crashed {
 		fields = append(fields, zap.Bool("crashed", true))
 	}
--- a/forward/request.go
+++ b/forward/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/balance"
 	"granitehoist.example/granitehoist/catalog"
 )
 
@@ -91,6 +92,9 @@
 	// RetryAfter is how long the upstream asks callers to wait; zero if it states
 	// nothing.
 	RetryAfter time.Duration
+	// RateLimit is what the answer says of the rate that the upstream takes from all
+	// routers together.
+	RateLimit balance.RateStatement
 }
 
 // Codec translates between requests and the protocol of upstreams. It is safe
--- a/standin/workeranswer.go
+++ b/standin/workeranswer.go
@@ -41,6 +41,9 @@
 	Crossed bool
 	// NoSeal leaves the worker's signature out.
 	NoSeal bool
+	// RateLimit holds the values of the header that names how many requests a second the
+	// worker takes from all routers together; nil names none.
+	RateLimit []string
 }
 
 // Cut says whether and where an answer breaks off. The zero value leaves the
@@ -135,6 +138,9 @@
 	if !a.NoSeal && !a.NotRun {
 		fmt.Fprintf(&head, "Response-Seal: %s.%s\r\n", w.instance, id)
 	}
+	for _, limit := range a.RateLimit {
+		fmt.Fprintf(&head, "Server-Limit: %s\r\n", limit)
+	}
 	if a.NotRun {
 		head.WriteString("Not-Executed: 1\r\n")
 	}
