Push news to neighbours by one mechanism that does not know what it carries

Cause: what a router observes has to reach all others at once in a second case, the limits that upstreams name; the code that does so was bound to the evidence against requests. Change: pusher, with the message as its type, in node/push.go; the evidence uses it.

--- a/node/doc.go
+++ b/node/doc.go
@@ -36,7 +36,7 @@
 //   - nodelist.go: whose list of nodes is relied on, and when it is read again;
 //   - neighbours.go: which neighbours count, and by which entry;
 //   - instancecopy.go: when an instance counts as removed;
-//   - suspects.go, suspectpush.go: when this node pulls evidence against requests from
+//   - suspects.go: when this node pulls evidence against requests from
 //     neighbours, and when it counts itself as cut off from them.
 //
 // It relies on forward, balance, escrow, exchange, catalog and follow for what
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -22,7 +22,7 @@
 // against requests that are refused is also kept in the store (suspectstore.go).
 //
 // A node pushes what it saw to every neighbour, in parallel, until each has acknowledged
-// it (suspectpush.go). A crash costs one message to each neighbour from each node that had
+// it (push.go). A crash costs one message to each neighbour from each node that had
 // a request there; while no upstream crashes nothing is sent. A push that failed is
 // retried after pushRetry, and a neighbour that restarted gets everything again.
 //
@@ -71,10 +71,11 @@
 	toPush, toKeep chan struct{}
 	// cutOff says that most neighbours could not be reached.
 	cutOff atomic.Bool
+	// pusher sends the neighbours what this node saw.
+	pusher *pusher[suspectNews]
 
 	// mu guards what follows.
-	mu     sync.Mutex
-	pushed map[granitehoist.Incarnation]pushState
+	mu sync.Mutex
 	// notedAt is when the table last changed by what this node observed.
 	notedAt time.Time
 }
@@ -84,12 +85,18 @@
 	s := &suspects{
 		peers: p, store: n.adapter.Store, clock: n.clock, log: n.log, first: n.config.First,
 		toPush: make(chan struct{}, 1), toKeep: make(chan struct{}, 1),
-		pushed: map[granitehoist.Incarnation]pushState{},
 	}
 	s.table = suspect.New(suspect.Settings{Noted: s.noted})
+	s.pusher = &pusher[suspectNews]{peers: p, clock: n.clock, method: methodPushSuspects, after: s.observedAfter}
 	return s
 }
 
+// observedAfter returns what this node saw after a version of its table.
+func (s *suspects) observedAfter(version uint64) (suspectNews, bool, uint64) {
+	records, upTo := s.table.ObservedAfter(version)
+	return suspectNews{Records: records}, len(records) > 0, upTo
+}
+
 // noted wakes both goroutines after the node saw something itself.
 func (s *suspects) noted() {
 	s.mu.Lock()
@@ -120,7 +127,11 @@
 			pulled = now
 		}
 		round = now
-		result := s.pushAll(ctx, now)
+		result := s.pusher.pushAll(ctx, now)
+		if s.isCutOff(result, now) {
+			s.cutOff.Store(true)
+			wake(s.toKeep)
+		}
 		s.table.Sweep(now)
 		s.waitToPush(ctx, result)
 	}
@@ -144,12 +155,21 @@
 	return !in.first && in.now.Sub(in.started) < pullFor && in.now.Sub(in.pulled) >= pullInterval
 }
 
+// isCutOff decides whether this node counts itself as cut off from the others: most of
+// its pushes failed, shortly after it saw a crash. It then reads the store, since the
+// pushes of the others don't reach it either.
+func (s *suspects) isCutOff(r pushResult, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return 2*r.failed > r.called && now.Sub(s.notedAt) < pullFor
+}
+
 // waitToPush waits until there may be something to push: the least time between two
 // messages after some were sent or while a retry is pending, otherwise until the node sees
 // something or pullInterval has passed.
 func (s *suspects) waitToPush(ctx context.Context, last pushResult) {
-	if last.called > 0 || last.waiting > 0 {
-		pause.For(ctx, max(minPushPause, time.Duration(s.peers.routers())*pushPause))
+	if atLeast := last.pause(s.peers.routers()); atLeast > 0 {
+		pause.For(ctx, atLeast)
 		return
 	}
 	timer := time.NewTimer(pullInterval)
