Keep what a later version has put into the record of the budgets

Cause: routers of two versions write the same record during an upgrade, each all of it. A field that the older one does not know was lost with its next write. Change: fields that this version lacks are kept apart and written back with the object that they belong to (escrow/unknown.go).

--- a/escrow/record.go
+++ b/escrow/record.go
@@ -4,7 +4,6 @@
 package escrow
 
 import (
-	"encoding/json"
 	"maps"
 
 	"github.com/rotisserie/eris"
@@ -90,6 +89,8 @@
 	// Boxes names the incarnation that last wrote for each box.
 	Boxes    map[granitehoist.Box]granitehoist.Incarnation `json:"boxes"`
 	Accounts map[granitehoist.Workspace]*StoredAccount     `json:"accounts"`
+	// unknown holds what a later version has put into the stored record.
+	unknown unknownFields
 }
 
 // DecodeRecord reads a stored record. A key that does not exist is an empty
@@ -97,9 +98,11 @@
 func DecodeRecord(e granitehoist.Entry) (*Record, error) {
 	r := &Record{Format: recordFormat}
 	if e.Version != 0 {
-		if err := json.Unmarshal(e.Value, r); err != nil {
+		unknown, err := decodeKeeping(e.Value, r)
+		if err != nil {
 			return nil, eris.Wrapf(err, "escrow: record %s can't be read", e.Key)
 		}
+		r.unknown = unknown
 	}
 	if r.Format != recordFormat && r.Format != dividedFormat {
 		return nil, eris.Errorf("escrow: record %s has format %d, not %d", e.Key, r.Format, recordFormat)
@@ -132,6 +135,7 @@
 // its workspaces as they were.
 func (r *Record) part(of Shard) *Record {
 	p := &Record{
+		unknown:  r.unknown,
 		Format:   recordFormat,
 		Boxes:    maps.Clone(r.Boxes),
 		Accounts: map[granitehoist.Workspace]*StoredAccount{},
@@ -147,7 +151,7 @@
 // Encode returns the stored form. The error says that it is larger than
 // granitehoist.MaxValueSize.
 func (r *Record) Encode() ([]byte, error) {
-	raw, err := json.Marshal(r)
+	raw, err := encodeKeeping(r, r.unknown)
 	if err != nil {
 		return nil, eris.Wrap(err, "escrow: record can't be written")
 	}
