--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -25,9 +25,10 @@
 const (
 	nodeCount   = 4
 	workerCount = 3
-	// reserved is the prepaid tokens: less than the callers ask for, so that the
-	// budget runs out.
-	reserved = 60_000
+	// scarceBudget is the prepaid tokens of fleets whose budget runs out: less than the
+	// callers ask for. plentyBudget is more.
+	scarceBudget = 60_000
+	plentyBudget = 20 * scarceBudget
 	// A request has prompt tokens, a stream events of perEvent tokens each.
 	prompt   = 100
 	perEvent = 5
@@ -57,6 +58,9 @@
 	ip       string
 	settings string
 	store    *proxy
+	// binary is the program that the next start runs. Only whoever holds restarting
+	// changes it.
+	binary string
 	// restarting lets one series of faults restart the process at a time.
 	restarting sync.Mutex
 	mu         sync.Mutex
@@ -69,6 +73,8 @@
 type fleet struct {
 	t         *testing.T
 	binary    string
+	// reserved is the prepaid tokens.
+	reserved  int
 	runCounts *runCounts
 	store     *standin.Store
 	processes []*process
@@ -83,10 +89,10 @@
 }
 
 // newFleet starts the site of one seed. block is the third octet of its loopback
-// addresses.
-func newFleet(t *testing.T, binary string, block int) *fleet {
+// addresses, reserved the prepaid tokens.
+func newFleet(t *testing.T, binary string, block, reserved int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, binary: binary, runCounts: &runCounts{runs: map[string]int{}}, store: standin.NewStore(standin.StoreSettings{})}
+	f := &fleet{t: t, binary: binary, reserved: reserved, runCounts: &runCounts{runs: map[string]int{}}, store: standin.NewStore(standin.StoreSettings{})}
 	front, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.200:0", ownNetwork(), block))
 	f.must(err)
 	server := &http.Server{Handler: &standin.PlatformStore{Store: f.store}, ReadHeaderTimeout: time.Minute}
@@ -103,7 +109,7 @@
 		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 		"tenants":[{"name":"kiosk","apiKeys":["a-key"],"reserved":%[2]d}]}`, perEvent, reserved))
 	for i := range workerCount {
-		f.addWorker(fmt.Sprintf("i-%d", i), fmt.Sprintf("127.%d.%d.%d:0", ownNetwork(), block, 100+i))
+		f.addWorker(fmt.Sprintf("i-%d", i), fmt.Sprintf("127.%d.%d.%d:0", ownNetwork(), block, 100+i), f.runCounts.answer)
 	}
 	for i := range nodeCount {
 		f.addProcess(fmt.Sprintf("127.%d.%d.%d", ownNetwork(), block, 1+i), front.Addr().String())
@@ -125,8 +131,8 @@
 }
 
 // addWorker starts a worker behind a proxy at address and announces the proxy.
-func (f *fleet) addWorker(id, address string) {
-	w, err := standin.NewWorker(id, f.runCounts.answer)
+func (f *fleet) addWorker(id, address string, answer func(standin.Arrival) standin.WorkerAnswer) {
+	w, err := standin.NewWorker(id, answer)
 	f.must(err)
 	f.t.Cleanup(w.Close)
 	p, err := newProxy(address, w.Address())
@@ -141,7 +147,7 @@
 	line, err := newProxy(ip+":8223", store)
 	f.must(err)
 	f.t.Cleanup(line.close)
-	p := &process{ip: ip, store: line, settings: filepath.Join(f.t.TempDir(), "settings.json")}
+	p := &process{ip: ip, store: line, binary: f.binary, settings: filepath.Join(f.t.TempDir(), "settings.json")}
 	settings := fmt.Sprintf(`{"nodeName":"edge-%s","ipAddress":%q,"zone":"hall","listenAddrs":{"frontend":"%s:8227","ready":"%s:8220"},
 		"internalPortRange":[7340,7355],"bounds":{"gracePeriodS":%d,"drainMs":500,"retryBudgetRatio":0.2,"retryWindowS":10,"budgetSlack":50},
 		"platform":{"address":%q}}`, ip, ip, ip, ip, graceS, line.address())
@@ -154,7 +160,7 @@
 func (f *fleet) start(p *process) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.command = exec.Command(f.binary, "--settings", p.settings)
+	p.command = exec.Command(p.binary, "--settings", p.settings)
 	p.command.Stdout, p.command.Stderr = &p.log, &p.log
 	if err := p.command.Start(); err != nil {
 		f.t.Error(err)
@@ -186,8 +192,16 @@
 // restart ends a process by a signal and starts it again. Two series that restart the
 // same process do so one after the other: at the same time both would start one.
 func (f *fleet) restart(p *process, s os.Signal, pause time.Duration) {
+	f.replace(p, "", s, pause)
+}
+
+// replace is restart with another program, the same if binary is empty.
+func (f *fleet) replace(p *process, binary string, s os.Signal, pause time.Duration) {
 	p.restarting.Lock()
 	defer p.restarting.Unlock()
+	if binary != "" {
+		p.binary = binary
+	}
 	p.signal(s)
 	p.wait()
 	time.Sleep(pause)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,30 +34,53 @@
 
 // TestSoak plays the seeds.
 func TestSoak(t *testing.T) {
-	from, to := 1, 2
+	from, to := seeds(t, 1, 2)
+	binary := build(t, "..")
+	for seed := from; seed <= to; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, newFleet(t, binary, firstBlock+seed%100, scarceBudget), seed, plan{faults: faultTime})
+		})
+	}
+}
+
+// seeds returns the first and the last seed to play.
+func seeds(t *testing.T, first, last int) (from, to int) {
+	t.Helper()
+	from, to = first, last
 	if value := os.Getenv(seedsVariable); value != "" {
 		if _, err := fmt.Sscanf(value, "%d-%d", &from, &to); err != nil {
 			t.Fatalf("%s=%s is not FROM-TO", seedsVariable, value)
 		}
 	}
+	return from, to
+}
+
+// build builds the program from a folder with the project's sources.
+func build(t *testing.T, sources string) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "granitehoist-edge")
-	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/granitehoist-edge").CombinedOutput(); err != nil {
+	command := exec.Command("go", "build", "-o", binary, "./cmd/granitehoist-edge")
+	command.Dir = sources
+	if out, err := command.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	for seed := from; seed <= to; seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			play(t, binary, seed)
-		})
-	}
+	return binary
+}
+
+// plan is what is played beside the callers.
+type plan struct {
+	// faults is how long faults are played.
+	faults time.Duration
+	// work, if set, is planned work that runs beside the faults.
+	work func()
 }
 
 // firstBlock numbers the loopback addresses of the first seed.
 const firstBlock = 80
 
 // play runs callers and faults against the site of one seed and judges the answers.
-func play(t *testing.T, binary string, seed int) {
-	f := newFleet(t, binary, firstBlock+seed%100)
+func play(t *testing.T, f *fleet, seed int, p plan) {
 	attack := newAttack(f)
 	f.awaitReady(recoveryTime)
 	results := &outcomes{answers: map[string]int{}}
@@ -68,7 +91,10 @@
 	}
 	calling.Go(func() { attack.run(rand.New(rand.NewPCG(uint64(seed), 200)), stop) })
 	for i := range series {
-		failing.Go(func() { f.playFaults(rand.New(rand.NewPCG(uint64(seed), uint64(100+i))), time.Now().Add(faultTime)) })
+		failing.Go(func() { f.playFaults(rand.New(rand.NewPCG(uint64(seed), uint64(100+i))), time.Now().Add(p.faults)) })
+	}
+	if p.work != nil {
+		failing.Go(p.work)
 	}
 	failing.Wait()
 	f.awaitReady(recoveryTime)
@@ -230,8 +256,8 @@
 	if results.served == 0 {
 		f.t.Error("nothing was served")
 	}
-	if results.tokens > reserved {
-		f.t.Errorf("%d tokens were handed out of a budget of %d", results.tokens, reserved)
+	if results.tokens > f.reserved {
+		f.t.Errorf("%d tokens were handed out of a budget of %d", results.tokens, f.reserved)
 	}
 	for _, wrong := range results.mismatch {
 		f.t.Error(wrong)
@@ -247,5 +273,5 @@
 			f.t.Errorf("%s was told %d and ran", id, status)
 		}
 	}
-	f.t.Logf("%d requests, %d served, %d of %d tokens", len(results.answers), results.served, results.tokens, reserved)
+	f.t.Logf("%d requests, %d served, %d of %d tokens", len(results.answers), results.served, results.tokens, f.reserved)
 }
