--- a/escrow/unknown.go
+++ b/escrow/unknown.go
@@ -74,7 +74,7 @@
 	var missing unknownFields
 	for name, value := range stored {
 		known, found := recognised[name]
-		var lacks any = value
+		lacks := value
 		if found {
 			knownObject, isObject := known.(map[string]any)
 			storedObject, wasObject := value.(map[string]any)
