--- a/standin/worker.go
+++ b/standin/worker.go
@@ -85,9 +85,9 @@
 	w.done.Wait()
 }
 
-// crash ends the worker as Close does, for one of its own connections: it does not
-// wait for them. Each is reset.
-func (w *Worker) crash() {
+// Crash ends the worker as Close does, but does not wait for its connections. Each is
+// reset.
+func (w *Worker) Crash() {
 	// accept ends with the listener; one that was closed before is no failure.
 	_ = w.listener.Close()
 	w.mu.Lock()
--- a/standin/workeranswer.go
+++ b/standin/workeranswer.go
@@ -82,7 +82,7 @@
 		return w.writeStream(conn, arrival, a)
 	}
 	if a.Cut.Crash {
-		w.crash()
+		w.Crash()
 		return false
 	}
 	body := a.Body
@@ -164,7 +164,7 @@
 	for n := arrival.After + 1; n <= a.Events; n++ {
 		time.Sleep(a.Gap)
 		if a.Cut.Crash && n > a.Cut.After {
-			w.crash()
+			w.Crash()
 			return false
 		}
 		event := StreamEvent(arrival.ID, n)
