Clear later rounds of crashes that come with a loss of many upstreams

Cause: two losses without a success in between are two rounds, and six crashes in the second suffice.

Change: four lives or more that crash within 50 ms are a loss; a round after the first that begins in one is cleared. All routers send a suspect to one upstream, so that one suspect crashes one there, or two. First rounds stay, since a request that is no suspect yet crashes as many as it runs on.

--- a/suspect/crashedlives.go
+++ b/suspect/crashedlives.go
@@ -12,6 +12,13 @@
 	// maxCrashedLives bounds the lives that are remembered. Chosen, not measured: above
 	// the upstreams that a router has connections to.
 	maxCrashedLives = 4096
+	// lossTime is the time in which the crashes of one loss are known to a router, and
+	// lossLives how many lives have to crash in it for a loss: all routers send a suspect
+	// to the same upstream, so that one suspect crashes one life in that time, or two while
+	// routers see different upstreams. Chosen, not measured: the crashes of a loss of
+	// power were known within 6 ms, in one process.
+	lossTime  = 50 * time.Millisecond
+	lossLives = 4
 )
 
 // crashedLives holds when lives of upstreams were first known to have crashed, under any
@@ -30,6 +37,18 @@
 	}
 }
 
+// inLoss reports whether so many lives have crashed just now that something else than a
+// suspect request is the cause.
+func (c *crashedLives) inLoss(now time.Time) bool {
+	lives := 0
+	for _, at := range c.at {
+		if now.Sub(at) <= lossTime {
+			lives++
+		}
+	}
+	return lives >= lossLives
+}
+
 // before reports whether a life was known to have crashed before a time.
 func (c *crashedLives) before(l Life, t time.Time) bool {
 	at, known := c.at[l]
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -152,6 +152,15 @@
 // far below the time in which callers give up. Chosen by that, not measured by itself.
 const SettleTime = 150 * time.Millisecond
 
+// clearRound clears the crashes of one round.
+func (e *evidence) clearRound(round int) {
+	for i := range e.crashes {
+		if e.crashes[i].Round == round {
+			e.crashes[i].Cleared = true
+		}
+	}
+}
+
 const (
 	// enoughEarly is the number of rounds of early crashes from which a request is
 	// refused. With two, an own day of crash waves would have refused 6 to 48 innocent
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -159,10 +159,11 @@
 }
 
 // crash numbers the rounds of the observed crash. A run that was sent while the request
-// was to be held belongs to the round before.
-func (o Observation) crash() Crash {
+// was to be held belongs to the round before, and so does one that crashed in a loss of
+// many upstreams.
+func (o Observation) crash(inLoss bool) Crash {
 	next := 1
-	if o.Known.Hold > 0 {
+	if o.Known.Hold > 0 || inLoss {
 		next = 0
 	}
 	c := Crash{Life: o.Life, Round: max(1, o.Known.Round+next)}
@@ -178,7 +179,7 @@
 func (t *Table) NoteCrash(d Digest, o Observation, now time.Time) Verdict {
 	t.mu.Lock()
 	e := t.entryOf(d, now)
-	changed := !t.crashed.before(o.Life, o.Sent) && t.add(e, []Crash{o.crash()}, now)
+	changed := !t.crashed.before(o.Life, o.Sent) && t.add(e, []Crash{o.crash(t.crashed.inLoss(now))}, now)
 	if changed {
 		t.noteOwn(e)
 	}
@@ -190,6 +191,13 @@
 	return verdict
 }
 
+// NoteDown records that the run of an upstream has ended, for a reason that is not known.
+func (t *Table) NoteDown(l Life, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.crashed.note(l, now)
+}
+
 // NoteSuccess records that a request succeeded, which clears it of all crashes that are
 // known here.
 func (t *Table) NoteSuccess(d Digest, now time.Time) {
@@ -256,9 +264,31 @@
 		e.refusedUntil = now.Add(t.settings.Block)
 	}
 	t.recount(before, e.round())
+	t.clearLoss(now)
 	return true
 }
 
+// clearLoss clears the later rounds that began in a loss of many upstreams, before it could
+// be told as one. First rounds stay: requests that are no suspects yet crash as many
+// upstreams as they run on. The caller holds mu.
+func (t *Table) clearLoss(now time.Time) {
+	if !t.crashed.inLoss(now) {
+		return
+	}
+	for _, e := range t.entries {
+		before := e.round()
+		if before < 2 || now.Sub(e.roundAt) > lossTime {
+			continue
+		}
+		e.clearRound(before)
+		if !e.enough() {
+			e.refusedUntil = time.Time{}
+		}
+		t.recount(before, e.round())
+		t.noteOwn(e)
+	}
+}
+
 // recount follows an entry's round from one value to another in suspects. The caller
 // holds mu.
 func (t *Table) recount(before, after int) {
--- a/suspect/table_test.go
+++ b/suspect/table_test.go
@@ -73,11 +73,12 @@
 	})
 
 	It("is refused in the fifth round if a part of the answer had arrived each time", func() {
+		at := func(n int) time.Duration { return time.Duration(n) * suspect.SettleTime }
 		for n := range 4 {
-			table.NoteCrash(guilty, suspect.Observation{Life: life(n), Known: settled(look(0))}, start)
+			table.NoteCrash(guilty, suspect.Observation{Life: life(n), Known: look(at(n))}, start.Add(at(n)))
 		}
-		Expect(look(0)).To(Equal(suspect.Verdict{Round: 4, Crashes: 4, Hold: suspect.SettleTime}))
-		Expect(table.NoteCrash(guilty, suspect.Observation{Life: life(5), Known: settled(look(0))}, start).Refused).To(BeTrue())
+		Expect(look(at(3))).To(Equal(suspect.Verdict{Round: 4, Crashes: 4, Hold: suspect.SettleTime}))
+		Expect(table.NoteCrash(guilty, suspect.Observation{Life: life(5), Known: look(at(4))}, start.Add(at(4))).Refused).To(BeTrue())
 	})
 
 	It("is not refused though it ran on fifteen that lost power together", func() {
@@ -100,6 +101,22 @@
 		Expect(look(0).Refused).To(BeFalse())
 	})
 
+	It("is not refused after losses of many upstreams, though it has not succeeded between them", func() {
+		for loss := range 4 {
+			at := time.Duration(loss) * time.Second
+			known := look(at)
+			for n, l := range lives(10*loss+1, 10*loss+6) {
+				now := start.Add(at + time.Duration(n)*time.Millisecond)
+				innocent := numbered(100*loss + n)
+				table.NoteCrash(innocent, early(l, suspect.Verdict{}), now)
+				if n%3 == 0 {
+					table.NoteCrash(guilty, early(l, known), now)
+				}
+			}
+			Expect(look(at + suspect.SettleTime).Round).To(BeNumerically("<=", 1))
+		}
+	})
+
 	It("is held after each round, until what made upstreams crash is over", func() {
 		crashAgain(table, guilty, life(1))
 		Expect(look(0).Hold).To(Equal(suspect.SettleTime))
@@ -120,11 +137,11 @@
 		for _, l := range lives(1, 3) {
 			table.NoteCrash(guilty, early(l, suspect.Verdict{}), start)
 		}
-		known := settled(look(0))
+		known, now := look(suspect.SettleTime), start.Add(suspect.SettleTime)
 		for _, l := range lives(4, 5) {
-			Expect(table.NoteCrash(guilty, early(l, known), start).Refused).To(BeFalse())
+			Expect(table.NoteCrash(guilty, early(l, known), now).Refused).To(BeFalse())
 		}
-		Expect(table.NoteCrash(guilty, early(life(6), known), start).Refused).To(BeTrue())
+		Expect(table.NoteCrash(guilty, early(life(6), known), now).Refused).To(BeTrue())
 	})
 
 	It("is cleared by one success, and begins anew with the next crash", func() {
