Bound what a caller who varies each body can crash

What callers saw: a caller who changed one byte in each crashing request took down upstream after upstream, and most innocent requests failed beside it.

Cause: evidence was kept for one content only. Why it holds: what the varied requests have in common is who sends them where; other routes and workspaces go on.

--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -28,6 +28,24 @@
 	// digest is the request's; the zero Digest if it was not needed yet.
 	digest  suspect.Digest
 	verdict suspect.Verdict
+	// scope is the digest of its workspace's traffic on its route, ofScope the verdict on
+	// all of that.
+	scope   suspect.Digest
+	ofScope suspect.Verdict
+}
+
+// isSuspect reports whether there is evidence against the request or its scope.
+func (s *suspicion) isSuspect() bool { return s.verdict.Round > 0 || s.ofScope.Round > 0 }
+
+// hold returns how long the request must not be sent yet.
+func (s *suspicion) hold() time.Duration { return s.longestHold().Hold }
+
+// longestHold returns the verdict that holds the request for longer.
+func (s *suspicion) longestHold() suspect.Verdict {
+	if s.ofScope.Hold > s.verdict.Hold {
+		return s.ofScope
+	}
+	return s.verdict
 }
 
 // checkSuspicion looks up the evidence against the request. It returns an error with code
@@ -36,15 +54,20 @@
 func (a *activeRequest) checkSuspicion() error {
 	table := a.forwarder.settings.Suspects
 	if !table.Any() || !a.setDigest() {
-		a.progress.suspicion.verdict = suspect.Verdict{}
+		a.progress.suspicion.verdict, a.progress.suspicion.ofScope = suspect.Verdict{}, suspect.Verdict{}
 		return nil
 	}
-	verdict := table.Lookup(a.progress.suspicion.digest, a.forwarder.settings.Clock())
-	a.progress.suspicion.verdict = verdict
-	if !verdict.Refused {
-		return nil
+	now := a.forwarder.settings.Clock()
+	s := &a.progress.suspicion
+	s.verdict = table.Lookup(s.digest, now)
+	s.ofScope = table.Lookup(s.scope, now)
+	switch {
+	case s.verdict.Refused:
+		return s.verdict.Refusal()
+	case s.ofScope.Refused:
+		return s.ofScope.Refusal()
 	}
-	return verdict.Refusal()
+	return nil
 }
 
 // awaitSettled checks the request as checkSuspicion does, and holds it while what made
@@ -58,15 +81,16 @@
 		if err := a.checkSuspicion(); err != nil {
 			return err
 		}
-		verdict := a.progress.suspicion.verdict
-		if verdict.Hold <= 0 || ctx.Err() != nil {
+		s := &a.progress.suspicion
+		hold := s.hold()
+		if hold <= 0 || ctx.Err() != nil {
 			return nil
 		}
 		held := settings.Clock().Sub(started)
-		if held+verdict.Hold > most || verdict.Hold > a.timeLeft() {
-			return verdict.HoldRefusal()
+		if held+hold > most || hold > a.timeLeft() {
+			return s.longestHold().HoldRefusal()
 		}
-		pause.For(ctx, verdict.Hold)
+		pause.For(ctx, hold)
 	}
 }
 
@@ -86,7 +110,7 @@
 	settings := &a.forwarder.settings
 	for {
 		lease, err := a.pick(ctx)
-		if err != nil || a.progress.suspicion.verdict.Round == 0 || !settings.Pool.IsDown(ctx, lease.Address) {
+		if err != nil || !a.progress.suspicion.isSuspect() || !settings.Pool.IsDown(ctx, lease.Address) {
 			return lease, err
 		}
 		now := settings.Clock()
@@ -112,6 +136,8 @@
 	}
 	digest, known := a.forwarder.settings.Suspects.Digest(&facts)
 	a.progress.suspicion.digest = digest
+	scope := suspect.Scope{Workspace: facts.Workspace, Route: string(a.admission.route.Name)}
+	a.progress.suspicion.scope, _ = a.forwarder.settings.Suspects.ScopeDigest(scope)
 	return known
 }
 
@@ -122,10 +148,14 @@
 // mostly run at different instances, so that a crash under one is no evidence against the
 // other.
 func (a *activeRequest) pin() uint64 {
-	if a.progress.suspicion.verdict.Round == 0 {
-		return 0
+	s := &a.progress.suspicion
+	switch {
+	case s.verdict.Round > 0:
+		return s.digest.Hash()
+	case s.ofScope.Round > 0:
+		return s.scope.Hash()
 	}
-	return a.progress.suspicion.digest.Hash()
+	return 0
 }
 
 // noteEvidence records that an attempt succeeded, or that the instance crashed under it. A
@@ -136,7 +166,9 @@
 	switch {
 	case result.err == nil && result.status < http.StatusMultipleChoices:
 		if settings.Suspects.Any() && a.setDigest() {
-			settings.Suspects.NoteSuccess(a.progress.suspicion.digest, settings.Clock())
+			now := settings.Clock()
+			settings.Suspects.NoteSuccess(a.progress.suspicion.digest, now)
+			settings.Suspects.NoteSuccess(a.progress.suspicion.scope, now)
 		}
 	case a.instanceCrashed(ctx, lease, result.err) && a.setDigest():
 		result.crashed = true
@@ -146,8 +178,11 @@
 			Early: !lease.HasEvents(),
 			Sent:  lease.PickedAt(),
 		}
-		verdict := settings.Suspects.NoteCrash(a.progress.suspicion.digest, observed, settings.Clock())
-		a.logSuspect(lease, verdict)
+		now := settings.Clock()
+		verdict := settings.Suspects.NoteCrash(a.progress.suspicion.digest, observed, now)
+		observed.Known, observed.OfScope = a.progress.suspicion.ofScope, true
+		ofScope := settings.Suspects.NoteCrash(a.progress.suspicion.scope, observed, now)
+		a.logSuspect(lease, verdict, ofScope)
 	}
 }
 
@@ -163,7 +198,7 @@
 }
 
 // logSuspect logs that an instance crashed under the request.
-func (a *activeRequest) logSuspect(lease *balance.Lease, v suspect.Verdict) {
+func (a *activeRequest) logSuspect(lease *balance.Lease, v, ofScope suspect.Verdict) {
 	a.forwarder.settings.Log.Warn(event.Suspect,
 		zap.String("request", string(a.request.ID)),
 		zap.Stringer("digest", a.progress.suspicion.digest),
@@ -172,5 +207,7 @@
 		zap.Int("early", v.Early),
 		zap.Int("crashes", v.Crashes),
 		zap.Bool("refused", v.Refused),
-		zap.Duration("left", v.Left))
+		zap.Duration("left", v.Left),
+		zap.Int("scope_round", ofScope.Round),
+		zap.Bool("scope_refused", ofScope.Refused))
 }
--- a/node/golden_test.go
+++ b/node/golden_test.go
@@ -43,6 +43,7 @@
 	{"lend", as[escrow.LendResult]},
 	{"repay-question", as[escrow.RepayParams]},
 	{"suspects", as[suspectNews]},
+	{"suspects-scope", as[suspectNews]},
 	{"suspect-refused", as[suspect.Record]},
 	{"suspect-secret", as[suspect.Secret]},
 	{"escrow", as[escrow.Record]},
--- a/node/suspectstore.go
+++ b/node/suspectstore.go
@@ -155,7 +155,8 @@
 // keepAll writes those of the records that suffice to refuse a request.
 func (s *suspects) keepAll(ctx context.Context, records []suspect.Record) error {
 	for _, r := range records {
-		if !r.Enough() {
+		if !r.Enough() || r.Scope {
+			// The block of a scope lasts for seconds, less than a restart.
 			continue
 		}
 		if err := s.keep(ctx, r); err != nil {
