Free a request in the store once it has succeeded, and tell of refused scopes

What callers saw: a request that succeeded after it was refused stayed refused at routers that started within the ten minutes of its lease. A log did not say that a scope was refused. Cause: nothing deleted the record; the end of a request had only its own evidence. Change: the router that saw the success deletes it; the line of a request and explain have the scope. Limits told of upstreams that are not announced make room for newer ones. Measured: TestKeptRefusals, seven cases; explain's new case.

--- a/balance/limitrecord.go
+++ b/balance/limitrecord.go
@@ -100,8 +100,8 @@
 	for _, r := range records {
 		s, found := t.instances[r.Upstream]
 		switch {
-		case !found && len(t.earlyLimits) < maxEarlyLimits:
-			t.earlyLimits[r.Life()] = r.known(now)
+		case !found:
+			t.keepEarlyLimit(r, now)
 		case found && s.Born == r.Born:
 			changes = append(changes, t.mergeLimit(s, r.known(now))...)
 		}
@@ -110,6 +110,15 @@
 	t.tell(changes)
 }
 
+// keepEarlyLimit keeps a record of an instance that is not announced yet. When there are too
+// many all are dropped: most are then of instances that never will be. The caller holds mu.
+func (t *Table) keepEarlyLimit(r LimitRecord, now time.Time) {
+	if len(t.earlyLimits) >= maxEarlyLimits {
+		clear(t.earlyLimits)
+	}
+	t.earlyLimits[r.Life()] = r.known(now)
+}
+
 // mergeLimit takes what another router believes of the limit of an instance. The caller
 // holds mu.
 func (t *Table) mergeLimit(s *instanceState, other knownLimit) []LimitChange {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -42,6 +42,12 @@
 		Expect(text).To(ContainSubstring("code 4004, upstreams crashed each time they ran this request"))
 	})
 
+	It("names the scope that is refused", func() {
+		text := tell(`  7.5 edge-1 ts=2026-01-01T00:00:07Z level=info event=request request=r-1 code=4004 fate="not run" service= workspace=kiosk attempts=0 events=0 config=8 first=0 took=0.001 route=r scope_round=5 scope_left=4.5
+`, "scope")
+		Expect(text).To(ContainSubstring("upstreams crashed in 5 rounds under requests of its workspace on its route, whatever their bodies; all of these are refused for another 4.500 s"))
+	})
+
 	It("names the limits of the upstreams for which a request waited", func() {
 		text := tell(`  7.1 edge-1 ts=2026-01-01T00:00:07Z level=info event=attempt request=r-1 attempt=1 upstream=i-1 entry=4 status=503 after=0 took=0.01 limit=1.6
   7.5 edge-1 ts=2026-01-01T00:00:07Z level=info event=request request=r-1 code=4002 fate="not run" service=pool workspace=kiosk attempts=1 events=0 config=8 first=0 took=0.2 route=r permit_wait=0.16
--- a/explain/sentences.go
+++ b/explain/sentences.go
@@ -89,6 +89,9 @@
 // addSuspicion tells the evidence against the request: how many upstreams crashed while it
 // may have been running there, and whether it was refused for that.
 func (s *Story) addSuspicion(l *Line) {
+	if left := l.Number("scope_left"); left > 0 {
+		s.add(l, "  upstreams crashed in %s rounds under requests of its workspace on its route, whatever their bodies; all of these are refused for another %s", l.Get("scope_round"), seconds(left))
+	}
 	if l.Get("digest") == "" {
 		return
 	}
--- a/forward/log.go
+++ b/forward/log.go
@@ -37,6 +37,9 @@
 	if a.progress.permitWaited > 0 {
 		fields = append(fields, zap.Duration("permit_wait", a.progress.permitWaited))
 	}
+	if ofScope := a.progress.suspicion.ofScope; ofScope.Refused {
+		fields = append(fields, zap.Int("scope_round", ofScope.Round), zap.Duration("scope_left", ofScope.Left))
+	}
 	if a.progress.suspicion.verdict.Round > 0 {
 		fields = append(fields, a.suspicionFields()...)
 	}
--- a/node/suspectstore.go
+++ b/node/suspectstore.go
@@ -152,20 +152,40 @@
 	return nil
 }
 
-// keepAll writes those of the records that suffice to refuse a request.
+// keepAll writes those of the records that suffice to refuse a request, and deletes those
+// of requests that have succeeded since: a node that starts would refuse them until the
+// lease ends. The block of a scope lasts for seconds, less than a restart, and is not kept.
 func (s *suspects) keepAll(ctx context.Context, records []suspect.Record) error {
 	for _, r := range records {
-		if !r.Enough() || r.Scope {
-			// The block of a scope lasts for seconds, less than a restart.
-			continue
+		var err error
+		switch {
+		case r.Scope:
+		case r.Enough():
+			err = s.keep(ctx, r)
+		case r.IsCleared():
+			err = s.drop(ctx, r)
 		}
-		if err := s.keep(ctx, r); err != nil {
+		if err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// drop deletes the record of a request, if there is one.
+func (s *suspects) drop(ctx context.Context, r suspect.Record) error {
+	entry, err := s.store.Get(ctx, refusedPrefix+r.Digest.String())
+	if err != nil || entry.Version == 0 {
+		return err
+	}
+	_, err = s.store.CompareAndSwap(ctx, granitehoist.Change{Key: entry.Key, Expect: entry.Version, Delete: true})
+	if errors.Is(err, granitehoist.ErrConflict) {
+		// Another node has deleted it, or written it anew after a later crash.
+		return nil
+	}
+	return err
+}
+
 // keep writes a record under a lease, unless another node has written one.
 func (s *suspects) keep(ctx context.Context, r suspect.Record) error {
 	value, err := json.Marshal(r)
--- /dev/null
+++ b/node/suspectstore_test.go
@@ -0,0 +1,53 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package node
+
+import (
+	"context"
+	"testing"
+
+	"granitehoist.example/granitehoist/standin"
+	"granitehoist.example/granitehoist/suspect"
+)
+
+// TestKeptRefusals checks which evidence is in the store: that against requests that are
+// refused, until they succeed.
+func TestKeptRefusals(t *testing.T) {
+	ctx := context.Background()
+	refused := suspect.Record{Digest: suspect.Digest{1}, Crashes: []suspect.Crash{
+		{Life: "i-1", Round: 1, Early: 1}, {Life: "i-2", Round: 2, Early: 2}, {Life: "i-3", Round: 3, Early: 3},
+	}}
+	cleared := suspect.Record{Digest: refused.Digest}
+	for _, c := range refused.Crashes {
+		c.Cleared = true
+		cleared.Crashes = append(cleared.Crashes, c)
+	}
+	slight := suspect.Record{Digest: suspect.Digest{2}, Crashes: refused.Crashes[:1]}
+	scope := suspect.Record{Digest: suspect.Digest{3}, Scope: true, Crashes: []suspect.Crash{{Life: "i-1", Round: 5, Early: 5}}}
+	cases := []struct {
+		name    string
+		records []suspect.Record
+		want    int
+	}{
+		{"one that is refused", []suspect.Record{refused}, 1},
+		{"one that is refused, twice", []suspect.Record{refused, refused}, 1},
+		{"none that is only suspect", []suspect.Record{slight}, 0},
+		{"none of a scope", []suspect.Record{scope}, 0},
+		{"none once it has succeeded", []suspect.Record{refused, cleared}, 0},
+		{"none that succeeded before it was written", []suspect.Record{cleared}, 0},
+		{"again after one more crash", []suspect.Record{refused, cleared, refused}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := &suspects{store: standin.NewStore(standin.StoreSettings{})}
+			if err := s.keepAll(ctx, c.records); err != nil {
+				t.Fatal(err)
+			}
+			entries, _, err := s.store.List(ctx, refusedPrefix)
+			if err != nil || len(entries) != c.want {
+				t.Errorf("%d records, not %d, %v", len(entries), c.want, err)
+			}
+		})
+	}
+}
--- a/suspect/record.go
+++ b/suspect/record.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -23,6 +24,18 @@
 // Enough reports whether the evidence suffices to refuse the request, or the scope.
 func (r Record) Enough() bool { return (&evidence{crashes: r.Crashes}).enough(r.Scope) }
 
+// IsCleared reports whether the evidence sufficed until the request succeeded.
+func (r Record) IsCleared() bool {
+	before := evidence{crashes: slices.Clone(r.Crashes)}
+	if len(before.crashes) == 0 || (&evidence{crashes: r.Crashes}).round() > 0 {
+		return false
+	}
+	for i := range before.crashes {
+		before.crashes[i].Cleared = false
+	}
+	return before.enough(r.Scope)
+}
+
 // MaxRecords bounds the records of one message, some 150 bytes each. What exceeds it
 // follows in the next. Chosen, not measured.
 const MaxRecords = 64
