Bound what unlimited upstreams get beside limited ones

What callers saw: where most upstreams of a service named a limit, requests piled up at the others, 200 at an upstream that runs 64, until they failed with no progress or the caller left. Cause: the load that the limited ones do not take went to the others without a bound. Change: beside a limited instance another gets no more than twice its capacity, estimated by the router's own requests and the number of routers; who finds no room waits or is refused as not run. Why it holds: what waits beyond that is given up before it is answered. Without a limited instance no choice changes.

--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -16,7 +16,8 @@
 const (
 	// excluded instances get no attempt: they drain, this request has tried them,
 	// their zone is evacuated, their region is no home of the request, they are cold
-	// and got enough, or their announcement was removed too long ago.
+	// and got enough, they have too many requests beside instances with a limit, or their
+	// announcement was removed too long ago.
 	excluded eligibility = iota
 	// unpermitted instances name a limit, and this router has no permit for them.
 	unpermitted
@@ -42,6 +43,10 @@
 	cold      coldShare
 	// mayUsePermit says that the request is the one for which permits are now.
 	mayUsePermit bool
+	// besideLimited says that an instance of the service names a limit.
+	besideLimited bool
+	// routers is the number of routers, at least one.
+	routers int
 }
 
 // constraints returns what keeps instances of a service from an attempt of a query. The
@@ -51,6 +56,9 @@
 		now: now, tried: q.Tried, evacuated: t.evacuated, homes: q.Homes, regions: t.settings.Regions,
 		cold:         coldShare{perSecond: shareOfCold(q.ColdPerSecond, q.Routers), random: t.random},
 		mayUsePermit: service.mayUsePermit(q),
+
+		besideLimited: service.hasLimited(),
+		routers:       max(1, q.Routers),
 	}
 }
 
@@ -69,6 +77,8 @@
 		return excluded
 	case s.lacksPermit(c.mayUsePermit, now):
 		return unpermitted
+	case c.besideLimited && s.isCrowded(c.routers):
+		return excluded
 	case !s.removedAt.IsZero():
 		return removed
 	case s.ejected(now):
--- /dev/null
+++ b/balance/crowding_test.go
@@ -0,0 +1,62 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package balance
+
+import "testing"
+
+// TestCrowding checks how many requests an instance may have beside others with a limit.
+func TestCrowding(t *testing.T) {
+	// start picks so many times without an end, and returns how many found an instance.
+	start := func(p *limitedPool, count, routers int) int {
+		found := 0
+		for range count {
+			if _, err := p.Pick(Query{Service: "pool", Routers: routers}, p.now); err == nil {
+				found++
+			}
+		}
+		return found
+	}
+	t.Run("without a limit as many as come", func(t *testing.T) {
+		p := newLimitedPool(t, 2)
+		p.expect("of 100", start(p, 100, 2), 100)
+	})
+	t.Run("beside a limit twice its capacity, of all routers together", func(t *testing.T) {
+		p := newLimitedPool(t, 2)
+		p.limit("i-0", 2)
+		p.expect("of 100, two routers", start(p, 100, 2), 8)
+		alone := newLimitedPool(t, 2)
+		alone.limit("i-0", 2)
+		alone.expect("of 100, one router", start(alone, 100, 1), 16)
+	})
+	t.Run("as many as come where the share of a router is too small to tell", func(t *testing.T) {
+		p := newLimitedPool(t, 2)
+		p.limit("i-0", 2)
+		p.expect("of 100, five routers", start(p, 100, 5), 100)
+	})
+	t.Run("room again when a request has ended", func(t *testing.T) {
+		p := newLimitedPool(t, 2)
+		p.limit("i-0", 2)
+		lease, err := p.Pick(Query{Service: "pool"}, p.now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.expect("of 100", start(p, 100, 1), 15)
+		w, ok := p.NewWaiter(&Query{Service: "pool"})
+		if !ok {
+			t.Fatal("nobody waits yet")
+		}
+		defer w.Close()
+		changed := p.PermitsChanged()
+		lease.Done(Good, p.now)
+		select {
+		case <-changed:
+		default:
+			t.Error("the waiting request is not woken")
+		}
+		if _, err := p.Pick(Query{Service: "pool", Waiting: true}, p.now); err != nil {
+			t.Error(err)
+		}
+		p.expect("of 100", start(p, 100, 1), 0)
+	})
+}
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -100,4 +100,8 @@
 	l.readPrompt()
 	l.state.inFlight--
 	l.state.health = l.state.withResult(r, firstEjection, now)
+	if l.service.waitingCount() > 0 {
+		// The instance may have room now.
+		l.table.wakeWaiting()
+	}
 }
