--- a/node/doc.go
+++ b/node/doc.go
@@ -37,7 +37,10 @@
 //   - neighbours.go: which neighbours count, and by which entry;
 //   - instancecopy.go: when an instance counts as removed;
 //   - suspects.go: when this node pulls evidence against requests from
-//     neighbours, and when it counts itself as cut off from them.
+//     neighbours, and when it counts itself as cut off from them;
+//   - permits.go: which node issues the permits for an upstream that names a limit, and
+//     which one stands in; limits.go tells all nodes of such a limit;
+//   - push.go: when what this node observed is sent to which neighbour again.
 //
 // It relies on forward, balance, escrow, exchange, catalog and follow for what
 // they do, on fleet for calls between nodes, and on internal/httpserver.
--- a/suspect/doc.go
+++ b/suspect/doc.go
@@ -14,6 +14,11 @@
 // in granitehoist-edge, whose routers share their evidence (package node), and package
 // partner/gate in 'granitehoist router', where each router has its own.
 //
+// A request with evidence against it is held for a moment after each round of crashes, and
+// refused after some. The same is done, after more rounds, with a Scope: all that a
+// workspace sends on a route. Crashes that come with a loss of many upstreams make no later
+// round (crashedlives.go, block.go).
+//
 // Begin reading at evidence in evidence.go, which has the rule, then at Table. Merge
 // ignores records that no router can have sent. docs/design/suspects.md has what was
 // weighed and measured.
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/defaults"
 )
 
@@ -41,40 +40,6 @@
 	Noted func()
 }
 
-// Verdict sums up the evidence against a request at one moment. The zero value means
-// that there is none.
-type Verdict struct {
-	// Round is the highest round of crashes; zero if there is no evidence.
-	Round int
-	// Early is the highest round of early crashes.
-	Early int
-	// Crashes is the number of upstreams that crashed under the request.
-	Crashes int
-	// Hold is how long the request must not be sent yet, since what made upstreams crash
-	// may be under way.
-	Hold time.Duration
-	// Refused says that the request must not be sent, for another Left.
-	Refused bool
-	Left    time.Duration
-}
-
-// Refusal returns the error for a request that the verdict refuses. Its RetryAfter is the
-// rest of the block even where a caller can't wait for it: an earlier attempt would be
-// refused too.
-func (v Verdict) Refusal() *granitehoist.Error {
-	e := granitehoist.Errorf(granitehoist.CrashesUpstreams, "%d upstreams crashed in %d rounds, %d of them early", v.Crashes, v.Round, v.Early)
-	e.RetryAfter = v.Left
-	return e
-}
-
-// HoldRefusal returns the error for a request that is held for longer than it can wait. Its
-// RetryAfter is the rest of the hold.
-func (v Verdict) HoldRefusal() *granitehoist.Error {
-	e := granitehoist.Errorf(granitehoist.CrashesUpstreams, "%d upstreams crashed, the last a moment ago", v.Crashes)
-	e.RetryAfter = v.Hold
-	return e
-}
-
 // Table holds the evidence against requests: what this router observed and what
 // it received from others. It makes no calls and is safe for concurrent use.
 type Table struct {
@@ -135,48 +100,6 @@
 	return e.verdict(now)
 }
 
-// verdict sums up the evidence now.
-func (e *entry) verdict(now time.Time) Verdict {
-	v := Verdict{Round: e.round(), Crashes: e.openCrashes()}
-	v.Early, _ = e.earlyRound()
-	if v.Round > 0 {
-		v.Hold = max(0, SettleTime-now.Sub(e.roundAt))
-	}
-	if now.Before(e.refusedUntil) {
-		v.Refused, v.Left = true, e.refusedUntil.Sub(now)
-	}
-	return v
-}
-
-// Observation is what a router saw of a crash under a request.
-type Observation struct {
-	// Life is the run of the upstream.
-	Life Life
-	// Known is the verdict on the request when it was sent there.
-	Known Verdict
-	// Early says that no event of the answer had arrived.
-	Early bool
-	// Sent is when the request was sent.
-	Sent time.Time
-	// OfScope says that the digest names a scope.
-	OfScope bool
-}
-
-// crash numbers the rounds of the observed crash. A run that was sent while the request
-// was to be held belongs to the round before, and so does one that crashed in a loss of
-// many upstreams.
-func (o Observation) crash(inLoss bool) Crash {
-	next := 1
-	if o.Known.Hold > 0 || inLoss {
-		next = 0
-	}
-	c := Crash{Life: o.Life, Round: max(1, o.Known.Round+next)}
-	if o.Early {
-		c.Early = max(1, o.Known.Early+next)
-	}
-	return c
-}
-
 // NoteCrash records that an upstream crashed while a request may have been running there,
 // and returns the verdict that follows. A run that began after that life was known to have
 // crashed is no evidence.
@@ -275,46 +198,6 @@
 	return true
 }
 
-const (
-	// firstScopeBlock is how long a scope is refused at first, and maxScopeBlock at most;
-	// each further round doubles it. After a block its requests are tried again at one
-	// upstream. Chosen, not measured: an innocent scope is free after seconds, and one that
-	// goes on crashes one upstream in half a minute.
-	firstScopeBlock = 5 * time.Second
-	maxScopeBlock   = 30 * time.Second
-)
-
-// blockOf decides how long a request or scope is refused whose evidence suffices.
-func (t *Table) blockOf(e *entry) time.Duration {
-	if !e.ofScope {
-		return t.settings.Block
-	}
-	early, _ := e.earlyRound()
-	doublings := min(max(0, early-enoughEarlyOfScope), 3)
-	return min(maxScopeBlock, firstScopeBlock<<doublings)
-}
-
-// clearLoss clears the later rounds that began in a loss of many upstreams, before it could
-// be told as one. First rounds stay: requests that are no suspects yet crash as many
-// upstreams as they run on. The caller holds mu.
-func (t *Table) clearLoss(now time.Time) {
-	if !t.crashed.inLoss(now) {
-		return
-	}
-	for _, e := range t.entries {
-		before := e.round()
-		if before < 2 || now.Sub(e.roundAt) > lossTime {
-			continue
-		}
-		e.clearRound(before)
-		if !e.enough(e.ofScope) {
-			e.refusedUntil = time.Time{}
-		}
-		t.recount(before, e.round())
-		t.noteOwn(e)
-	}
-}
-
 // recount follows an entry's round from one value to another in suspects. The caller
 // holds mu.
 func (t *Table) recount(before, after int) {
