--- a/node/limits.go
+++ b/node/limits.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -107,7 +106,3 @@
 	l.table.MergeLimits(news.Limits, l.clock())
 	return limitNews{}, nil
 }
-
-// limitLogInterval is the least time between two lines on the limit of one upstream; what
-// changes meanwhile is not logged. Chosen, not measured.
-const limitLogInterval = time.Second
--- a/node/logpace.go
+++ b/node/logpace.go
@@ -10,6 +10,10 @@
 	"granitehoist.example/granitehoist"
 )
 
+// limitLogInterval is the least time between two lines on the limit of one upstream; what
+// changes meanwhile is not logged. Chosen, not measured.
+const limitLogInterval = time.Second
+
 // logPace bounds the lines that are logged of one upstream. The zero value is ready. It
 // is safe for concurrent use.
 type logPace struct {
