--- /dev/null
+++ b/balance/statement.go
@@ -0,0 +1,18 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package balance
+
+import "time"
+
+// Statement is what one answer says of its instance, whatever becomes of the request. The
+// zero value says nothing.
+type Statement struct {
+	// Rate is what it says of the rate that the instance takes.
+	Rate RateStatement
+	// Leaving says that the instance is about to end and wants no further request.
+	Leaving bool
+	// Rest is for how long the instance wants no request of this router; zero if it does
+	// not say.
+	Rest time.Duration
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -29,8 +29,8 @@
 	// failure is the instance's own failure, which is passed on if no other attempt
 	// follows; nil if the attempt ended in another way. err is set with it.
 	failure *completeAnswer
-	// rateLimit is what the answer says of the rate that the instance takes.
-	rateLimit balance.RateStatement
+	// said is what the answer says of the instance itself.
+	said balance.Statement
 	// crashed says that the instance crashed while the request may have been running there.
 	crashed bool
 }
@@ -78,10 +78,10 @@
 	}
 	defer response.Close()
 	verdict := a.forwarder.settings.Codec.Judge(ResponseHead{Status: response.Status, Header: response.Header})
-	if !verdict.Moved && lease.LearnsFrom(verdict.RateLimit) {
-		lease.NoteRate(verdict.RateLimit, a.forwarder.settings.Clock())
+	if !verdict.Moved && lease.LearnsFrom(verdict.Said.Rate) {
+		lease.NoteRate(verdict.Said.Rate, a.forwarder.settings.Clock())
 	}
-	result = attemptResult{status: response.Status, reply: judgeHead(verdict, response.Status, a.progress.started), rateLimit: verdict.RateLimit}
+	result = attemptResult{status: response.Status, reply: judgeHead(verdict, response.Status, a.progress.started), said: verdict.Said}
 	result.err = result.reply.error(response.Status, verdict.RetryAfter)
 	switch result.reply {
 	case replyRefused, replyMoved, replyFaulty:
--- a/forward/log.go
+++ b/forward/log.go
@@ -78,6 +78,21 @@
 	}
 }
 
+// saidFields returns what an answer says of its upstream, each field only if it says so.
+func saidFields(said balance.Statement) []zap.Field {
+	var fields []zap.Field
+	if said.Rate.Stated() {
+		fields = append(fields, zap.Stringer("limit", said.Rate))
+	}
+	if said.Leaving {
+		fields = append(fields, zap.Bool("leaving", true))
+	}
+	if said.Rest > 0 {
+		fields = append(fields, zap.Duration("rest", said.Rest))
+	}
+	return fields
+}
+
 // logAttempt logs an attempt. took is the time from before it was sent to its end.
 // "crashed" says that the upstream crashed under it.
 func (a *activeRequest) logAttempt(l *balance.Lease, result *attemptResult, took time.Duration) {
@@ -98,9 +113,7 @@
 	if result.err != nil {
 		fields = append(fields, zap.Error(result.err))
 	}
-	if result.rateLimit.Stated() {
-		fields = append(fields, zap.Stringer("limit", result.rateLimit))
-	}
+	fields = append(fields, saidFields(result.said)...)
 	if result.crashed {
 		fields = append(fields, zap.Bool("crashed", true))
 	}
--- a/forward/request.go
+++ b/forward/request.go
@@ -92,9 +92,8 @@
 	// RetryAfter is how long the upstream asks callers to wait; zero if it states
 	// nothing.
 	RetryAfter time.Duration
-	// RateLimit is what the answer says of the rate that the upstream takes from all
-	// routers together.
-	RateLimit balance.RateStatement
+	// Said is what the answer says of the upstream itself.
+	Said balance.Statement
 }
 
 // Codec translates between requests and the protocol of upstreams. It is safe
--- a/standin/workeranswer.go
+++ b/standin/workeranswer.go
@@ -44,6 +44,9 @@
 	// RateLimit holds the values of the header that names how many requests a second the
 	// worker takes from all routers together; nil names none.
 	RateLimit []string
+	// Leaving and RetryAfter hold the values of the headers by which the worker says that
+	// it is about to end, and how many seconds it wants nothing; nil says neither.
+	Leaving, RetryAfter []string
 }
 
 // Cut says whether and where an answer breaks off. The zero value leaves the
@@ -141,6 +144,12 @@
 	for _, limit := range a.RateLimit {
 		fmt.Fprintf(&head, "Server-Limit: %s\r\n", limit)
 	}
+	for _, value := range a.Leaving {
+		fmt.Fprintf(&head, "Server-Leaving: %s\r\n", value)
+	}
+	for _, value := range a.RetryAfter {
+		fmt.Fprintf(&head, "Retry-After: %s\r\n", value)
+	}
 	if a.NotRun {
 		head.WriteString("Not-Executed: 1\r\n")
 	}
