Believe an upstream that says in its answers that it leaves

Cause: a router knew that an upstream leaves from its entry in the store only. The header of the answers was passed on and read by nobody.

Change: each answer of the instance that says so is believed at its head, whatever its status (not one of another instance at that address, nor one that names another request). The instance then gets nothing new: it is excluded where all choices are made, so for first attempts, retries, resumed streams, owners of prefixes, pinned suspects, waiting requests and permits alike. It holds for one life of the instance and is kept apart from the announcements, so that neither an older copy of its entry nor a later answer takes it back. With no other upstream left a request is refused at once, as for one that drains. An instance that leaves counts as no crash when it ends.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,6 +36,15 @@
 	Version granitehoist.Version
 }
 
+// Life is one life of an instance: one that starts again under its ID has another Born.
+type Life struct {
+	ID   granitehoist.Upstream
+	Born int64
+}
+
+// life returns the life that the instance is in.
+func (i *Instance) life() Life { return Life{ID: i.ID, Born: i.Born} }
+
 // Settings configure a Table. The zero value works.
 type Settings struct {
 	// Zone is this router's own; of equal instances it prefers one there.
@@ -47,6 +56,9 @@
 	// LimitChanged, if set, is called without a lock held when the table learns of a
 	// limit, of another rate, or of the end.
 	LimitChanged func(LimitChange)
+	// LeavingNoted, if set, is called without a lock held when the table learns that an
+	// instance leaves, once for each life.
+	LeavingNoted func(LeavingNote)
 }
 
 // Table holds the instances of all services, and for each instance this
@@ -67,6 +79,8 @@
 	limitVersion uint64
 	// earlyLimits holds what others said of instances that are not announced yet.
 	earlyLimits map[Life]knownLimit
+	// leavers holds the lives that said that they leave.
+	leavers leavers
 	// wanting holds the instances for which permits are wanted.
 	wanting []*instanceState
 
@@ -87,6 +101,8 @@
 	unreadTokens granitehoist.Tokens
 	// removedAt is when its announcement was removed; zero while it is there.
 	removedAt time.Time
+	// leaving says that it said in an answer that it is about to end.
+	leaving bool
 	// coldUntil is when it is expected to be warm; zero if it never was cold.
 	coldUntil time.Time
 	// admitted is what this router may send it in the present second while it is cold.
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -14,7 +14,7 @@
 type eligibility int
 
 const (
-	// excluded instances get no attempt: they drain, this request has tried them,
+	// excluded instances get no attempt: they drain or said that they leave, this request has tried them,
 	// their zone is evacuated, their region is no home of the request, they are cold
 	// and got enough, they have too many requests beside instances with a limit, or their
 	// announcement was removed too long ago.
@@ -67,7 +67,7 @@
 func (s *instanceState) eligibility(c constraints) eligibility {
 	now := c.now
 	switch {
-	case c.tried[s.ID] || s.Draining || c.evacuated[s.Zone]:
+	case c.tried[s.ID] || s.isLeaving() || c.evacuated[s.Zone]:
 		return excluded
 	case len(c.homes) > 0 && !allAllow(c.homes, c.regions[s.Zone]):
 		return excluded
@@ -87,6 +87,10 @@
 	return live
 }
 
+// isLeaving reports whether an instance is about to end, by its announcement or by an
+// answer.
+func (s *instanceState) isLeaving() bool { return s.Draining || s.leaving }
+
 // candidates decides which instances an attempt chooses among. They are all that
 // are live; if there is none, the one ejected instance whose ejection ends first,
 // since a try there may succeed and a refusal can't; if there is none either, those
--- a/balance/limitrecord.go
+++ b/balance/limitrecord.go
@@ -175,13 +175,13 @@
 	return []LimitChange{{Instance: s.Instance, Named: after.named, Rate: after.rate, Observed: observed}}
 }
 
-// LearnsFrom reports whether an answer of the instance can change what is believed of its
-// limit. One without a rate can't if no limit was known when the instance was chosen: one
-// that has become known since is later than that.
-func (l *Lease) LearnsFrom(said RateStatement) bool { return said.Named || l.limited }
+// learnsRate reports whether an answer can change what is believed of the instance's limit.
+// One without a rate can't if no limit was known when the instance was chosen: one that has
+// become known since is later than that.
+func (l *Lease) learnsRate(said RateStatement) bool { return said.Named || l.limited }
 
-// NoteRate records what an answer of the instance says of its limit.
-func (l *Lease) NoteRate(said RateStatement, now time.Time) {
+// noteRate records what an answer of the instance says of its limit.
+func (l *Lease) noteRate(said RateStatement, now time.Time) {
 	t := l.table
 	t.mu.Lock()
 	before := l.state.knownLimit()
--- a/balance/membership.go
+++ b/balance/membership.go
@@ -37,6 +37,7 @@
 	s.Instance = i
 	if isNew {
 		t.takeEarlyLimit(s)
+		s.leaving = t.leavers.has(s.life())
 	}
 	s.removedAt = time.Time{}
 	s.coldUntil = coldUntil(i.ColdFor, now)
@@ -78,12 +79,12 @@
 	return s.Instance, true
 }
 
-// IsLeaving reports whether an instance drains, or has no announcement any more.
+// IsLeaving reports whether an instance drains, said that it leaves, or has no announcement any more.
 func (t *Table) IsLeaving(id granitehoist.Upstream) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, found := t.instances[id]
-	return !found || s.Draining || !s.removedAt.IsZero()
+	return !found || s.isLeaving() || !s.removedAt.IsZero()
 }
 
 // sweep deletes the removed instances that are no longer needed. It runs at each
@@ -93,6 +94,10 @@
 		if !forgettable(s.removedAt, s.inFlight, now) {
 			continue
 		}
+		if s.leaving {
+			// An old copy of its announcement may still arrive.
+			t.leavers.add(s.life(), now)
+		}
 		t.unlist(s)
 		delete(t.instances, id)
 	}
--- a/balance/permit.go
+++ b/balance/permit.go
@@ -3,11 +3,7 @@
 
 package balance
 
-import (
-	"time"
-
-	"granitehoist.example/granitehoist"
-)
+import "time"
 
 // This file keeps the permits of a router for instances that name a limit, and what it
 // still wants. Whoever drives the table fetches permits: it takes PermitRequests, asks
@@ -192,9 +188,3 @@
 	}
 	t.wakeWaiting()
 }
-
-// Life is one life of an instance: one that starts again under its ID has another Born.
-type Life struct {
-	ID   granitehoist.Upstream
-	Born int64
-}
--- a/balance/statement.go
+++ b/balance/statement.go
@@ -16,3 +16,14 @@
 	// not say.
 	Rest time.Duration
 }
+
+// Note records what an answer of the instance says of it. An answer of another instance
+// that has its address says nothing of it. Most answers say nothing: they cost no lock.
+func (l *Lease) Note(said Statement, now time.Time) {
+	if l.learnsRate(said.Rate) {
+		l.noteRate(said.Rate, now)
+	}
+	if said.Leaving {
+		l.noteLeaving(now)
+	}
+}
--- a/balance/status.go
+++ b/balance/status.go
@@ -14,6 +14,8 @@
 	// Ejected says that it is left out for failures or has lost its
 	// announcement.
 	Ejected bool
+	// Leaving says that it is about to end, by its announcement or by an answer.
+	Leaving bool
 }
 
 // Statuses returns the instances of all services, by id.
@@ -25,6 +27,7 @@
 		statuses = append(statuses, Status{
 			Instance: s.Instance,
 			Ejected:  s.ejected(now) || !s.removedAt.IsZero(),
+			Leaving:  s.isLeaving(),
 		})
 	}
 	sort.Slice(statuses, func(i, j int) bool { return statuses[i].ID < statuses[j].ID })
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -78,8 +78,8 @@
 	}
 	defer response.Close()
 	verdict := a.forwarder.settings.Codec.Judge(ResponseHead{Status: response.Status, Header: response.Header})
-	if !verdict.Moved && lease.LearnsFrom(verdict.Said.Rate) {
-		lease.NoteRate(verdict.Said.Rate, a.forwarder.settings.Clock())
+	if !verdict.Moved {
+		lease.Note(verdict.Said, a.forwarder.settings.Clock())
 	}
 	result = attemptResult{status: response.Status, reply: judgeHead(verdict, response.Status, a.progress.started), said: verdict.Said}
 	result.err = result.reply.error(response.Status, verdict.RetryAfter)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -45,6 +45,7 @@
 	UpstreamGone      Name = "upstream_gone"
 	UpstreamBad       Name = "upstream_bad"
 	UpstreamLimit     Name = "upstream_limit"
+	UpstreamLeaving   Name = "upstream_leaving"
 	StoreLost         Name = "store_lost"
 	StoreRegained     Name = "store_regained"
 	HistoryGone       Name = "history_gone"
@@ -65,7 +66,7 @@
 	return []Name{
 		Start, Stop, Stopped, Reload, ReloadFailed, ServeFailed, ReturnFailed, LeaveFailed, LogDropped, Woke,
 		Request, Attempt, Suspect,
-		ConfigInForce, ConfigBad, ZoneEvacuated, ZoneRestored, Upstream, UpstreamGone, UpstreamBad, UpstreamLimit, StoreLost, StoreRegained, HistoryGone,
+		ConfigInForce, ConfigBad, ZoneEvacuated, ZoneRestored, Upstream, UpstreamGone, UpstreamBad, UpstreamLimit, UpstreamLeaving, StoreLost, StoreRegained, HistoryGone,
 		CopyFromNeighbour, RelayLost, Shedding, PeerBad, SuspectBad, SuspectKeepFailed, BudgetGrant, BudgetLoan, BudgetRepaid, BudgetSyncFailed,
 	}
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -36,6 +36,7 @@
 	metricSuspects       = "suspects"
 	metricRefusedNow     = "suspects_refused"
 	metricUpstreamsOut   = "upstream_out"
+	metricLeaving        = "upstreams_leaving"
 	metricUpstreamLimit  = "upstream_limit"
 	metricPermits        = "permits"
 	metricStoreCalls     = "store_calls"
@@ -46,7 +47,7 @@
 func Metrics() []string {
 	return []string{
 		metricActive, metricRouters, metricConfig, metricConfigAge, metricInstancesAge, metricBudgetFree, metricBudgetSpent, metricStoreRemaining,
-		metricRequests, metricAttempts, metricRefusals, metricDuration, metricFirstByte, metricConnections, metricSuspects, metricRefusedNow, metricUpstreamsOut, metricUpstreamLimit, metricPermits, metricStoreCalls, metricDropped,
+		metricRequests, metricAttempts, metricRefusals, metricDuration, metricFirstByte, metricConnections, metricSuspects, metricRefusedNow, metricUpstreamsOut, metricLeaving, metricUpstreamLimit, metricPermits, metricStoreCalls, metricDropped,
 	}
 }
 
@@ -155,8 +156,8 @@
 		fmt.Sprintf("%s %d", metricRouters, n.parts.peers.routers()),
 		fmt.Sprintf("%s %.3f", metricConfigAge, n.configs.follower.Age(now).Seconds()),
 		fmt.Sprintf("%s %.3f", metricInstancesAge, n.instances.follower.Age(now).Seconds()),
-		fmt.Sprintf("%s %d", metricUpstreamsOut, n.ejectedUpstreams(now)),
 	}
+	lines = append(lines, n.upstreamLines(now)...)
 	for _, limit := range n.parts.table.Limits(now) {
 		lines = append(lines, fmt.Sprintf("%s{upstream=%q} %g", metricUpstreamLimit, limit.Upstream, float64(limit.Rate)))
 	}
@@ -166,15 +167,21 @@
 	return append(lines, n.configLines()...)
 }
 
-// ejectedUpstreams returns the number of upstreams that get no requests at now.
-func (n *Node) ejectedUpstreams(now time.Time) int {
-	ejected := 0
+// upstreamLines returns the metrics of how many upstreams get no requests at now, and why.
+func (n *Node) upstreamLines(now time.Time) []string {
+	ejected, leaving := 0, 0
 	for _, status := range n.parts.table.Statuses(now) {
 		if status.Ejected {
 			ejected++
 		}
+		if status.Leaving {
+			leaving++
+		}
+	}
+	return []string{
+		fmt.Sprintf("%s %d", metricUpstreamsOut, ejected),
+		fmt.Sprintf("%s %d", metricLeaving, leaving),
 	}
-	return ejected
 }
 
 // configLines returns the metrics of the configuration in force and of its
--- a/node/parts.go
+++ b/node/parts.go
@@ -48,6 +48,7 @@
 		Seed:         uint64(n.clock().UnixNano()),
 		Regions:      n.config.Regions,
 		LimitChanged: p.limits.changed,
+		LeavingNoted: n.leavingNoted,
 	})
 	p.pool = exchange.NewPool(exchange.Settings{Clock: n.clock, Opened: n.counters.counter(metricConnections), Meter: p.meter})
 	p.peers = newPeers(peersSettings{
