Keep the rest that an upstream asks for

What callers saw: upstreams that turned every request away and asked for 3 s without requests went on to get them. Each attempt there was lost, some requests found all their attempts at such upstreams, and refused callers were told the time of the last one though others had room.

Cause: a refusal left its upstream out for 100 ms, whatever time it named; the time was only passed on to the caller. The upstream was then the cheapest choice again, since it ran nothing.

Change: an instance that turns a request away (503, also without Not-Executed, or 429) and names a time gets nothing of this router until then, whatever the request. Of several rests the latest end holds; a good end of what was under way, a refusal without a time or a new entry changes nothing; a time above 10 minutes counts as 10 minutes. Afterwards it gets one request at a time, and twice as many with each one that it takes. With only such instances left a request waits up to a fifth of its target, the most urgent first, as it does for permits, or is refused at once (429, code 4002) and told when the first rest ends, spread over a quarter of that time; a request that instances refused is told when any may take it. A permit for an instance that rests is not used; it is valid for half a second only, so that it isn't handed back either.

TestAllUpstreamsRest: all refused within 0.4 s, all served again.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -59,6 +59,9 @@
 	// LeavingNoted, if set, is called without a lock held when the table learns that an
 	// instance leaves, once for each life.
 	LeavingNoted func(LeavingNote)
+	// RestNoted, if set, is called without a lock held when an instance asks this router
+	// for rest.
+	RestNoted func(RestNote)
 }
 
 // Table holds the instances of all services, and for each instance this
@@ -103,6 +106,8 @@
 	removedAt time.Time
 	// leaving says that it said in an answer that it is about to end.
 	leaving bool
+	// rest is what it has asked this router for.
+	rest rest
 	// coldUntil is when it is expected to be warm; zero if it never was cold.
 	coldUntil time.Time
 	// admitted is what this router may send it in the present second while it is cold.
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -19,8 +19,9 @@
 	// and got enough, they have too many requests beside instances with a limit, or their
 	// announcement was removed too long ago.
 	excluded eligibility = iota
-	// unpermitted instances name a limit, and this router has no permit for them.
-	unpermitted
+	// deferred instances get nothing now, but may soon: they rest or have just done so, or
+	// they name a limit and this router has no permit for them.
+	deferred
 	// removed instances have lost their announcement less than removedGrace ago.
 	removed
 	// ejected instances are left out because of failures.
@@ -41,8 +42,9 @@
 	homes     []Homes
 	regions   map[granitehoist.AvailabilityZone]granitehoist.Region
 	cold      coldShare
-	// mayUsePermit says that the request is the one for which permits are now.
-	mayUsePermit bool
+	// isNext says that what deferred instances take is for this request, and for none that
+	// waits.
+	isNext bool
 	// besideLimited says that an instance of the service names a limit.
 	besideLimited bool
 	// routers is the number of routers, at least one.
@@ -54,9 +56,8 @@
 func (t *Table) constraints(service *serviceState, q *Query, now time.Time) constraints {
 	return constraints{
 		now: now, tried: q.Tried, evacuated: t.evacuated, homes: q.Homes, regions: t.settings.Regions,
-		cold:         coldShare{perSecond: shareOfCold(q.ColdPerSecond, q.Routers), random: t.random},
-		mayUsePermit: service.mayUsePermit(q),
-
+		cold:          coldShare{perSecond: shareOfCold(q.ColdPerSecond, q.Routers), random: t.random},
+		isNext:        service.isNext(q),
 		besideLimited: service.hasLimited(),
 		routers:       max(1, q.Routers),
 	}
@@ -75,8 +76,8 @@
 		return excluded
 	case !s.removedAt.IsZero() && !usableAfterRemoval(s.removedAt, now):
 		return excluded
-	case s.lacksPermit(c.mayUsePermit, now):
-		return unpermitted
+	case !s.rest.admits(now), !s.rest.isOver() && !c.isNext, s.lacksPermit(c.isNext, now):
+		return deferred
 	case c.besideLimited && s.isCrowded(c.routers):
 		return excluded
 	case !s.removedAt.IsZero():
@@ -96,8 +97,8 @@
 // since a try there may succeed and a refusal can't; if there is none either, those
 // that were removed lately. It returns none if all are excluded. The result has
 // the order of states, on which the random choice among equals depends. Apart from them
-// it returns the instances that lack only a permit.
-func candidates(states []*instanceState, c constraints) (choices, limited []*instanceState) {
+// it returns the instances that are deferred.
+func candidates(states []*instanceState, c constraints) (choices, later []*instanceState) {
 	liveStates := make([]*instanceState, 0, len(states))
 	var removedStates []*instanceState
 	var endsFirst *instanceState
@@ -111,16 +112,16 @@
 			}
 		case removed:
 			removedStates = append(removedStates, s)
-		case unpermitted:
-			limited = append(limited, s)
+		case deferred:
+			later = append(later, s)
 		case excluded:
 		}
 	}
 	switch {
 	case len(liveStates) > 0:
-		return liveStates, limited
+		return liveStates, later
 	case endsFirst != nil:
-		return []*instanceState{endsFirst}, limited
+		return []*instanceState{endsFirst}, later
 	}
-	return removedStates, limited
+	return removedStates, later
 }
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -49,17 +49,17 @@
 // Pick chooses the instance with the least cost and counts the attempt as in
 // progress there until Done is called on the lease. It returns an error with
 // code NoUpstream, without a Retry-After, if the service has no instance that may
-// be chosen, and one that NeedsPermit recognises if all of them lack a permit.
+// be chosen, and one that DeferralOf recognises if some may be chosen later.
 func (t *Table) Pick(q Query, now time.Time) (*Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	service := t.service(q.Service)
 	service.markSlow(now)
-	choices, limited := candidates(service.instances, t.constraints(service, &q, now))
-	t.wantAll(limited, len(choices) == 0, &q)
+	choices, deferred := candidates(service.instances, t.constraints(service, &q, now))
+	t.wantAll(deferred, len(choices) == 0, &q, now)
 	switch {
-	case len(choices) == 0 && len(limited) > 0:
-		return nil, lacksPermit(q.Service, limited, now)
+	case len(choices) == 0 && len(deferred) > 0:
+		return nil, deferral(q.Service, deferred, now)
 	case len(choices) == 0:
 		return nil, granitehoist.Errorf(granitehoist.NoUpstream, "service %s", q.Service)
 	}
@@ -75,15 +75,34 @@
 	return lease, nil
 }
 
-// wantAll records that a query could have used a permit for each of the instances, as it
-// has to if needed says that no other may be chosen. The caller holds mu.
-func (t *Table) wantAll(limited []*instanceState, needed bool, q *Query) {
+// NextChance returns the time until Pick may choose an instance for a query, zero if it may
+// now, and false if no instance is known that may be chosen.
+func (t *Table) NextChance(q Query, now time.Time) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	service := t.service(q.Service)
+	choices, later := candidates(service.instances, t.constraints(service, &q, now))
+	switch {
+	case len(choices) > 0:
+		return 0, true
+	case len(later) > 0:
+		return soonest(later, now).Chance, true
+	}
+	return 0, false
+}
+
+// wantAll records that a query could have used a permit for each of the deferred instances
+// that lack no more than one, as it has to if needed says that no other may be chosen. The
+// caller holds mu.
+func (t *Table) wantAll(deferred []*instanceState, needed bool, q *Query, now time.Time) {
 	within := permitAhead
 	if needed {
 		within = q.MaxWait
 	}
-	for _, s := range limited {
-		t.want(s, q.Waiting, within)
+	for _, s := range deferred {
+		if s.isLimited() && s.rest.admits(now) {
+			t.want(s, q.Waiting, within)
+		}
 	}
 }
 
@@ -140,6 +159,10 @@
 	if s.isCold(now) {
 		s.admitted.take()
 	}
+	if !s.rest.isOver() {
+		lease.trial = true
+		s.rest.trying++
+	}
 	if s.isLimited() {
 		lease.limited = true
 		s.limit.usePermit(now)
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -26,6 +26,9 @@
 	state   *instanceState
 	// limited says that the instance named a limit when it was chosen.
 	limited bool
+	// trial says that the request is one after a rest of the instance, of which it is not
+	// known yet whether the instance took it.
+	trial bool
 	// unreadTokens is the part of the prompt that the instance has yet to read.
 	unreadTokens granitehoist.Tokens
 	// picked is when the instance was chosen, lastEvent when the newest event of its
@@ -99,6 +102,7 @@
 	defer l.table.mu.Unlock()
 	l.readPrompt()
 	l.state.inFlight--
+	l.endTrialWith(r)
 	l.state.health = l.state.withResult(r, firstEjection, now)
 	if l.service.waitingCount() > 0 {
 		// The instance may have room now.
--- a/balance/ratelimit_test.go
+++ b/balance/ratelimit_test.go
@@ -262,8 +262,8 @@
 			p.NotePermits(PermitAnswer{Life: Life{ID: id}, Retry: p.now.Add(retry)})
 		}
 		_, err := p.Pick(Query{Service: "pool"}, p.now)
-		if chance, needs := NeedsPermit(err); !needs || chance != 2*time.Second {
-			t.Errorf("%v, %v", chance, needs)
+		if d, deferred := DeferralOf(err); !deferred || d != (Deferral{Chance: 2 * time.Second}) {
+			t.Errorf("%v, %v", d, deferred)
 		}
 	})
 }
--- a/balance/statement.go
+++ b/balance/statement.go
@@ -15,6 +15,8 @@
 	// Rest is for how long the instance wants no request of this router; zero if it does
 	// not say.
 	Rest time.Duration
+	// Taken says that the instance took the request on.
+	Taken bool
 }
 
 // Note records what an answer of the instance says of it. An answer of another instance
@@ -26,4 +28,10 @@
 	if said.Leaving {
 		l.noteLeaving(now)
 	}
+	if said.Rest > 0 {
+		l.noteRest(said.Rest, now)
+	}
+	if said.Taken && l.trial {
+		l.noteTaken()
+	}
 }
--- a/balance/status.go
+++ b/balance/status.go
@@ -16,6 +16,8 @@
 	Ejected bool
 	// Leaving says that it is about to end, by its announcement or by an answer.
 	Leaving bool
+	// Resting says that it gets nothing of this router for a time that it asked for.
+	Resting bool
 }
 
 // Statuses returns the instances of all services, by id.
@@ -28,6 +30,7 @@
 			Instance: s.Instance,
 			Ejected:  s.ejected(now) || !s.removedAt.IsZero(),
 			Leaving:  s.isLeaving(),
+			Resting:  s.rest.left(now) > 0,
 		})
 	}
 	sort.Slice(statuses, func(i, j int) bool { return statuses[i].ID < statuses[j].ID })
--- a/balance/waiting.go
+++ b/balance/waiting.go
@@ -10,12 +10,13 @@
 	"granitehoist.example/granitehoist"
 )
 
-// A request whose service has only instances that name a limit waits for a permit. The
-// more urgent ones go first: a permit is for no request while a more urgent one waits for
-// the same service, and for none that has just come while another of its urgency waits. No
-// more wait than the limits together let through in the time that one waits.
+// A request whose service has only instances that are deferred, since they rest or name a
+// limit, waits for one. The more urgent ones go first: what such an instance takes is for no
+// request while a more urgent one waits for the same service, and for none that has just
+// come while another of its urgency waits. No more wait than these instances may take
+// together in the time that one waits.
 
-// Waiter is a request that waits for a permit. Close must be called on it once.
+// Waiter is a request that waits for a deferred instance. Close must be called on it once.
 type Waiter struct {
 	table    *Table
 	service  *serviceState
@@ -54,23 +55,27 @@
 }
 
 // mostWaiting decides how many requests may wait, for at most a time each: one, and what
-// the instances with a limit take together in that time, if it were all for this router.
+// the deferred instances take together in that time, if it were all for this router. An
+// instance that rests may take as many as it runs at once.
 func (s *serviceState) mostWaiting(maxWait time.Duration) int {
-	sum := Rate(0)
+	sum := 0.0
 	for _, i := range s.instances {
-		if i.isLimited() {
-			sum += i.limit.known.rate
+		switch {
+		case i.isLimited():
+			sum += float64(i.limit.known.rate) * maxWait.Seconds()
+		case !i.rest.isOver():
+			sum += float64(i.places())
 		}
 	}
-	return 1 + int(math.Min(maxWaiting, float64(sum)*maxWait.Seconds()))
+	return 1 + int(math.Min(maxWaiting, sum))
 }
 
 // maxWaiting bounds the requests of one service that wait, whatever the limits are.
 // Chosen, not measured.
 const maxWaiting = 1000
 
-// mayUsePermit decides whether a query may use a permit while others wait.
-func (s *serviceState) mayUsePermit(q *Query) bool {
+// isNext decides whether what a deferred instance takes is for a query while others wait.
+func (s *serviceState) isNext(q *Query) bool {
 	for p, n := range s.waiting {
 		priority := granitehoist.Priority(p)
 		if n > 0 && (priority > q.Priority || (priority == q.Priority && !q.Waiting)) {
@@ -102,33 +107,57 @@
 	}
 }
 
-// NeedsPermit returns the time until a permit may be had, if err is the error with which
-// Pick found only instances that name a limit, and false for any other error.
-func NeedsPermit(err error) (time.Duration, bool) {
-	lacking, is := err.(*lacksPermitError)
+// Deferral says that every instance that may be chosen is deferred, and for how long.
+type Deferral struct {
+	// Chance is the time until one of them may take a request, zero if it is not known.
+	Chance time.Duration
+	// Rest says that the first one then ends its rest.
+	Rest bool
+}
+
+// DeferralOf returns what the error of Pick says of deferred instances, and false if it is
+// another error.
+func DeferralOf(err error) (Deferral, bool) {
+	later, is := err.(*deferredError)
 	if !is {
-		return 0, false
+		return Deferral{}, false
 	}
-	return lacking.chance, true
+	return later.Deferral, true
 }
 
-// lacksPermitError is Pick's error if all instances that may be chosen lack a permit.
-type lacksPermitError struct {
+// deferredError is Pick's error if all instances that may be chosen are deferred.
+type deferredError struct {
+	Deferral
 	service granitehoist.Service
-	// chance is the time until one of them may get a permit.
-	chance time.Duration
 }
 
-func (e *lacksPermitError) Error() string {
+func (e *deferredError) Error() string {
 	return "balance: the upstreams of service " + string(e.service) + " take no more requests now"
 }
 
-// lacksPermit returns the error for a query whose candidates, at least one, all lack a
-// permit.
-func lacksPermit(service granitehoist.Service, limited []*instanceState, now time.Time) error {
-	chance := limited[0].limit.nextChance(now)
-	for _, s := range limited[1:] {
-		chance = min(chance, s.limit.nextChance(now))
+// deferral returns the error for a query whose candidates, at least one, are all deferred.
+func deferral(service granitehoist.Service, deferred []*instanceState, now time.Time) error {
+	return &deferredError{service: service, Deferral: soonest(deferred, now)}
+}
+
+// soonest returns the deferral of the one of the deferred instances, at least one, that may
+// take a request first.
+func soonest(deferred []*instanceState, now time.Time) Deferral {
+	first := deferred[0].deferral(now)
+	for _, s := range deferred[1:] {
+		if d := s.deferral(now); d.Chance < first.Chance {
+			first = d
+		}
+	}
+	return first
+}
+
+// deferral returns for how long an instance is deferred.
+func (s *instanceState) deferral(now time.Time) Deferral {
+	rest := s.rest.left(now)
+	if !s.isLimited() {
+		return Deferral{Chance: rest, Rest: rest > 0}
 	}
-	return &lacksPermitError{service: service, chance: chance}
+	permit := s.limit.nextChance(now)
+	return Deferral{Chance: max(rest, permit), Rest: rest > permit}
 }
--- a/explain/sentences.go
+++ b/explain/sentences.go
@@ -41,6 +41,12 @@
 	if limit := l.Get("limit"); limit != "" {
 		s.add(l, "  the upstream said that it takes %s requests a second from all routers together", limit)
 	}
+	if l.Get("leaving") == "true" {
+		s.add(l, "  the upstream said that it is about to end")
+	}
+	if rest := l.Number("rest"); rest > 0 {
+		s.add(l, "  the upstream asked this router for rest, %s without requests", seconds(rest))
+	}
 	if after := l.Number("after"); after > 0 {
 		s.add(l, "  the caller had events up to %.0f by then", after)
 	}
@@ -75,7 +81,7 @@
 	}
 	s.addSuspicion(l)
 	if waited := l.Number("permit_wait"); waited > 0 {
-		s.add(l, "  every upstream that it may use names how many requests a second it takes from all routers together; it waited %s for a permit", seconds(waited))
+		s.add(l, "  every upstream that it may use rested or names how many requests a second it takes from all routers together; it waited %s for a permit or for the end of a rest", seconds(waited))
 	}
 	s.add(l, "it ended with %s after %s; %s attempts, %s events; to the caller it has %s", codeText(l.Get("code")), seconds(l.Number("took")), l.Get("attempts"), l.Get("events"), fateText(l.Get("fate")))
 	if detail := l.Get("detail"); detail != "" {
--- a/forward/active.go
+++ b/forward/active.go
@@ -63,8 +63,8 @@
 	// that the caller has, also from an earlier request.
 	events      int64
 	lastEventID int64
-	// permitWaited is how long it waited for permits of instances that name a limit.
-	permitWaited time.Duration
+	// deferredFor is how long it waited because all instances rested or named a limit.
+	deferredFor time.Duration
 	// suspicion is the evidence against the request before the latest attempt.
 	suspicion suspicion
 }
@@ -142,7 +142,7 @@
 	for {
 		lease, err := a.pickRunning(ctx)
 		if err != nil && failure != nil {
-			return failure
+			return a.refusedForCaller(failure)
 		}
 		if err != nil {
 			return err
@@ -153,7 +153,7 @@
 		}
 		failure = errorForCaller(failure, err)
 		if !verdict.allowed {
-			return failure
+			return a.refusedForCaller(failure)
 		}
 		afterEvent = verdict.afterEvent
 	}
@@ -169,7 +169,7 @@
 	if err := a.awaitSettled(ctx); err != nil {
 		return nil, err
 	}
-	lease, err := a.pickPermitted(ctx)
+	lease, err := a.pickOrWait(ctx)
 	if err != nil {
 		return nil, withRetryAfter(err)
 	}
--- /dev/null
+++ b/forward/deferred.go
@@ -0,0 +1,127 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/balance"
+)
+
+const (
+	// deferredWaitPart of the route's latency target is how long a request waits when
+	// every upstream of its service rests or names a limit: a caller that is refused
+	// within a quarter of the target can still be served elsewhere in time.
+	deferredWaitPart = 0.2
+	// restSpread is the part of the time until an upstream's rest ends over which the
+	// callers that are refused for it are told to return, so that they do not all return
+	// in the moment in which it takes one request.
+	restSpread = 0.25
+)
+
+// deferredWait returns how long the request waits from its first choice on.
+func (a *activeRequest) deferredWait() time.Duration {
+	wait := time.Duration(deferredWaitPart * float64(a.admission.route.Target))
+	return max(0, min(wait, a.timeLeft()-minRetryTime))
+}
+
+// pickOrWait chooses the instance of the next attempt. If all rest or name a limit it waits
+// for one, but not for one that can't take it in time: the error then has code Overloaded
+// and says when one may.
+func (a *activeRequest) pickOrWait(ctx context.Context) (*balance.Lease, error) {
+	settings := &a.forwarder.settings
+	query := a.query()
+	query.MaxWait = a.deferredWait()
+	started := settings.Clock()
+	lease, err := settings.Table.Pick(query, started)
+	if _, deferred := balance.DeferralOf(err); !deferred {
+		return lease, err
+	}
+	waiter, mayWait := settings.Table.NewWaiter(&query)
+	if !mayWait {
+		return nil, a.deferredRefusal(err)
+	}
+	defer waiter.Close()
+	defer func() { a.progress.deferredFor += settings.Clock().Sub(started) }()
+	query.Waiting = true
+	for {
+		changed := settings.Table.PermitsChanged()
+		now := settings.Clock()
+		lease, err = settings.Table.Pick(query, now)
+		deferral, deferred := balance.DeferralOf(err)
+		left := query.MaxWait - now.Sub(started)
+		switch {
+		case !deferred:
+			return lease, err
+		case ctx.Err() != nil, deferral.Chance > left, left <= 0:
+			return nil, a.deferredRefusal(err)
+		}
+		waitForChange(ctx, changed, nextLook(deferral.Chance, left))
+	}
+}
+
+// nextLook returns when to look again at the latest: when the first instance may take the
+// request, or when the request can't wait longer.
+func nextLook(chance, left time.Duration) time.Duration {
+	if chance > 0 {
+		return min(chance, left)
+	}
+	return left
+}
+
+// waitForChange waits until changed is closed, ctx ends, or a time has passed.
+func waitForChange(ctx context.Context, changed <-chan struct{}, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
+// deferredRefusal returns the refusal of a request for which no instance takes it in time.
+// later is the error of Pick.
+func (a *activeRequest) deferredRefusal(later error) error {
+	deferral, _ := balance.DeferralOf(later)
+	e := instancesDeferred.error(a.timeLeft())
+	e.Cause = later
+	switch {
+	case deferral.Rest:
+		// Whoever returns before the rest ends is refused once more.
+		e.RetryAfter = spread(deferral.Chance, rand.Float64())
+	case deferral.Chance > 0:
+		e.RetryAfter = withinTimeLeft(deferral.Chance, a.timeLeft())
+	}
+	return e
+}
+
+// spread returns a time from that of a chance on, up to restSpread of it later. draw is a
+// random number from 0 up to 1.
+func spread(chance time.Duration, draw float64) time.Duration {
+	return chance + time.Duration(restSpread*draw*float64(chance))
+}
+
+// refusedForCaller returns the failure of a request that gets no further attempt. One that
+// the instances refused says when the caller may be served: the time that the last of them
+// named is only its own, while others may take a request sooner.
+func (a *activeRequest) refusedForCaller(failure error) error {
+	var refused *granitehoist.Error
+	if !errors.As(failure, &refused) || refused.Code != granitehoist.UpstreamRefused {
+		return failure
+	}
+	query := a.query()
+	query.Tried = nil
+	chance, known := a.forwarder.settings.Table.NextChance(query, a.forwarder.settings.Clock())
+	if !known {
+		return failure
+	}
+	sooner := *refused
+	sooner.RetryAfter = max(refusalRules[refusedByInstance].retryAfter, spread(chance, rand.Float64()))
+	return &sooner
+}
--- a/forward/log.go
+++ b/forward/log.go
@@ -34,8 +34,8 @@
 	if a.admission.bound > 0 {
 		fields = append(fields, a.budgetFields()...)
 	}
-	if a.progress.permitWaited > 0 {
-		fields = append(fields, zap.Duration("permit_wait", a.progress.permitWaited))
+	if a.progress.deferredFor > 0 {
+		fields = append(fields, zap.Duration("permit_wait", a.progress.deferredFor))
 	}
 	if ofScope := a.progress.suspicion.ofScope; ofScope.Refused {
 		fields = append(fields, zap.Int("scope_round", ofScope.Round), zap.Duration("scope_left", ofScope.Left))
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -42,8 +42,9 @@
 	storeSilent
 	// noInstance: the service has no instance that takes requests.
 	noInstance
-	// permitMissing: all instances name a limit, and there is no permit in time.
-	permitMissing
+	// instancesDeferred: all instances rest or name a limit, and none takes the request in
+	// time.
+	instancesDeferred
 	// refusedByInstance: the instances that got an attempt did not run the request.
 	refusedByInstance
 )
@@ -59,9 +60,9 @@
 	// noInstanceRetry is the time in which a new instance may be announced.
 	// Chosen, not measured.
 	noInstanceRetry = 500 * time.Millisecond
-	// permitMissingRetry is the time in which a permit may be had where the router
-	// that issues them has not said when. Chosen, not measured.
-	permitMissingRetry = 300 * time.Millisecond
+	// deferredRetry is the time in which a deferred instance may take a request where
+	// nothing says when.
+	deferredRetry = 300 * time.Millisecond
 	// scarceRetry is the time in which other boxes return tokens that they
 	// don't need. Commit 7a995c8 raised it from 700 ms and measured it only
 	// together with the two below; the value itself is chosen.
@@ -114,7 +115,7 @@
 	budgetWithheld:       {code: granitehoist.BudgetUnreachable, retryAfter: exhaustedRetry, withinTimeLeft: true},
 	storeSilent:          {code: granitehoist.BudgetUnreachable, retryAfter: unreachableRetry, withinTimeLeft: true},
 	noInstance:           {code: granitehoist.NoUpstream, retryAfter: noInstanceRetry},
-	permitMissing:        {code: granitehoist.Overloaded, retryAfter: permitMissingRetry, withinTimeLeft: true},
+	instancesDeferred:    {code: granitehoist.Overloaded, retryAfter: deferredRetry, withinTimeLeft: true},
 	refusedByInstance:    {code: granitehoist.UpstreamRefused, retryAfter: instanceRefusedRetry},
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -46,6 +46,7 @@
 	UpstreamBad       Name = "upstream_bad"
 	UpstreamLimit     Name = "upstream_limit"
 	UpstreamLeaving   Name = "upstream_leaving"
+	UpstreamRests     Name = "upstream_rests"
 	StoreLost         Name = "store_lost"
 	StoreRegained     Name = "store_regained"
 	HistoryGone       Name = "history_gone"
@@ -66,7 +67,7 @@
 	return []Name{
 		Start, Stop, Stopped, Reload, ReloadFailed, ServeFailed, ReturnFailed, LeaveFailed, LogDropped, Woke,
 		Request, Attempt, Suspect,
-		ConfigInForce, ConfigBad, ZoneEvacuated, ZoneRestored, Upstream, UpstreamGone, UpstreamBad, UpstreamLimit, UpstreamLeaving, StoreLost, StoreRegained, HistoryGone,
+		ConfigInForce, ConfigBad, ZoneEvacuated, ZoneRestored, Upstream, UpstreamGone, UpstreamBad, UpstreamLimit, UpstreamLeaving, UpstreamRests, StoreLost, StoreRegained, HistoryGone,
 		CopyFromNeighbour, RelayLost, Shedding, PeerBad, SuspectBad, SuspectKeepFailed, BudgetGrant, BudgetLoan, BudgetRepaid, BudgetSyncFailed,
 	}
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -37,6 +37,7 @@
 	metricRefusedNow     = "suspects_refused"
 	metricUpstreamsOut   = "upstream_out"
 	metricLeaving        = "upstreams_leaving"
+	metricResting        = "upstreams_resting"
 	metricUpstreamLimit  = "upstream_limit"
 	metricPermits        = "permits"
 	metricStoreCalls     = "store_calls"
@@ -47,7 +48,7 @@
 func Metrics() []string {
 	return []string{
 		metricActive, metricRouters, metricConfig, metricConfigAge, metricInstancesAge, metricBudgetFree, metricBudgetSpent, metricStoreRemaining,
-		metricRequests, metricAttempts, metricRefusals, metricDuration, metricFirstByte, metricConnections, metricSuspects, metricRefusedNow, metricUpstreamsOut, metricLeaving, metricUpstreamLimit, metricPermits, metricStoreCalls, metricDropped,
+		metricRequests, metricAttempts, metricRefusals, metricDuration, metricFirstByte, metricConnections, metricSuspects, metricRefusedNow, metricUpstreamsOut, metricLeaving, metricResting, metricUpstreamLimit, metricPermits, metricStoreCalls, metricDropped,
 	}
 }
 
@@ -169,7 +170,7 @@
 
 // upstreamLines returns the metrics of how many upstreams get no requests at now, and why.
 func (n *Node) upstreamLines(now time.Time) []string {
-	ejected, leaving := 0, 0
+	ejected, leaving, resting := 0, 0, 0
 	for _, status := range n.parts.table.Statuses(now) {
 		if status.Ejected {
 			ejected++
@@ -177,10 +178,14 @@
 		if status.Leaving {
 			leaving++
 		}
+		if status.Resting {
+			resting++
+		}
 	}
 	return []string{
 		fmt.Sprintf("%s %d", metricUpstreamsOut, ejected),
 		fmt.Sprintf("%s %d", metricLeaving, leaving),
+		fmt.Sprintf("%s %d", metricResting, resting),
 	}
 }
 
--- a/node/parts.go
+++ b/node/parts.go
@@ -49,6 +49,7 @@
 		Regions:      n.config.Regions,
 		LimitChanged: p.limits.changed,
 		LeavingNoted: n.leavingNoted,
+		RestNoted:    (&restLog{node: n}).noted,
 	})
 	p.pool = exchange.NewPool(exchange.Settings{Clock: n.clock, Opened: n.counters.counter(metricConnections), Meter: p.meter})
 	p.peers = newPeers(peersSettings{
--- a/node/rest_test.go
+++ b/node/rest_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -103,3 +104,33 @@
 	Expect(turnedAway).To(BeNumerically(">=", len(s.members)), "each router was asked for rest")
 	Expect(most).To(BeZero(), "requests of one router in a rest")
 }
+
+// TestAllUpstreamsRest checks a service whose upstreams all ask for rest: who can't be served
+// in time is refused at once, as not run, and told when the first rest ends; nobody gets a
+// request in a rest; and all are served again soon after the upstreams take requests.
+func TestAllUpstreamsRest(t *testing.T) {
+	RegisterTestingT(t)
+	const rest = 2 * time.Second
+	s := newSiteUntil(t.Cleanup, 2)
+	s.configure(1, 1_000_000, "/a/")
+	workers := []*restingWorker{s.restingWorker("2", rest), s.restingWorker("2", rest)}
+	s.expectFleet("/a/x")
+	for _, w := range workers {
+		w.rests.Store(true)
+	}
+	all := s.loadEach("/a/x", 20*time.Millisecond, 2*rest)
+	for _, e := range all {
+		Expect(e.got.status).To(BeElementOf(http.StatusTooManyRequests, http.StatusServiceUnavailable))
+		Expect(e.took).To(BeNumerically("<", 400*time.Millisecond))
+		seconds, err := strconv.ParseFloat(e.got.header.Get("Retry-After"), 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seconds).To(BeNumerically("<=", 1.3*rest.Seconds()))
+	}
+	for _, w := range workers {
+		most, _ := w.mostInRest()
+		Expect(most).To(BeZero(), "requests of one router in a rest")
+		w.rests.Store(false)
+	}
+	time.Sleep(rest)
+	Expect(statusesOf(s.loadEach("/a/x", 20*time.Millisecond, rest))).To(And(HaveLen(1), HaveKey(http.StatusOK)), "statuses afterwards")
+}
