Tell all routers which upstream said that it leaves

What callers saw: after the mend each router still finds out by an answer of its own, so that a fleet sends as many requests to an upstream that leaves as it has routers, and those that run at its end are cut.

Cause: what one router heard stayed with it, as limits did once.

Change: the push of limits between routers carries the lives that leave as well, and so does the reply to a greeting, so that a router that starts knows them; older versions ignore the field. What was limits of node/ is parted: statements tells and logs all that upstreams say of themselves, limits fetches and issues permits.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -78,8 +78,9 @@
 	instances map[granitehoist.Upstream]*instanceState
 	// evacuated holds the zones whose instances get no attempt.
 	evacuated map[granitehoist.AvailabilityZone]bool
-	// limitVersion counts the limits that this router itself saw begin or end.
-	limitVersion uint64
+	// newsVersion counts what answers to this router itself have said that is news to the
+	// others.
+	newsVersion uint64
 	// earlyLimits holds what others said of instances that are not announced yet.
 	earlyLimits map[Life]knownLimit
 	// leavers holds the lives that said that they leave.
@@ -106,6 +107,9 @@
 	removedAt time.Time
 	// leaving says that it said in an answer that it is about to end.
 	leaving bool
+	// leavingVersion is the table's newsVersion when an answer to this router said so; zero
+	// if it has that from others.
+	leavingVersion uint64
 	// rest is what it has asked this router for.
 	rest rest
 	// coldUntil is when it is expected to be warm; zero if it never was cold.
--- a/balance/leaving.go
+++ b/balance/leaving.go
@@ -81,12 +81,36 @@
 	t := l.table
 	t.mu.Lock()
 	isNews := t.noteLeaving(l.state, now)
+	if isNews {
+		t.newsVersion++
+		l.state.leavingVersion = t.newsVersion
+	}
 	t.mu.Unlock()
 	if isNews {
 		t.tellLeaving(LeavingNote{Instance: l.Instance, Observed: true})
 	}
 }
 
+// mergeLeaving takes what another router told. Of a life that is not announced yet it is
+// kept until that.
+func (t *Table) mergeLeaving(records []LeavingRecord, now time.Time) {
+	var notes []LeavingNote
+	t.mu.Lock()
+	for _, r := range records {
+		s, found := t.instances[r.Upstream]
+		switch {
+		case !found || s.Born != r.Born:
+			t.leavers.add(r.life(), now)
+		case t.noteLeaving(s, now):
+			notes = append(notes, LeavingNote{Instance: s.Instance})
+		}
+	}
+	t.mu.Unlock()
+	for _, note := range notes {
+		t.tellLeaving(note)
+	}
+}
+
 // noteLeaving records that an instance leaves, and returns whether that is news. The
 // caller holds mu.
 func (t *Table) noteLeaving(s *instanceState, now time.Time) bool {
--- a/balance/leaving_test.go
+++ b/balance/leaving_test.go
@@ -148,3 +148,47 @@
 		t.Errorf("%d lives are left", len(l.heardAt))
 	}
 }
+
+// TestLeavingNews checks what one router tells another of instances that leave.
+func TestLeavingNews(t *testing.T) {
+	t.Run("what it heard itself, once for each that asks", func(t *testing.T) {
+		p := newLimitedPool(t, 2)
+		if news, _ := p.NewsAfter(0, p.now); news.Any() {
+			t.Errorf("%+v", news)
+		}
+		p.sayLeaving("i-0")
+		news, version := p.NewsAfter(0, p.now)
+		p.expect("leaving", len(news.Leaving), 1)
+		news, _ = p.NewsAfter(version, p.now)
+		p.expect("leaving", len(news.Leaving), 0)
+	})
+	t.Run("the other sends it nothing more, and does not pass it on", func(t *testing.T) {
+		p := newLimitedPool(t, 2)
+		p.MergeNews(News{Leaving: []LeavingRecord{{Upstream: "i-0"}}}, p.now)
+		p.expect("i-0", p.picks(50, Query{})["i-0"], 0)
+		if news, _ := p.NewsAfter(0, p.now); news.Any() {
+			t.Errorf("%+v", news)
+		}
+		p.expect("in a greeting", len(p.AllNews(p.now).Leaving), 1)
+	})
+	t.Run("before the announcement it holds after that", func(t *testing.T) {
+		p := newLimitedPool(t, 2)
+		p.MergeNews(News{Leaving: []LeavingRecord{{Upstream: "i-9", Born: 40}}}, p.now)
+		p.Announce(Instance{ID: "i-9", Service: "pool", Version: 1, Born: 40}, p.now)
+		p.expect("i-9", p.picks(50, Query{})["i-9"], 0)
+	})
+	t.Run("of an earlier life it says nothing", func(t *testing.T) {
+		p := newLimitedPool(t, 1)
+		p.announceAgain(2, 50)
+		p.MergeNews(News{Leaving: []LeavingRecord{{Upstream: "i-0", Born: 40}}}, p.now)
+		p.expect("i-0", p.picks(5, Query{})["i-0"], 5)
+	})
+	t.Run("of a later life it holds once that is announced", func(t *testing.T) {
+		p := newLimitedPool(t, 1)
+		p.announceAgain(2, 40)
+		p.MergeNews(News{Leaving: []LeavingRecord{{Upstream: "i-0", Born: 50}}}, p.now)
+		p.expect("i-0", p.picks(5, Query{})["i-0"], 5)
+		p.announceAgain(3, 50)
+		p.expect("i-0", p.picks(5, Query{})["i-0"], 0)
+	})
+}
--- a/balance/limitrecord.go
+++ b/balance/limitrecord.go
@@ -50,23 +50,6 @@
 	return record
 }
 
-// LimitsAfter returns the limits that this router itself saw begin or end after a version
-// of the table, and the present version.
-func (t *Table) LimitsAfter(version uint64, now time.Time) ([]LimitRecord, uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.limitVersion <= version {
-		return nil, version
-	}
-	var records []LimitRecord
-	for _, s := range t.instances {
-		if s.limit != nil && s.limit.known.version > version {
-			records = append(records, s.limitRecord(now))
-		}
-	}
-	return records, t.limitVersion
-}
-
 // Limits returns the limits that are believed to hold.
 func (t *Table) Limits(now time.Time) []LimitRecord {
 	t.mu.Lock()
@@ -161,8 +144,8 @@
 	}
 	began := after.named != before.named
 	if began && observed {
-		t.limitVersion++
-		after.version = t.limitVersion
+		t.newsVersion++
+		after.version = t.newsVersion
 	}
 	s.limit.known = after
 	if began {
--- a/node/golden_test.go
+++ b/node/golden_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"testing"
 
+	"granitehoist.example/granitehoist/balance"
 	"granitehoist.example/granitehoist/escrow"
 	"granitehoist.example/granitehoist/follow"
 	"granitehoist.example/granitehoist/suspect"
@@ -48,7 +49,9 @@
 	{"suspect-secret", as[suspect.Secret]},
 	{"escrow", as[escrow.Record]},
 	{"escrow-divided", as[escrow.Record]},
-	{"limits", as[limitNews]},
+	{"limits", as[balance.News]},
+	{"limits-leaving", as[balance.News]},
+	{"greeting-leaving", as[greeting]},
 	{"permits-question", as[permitQuestion]},
 	{"permits", as[permitReply]},
 }
--- a/node/greeting.go
+++ b/node/greeting.go
@@ -36,9 +36,8 @@
 	Listed bool `json:"listed,omitempty"`
 	// Hints are what the sender knows of the instances. Only replies have them.
 	Hints []balance.Hint `json:"hints,omitempty"`
-	// Limits are those of upstreams that the sender believes to hold. Only replies have
-	// them.
-	Limits []balance.LimitRecord `json:"limits,omitempty"`
+	// News is what the sender believes of upstreams by what they said. Only replies have it.
+	balance.News
 }
 
 // greetNeighbours sends this node's entry to neighbours and learns their
@@ -67,7 +66,7 @@
 	if err == nil {
 		p.noteGreeting(reply)
 		p.settings.table.NoteHints(reply.Hints)
-		p.settings.table.MergeLimits(reply.Limits, p.settings.clock())
+		p.settings.table.MergeNews(reply.News, p.settings.clock())
 	}
 	return reply, err
 }
@@ -94,7 +93,7 @@
 		Self:   p.settings.self,
 		Others: p.others,
 		Hints:  p.settings.table.Hints(),
-		Limits: p.settings.table.Limits(p.settings.clock()),
+		News:   p.settings.table.AllNews(p.settings.clock()),
 		Listed: vouchesForList(p.viewLocked().isRelay(), p.listedAt, p.settings.clock()),
 	}, nil
 }
--- a/node/leaving_test.go
+++ b/node/leaving_test.go
@@ -83,3 +83,20 @@
 	Expect(statusesOf(all)).To(And(HaveLen(1), HaveKey(http.StatusOK)), "statuses")
 	Expect(sentTooLate(all)).To(BeZero(), "requests sent to the leaving upstream %s after its router knew", drainBound)
 }
+
+// TestLeavingIsToldToAll checks that what one router heard reaches those that have sent the
+// upstream nothing, and one that starts later, while the store is away.
+func TestLeavingIsToldToAll(t *testing.T) {
+	RegisterTestingT(t)
+	s := newSiteUntil(t.Cleanup, 3)
+	s.configure(1, 1_000_000, "/a/")
+	leaving := s.leavingWorker()
+	s.expectFleet("")
+	leaving.leaves.Store(true)
+	Eventually(s.members[0].status("/a/x"), stepTimeout).Should(Equal(http.StatusOK))
+	s.members = append(s.members, s.start())
+	for _, m := range s.members {
+		Eventually(func() string { return m.metric("upstreams_leaving") }, stepTimeout).Should(Equal("1"))
+		Expect(m.status("/a/x")()).To(Equal(http.StatusServiceUnavailable))
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -125,7 +125,7 @@
 	go n.parts.peers.run(ctx)
 	go n.parts.suspects.runPush(ctx)
 	go n.parts.suspects.runKeeping(ctx)
-	go n.parts.limits.runPush(ctx)
+	go n.parts.statements.runPush(ctx)
 	go n.parts.limits.runPermits(ctx)
 	go n.watchLink(ctx)
 	go n.watchSuspensions(ctx)
--- a/node/parts.go
+++ b/node/parts.go
@@ -34,7 +34,9 @@
 	peers *peers
 	// suspects holds the evidence against requests that crash instances.
 	suspects *suspects
-	// limits keeps the limits that upstreams name, and fetches permits.
+	// statements tells and logs what upstreams say of themselves.
+	statements *statements
+	// limits fetches and issues the permits for upstreams that name a limit.
 	limits *limits
 }
 
@@ -42,14 +44,15 @@
 // serve by, self is the node's own entry.
 func newParts(n *Node, self peerEntry, current *catalog.Current) *parts {
 	p := &parts{meter: &linkmeter.Meter{}, deadlines: &boottime.Deadlines{}}
+	p.statements = newStatements(n)
 	p.limits = newLimits(n)
 	p.table = balance.New(balance.Settings{
 		Zone:         n.config.Zone,
 		Seed:         uint64(n.clock().UnixNano()),
 		Regions:      n.config.Regions,
-		LimitChanged: p.limits.changed,
-		LeavingNoted: n.leavingNoted,
-		RestNoted:    (&restLog{node: n}).noted,
+		LimitChanged: p.statements.limitChanged,
+		LeavingNoted: p.statements.leavingNoted,
+		RestNoted:    p.statements.restNoted,
 	})
 	p.pool = exchange.NewPool(exchange.Settings{Clock: n.clock, Opened: n.counters.counter(metricConnections), Meter: p.meter})
 	p.peers = newPeers(peersSettings{
@@ -61,6 +64,7 @@
 		table: p.table,
 	})
 	p.suspects = newSuspects(n, p.peers)
+	p.statements.connect(p.table, p.peers)
 	p.limits.connect(p.table, p.peers)
 	p.ledger = escrow.NewLedger(escrow.LedgerSettings{Incarnation: n.incarnation, Role: p.peers.role})
 	p.syncer = newSyncer(n, p.ledger, p.peers)
--- a/node/servers.go
+++ b/node/servers.go
@@ -151,7 +151,7 @@
 			escrow.MethodRepay: fleet.Handle(n.parts.syncer.ServeRepay),
 			methodPushSuspects: fleet.Handle(n.parts.suspects.servePush),
 			methodPullSuspects: fleet.Handle(n.parts.suspects.servePull),
-			methodPushLimits:   fleet.Handle(n.parts.limits.servePush),
+			methodPushNews:     fleet.Handle(n.parts.statements.servePush),
 			methodPermits:      fleet.Handle(n.parts.limits.serveQuestion),
 		},
 		Greetings: map[string]fleet.HandlerFunc{
