--- a/balance/balance.go
+++ b/balance/balance.go
@@ -85,6 +85,8 @@
 	earlyLimits map[Life]knownLimit
 	// leavers holds the lives that said that they leave.
 	leavers leavers
+	// spared counts the choices that spared an instance.
+	spared Spared
 	// wanting holds the instances for which permits are wanted.
 	wanting []*instanceState
 
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -92,20 +92,29 @@
 // answer.
 func (s *instanceState) isLeaving() bool { return s.Draining || s.leaving }
 
+// selection is what an attempt may choose from.
+type selection struct {
+	// choices are the instances among which it chooses. They have the order of states, on
+	// which the random choice among equals depends.
+	choices []*instanceState
+	// later are those that are deferred.
+	later []*instanceState
+	// leaving is the number of those that are excluded because they leave.
+	leaving int
+}
+
 // candidates decides which instances an attempt chooses among. They are all that
 // are live; if there is none, the one ejected instance whose ejection ends first,
 // since a try there may succeed and a refusal can't; if there is none either, those
-// that were removed lately. It returns none if all are excluded. The result has
-// the order of states, on which the random choice among equals depends. Apart from them
-// it returns the instances that are deferred.
-func candidates(states []*instanceState, c constraints) (choices, later []*instanceState) {
-	liveStates := make([]*instanceState, 0, len(states))
+// that were removed lately. It has no choices if all are excluded or deferred.
+func candidates(states []*instanceState, c constraints) selection {
+	chosen := selection{choices: make([]*instanceState, 0, len(states))}
 	var removedStates []*instanceState
 	var endsFirst *instanceState
 	for _, s := range states {
 		switch s.eligibility(c) {
 		case live:
-			liveStates = append(liveStates, s)
+			chosen.choices = append(chosen.choices, s)
 		case ejected:
 			if endsFirst == nil || s.ejectedUntil.Before(endsFirst.ejectedUntil) {
 				endsFirst = s
@@ -113,15 +122,19 @@
 		case removed:
 			removedStates = append(removedStates, s)
 		case deferred:
-			later = append(later, s)
+			chosen.later = append(chosen.later, s)
 		case excluded:
+			if s.isLeaving() {
+				chosen.leaving++
+			}
 		}
 	}
 	switch {
-	case len(liveStates) > 0:
-		return liveStates, later
+	case len(chosen.choices) > 0:
 	case endsFirst != nil:
-		return []*instanceState{endsFirst}, later
+		chosen.choices = []*instanceState{endsFirst}
+	default:
+		chosen.choices = removedStates
 	}
-	return removedStates, later
+	return chosen
 }
--- a/balance/candidates_test.go
+++ b/balance/candidates_test.go
@@ -61,9 +61,9 @@
 
 	DescribeTable("are",
 		func(instances []*instanceState, expected ...granitehoist.Upstream) {
-			choices, limited := candidates(instances, constraints{now: noon, tried: tried})
-			Expect(limited).To(BeEmpty())
-			Expect(idsOf(choices)).To(Equal(append([]granitehoist.Upstream{}, expected...)))
+			selected := candidates(instances, constraints{now: noon, tried: tried})
+			Expect(selected.later).To(BeEmpty())
+			Expect(idsOf(selected.choices)).To(Equal(append([]granitehoist.Upstream{}, expected...)))
 		},
 		Entry("none of no instances", nil),
 		Entry("none if all are excluded", []*instanceState{announced("tried", nil), announced("b", draining)}),
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -55,11 +55,13 @@
 	defer t.mu.Unlock()
 	service := t.service(q.Service)
 	service.markSlow(now)
-	choices, deferred := candidates(service.instances, t.constraints(service, &q, now))
-	t.wantAll(deferred, len(choices) == 0, &q, now)
+	selected := candidates(service.instances, t.constraints(service, &q, now))
+	choices := selected.choices
+	t.wantAll(selected.later, len(choices) == 0, &q, now)
+	t.countSpared(&selected)
 	switch {
-	case len(choices) == 0 && len(deferred) > 0:
-		return nil, deferral(q.Service, deferred, now)
+	case len(choices) == 0 && len(selected.later) > 0:
+		return nil, deferral(q.Service, selected.later, now)
 	case len(choices) == 0:
 		return nil, granitehoist.Errorf(granitehoist.NoUpstream, "service %s", q.Service)
 	}
@@ -81,12 +83,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	service := t.service(q.Service)
-	choices, later := candidates(service.instances, t.constraints(service, &q, now))
+	selected := candidates(service.instances, t.constraints(service, &q, now))
 	switch {
-	case len(choices) > 0:
+	case len(selected.choices) > 0:
 		return 0, true
-	case len(later) > 0:
-		return soonest(later, now).Chance, true
+	case len(selected.later) > 0:
+		return soonest(selected.later, now).Chance, true
 	}
 	return 0, false
 }
--- a/balance/status.go
+++ b/balance/status.go
@@ -8,6 +8,31 @@
 	"time"
 )
 
+// Spared counts the choices of instances, waiting requests included, in which at least one
+// instance got nothing for what it had said.
+type Spared struct {
+	// Leaving counts those beside instances that leave, Deferred those beside instances
+	// that rest or lack a permit.
+	Leaving, Deferred int64
+}
+
+// Spared returns the counts since the table was made.
+func (t *Table) Spared() Spared {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.spared
+}
+
+// countSpared counts a choice. The caller holds mu.
+func (t *Table) countSpared(s *selection) {
+	if s.leaving > 0 {
+		t.spared.Leaving++
+	}
+	if len(s.later) > 0 {
+		t.spared.Deferred++
+	}
+}
+
 // Status is the state of an instance in the table, for logs and metrics.
 type Status struct {
 	Instance
--- a/forward/leaving_test.go
+++ b/forward/statements_test.go
@@ -5,12 +5,14 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/balance"
 	"granitehoist.example/granitehoist/standin"
 )
@@ -72,3 +74,60 @@
 		Expect(sink.text()).To(Equal(events(40)))
 	})
 })
+
+var _ = Describe("A worker that asks for rest", func() {
+	var s *site
+	BeforeEach(func() { s = newSite() })
+
+	// turnsAwayOnce adds a worker that turns its first request away, and names a time.
+	turnsAwayOnce := func(instance, seconds string) *standin.Worker {
+		return s.worker(desk, instance, func(a standin.Arrival) standin.WorkerAnswer {
+			if a.Number > 1 {
+				return standin.WorkerAnswer{Body: "answer"}
+			}
+			return standin.WorkerAnswer{Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: []string{seconds}}
+		})
+	}
+	// serve serves a request and returns its error.
+	serve := func() *granitehoist.Error {
+		_, err := s.forwarder.Serve(context.Background(), request("/safe/x"), &fakeSink{})
+		var e *granitehoist.Error
+		errors.As(err, &e)
+		return e
+	}
+
+	It("is waited for if the rest ends in time", func() {
+		turnsAwayOnce("i-1", "0.05")
+		Expect(serve().Code).To(Equal(granitehoist.UpstreamRefused))
+		Expect(serve()).To(BeNil())
+	})
+
+	It("is not waited for if it does not: the caller is refused at once and told when", func() {
+		w := turnsAwayOnce("i-1", "3")
+		Expect(serve().Code).To(Equal(granitehoist.UpstreamRefused))
+		asked := time.Now()
+		refused := serve()
+		Expect(time.Since(asked)).To(BeNumerically("<", 50*time.Millisecond))
+		Expect(refused.Code).To(Equal(granitehoist.Overloaded))
+		Expect(refused.Code.Info().Fate).To(Equal(granitehoist.NotRun))
+		Expect(refused.RetryAfter).To(And(BeNumerically(">", 2900*time.Millisecond), BeNumerically("<=", 3750*time.Millisecond)))
+		Expect(w.Arrivals()).To(HaveLen(1))
+	})
+
+	It("tells whom two of them refused when the first rest ends, not the last", func() {
+		turnsAwayOnce("i-1", "3")
+		turnsAwayOnce("i-2", "1")
+		refused := serve()
+		Expect(refused.Code).To(Equal(granitehoist.UpstreamRefused))
+		Expect(refused.RetryAfter).To(And(BeNumerically(">", 900*time.Millisecond), BeNumerically("<=", 1250*time.Millisecond)))
+	})
+
+	It("costs a request one attempt, which another worker serves", func() {
+		turnsAwayOnce("i-1", "3")
+		s.worker(desk, "i-2", always(standin.WorkerAnswer{Body: "answer"}))
+		for range 10 {
+			Expect(serve()).To(BeNil())
+		}
+		Expect(s.workers[0].Arrivals()).To(HaveLen(1))
+	})
+})
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -38,6 +38,7 @@
 	metricUpstreamsOut   = "upstream_out"
 	metricLeaving        = "upstreams_leaving"
 	metricResting        = "upstreams_resting"
+	metricSpared         = "choices_sparing"
 	metricUpstreamLimit  = "upstream_limit"
 	metricPermits        = "permits"
 	metricStoreCalls     = "store_calls"
@@ -48,7 +49,7 @@
 func Metrics() []string {
 	return []string{
 		metricActive, metricRouters, metricConfig, metricConfigAge, metricInstancesAge, metricBudgetFree, metricBudgetSpent, metricStoreRemaining,
-		metricRequests, metricAttempts, metricRefusals, metricDuration, metricFirstByte, metricConnections, metricSuspects, metricRefusedNow, metricUpstreamsOut, metricLeaving, metricResting, metricUpstreamLimit, metricPermits, metricStoreCalls, metricDropped,
+		metricRequests, metricAttempts, metricRefusals, metricDuration, metricFirstByte, metricConnections, metricSuspects, metricRefusedNow, metricUpstreamsOut, metricLeaving, metricResting, metricSpared, metricUpstreamLimit, metricPermits, metricStoreCalls, metricDropped,
 	}
 }
 
@@ -182,7 +183,10 @@
 			resting++
 		}
 	}
+	spared := n.parts.table.Spared()
 	return []string{
+		fmt.Sprintf("%s{reason=\"leaving\"} %d", metricSpared, spared.Leaving),
+		fmt.Sprintf("%s{reason=\"deferred\"} %d", metricSpared, spared.Deferred),
 		fmt.Sprintf("%s %d", metricUpstreamsOut, ejected),
 		fmt.Sprintf("%s %d", metricLeaving, leaving),
 		fmt.Sprintf("%s %d", metricResting, resting),
