Part the keeping of a rest from the table of instances

A move: the state of a rest and the reading of Retry-After become package internal/pushback, since the partners' router meets the same upstreams and should not have a copy. One change of behaviour, found by a property test on any order of events: what an upstream took counts only if it was sent after the end of the rest (before: after the rest was asked for, which no router sends).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/pushback"
 )
 
 // Instance is one run of an upstream as it announced itself.
@@ -113,7 +114,7 @@
 	// if it has that from others.
 	leavingVersion uint64
 	// rest is what it has asked this router for.
-	rest rest
+	rest pushback.Rest
 	// coldUntil is when it is expected to be warm; zero if it never was cold.
 	coldUntil time.Time
 	// admitted is what this router may send it in the present second while it is cold.
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -76,7 +76,7 @@
 		return excluded
 	case !s.removedAt.IsZero() && !usableAfterRemoval(s.removedAt, now):
 		return excluded
-	case !s.rest.admits(now), !s.rest.isOver() && !c.isNext, s.lacksPermit(c.isNext, now):
+	case !s.rest.Admits(now), !s.rest.IsOver() && !c.isNext, s.lacksPermit(c.isNext, now):
 		return deferred
 	case c.besideLimited && s.isCrowded(c.routers):
 		return excluded
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -102,7 +102,7 @@
 		within = q.MaxWait
 	}
 	for _, s := range deferred {
-		if s.isLimited() && s.rest.admits(now) {
+		if s.isLimited() && s.rest.Admits(now) {
 			t.want(s, q.Waiting, within)
 		}
 	}
@@ -161,9 +161,9 @@
 	if s.isCold(now) {
 		s.admitted.take()
 	}
-	if !s.rest.isOver() {
+	if !s.rest.IsOver() {
 		lease.trial = true
-		s.rest.trying++
+		s.rest.Try()
 	}
 	if s.isLimited() {
 		lease.limited = true
--- a/balance/rest_test.go
+++ b/balance/rest_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/pushback"
 )
 
 // askRest makes an answer to a new request of an instance ask for rest.
@@ -85,7 +86,7 @@
 	t.Run("a time beyond belief ends", func(t *testing.T) {
 		p := newLimitedPool(t, 1)
 		p.askRest("i-0", 1e9*time.Second)
-		p.after(maxRest - time.Second)
+		p.after(pushback.MaxRest - time.Second)
 		p.expect("before", p.picks(1, Query{})["i-0"], 0)
 		p.after(time.Second)
 		p.expect("after", p.picks(1, Query{})["i-0"], 1)
--- a/balance/restways_test.go
+++ b/balance/restways_test.go
@@ -214,7 +214,7 @@
 	s.rests[router][u] = append(s.rests[router][u], &askedRest{from: s.now.Add(restNotice), until: s.now.Add(restAsked)})
 	if s.way.told {
 		for _, t := range s.tables {
-			t.instances[restID(u)].rest.ask(restAsked, s.now)
+			t.instances[restID(u)].rest.Ask(restAsked, s.now)
 		}
 	}
 	return false
@@ -247,8 +247,9 @@
 	}
 	for _, t := range s.tables {
 		for _, i := range t.instances {
-			if !i.rest.isOver() && i.rest.left(s.now) == 0 {
-				i.rest = rest{trying: i.rest.trying}
+			if i.rest.Left(s.now) == 0 {
+				// It counts as having room for all.
+				i.rest.Took(s.now, 0)
 			}
 		}
 	}
--- a/balance/status.go
+++ b/balance/status.go
@@ -55,7 +55,7 @@
 			Instance: s.Instance,
 			Ejected:  s.ejected(now) || !s.removedAt.IsZero(),
 			Leaving:  s.isLeaving(),
-			Resting:  s.rest.left(now) > 0,
+			Resting:  s.rest.Left(now) > 0,
 		})
 	}
 	sort.Slice(statuses, func(i, j int) bool { return statuses[i].ID < statuses[j].ID })
--- a/balance/waiting.go
+++ b/balance/waiting.go
@@ -63,7 +63,7 @@
 		switch {
 		case i.isLimited():
 			sum += float64(i.limit.known.rate) * maxWait.Seconds()
-		case !i.rest.isOver():
+		case !i.rest.IsOver():
 			sum += float64(i.places())
 		}
 	}
@@ -154,7 +154,7 @@
 
 // deferral returns for how long an instance is deferred.
 func (s *instanceState) deferral(now time.Time) Deferral {
-	rest := s.rest.left(now)
+	rest := s.rest.Left(now)
 	if !s.isLimited() {
 		return Deferral{Chance: rest, Rest: rest > 0}
 	}
--- /dev/null
+++ b/internal/pushback/pushback_test.go
@@ -0,0 +1,83 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package pushback_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"granitehoist.example/granitehoist/internal/pushback"
+)
+
+var noon = time.Unix(1000, 0)
+
+// Example shows a rest and the first requests after it.
+func Example() {
+	var r pushback.Rest
+	r.Ask(3*time.Second, noon)
+	fmt.Println(r.Admits(noon.Add(2*time.Second)), r.Left(noon.Add(2*time.Second)))
+	after := noon.Add(4 * time.Second)
+	r.Try()
+	fmt.Println(r.Admits(after))
+	r.EndTry()
+	r.Took(after, 8)
+	fmt.Println(r.Admits(after))
+	// Output:
+	// false 1s
+	// false
+	// true
+}
+
+func TestRetryAfter(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"3": 3 * time.Second, " 0.25 ": 250 * time.Millisecond, "0": 0, "-1": 0, "": 0, "NaN": 0, "inf": 0, "-inf": 0, "1e999": 0,
+		"1e300": 1e9 * time.Second, "Wed, 21 Oct 2026 07:28:00 GMT": 0, "soon": 0,
+	} {
+		if got := pushback.RetryAfter(http.Header{"Retry-After": {text}}); got != want {
+			t.Errorf("%q: %s, not %s", text, got, want)
+		}
+	}
+	if got := pushback.RetryAfter(http.Header{"Retry-After": {"2", "soon", "3"}}); got != 3*time.Second {
+		t.Errorf("of several: %s", got)
+	}
+}
+
+// TestNothingShortensARest checks in any order of events that nothing is admitted before the
+// end of any rest that was asked for, and that there is always a way back.
+func TestNothingShortensARest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r pushback.Rest
+		now, latest := noon, noon
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				d := time.Duration(rapid.IntRange(1, 5000).Draw(t, "rest")) * time.Millisecond
+				r.Ask(d, now)
+				if end := now.Add(d); end.After(latest) {
+					latest = end
+				}
+			case 1:
+				r.Took(now.Add(-time.Duration(rapid.IntRange(1, 9000).Draw(t, "before"))*time.Millisecond), 8)
+			case 2:
+				r.Refused()
+			case 3:
+				if r.Admits(now) {
+					r.Try()
+					r.EndTry()
+				}
+			}
+			if r.Admits(now) && now.Before(latest) {
+				t.Fatalf("admitted %s before the end", latest.Sub(now))
+			}
+		}
+		if !r.Admits(now.Add(pushback.MaxRest)) {
+			t.Fatal("there is no way back")
+		}
+	})
+}
