Keep the rest that engines ask for at the partners' router too

What callers saw: an engine that turned a request away and named a time got the next ones half a second later, with the failures counted up as if it were broken.

Change: a refusal of an engine carries its Retry-After; route.Slot.Rest keeps it by package pushback, until its end whatever the request, then one request at a time. If all upstreams that may be chosen rest, a request is refused at once with the end of the first rest.

Measured: the gate's test sends to the resting engine without the change and not with it; tests of partner/route, partner/upstream, partner/gate pass.

--- a/partner/gate/gate_test.go
+++ b/partner/gate/gate_test.go
@@ -190,6 +190,23 @@
 			Expect(s.ledger.Pending()).To(Equal(1))
 		})
 
+		It("sends nothing more to one that asked for rest", func() {
+			s.engine.steps = []step{func(granitehoist.Call, granitehoist.Sink) (granitehoist.Usage, error) {
+				refused := granitehoist.Errorf(granitehoist.UpstreamRefused, "")
+				refused.RetryAfter = time.Minute
+				return granitehoist.Usage{}, refused
+			}, answers}
+			Expect(s.chat(goodBody).status).To(Equal(http.StatusOK))
+			// For longer than one that fails is left out.
+			time.Sleep(700 * time.Millisecond)
+			for range 20 {
+				Expect(s.chat(goodBody).status).To(Equal(http.StatusOK))
+			}
+			for _, c := range s.engine.calls[1:] {
+				Expect(c.Address).NotTo(Equal(s.engine.calls[0].Address))
+			}
+		})
+
 		It("says not run when all refused, and charges nothing", func() {
 			s.engine.steps = []step{fails(granitehoist.UpstreamRefused)}
 			t := s.chat(goodBody)
--- a/partner/gate/result.go
+++ b/partner/gate/result.go
@@ -4,6 +4,9 @@
 package gate
 
 import (
+	"errors"
+	"time"
+
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/partner/route"
 )
@@ -29,6 +32,16 @@
 	return granitehoist.Wrap(granitehoist.CallerGone, err, "")
 }
 
+// restAsked returns for how long the upstream of an attempt wants no requests: the time that
+// it named when it turned the attempt away, zero if it named none.
+func restAsked(err error) time.Duration {
+	var e *granitehoist.Error
+	if !errors.As(err, &e) || e.Code != granitehoist.UpstreamRefused {
+		return 0
+	}
+	return e.RetryAfter
+}
+
 // upstreamResult decides how an attempt counts for its upstream in the choice of
 // later ones. A request that the upstream could not read is no failure of the
 // upstream, and an attempt that ended with its caller or its deadline counts
--- a/partner/gate/run.go
+++ b/partner/gate/run.go
@@ -148,7 +148,11 @@
 	protocol := g.settings.Protocols[req.asked.offer.Kind]
 	usage, err := protocol.Do(ctx, call, req.sink)
 	g.noteEvidence(ctx, req, u, err)
-	slot.Done(upstreamResult(err, ctx.Err() != nil), g.settings.Clock())
+	now := g.settings.Clock()
+	if asked := restAsked(err); asked > 0 {
+		slot.Rest(asked, now)
+	}
+	slot.Done(upstreamResult(err, ctx.Err() != nil), now)
 	s.attemptEnded(id, u, usage, err)
 	if err != nil {
 		g.logAttempt(req, id, u.Name, err)
--- a/partner/route/pool.go
+++ b/partner/route/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/pushback"
 )
 
 // servicePool is the upstreams of one service, prepared for choosing. It belongs
@@ -46,6 +47,8 @@
 	failures int
 	// ejectedUntil is when it may be chosen again.
 	ejectedUntil time.Time
+	// rest is what it has asked this router for.
+	rest pushback.Rest
 	// leaving members get no new requests at all.
 	leaving bool
 }
@@ -53,7 +56,7 @@
 // hasRoom reports whether a member may take one more request now. limit bounds
 // its requests in progress beside its own Concurrency.
 func (m *member) hasRoom(limit int, tried map[granitehoist.Upstream]bool, now time.Time) bool {
-	return !m.leaving && m.inFlight < min(m.Concurrency, limit) && !now.Before(m.ejectedUntil) && !tried[m.Name]
+	return !m.leaving && m.rest.Admits(now) && m.inFlight < min(m.Concurrency, limit) && !now.Before(m.ejectedUntil) && !tried[m.Name]
 }
 
 // choose decides which upstream takes a request: the one on the ring that
@@ -122,12 +125,16 @@
 }
 
 // firstReturning returns the untried member that returns first, if every
-// untried member is left out, and whether there is an untried member at all.
+// untried member is left out for failures or rests, and whether there is an untried member at all.
 func (p *servicePool) firstReturning(w Want, now time.Time) (first *member, untried bool) {
 	for _, m := range p.members {
 		if m.leaving || w.Tried[m.Name] {
 			continue
 		}
+		if !m.rest.Admits(now) {
+			untried = true
+			continue
+		}
 		if !now.Before(m.ejectedUntil) {
 			return nil, true
 		}
@@ -135,5 +142,23 @@
 			first = m
 		}
 	}
-	return first, first != nil
+	return first, untried || first != nil
+}
+
+// restsUntil returns the time until the first rest ends, if every member that may be chosen
+// rests, and false otherwise.
+func (p *servicePool) restsUntil(w Want, now time.Time) (left time.Duration, all bool) {
+	for _, m := range p.members {
+		if m.leaving || w.Tried[m.Name] {
+			continue
+		}
+		rest := m.rest.Left(now)
+		if rest == 0 {
+			return 0, false
+		}
+		if !all || rest < left {
+			left, all = rest, true
+		}
+	}
+	return left, all
 }
--- a/partner/route/route_test.go
+++ b/partner/route/route_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -241,3 +242,59 @@
 		<-done
 	})
 })
+
+var _ = Describe("An upstream that asks for rest", func() {
+	const rest = 3 * time.Second
+	var table *route.Table
+	BeforeEach(func() { table = route.NewTable(route.Settings{Seed: 1}) })
+
+	// ask acquires an upstream of so many, and makes it ask for rest.
+	ask := func(want route.Want, now time.Time) granitehoist.Upstream {
+		GinkgoHelper()
+		slot, err := table.Acquire(context.Background(), want, now)
+		Expect(err).NotTo(HaveOccurred())
+		slot.Rest(rest, now)
+		slot.Done(route.Bad, now)
+		return slot.Upstream
+	}
+
+	It("gets nothing until its time is over, then one request at first", func() {
+		want := route.Want{Service: "s", Targets: targets(2, 8)}
+		resting := ask(want, start)
+		for _, at := range []time.Duration{0, time.Second, rest - time.Millisecond} {
+			for range 8 {
+				slot, err := table.Acquire(context.Background(), want, start.Add(at))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(slot.Upstream).NotTo(Equal(resting))
+				slot.Done(route.Good, start.Add(at))
+			}
+		}
+		only := route.Want{Service: "s", Targets: want.Targets, Tried: map[granitehoist.Upstream]bool{}}
+		for _, target := range want.Targets {
+			only.Tried[target.Name] = target.Name != resting
+		}
+		first, err := table.Acquire(context.Background(), only, start.Add(rest))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first.Upstream).To(Equal(resting))
+		brief, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		_, err = table.Acquire(brief, only, start.Add(rest))
+		Expect(granitehoist.CodeOf(err)).To(Equal(granitehoist.Overloaded))
+		first.Done(route.Good, start.Add(rest))
+		for range 2 {
+			_, err = table.Acquire(context.Background(), only, start.Add(rest))
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
+	It("leads to a refusal at once if all do, with the end of the first rest", func() {
+		want := route.Want{Service: "s", Targets: targets(2, 8)}
+		ask(want, start)
+		ask(want, start.Add(time.Second))
+		_, err := table.Acquire(context.Background(), want, start.Add(2*time.Second))
+		var refused *granitehoist.Error
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		Expect(refused.Code).To(Equal(granitehoist.Overloaded))
+		Expect(refused.RetryAfter).To(Equal(time.Second))
+	})
+})
--- a/partner/route/table.go
+++ b/partner/route/table.go
@@ -79,21 +79,19 @@
 
 // Acquire chooses an upstream, or waits for one until ctx ends. Its errors are
 // *Error with codes NoUpstream, if the service has none that could be chosen,
-// and Overloaded, if none had room in time or too many requests wait.
+// and Overloaded, if none had room in time, too many requests wait, or all have asked for
+// rest: the error then says when the first rest ends.
 func (t *Table) Acquire(ctx context.Context, w Want, now time.Time) (*Slot, error) {
 	t.mu.Lock()
 	pool := t.currentPool(w)
 	slot, possible := t.assign(pool, w, now)
-	switch {
-	case slot != nil:
+	if slot != nil {
 		t.mu.Unlock()
 		return slot, nil
-	case !possible:
-		t.mu.Unlock()
-		return nil, granitehoist.Errorf(granitehoist.NoUpstream, "service %s", w.Service)
-	case len(pool.waiters) >= t.settings.QueueLimit:
+	}
+	if err := t.refuseWait(pool, w, possible, now); err != nil {
 		t.mu.Unlock()
-		return nil, granitehoist.Errorf(granitehoist.Overloaded, "")
+		return nil, err
 	}
 	added := pool.waiters.add(w)
 	t.mu.Unlock()
@@ -105,6 +103,23 @@
 	}
 }
 
+// refuseWait decides whether a request that finds no room may wait; nil if it may. possible
+// says that an upstream could be chosen if it had room. The caller holds mu.
+func (t *Table) refuseWait(pool *servicePool, w Want, possible bool, now time.Time) error {
+	if !possible {
+		return granitehoist.Errorf(granitehoist.NoUpstream, "service %s", w.Service)
+	}
+	if left, all := pool.restsUntil(w, now); all {
+		refused := granitehoist.Errorf(granitehoist.Overloaded, "all upstreams of service %s rest", w.Service)
+		refused.RetryAfter = left
+		return refused
+	}
+	if len(pool.waiters) >= t.settings.QueueLimit {
+		return granitehoist.Errorf(granitehoist.Overloaded, "")
+	}
+	return nil
+}
+
 // currentPool returns the prepared upstreams of a service. Requests in progress
 // and waiting stay with the members and pass on to the new pool.
 func (t *Table) currentPool(w Want) *servicePool {
@@ -152,19 +167,23 @@
 // upstream could be chosen even with room.
 func (t *Table) assign(p *servicePool, w Want, now time.Time) (slot *Slot, possible bool) {
 	if m := p.choose(w, t.random, now); m != nil {
-		return t.take(p, m), true
+		return t.take(p, m, now), true
 	}
 	first, untried := p.firstReturning(w, now)
 	if first != nil && first.inFlight < first.Concurrency {
-		return t.take(p, first), true
+		return t.take(p, first, now), true
 	}
 	return nil, untried
 }
 
-func (t *Table) take(p *servicePool, m *member) *Slot {
+func (t *Table) take(p *servicePool, m *member, now time.Time) *Slot {
 	m.inFlight++
 	p.inFlight++
-	return &Slot{Upstream: m.Name, table: t, pool: p, member: m}
+	slot := &Slot{Upstream: m.Name, table: t, pool: p, member: m, taken: now, trial: !m.rest.IsOver()}
+	if slot.trial {
+		m.rest.Try()
+	}
+	return slot
 }
 
 // SetLeaving names all upstreams that are leaving: they get no new requests.
@@ -188,6 +207,34 @@
 	table    *Table
 	pool     *servicePool
 	member   *member
+	// taken is when it was chosen, and trial says that its upstream had rested before and
+	// had not recovered.
+	taken time.Time
+	trial bool
+}
+
+// Rest records that the upstream turned the attempt away and asked for a time without
+// requests. It is called before Done.
+func (s *Slot) Rest(asked time.Duration, now time.Time) {
+	s.table.mu.Lock()
+	defer s.table.mu.Unlock()
+	s.member.rest.Ask(asked, now)
+}
+
+// endTrial takes the result of a request after a rest. The caller holds the table's lock.
+func (s *Slot) endTrial(r Result) {
+	if !s.trial {
+		return
+	}
+	rest := &s.member.rest
+	rest.EndTry()
+	switch r {
+	case Good:
+		rest.Took(s.taken, s.member.Concurrency)
+	case Bad:
+		rest.Refused()
+	case Unclear:
+	}
 }
 
 // Result is how an attempt ended, for the choice of later ones.
@@ -209,6 +256,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m.inFlight--
+	s.endTrial(r)
 	pool := s.pool.current()
 	if pool == s.pool || pool.has(m) {
 		// A pool without the member never counted this request.
--- a/partner/upstream/engine.go
+++ b/partner/upstream/engine.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/pushback"
 )
 
 // Paths of an engine's protocol beyond the OpenAI-compatible ones.
@@ -100,8 +101,10 @@
 // that answers 429 or 503, or that rejects a request as wrong, has not run it.
 func statusError(r *http.Response) error {
 	switch {
-	case r.StatusCode == http.StatusTooManyRequests, r.StatusCode == http.StatusServiceUnavailable:
-		return granitehoist.Errorf(granitehoist.UpstreamRefused, "status %d", r.StatusCode)
+	case pushback.TurnsAway(r.StatusCode):
+		refused := granitehoist.Errorf(granitehoist.UpstreamRefused, "status %d", r.StatusCode)
+		refused.RetryAfter = pushback.RetryAfter(r.Header)
+		return refused
 	case r.StatusCode >= http.StatusBadRequest && r.StatusCode < http.StatusInternalServerError:
 		return granitehoist.Errorf(granitehoist.BadRequest, "the upstream answered status %d", r.StatusCode)
 	}
--- a/partner/upstream/upstream_test.go
+++ b/partner/upstream/upstream_test.go
@@ -201,6 +201,18 @@
 		Expect(granitehoist.CodeOf(err)).To(Equal(granitehoist.UpstreamRefused))
 	})
 
+	It("passes on for how long an engine that turns a call away wants none", func() {
+		address := serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", "2.5")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		_, err := engine.Do(ctx, call(address, false), &sink{})
+		var refused *granitehoist.Error
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		Expect(refused.Code).To(Equal(granitehoist.UpstreamRefused))
+		Expect(refused.RetryAfter).To(Equal(2500 * time.Millisecond))
+	})
+
 	It("can't tell the cost if nobody answers", func() {
 		_, ok := engine.Stop(ctx, "http://127.0.0.1:1", "box-1.1")
 		Expect(ok).To(BeFalse())
