Run the large fleet's budget in a bubble of its own time

Cause: the test's fleet has a clock of its own, but a sync that takes over 20 ms of real time has neighbours asked beside it, and requests wait by real time; on a busy machine the holder was at another moment of its refill when the outage began.

Change: TestLargeFleet runs in a synctest bubble; the fleet's steps pass the bubble's time as well, so that what goes on by itself has ended before the next. All five checks of three seeds stand with their bounds, as subtests in place of specs (the lines that left the specs are these, word for word).

--- a/escrow/largefleet_test.go
+++ b/escrow/largefleet_test.go
@@ -6,13 +6,13 @@
 import (
 	"context"
 	"math/rand/v2"
-	"runtime"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"testing"
+	"testing/synctest"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"granitehoist.example/granitehoist"
@@ -25,6 +25,8 @@
 // time, and fail if the receiver is dead.
 type largeFleet struct {
 	elapsed atomic.Int64
+	// calls counts the calls that a loop had to run for.
+	calls atomic.Int64
 	// running is held while a loop's round runs.
 	running sync.Mutex
 	store   *standin.Store
@@ -50,9 +52,10 @@
 	largeFleetOutage  = 8 * time.Second
 	// largeFleetLook is how often each router looks at its holdings, as Run does.
 	largeFleetLook = 700 * time.Millisecond
-	// largeFleetPatience is the real time that a call or request may take: some
-	// hundred times what it takes, since a busy machine may let it lie.
+	// largeFleetPatience is the bubble's time that a call or request may take, and
+	// largeFleetPause that between two rounds of the loop that it waits for.
 	largeFleetPatience = 2 * time.Second
+	largeFleetPause    = time.Millisecond
 )
 
 // newLargeFleet returns a fleet of which the first router is the holder and the next
@@ -77,7 +80,11 @@
 	return time.Unix(1000, 0).Add(time.Duration(f.elapsed.Load()))
 }
 
-func (f *largeFleet) pass(d time.Duration) { f.elapsed.Add(int64(d)) }
+// pass lets the fleet's clock go on, and the bubble's, in which what goes on by itself ends.
+func (f *largeFleet) pass(d time.Duration) {
+	time.Sleep(d)
+	f.elapsed.Add(int64(d))
+}
 
 func (f *largeFleet) add(i int) {
 	name := granitehoist.Incarnation("r" + strconv.Itoa(i))
@@ -127,21 +134,23 @@
 	return reply, err
 }
 
-// runLoopDuring makes a call at a router while its loop runs, here and not on a timer of
-// its own: the test's clock stands still meanwhile, however busy the machine is.
+// runLoopDuring makes a call at a router while its loop runs, here and not on a goroutine of
+// its own: a round whenever the call waits. The fleet's clock stands still meanwhile.
 func (f *largeFleet) runLoopDuring(b *box, call func()) {
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		call()
 	}()
+	// The bubble's time goes on only when all else waits. No two calls at once have rounds
+	// in the same moment.
+	pause := largeFleetPause + time.Duration(f.calls.Add(1)%1000)*time.Nanosecond
 	for {
 		select {
 		case <-ended:
 			return
-		default:
+		case <-time.After(pause):
 			f.round(b)
-			runtime.Gosched()
 		}
 	}
 }
@@ -224,22 +233,30 @@
 	return float64(f.refused) / float64(f.asked)
 }
 
-var _ = Describe("A budget of which each of many routers sees a request now and then", func() {
-	// 20 requests a second of 10,000 tokens use 200,000 tokens a second.
-	const limit = granitehoist.Tokens(10_000_000)
+// fleetLimit is the prepaid total: 20 requests a second of 10,000 tokens use 200,000 tokens a
+// second.
+const fleetLimit = granitehoist.Tokens(10_000_000)
+
+// TestLargeFleet checks a budget of which each of many routers sees a request now and then.
+// It runs in a synctest bubble: whatever waits for real time, as a sync that neighbours are
+// asked beside, waits for that of the bubble, and a router's loop runs exactly when all else
+// waits for it. A busy machine changes nothing.
+func TestLargeFleet(t *testing.T) {
 	for _, seed := range []uint64{1, 2, 3} {
-		var f *largeFleet
-		BeforeEach(func() { f = newLargeFleet(seed, limit) })
-		name := ", seed " + strconv.FormatUint(seed, 10)
+		check := func(name string, play func(g *WithT, f *largeFleet)) {
+			t.Run(name+", seed "+strconv.FormatUint(seed, 10), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { play(NewWithT(t), newLargeFleet(seed, fleetLimit)) })
+			})
+		}
 
-		It("is not scattered over them"+name, func() {
+		check("is not scattered over them", func(g *WithT, f *largeFleet) {
 			f.run(10 * time.Second)
-			Expect(f.refused).To(BeZero())
+			g.Expect(f.refused).To(BeZero())
 			scattered := f.held() - f.boxes[0].ledger.State(kiosk).Free
-			Expect(scattered).To(BeNumerically("<", limit/100))
+			g.Expect(scattered).To(BeNumerically("<", fleetLimit/100))
 		})
 
-		It("pays for nearly all requests of an outage of the store"+name, func() {
+		check("pays for nearly all requests of an outage of the store", func(g *WithT, f *largeFleet) {
 			f.run(10 * time.Second)
 			// The holder has between three quarters of 9 s of the demand and all of it at
 			// a random moment, so that up to 16 % of 8 s may find nothing. The outage
@@ -251,31 +268,31 @@
 				f.run(100 * time.Millisecond)
 			}
 			f.store.Fail(standin.StoreFaults{Down: true})
-			Expect(f.refusedIn(largeFleetOutage)).To(BeNumerically("<", 0.1))
+			g.Expect(f.refusedIn(largeFleetOutage)).To(BeNumerically("<", 0.1))
 			f.store.Fail(standin.StoreFaults{})
 			f.pass(time.Second)
 			f.look()
-			Expect(f.refusedIn(5 * time.Second)).To(BeNumerically("<", 0.02))
+			g.Expect(f.refusedIn(5 * time.Second)).To(BeNumerically("<", 0.02))
 		})
 
-		It("pays for all but what its holder may lack at a random moment"+name, func() {
+		check("pays for all but what its holder may lack at a random moment", func(g *WithT, f *largeFleet) {
 			f.run(10 * time.Second)
 			f.store.Fail(standin.StoreFaults{Down: true})
-			Expect(f.refusedIn(largeFleetOutage)).To(BeNumerically("<=", 0.16))
+			g.Expect(f.refusedIn(largeFleetOutage)).To(BeNumerically("<=", 0.16))
 		})
 
-		It("is paid by one that stands in when the holder dies"+name, func() {
+		check("is paid by one that stands in when the holder dies", func(g *WithT, f *largeFleet) {
 			f.run(10 * time.Second)
 			f.dead["r0"] = true
 			lost := f.boxes[0].ledger.State(kiosk).Free
-			Expect(f.refusedIn(5 * time.Second)).To(BeNumerically("<", 0.01))
-			Expect(lost).To(BeNumerically("<", limit/4))
+			g.Expect(f.refusedIn(5 * time.Second)).To(BeNumerically("<", 0.01))
+			g.Expect(lost).To(BeNumerically("<", fleetLimit/4))
 		})
 
-		It("is never overspent, and all but 3 % of it is used"+name, func() {
+		check("is never overspent, and all but 3 % of it is used", func(g *WithT, f *largeFleet) {
 			f.run(60 * time.Second)
-			Expect(f.paid).To(BeNumerically("<=", limit))
-			Expect(f.paid).To(BeNumerically(">=", limit*97/100))
+			g.Expect(f.paid).To(BeNumerically("<=", fleetLimit))
+			g.Expect(f.paid).To(BeNumerically(">=", fleetLimit*97/100))
 		})
 	}
-})
+}
