--- a/node/crashing_test.go
+++ b/node/crashing_test.go
@@ -62,12 +62,12 @@
 // attack sends the deadly request to nodes in turn until one refuses it, and replaces the
 // workers that crash.
 func (p *poolUnderAttack) attack(members []*member) {
-	Eventually(func() int {
+	p.site.Eventually(func() int {
 		m := members[p.turn%len(members)]
 		p.turn++
 		before := p.endings()
 		got, err := m.ask("/once/"+deadly, fmt.Sprintf("attack-%d", p.turn))
-		Expect(err).NotTo(HaveOccurred())
+		p.site.Expect(err).NotTo(HaveOccurred())
 		for range p.endings() - before {
 			p.add()
 		}
@@ -84,31 +84,30 @@
 // 15 crashes, and none of its ids reached two upstreams, which ruled out unrelated crashes
 // and the routers' own retries.
 func TestCrashingRequestIsRefused(t *testing.T) {
-	RegisterTestingT(t)
 	const routers, workers, arrivals, allowed = 3, 6, 15, 4
-	s := newSiteUntil(t.Cleanup, routers)
+	s := newScene(t, routers)
 	s.configure(1, 1_000_000, "/once/")
 	pool := newPoolUnderAttack(s, workers)
 	for _, m := range s.members {
-		Eventually(m.status("/once/x"), stepTimeout).Should(Equal(http.StatusOK))
-		Eventually(m.node.Routers, stepTimeout).Should(Equal(routers))
+		s.Eventually(m.status("/once/x"), stepTimeout).Should(Equal(http.StatusOK))
+		s.Eventually(m.node.Routers, stepTimeout).Should(Equal(routers))
 	}
 	var last answer
 	for i := range arrivals {
 		m := s.members[i%routers]
 		before := pool.endings()
 		got, err := m.ask("/once/"+deadly, fmt.Sprintf("again-%d", i))
-		Expect(err).NotTo(HaveOccurred())
+		s.Expect(err).NotTo(HaveOccurred())
 		last = got
 		for range pool.endings() - before {
 			pool.add()
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	Expect(pool.endings()).To(BeNumerically("<=", allowed), "workers that crashed under %d arrivals", arrivals)
-	Expect(last.status).To(Equal(http.StatusServiceUnavailable))
-	Expect(last.header.Get("Retry-After")).NotTo(BeEmpty())
+	s.Expect(pool.endings()).To(BeNumerically("<=", allowed), "workers that crashed under %d arrivals", arrivals)
+	s.Expect(last.status).To(Equal(http.StatusServiceUnavailable))
+	s.Expect(last.header.Get("Retry-After")).NotTo(BeEmpty())
 	for _, m := range s.members {
-		Eventually(m.status("/once/x"), stepTimeout).Should(Equal(http.StatusOK))
+		s.Eventually(m.status("/once/x"), stepTimeout).Should(Equal(http.StatusOK))
 	}
 }
--- a/node/crashload_test.go
+++ b/node/crashload_test.go
@@ -175,7 +175,7 @@
 
 func newCrashFront(s *site) *crashFront {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
+	s.Expect(err).NotTo(HaveOccurred())
 	f := &crashFront{listener: listener, conns: map[net.Conn]struct{}{}}
 	s.atEnd(func() { _ = listener.Close() })
 	go f.accept()
@@ -321,9 +321,8 @@
 
 // playDeadly plays a deadly request of four callers beside innocent ones.
 func playDeadly(t *testing.T, scene crashScene) {
-	RegisterTestingT(t)
 	const routers, upstreams, lasts, settled = 6, 16, 12 * time.Second, 6 * time.Second
-	s := newSiteUntil(t.Cleanup, routers)
+	s := newScene(t, routers)
 	s.configure(1, 1_000_000, "/a/", "/once/")
 	load := newCrashLoad(s, upstreams, scene.listens)
 	s.expectFleet("/a/x")
@@ -340,17 +339,16 @@
 	late, crashes := load.late()
 	t.Logf("%d crashes, %d late arrivals, innocent %d of %d served, %d of %d later, %v", crashes, late,
 		innocents.served, innocents.asked, innocents.lateServed, innocents.lateAsked, innocents.otherResponses)
-	Expect(crashes).To(BeNumerically("<=", scene.mostCrashes), "crashes")
-	Expect(late).To(BeNumerically("<=", scene.mostLate), "late arrivals")
-	Expect(innocents.lateServed).To(BeNumerically(">=", innocents.lateAsked*95/100), "innocent requests")
+	s.Expect(crashes).To(BeNumerically("<=", scene.mostCrashes), "crashes")
+	s.Expect(late).To(BeNumerically("<=", scene.mostLate), "late arrivals")
+	s.Expect(innocents.lateServed).To(BeNumerically(">=", innocents.lateAsked*95/100), "innocent requests")
 }
 
 // playPowerLosses plays an innocent request of many callers while all upstreams lose power
 // four times.
 func playPowerLosses(t *testing.T, listens bool) {
-	RegisterTestingT(t)
 	const routers, upstreams, callers, losses, between = 6, 16, 48, 4, 2500 * time.Millisecond
-	s := newSiteUntil(t.Cleanup, routers)
+	s := newScene(t, routers)
 	s.configure(1, 1_000_000, "/a/", "/once/")
 	load := newCrashLoad(s, upstreams, listens)
 	s.expectFleet("/a/x")
@@ -364,8 +362,8 @@
 	}
 	calling.Wait()
 	t.Logf("%d of %d served, %d of %d after the last loss, %v", popular.served, popular.asked, popular.lateServed, popular.lateAsked, popular.otherResponses)
-	Expect(popular.lateAsked).To(BeNumerically(">", 100))
-	Expect(popular.lateServed).To(Equal(popular.lateAsked), "popular requests after the upstreams are back")
+	s.Expect(popular.lateAsked).To(BeNumerically(">", 100))
+	s.Expect(popular.lateServed).To(Equal(popular.lateAsked), "popular requests after the upstreams are back")
 }
 
 // TestDeadlyAtRefusingAddresses is a crashing request of four callers at upstreams whose
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -32,6 +33,7 @@
 
 // member is one node of a fleet under test, with a store front of its own.
 type member struct {
+	Gomega
 	node   *node.Node
 	config *node.Config
 	store  *standin.PlatformStore
@@ -58,8 +60,10 @@
 	return t.lines.String()
 }
 
-// site is a fleet with the platform's store and workers, all over sockets.
+// site is a fleet with the platform's store and workers, all over sockets. Its assertions
+// fail the test that it belongs to.
 type site struct {
+	Gomega
 	store   *standin.Store
 	members []*member
 	workers int
@@ -82,15 +86,22 @@
 	return fmt.Sprintf("127.%d.%d.%d", ownNetworks+pid/octet%ownNetworks, pid%octet, lastIP.Add(1))
 }
 
-// newSite starts a site with nodes that have no configuration yet.
+// newSite starts a site of a spec, with nodes that have no configuration yet.
 func newSite(nodes int) *site {
-	return newSiteUntil(func(end func()) { DeferCleanup(end) }, nodes)
+	return newSiteOf(Default, func(end func()) { DeferCleanup(end) }, nodes)
 }
 
-// newSiteUntil starts a site as newSite does. What it starts is ended by the functions
-// that it gives to atEnd.
-func newSiteUntil(atEnd func(func()), nodes int) *site {
-	s := &site{store: standin.NewStore(standin.StoreSettings{}), atEnd: atEnd}
+// newScene starts a site as newSite does, of a test that may run beside others.
+func newScene(t *testing.T, nodes int) *site {
+	t.Helper()
+	g := NewWithT(t)
+	g.SetDefaultEventuallyTimeout(stepTimeout)
+	return newSiteOf(g, t.Cleanup, nodes)
+}
+
+// newSiteOf starts a site. What it starts is ended by the functions that it gives to atEnd.
+func newSiteOf(g Gomega, atEnd func(func()), nodes int) *site {
+	s := &site{Gomega: g, store: standin.NewStore(standin.StoreSettings{}), atEnd: atEnd}
 	for range nodes {
 		s.members = append(s.members, s.start())
 	}
@@ -102,7 +113,7 @@
 	ip := nextIP()
 	front := &standin.PlatformStore{Store: s.store}
 	listener, err := net.Listen("tcp", ip+":8223")
-	Expect(err).NotTo(HaveOccurred())
+	s.Expect(err).NotTo(HaveOccurred())
 	server := &http.Server{Handler: front, ReadHeaderTimeout: stepTimeout}
 	go func() { _ = server.Serve(listener) }()
 	s.atEnd(func() { _ = server.Close() })
@@ -110,16 +121,16 @@
 		"internalPortRange":[7340,7355],"bounds":{"gracePeriodS":4,"drainMs":500,"retryBudgetRatio":0.2,"retryWindowS":10,"budgetSlack":50},
 		"platform":{"address":%q}}`, ip, ip, ip, ip, listener.Addr().String())
 	config, err := platform.ParseSettings("test", []byte(settings))
-	Expect(err).NotTo(HaveOccurred())
+	s.Expect(err).NotTo(HaveOccurred())
 	config.Metrics = ip + ":9464"
 	config.Clock = s.clock
 	core, logs := observer.New(zapcore.InfoLevel)
 	text := &logText{}
 	log := zap.New(zapcore.NewTee(core, logsink.NewLogger(text, zapcore.InfoLevel).Core()))
 	n, err := node.New(config, platform.NewAdapter(platform.StoreSettings{Address: config.Store, Watch: 300 * time.Millisecond, Timeout: 500 * time.Millisecond}), log)
-	Expect(err).NotTo(HaveOccurred())
+	s.Expect(err).NotTo(HaveOccurred())
 	n.Start()
-	m := &member{node: n, config: config, store: front, logs: logs, text: text}
+	m := &member{Gomega: s.Gomega, node: n, config: config, store: front, logs: logs, text: text}
 	s.atEnd(n.Stop)
 	return m
 }
@@ -130,9 +141,9 @@
 	if !isRaw {
 		var err error
 		raw, err = json.Marshal(value)
-		Expect(err).NotTo(HaveOccurred())
+		s.Expect(err).NotTo(HaveOccurred())
 	}
-	Eventually(func() error {
+	s.Eventually(func() error {
 		entry, err := s.store.Get(context.Background(), key)
 		if err != nil {
 			return err
@@ -170,7 +181,7 @@
 	s.workers++
 	id := fmt.Sprintf("i-%d", s.workers)
 	w, err := standin.NewWorker(id, answers)
-	Expect(err).NotTo(HaveOccurred())
+	s.Expect(err).NotTo(HaveOccurred())
 	s.atEnd(w.Close)
 	s.announce(w, "ready")
 	return w
@@ -186,15 +197,15 @@
 // remove deletes a key.
 func (s *site) remove(key string) {
 	entry, err := s.store.Get(context.Background(), key)
-	Expect(err).NotTo(HaveOccurred())
+	s.Expect(err).NotTo(HaveOccurred())
 	_, err = s.store.CompareAndSwap(context.Background(), granitehoist.Change{Key: key, Expect: entry.Version, Delete: true})
-	Expect(err).NotTo(HaveOccurred())
+	s.Expect(err).NotTo(HaveOccurred())
 }
 
 // keysUnder returns the keys that begin with a prefix.
 func (s *site) keysUnder(prefix string) []string {
 	entries, _, err := s.store.List(context.Background(), prefix)
-	Expect(err).NotTo(HaveOccurred())
+	s.Expect(err).NotTo(HaveOccurred())
 	var keys []string
 	for _, e := range entries {
 		keys = append(keys, e.Key)
@@ -210,7 +221,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
-	Expect(err).NotTo(HaveOccurred())
+	m.Expect(err).NotTo(HaveOccurred())
 	return string(text)
 }
 
@@ -252,11 +263,11 @@
 	}
 	for i := range sequentialRequests {
 		got, err := m.ask("/a/x", fmt.Sprintf("r-%d", i))
-		Expect(err).NotTo(HaveOccurred())
-		Expect(got.body).To(Equal(body))
+		m.Expect(err).NotTo(HaveOccurred())
+		m.Expect(got.body).To(Equal(body))
 	}
 	for _, w := range idle {
-		Expect(w.Arrivals()).To(HaveLen(before[w.Instance()]))
+		m.Expect(w.Arrivals()).To(HaveLen(before[w.Instance()]))
 	}
 }
 
--- a/node/leaving_test.go
+++ b/node/leaving_test.go
@@ -67,8 +67,8 @@
 // drains ruled out news that was not passed on; 17 other live upstreams ruled out that there
 // was no choice.
 func TestLeavingUpstreamIsSpared(t *testing.T) {
-	RegisterTestingT(t)
-	s := newSiteUntil(t.Cleanup, 3)
+	t.Parallel()
+	s := newScene(t, 3)
 	s.configure(1, 1_000_000, "/a/")
 	leaving := s.leavingWorker()
 	for range 3 {
@@ -80,23 +80,23 @@
 	}
 	leaving.leaves.Store(true)
 	all := s.loadEach("/a/x", 50*time.Millisecond, 4*time.Second)
-	Expect(statusesOf(all)).To(And(HaveLen(1), HaveKey(http.StatusOK)), "statuses")
-	Expect(sentTooLate(all)).To(BeZero(), "requests sent to the leaving upstream %s after its router knew", drainBound)
+	s.Expect(statusesOf(all)).To(And(HaveLen(1), HaveKey(http.StatusOK)), "statuses")
+	s.Expect(sentTooLate(all)).To(BeZero(), "requests sent to the leaving upstream %s after its router knew", drainBound)
 }
 
 // TestLeavingIsToldToAll checks that what one router heard reaches those that have sent the
 // upstream nothing, and one that starts later, while the store is away.
 func TestLeavingIsToldToAll(t *testing.T) {
-	RegisterTestingT(t)
-	s := newSiteUntil(t.Cleanup, 3)
+	t.Parallel()
+	s := newScene(t, 3)
 	s.configure(1, 1_000_000, "/a/")
 	leaving := s.leavingWorker()
 	s.expectFleet("")
 	leaving.leaves.Store(true)
-	Eventually(s.members[0].status("/a/x"), stepTimeout).Should(Equal(http.StatusOK))
+	s.Eventually(s.members[0].status("/a/x"), stepTimeout).Should(Equal(http.StatusOK))
 	s.members = append(s.members, s.start())
 	for _, m := range s.members {
-		Eventually(func() string { return m.metric("upstreams_leaving") }, stepTimeout).Should(Equal("1"))
-		Expect(m.status("/a/x")()).To(Equal(http.StatusServiceUnavailable))
+		s.Eventually(func() string { return m.metric("upstreams_leaving") }, stepTimeout).Should(Equal("1"))
+		s.Expect(m.status("/a/x")()).To(Equal(http.StatusServiceUnavailable))
 	}
 }
--- a/node/ratelimit_test.go
+++ b/node/ratelimit_test.go
@@ -102,9 +102,9 @@
 // expectFleet waits until all nodes know each other, and each serves a path if one is given.
 func (s *site) expectFleet(path string) {
 	for _, m := range s.members {
-		Eventually(m.node.Routers, stepTimeout).Should(Equal(len(s.members)))
+		s.Eventually(m.node.Routers, stepTimeout).Should(Equal(len(s.members)))
 		if path != "" {
-			Eventually(m.status(path), stepTimeout).Should(Equal(http.StatusOK))
+			s.Eventually(m.status(path), stepTimeout).Should(Equal(http.StatusOK))
 		}
 	}
 }
@@ -182,9 +182,9 @@
 // repeat, which ruled out that retries had gone there; that no state of a router held a
 // limit ruled out that each had kept the whole limit for itself.
 func TestNamedLimitIsKept(t *testing.T) {
-	RegisterTestingT(t)
+	t.Parallel()
 	const routers, others, perSecond = 3, 3, 1.6
-	s := newSiteUntil(t.Cleanup, routers)
+	s := newScene(t, routers)
 	s.configure(1, 1_000_000, "/a/")
 	limited := s.limitedWorker(fmt.Sprint(perSecond))
 	for range others {
@@ -192,29 +192,29 @@
 	}
 	s.expectFleet("/a/x")
 	statuses := s.load("/a/x", 50*time.Millisecond, limitLearnt+limitWindow+time.Second)
-	Expect(statuses).To(HaveLen(1), "statuses")
-	Expect(statuses).To(HaveKey(http.StatusOK))
-	Expect(limited.worst()).To(BeNumerically("<=", allowedInWindow(perSecond)), "requests in %s", limitWindow)
+	s.Expect(statuses).To(HaveLen(1), "statuses")
+	s.Expect(statuses).To(HaveKey(http.StatusOK))
+	s.Expect(limited.worst()).To(BeNumerically("<=", allowedInWindow(perSecond)), "requests in %s", limitWindow)
 }
 
 // TestLimitIsToldToAll checks that a limit that one router saw, and its end, reaches
 // routers that have sent the upstream nothing, and one that starts later.
 func TestLimitIsToldToAll(t *testing.T) {
-	RegisterTestingT(t)
-	s := newSiteUntil(t.Cleanup, 3)
+	t.Parallel()
+	s := newScene(t, 3)
 	s.configure(1, 1_000_000, "/a/")
 	limited := s.limitedWorker("50")
 	s.expectFleet("")
-	Eventually(s.members[0].status("/a/x"), stepTimeout).Should(Equal(http.StatusOK))
+	s.Eventually(s.members[0].status("/a/x"), stepTimeout).Should(Equal(http.StatusOK))
 	for _, m := range s.members {
-		Eventually(m.knowsLimits(), stepTimeout).Should(Equal(1))
+		s.Eventually(m.knowsLimits(), stepTimeout).Should(Equal(1))
 	}
 	s.members = append(s.members, s.start())
-	Eventually(s.members[3].knowsLimits(), stepTimeout).Should(Equal(1))
+	s.Eventually(s.members[3].knowsLimits(), stepTimeout).Should(Equal(1))
 	limited.need.Store(false)
-	Eventually(s.members[1].status("/a/x"), stepTimeout).Should(Equal(http.StatusOK))
+	s.Eventually(s.members[1].status("/a/x"), stepTimeout).Should(Equal(http.StatusOK))
 	for _, m := range s.members {
-		Eventually(m.knowsLimits(), stepTimeout).Should(BeZero())
+		s.Eventually(m.knowsLimits(), stepTimeout).Should(BeZero())
 	}
 }
 
@@ -223,11 +223,11 @@
 // and whoever can't be served is refused as not run, long before the deadline. Afterwards
 // everyone is served again.
 func TestAllUpstreamsLimited(t *testing.T) {
-	RegisterTestingT(t)
+	t.Parallel()
 	const routers, workers, perSecond = 3, 2, 5.0
 	// started is for how long a router that issues permits keeps to a part of the rate.
 	const started = 10 * time.Second
-	s := newSiteUntil(t.Cleanup, routers)
+	s := newScene(t, routers)
 	s.configure(1, 1_000_000, "/a/")
 	var limited []*limitedWorker
 	for range workers {
@@ -237,18 +237,18 @@
 	s.load("/a/x", 75*time.Millisecond, started)
 	began := time.Now()
 	statuses := s.load("/a/x", 75*time.Millisecond, 2*limitWindow)
-	Expect(statuses).To(HaveLen(2), "statuses")
-	Expect(statuses).To(HaveKey(http.StatusTooManyRequests))
+	s.Expect(statuses).To(HaveLen(2), "statuses")
+	s.Expect(statuses).To(HaveKey(http.StatusTooManyRequests))
 	for _, w := range limited {
-		Expect(w.worst()).To(BeNumerically("<=", allowedInWindow(perSecond)))
-		Expect(w.count(began)).To(BeNumerically(">=", int(0.8*perSecond*2*limitWindow.Seconds())), "four fifths of the limit")
+		s.Expect(w.worst()).To(BeNumerically("<=", allowedInWindow(perSecond)))
+		s.Expect(w.count(began)).To(BeNumerically(">=", int(0.8*perSecond*2*limitWindow.Seconds())), "four fifths of the limit")
 		w.need.Store(false)
 	}
 	// Only requests tell that the need is over.
 	s.load("/a/x", 75*time.Millisecond, 2*time.Second)
 	for _, m := range s.members {
-		Eventually(m.knowsLimits(), stepTimeout).Should(BeZero())
-		Expect(m.status("/a/x")()).To(Equal(http.StatusOK))
+		s.Eventually(m.knowsLimits(), stepTimeout).Should(BeZero())
+		s.Expect(m.status("/a/x")()).To(Equal(http.StatusOK))
 	}
 }
 
@@ -256,35 +256,35 @@
 // time: at once or after a fifth of the route's target, as not run, with a Retry-After that
 // the caller can use.
 func TestRefusedForLimitsAtOnce(t *testing.T) {
-	RegisterTestingT(t)
-	s := newSiteUntil(t.Cleanup, 1)
+	t.Parallel()
+	s := newScene(t, 1)
 	s.configure(1, 1_000_000, "/a/")
 	limited := s.limitedWorker("0")
 	s.expectFleet("")
 	m := s.members[0]
 	refused := func() answer {
 		got, err := m.ask("/a/x", "refused")
-		Expect(err).NotTo(HaveOccurred())
+		s.Expect(err).NotTo(HaveOccurred())
 		return got
 	}
-	Eventually(func() int { return refused().status }, stepTimeout).Should(Equal(http.StatusTooManyRequests))
+	s.Eventually(func() int { return refused().status }, stepTimeout).Should(Equal(http.StatusTooManyRequests))
 	arrived, asked := limited.count(time.Time{}), time.Now()
 	got := refused()
-	Expect(got.status).To(Equal(http.StatusTooManyRequests))
-	Expect(time.Since(asked)).To(BeNumerically("<", 400*time.Millisecond))
+	s.Expect(got.status).To(Equal(http.StatusTooManyRequests))
+	s.Expect(time.Since(asked)).To(BeNumerically("<", 400*time.Millisecond))
 	seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(seconds).To(And(BeNumerically(">", 0), BeNumerically("<=", 4.0/3)))
-	Expect(limited.count(time.Time{})).To(Equal(arrived))
+	s.Expect(err).NotTo(HaveOccurred())
+	s.Expect(seconds).To(And(BeNumerically(">", 0), BeNumerically("<=", 4.0/3)))
+	s.Expect(limited.count(time.Time{})).To(Equal(arrived))
 }
 
 // TestIssuerEnds checks that the permits for an upstream are issued by another router when
 // the one that issued them has ended without a word: some requests go there, no more than
 // are allowed.
 func TestIssuerEnds(t *testing.T) {
-	RegisterTestingT(t)
+	t.Parallel()
 	const perSecond = 8.0
-	s := newSiteUntil(t.Cleanup, 3)
+	s := newScene(t, 3)
 	s.configure(1, 1_000_000, "/a/")
 	limited := s.limitedWorker(fmt.Sprint(perSecond))
 	s.expectFleet("")
@@ -296,7 +296,7 @@
 		ended.node.Stop()
 		began := time.Now()
 		s.load("/a/x", 50*time.Millisecond, limitWindow)
-		Expect(limited.count(began)).To(BeNumerically(">=", 2), "requests in %s", limitWindow)
+		s.Expect(limited.count(began)).To(BeNumerically(">=", 2), "requests in %s", limitWindow)
 	}
-	Expect(limited.worst()).To(BeNumerically("<=", allowedInWindow(perSecond)), "requests in %s", limitWindow)
+	s.Expect(limited.worst()).To(BeNumerically("<=", allowedInWindow(perSecond)), "requests in %s", limitWindow)
 }
--- a/node/rest_test.go
+++ b/node/rest_test.go
@@ -88,9 +88,9 @@
 // above 100 ms; only 5 of 45 attempts at one upstream were repeats, which ruled out that
 // retries of refused requests had piled up.
 func TestRestIsKept(t *testing.T) {
-	RegisterTestingT(t)
+	t.Parallel()
 	const rest = 3 * time.Second
-	s := newSiteUntil(t.Cleanup, 3)
+	s := newScene(t, 3)
 	s.configure(1, 1_000_000, "/a/")
 	resting := s.restingWorker("3", rest)
 	for range 3 {
@@ -99,19 +99,19 @@
 	s.expectFleet("/a/x")
 	resting.rests.Store(true)
 	statuses := s.load("/a/x", 50*time.Millisecond, 2*rest+time.Second)
-	Expect(statuses).To(And(HaveLen(1), HaveKey(http.StatusOK)), "statuses")
+	s.Expect(statuses).To(And(HaveLen(1), HaveKey(http.StatusOK)), "statuses")
 	most, turnedAway := resting.mostInRest()
-	Expect(turnedAway).To(BeNumerically(">=", len(s.members)), "each router was asked for rest")
-	Expect(most).To(BeZero(), "requests of one router in a rest")
+	s.Expect(turnedAway).To(BeNumerically(">=", len(s.members)), "each router was asked for rest")
+	s.Expect(most).To(BeZero(), "requests of one router in a rest")
 }
 
 // TestAllUpstreamsRest checks a service whose upstreams all ask for rest: who can't be served
 // in time is refused at once, as not run, and told when the first rest ends; nobody gets a
 // request in a rest; and all are served again soon after the upstreams take requests.
 func TestAllUpstreamsRest(t *testing.T) {
-	RegisterTestingT(t)
+	t.Parallel()
 	const rest = 2 * time.Second
-	s := newSiteUntil(t.Cleanup, 2)
+	s := newScene(t, 2)
 	s.configure(1, 1_000_000, "/a/")
 	workers := []*restingWorker{s.restingWorker("2", rest), s.restingWorker("2", rest)}
 	s.expectFleet("/a/x")
@@ -120,17 +120,17 @@
 	}
 	all := s.loadEach("/a/x", 20*time.Millisecond, 2*rest)
 	for _, e := range all {
-		Expect(e.got.status).To(BeElementOf(http.StatusTooManyRequests, http.StatusServiceUnavailable))
-		Expect(e.took).To(BeNumerically("<", 400*time.Millisecond))
+		s.Expect(e.got.status).To(BeElementOf(http.StatusTooManyRequests, http.StatusServiceUnavailable))
+		s.Expect(e.took).To(BeNumerically("<", 400*time.Millisecond))
 		seconds, err := strconv.ParseFloat(e.got.header.Get("Retry-After"), 64)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(seconds).To(BeNumerically("<=", 1.3*rest.Seconds()))
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(seconds).To(BeNumerically("<=", 1.3*rest.Seconds()))
 	}
 	for _, w := range workers {
 		most, _ := w.mostInRest()
-		Expect(most).To(BeZero(), "requests of one router in a rest")
+		s.Expect(most).To(BeZero(), "requests of one router in a rest")
 		w.rests.Store(false)
 	}
 	time.Sleep(rest)
-	Expect(statusesOf(s.loadEach("/a/x", 20*time.Millisecond, rest))).To(And(HaveLen(1), HaveKey(http.StatusOK)), "statuses afterwards")
+	s.Expect(statusesOf(s.loadEach("/a/x", 20*time.Millisecond, rest))).To(And(HaveLen(1), HaveKey(http.StatusOK)), "statuses afterwards")
 }
