--- a/balance/cost.go
+++ b/balance/cost.go
@@ -19,23 +19,21 @@
 	// further one. Chosen, not measured; about one step of the users' upstreams,
 	// for which their pages give 3.79 and 3.09 ms and more.
 	perRequestMS = 4.0
-	// smallCapacity is the capacity, in requests at once, below which one more
-	// request weighs more, in proportion. Chosen, not measured.
+	// smallCapacity is the capacity, in requests at once, below which one more request
+	// weighs more, in proportion.
 	smallCapacity = 16
-	// failureMS is what a request loses at an instance that fails every attempt:
-	// the time of the failed attempt and of the retry. Chosen, not measured.
+	// failureMS is what a request loses at an instance that fails every attempt: the time
+	// of the failed attempt and of the retry.
 	failureMS = 400.0
 	// otherZoneMS is what a request loses on the way to another availability
 	// zone. Chosen, not measured; the users' pages give 0.9 and 0.5 ms for one
 	// way between zones. It decides only between almost equal instances.
 	otherZoneMS = 1.0
-	// slowReadingMS is what a heavy prompt costs the streams beside it at a slow
-	// instance, beyond that at others. Chosen, not measured: more than the queues of
-	// other instances cost at most times.
+	// slowReadingMS is what a heavy prompt costs the streams beside it at a slow instance,
+	// beyond that at others: more than the queues of other instances cost at most times.
 	slowReadingMS = 300.0
-	// otherPaceMS is what a request costs at an instance of the pace that was not
-	// drawn for it (prefersSlow): more than the queues of the others cost at most
-	// times. Chosen, not measured.
+	// otherPaceMS is what a request costs at an instance of the pace that was not drawn
+	// for it (prefersSlow): more than the queues of the others cost at most times.
 	otherPaceMS = 100.0
 	// cacheMissWeight is the extra cost of reading a prefix away from its owner, as
 	// a part of the reading time. Chosen, not measured by itself;
--- a/balance/crowding.go
+++ b/balance/crowding.go
@@ -20,8 +20,7 @@
 	// 76.8 % were served, with half 0.6 and 0.6 % and 79.0 and 74.6 %.
 	crowdedPart = 2
 	// minCapacityPerRouter is the capacity for each router from which the estimate is
-	// used: below it one request more or less at a router changes it too much. Chosen, not
-	// measured.
+	// used: below it one request more or less at a router changes it too much.
 	minCapacityPerRouter = 2
 )
 
--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -6,23 +6,21 @@
 import "time"
 
 const (
-	// firstEjection is the duration of an instance's first ejection. Chosen, not
-	// measured.
+	// firstEjection is the duration of an instance's first ejection.
 	firstEjection = 400 * time.Millisecond
-	// maxEjection bounds an ejection. Chosen, not measured.
+	// maxEjection bounds an ejection.
 	maxEjection = 4 * time.Second
 	// maxEjectionDoublings bounds the doublings, so that they can't overflow.
-	// firstEjection reaches maxEjection with fewer. Chosen, not measured.
+	// firstEjection reaches maxEjection with fewer.
 	maxEjectionDoublings = 5
-	// ejectAfterFailures is the number of broken attempts in a row from which on
-	// an instance is ejected: one can be chance. Chosen, not measured.
+	// ejectAfterFailures is the number of broken attempts in a row from which on an
+	// instance is ejected: one can be chance.
 	ejectAfterFailures = 2
-	// refusedDivisor makes the ejection after a refusal this part of the first
-	// ejection, 100 ms: a full instance soon has room again. Chosen,
-	// not measured.
+	// refusedDivisor makes the ejection after a refusal this part of the first ejection,
+	// 100 ms: a full instance soon has room again.
 	refusedDivisor = 4
-	// failureWeight is the weight of the newest attempt in the mean of failures:
-	// about the last five attempts count. Chosen, not measured.
+	// failureWeight is the weight of the newest attempt in the mean of failures: about the
+	// last five attempts count.
 	failureWeight = 0.2
 )
 
--- a/balance/hints.go
+++ b/balance/hints.go
@@ -19,9 +19,9 @@
 	Slow []granitehoist.Upstream `json:"slow"`
 }
 
-// maxHinted bounds the instances of one Hint, 16 bytes or so each: at 10,000
-// instances the slow ones beyond it are found out by each router itself. Chosen, not
-// measured: above a third of the 140 instances of the users' largest site.
+// maxHinted bounds the instances of one Hint, 16 bytes or so each: at 10,000 instances the
+// slow ones beyond it are found out by each router itself. Above a third of the 140
+// instances of the users' largest site.
 const maxHinted = 128
 
 // Hints returns what this router knows of the services that have slow instances.
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -53,9 +53,8 @@
 	l.lastEvent = now
 }
 
-// minObservedPrompt is the shortest prompt that shows how fast an instance reads:
-// for shorter ones the start of the request is a large part of the time. Chosen, not
-// measured.
+// minObservedPrompt is the shortest prompt that shows how fast an instance reads: for
+// shorter ones the start of the request is a large part of the time.
 const minObservedPrompt granitehoist.Tokens = 2000
 
 // observeReading records how long the prompt took to read. The caller holds the
--- a/balance/limitrecord.go
+++ b/balance/limitrecord.go
@@ -35,8 +35,8 @@
 	return knownLimit{named: r.Limited, rate: max(0, r.Rate), asOf: now.Add(-age)}
 }
 
-// maxEarlyLimits bounds the records of instances that this router does not know yet.
-// Chosen, not measured: above a third of the 140 instances of the users' largest site.
+// maxEarlyLimits bounds the records of instances that this router does not know yet: above
+// a third of the 140 instances of the users' largest site.
 const maxEarlyLimits = 128
 
 // limitRecord returns what is believed of the limit of an instance. The caller holds the
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -11,9 +11,9 @@
 	samples int
 }
 
-// minStep is how far a sample moves the value at least, as a part of it: about the
-// last 100 samples count. At half of it the value is steadier and takes twice as many
-// samples to follow a change. Chosen, not measured.
+// minStep is how far a sample moves the value at least, as a part of it: about the last
+// 100 samples count. At half of it the value is steadier and takes twice as many samples
+// to follow a change.
 const minStep = 0.02
 
 // observe adds a sample; part is the quantile that is followed, from 0 to 1.
@@ -40,14 +40,11 @@
 	// two thirds more streams were late.
 	minGaps = 200
 	// minReadings is the number of prompts below which the reading rate is unknown.
-	// Chosen, not measured.
 	minReadings = 20
 	// readingPart is the quantile of the observed reading rates that counts as an
 	// instance's own rate: prompts that waited behind others show a lower one.
-	// Chosen, not measured.
 	readingPart = 0.75
-	// gapPart is the quantile of the pauses between events that counts as an
-	// instance's pace: those in which it read a prompt are longer. Chosen, not
-	// measured.
+	// gapPart is the quantile of the pauses between events that counts as an instance's
+	// pace: those in which it read a prompt are longer.
 	gapPart = 0.1
 )
--- a/balance/permit.go
+++ b/balance/permit.go
@@ -12,7 +12,7 @@
 // (waiting.go) or is refused.
 
 // permitAhead is how long before it is due a permit is fetched for requests that have
-// another instance meanwhile. Chosen, not measured.
+// another instance meanwhile.
 const permitAhead = 100 * time.Millisecond
 
 // PermitRequest asks for permits for one instance.
--- a/balance/prefixcache.go
+++ b/balance/prefixcache.go
@@ -6,11 +6,11 @@
 import "time"
 
 const (
-	// prefixCacheTime is how long an upstream is assumed to keep a prefix in its
-	// cache after reading it. Chosen, not measured.
+	// prefixCacheTime is how long an upstream is assumed to keep a prefix in its cache
+	// after reading it.
 	prefixCacheTime = 20 * time.Second
-	// maxRememberedPrefixes bounds the prefixes that are remembered of one
-	// instance, 32 bytes each. Chosen, not measured.
+	// maxRememberedPrefixes bounds the prefixes that are remembered of one instance, 32
+	// bytes each.
 	maxRememberedPrefixes = 512
 )
 
--- a/balance/removal.go
+++ b/balance/removal.go
@@ -5,9 +5,9 @@
 
 import "time"
 
-// removedGrace is how long an instance whose announcement was removed may still
-// be used. Chosen, not measured. It must be below 2 s: by the users' pages the
-// address of an upstream that ended may be given to one of another service then.
+// removedGrace is how long an instance whose announcement was removed may still be used.
+// It must be below 2 s: by the users' pages the address of an upstream that ended may be
+// given to one of another service then.
 const removedGrace = 1500 * time.Millisecond
 
 // usableAfterRemoval decides whether an instance may still get requests after
--- a/balance/slow.go
+++ b/balance/slow.go
@@ -27,11 +27,10 @@
 	// at this value 246.
 	heavyPart = 0.25
 	// slowFrom is the pace, in multiples of the service's median, from which on an
-	// instance counts as slow, and slowUntil that down to which it stays so, lest
-	// prefixes change their owners with the noise. Chosen, not measured.
+	// instance counts as slow, and slowUntil that down to which it stays so, lest prefixes
+	// change their owners with the noise.
 	slowFrom, slowUntil = 1.15, 1.08
-	// slowAge is the age at which the slow instances are decided anew. Chosen, not
-	// measured.
+	// slowAge is the age at which the slow instances are decided anew.
 	slowAge = time.Second
 )
 
--- a/balance/waiting.go
+++ b/balance/waiting.go
@@ -71,7 +71,6 @@
 }
 
 // maxWaiting bounds the requests of one service that wait, whatever the limits are.
-// Chosen, not measured.
 const maxWaiting = 1000
 
 // isNext decides whether what a deferred instance takes is for a query while others wait.
--- a/cmd/granitehoist-edge/main.go
+++ b/cmd/granitehoist-edge/main.go
@@ -36,21 +36,20 @@
 )
 
 const (
-	// logLines is the number of log lines that wait for a slow reader of the log;
-	// those beyond are dropped and counted (log_dropped). Chosen, not measured.
+	// logLines is the number of log lines that wait for a slow reader of the log; those
+	// beyond are dropped and counted (log_dropped).
 	logLines = 2048
-	// logFlush bounds the writing of the lines that still wait when the process
-	// ends. Chosen, not measured: it has to fit between the end of a stop, at 97 %
-	// of the grace (node/stop.go, returnShare), and the platform's SIGKILL.
+	// logFlush bounds the writing of the lines that still wait when the process ends: it
+	// has to fit between the end of a stop, at 97 % of the grace (node/stop.go,
+	// returnShare), and the platform's SIGKILL.
 	logFlush = 100 * time.Millisecond
-	// memoryShare is the share of the process's memory limit (limits.memoryMb in
-	// the settings file; above it the platform kills the process) that Go's memory
-	// limit gets, above which the garbage collector runs more often. The remainder
-	// is for bytes that have arrived and are not read yet: the platform counts them
-	// as well. Chosen, not measured.
+	// memoryShare is the share of the process's memory limit (limits.memoryMb in the
+	// settings file; above it the platform kills the process) that Go's memory limit gets,
+	// above which the garbage collector runs more often. The remainder is for bytes that
+	// have arrived and are not read yet: the platform counts them as well.
 	memoryShare = 0.6
-	// signalQueue is the number of signals that wait while one is handled. Chosen,
-	// not measured: a signal beyond it is lost, and a stop needs one only.
+	// signalQueue is the number of signals that wait while one is handled: a signal beyond
+	// it is lost, and a stop needs one only.
 	signalQueue = 4
 )
 
--- a/cmd/granitehoist/documents.go
+++ b/cmd/granitehoist/documents.go
@@ -19,7 +19,7 @@
 	"granitehoist.example/granitehoist/partner/router"
 )
 
-// acceptancePause is the time between two checks whether a document is accepted. Chosen, not measured.
+// acceptancePause is the time between two checks whether a document is accepted.
 const acceptancePause = 200 * time.Millisecond
 
 // applyRun is one run of the command apply.
--- a/cmd/granitehoist/operator.go
+++ b/cmd/granitehoist/operator.go
@@ -28,8 +28,8 @@
 const (
 	// defaultAdmin is the admin address of the first router of examples/site.
 	defaultAdmin = "http://127.0.0.1:8082"
-	// operatorTimeout bounds one call. Some answers read all records of a kind
-	// from the store, so it is longer than a request's. Chosen, not measured.
+	// operatorTimeout bounds one call. Some answers read all records of a kind from the
+	// store, so it is longer than a request's.
 	operatorTimeout = 30 * time.Second
 )
 
--- a/cmd/granitehoist/router.go
+++ b/cmd/granitehoist/router.go
@@ -57,18 +57,16 @@
 // Limits of the calls to the platform's store. The times are longer than those of
 // granitehoist-edge, the defaults of platform.StoreSettings.
 const (
-	// storeTimeout bounds a call. Chosen, not measured.
+	// storeTimeout bounds a call.
 	storeTimeout = 2 * time.Second
-	// storeWatch is the longest wait of a watch: it sets the number of calls of a
-	// router while nothing changes. Chosen, not measured.
+	// storeWatch is the longest wait of a watch: it sets the number of calls of a router
+	// while nothing changes.
 	storeWatch = 20 * time.Second
-	// storeWatchGrace is added to it for the round trip. Chosen, not measured.
+	// storeWatchGrace is added to it for the round trip.
 	storeWatchGrace = 5 * time.Second
-	// storeIdleConns serves requests that are to run once, each of which makes a
-	// write. Chosen, not measured.
+	// storeIdleConns serves requests that are to run once, each of which makes a write.
 	storeIdleConns = 8
-	// storeIdleTime is longer than the interval of every regular call. Chosen, not
-	// measured.
+	// storeIdleTime is longer than the interval of every regular call.
 	storeIdleTime = time.Minute
 )
 
--- a/cmd/granitehoist/standin.go
+++ b/cmd/granitehoist/standin.go
@@ -53,7 +53,6 @@
 }
 
 // standinHeaderTimeout bounds the reading of a request's header at a stand-in.
-// Chosen, not measured.
 const standinHeaderTimeout = 10 * time.Second
 
 // serve serves a handler until ctx ends.
--- a/escrow/ask.go
+++ b/escrow/ask.go
@@ -12,16 +12,16 @@
 )
 
 const (
-	// maxAsked bounds the lenders that are asked for one request: the holder and two
-	// that stand in for it. Chosen, not measured.
+	// maxAsked bounds the lenders that are asked for one request: the holder and two that
+	// stand in for it.
 	maxAsked = 3
-	// DefaultHedgeAfter is how long a lender may take before the next one is asked as well.
-	// Chosen, not measured: several times a call between two routers of a region
-	// with a write of the record, and a third of the time that the most urgent
-	// requests of the users' sites wait for tokens.
+	// DefaultHedgeAfter is how long a lender may take before the next one is asked as
+	// well: several times a call between two routers of a region with a write of the
+	// record, and a third of the time that the most urgent requests of the users' sites
+	// wait for tokens.
 	DefaultHedgeAfter = 30 * time.Millisecond
-	// noLenderPause is the time between two looks for lenders while a router that
-	// starts knows of none. Chosen, not measured.
+	// noLenderPause is the time between two looks for lenders while a router that starts
+	// knows of none.
 	noLenderPause = 10 * time.Millisecond
 )
 
--- a/escrow/borrow.go
+++ b/escrow/borrow.go
@@ -14,12 +14,10 @@
 )
 
 const (
-	// maxLenders bounds the neighbours that are asked for one shortage. Chosen, not
-	// measured (e36d45a).
+	// maxLenders bounds the neighbours that are asked for one shortage.
 	maxLenders = 12
 	// DefaultLendWait is how long a lender waits for the store on behalf of a neighbour;
-	// it leaves most of the neighbour's lendTimeout to the network and to another
-	// lender. Chosen, not measured (c1de361).
+	// it leaves most of the neighbour's lendTimeout to the network and to another lender.
 	DefaultLendWait = 45 * time.Millisecond
 )
 
--- a/escrow/budgetend.go
+++ b/escrow/budgetend.go
@@ -29,11 +29,9 @@
 	// routers get requests. Chosen, not measured (0b8d3d0), so that small requests
 	// find something until a standard day of the users ends.
 	rationTime = 20 * time.Second
-	// rationedPart is the part of the routers that are taken to spend the last
-	// part. Chosen, not measured (0b8d3d0).
+	// rationedPart is the part of the routers that are taken to spend the last part.
 	rationedPart = 0.5
 	// rationRequests bounds the unused ration, in requests of the mean bound.
-	// Chosen, not measured (0b8d3d0).
 	rationRequests = 2.0
 )
 
--- a/escrow/contact.go
+++ b/escrow/contact.go
@@ -7,11 +7,10 @@
 
 const (
 	// minOutage is the shortest silence of the store that counts as an outage.
-	// Chosen, not measured (e3d7583).
 	minOutage = 4 * time.Second
-	// inTouchTime is how long after an answer of the store a router says that it is
-	// in touch: a healthy router reads the record every maxRecordAge, and has a
-	// second more for the read. Chosen, not measured (c814f3e).
+	// inTouchTime is how long after an answer of the store a router says that it is in
+	// touch: a healthy router reads the record every maxRecordAge, and has a second more
+	// for the read.
 	inTouchTime = maxRecordAge + time.Second
 )
 
--- a/escrow/demand.go
+++ b/escrow/demand.go
@@ -21,8 +21,8 @@
 	highestPriority granitehoist.Priority
 }
 
-// meanWeight is the weight of the newest request in the mean of the bounds, which
-// so covers the last 20 requests or so. Chosen, not measured (ae8d6e8).
+// meanWeight is the weight of the newest request in the mean of the bounds, which so
+// covers the last 20 requests or so.
 const meanWeight = 0.05
 
 // measure records a request's bound and priority.
--- a/escrow/due.go
+++ b/escrow/due.go
@@ -10,14 +10,14 @@
 )
 
 const (
-	// maxRecordAge is how old the record may become before it is read again, so
-	// that what lenders report of it is not old. Chosen, not measured (c814f3e).
+	// maxRecordAge is how old the record may become before it is read again, so that what
+	// lenders report of it is not old.
 	maxRecordAge = 2 * time.Second
-	// staleIdleBelow is the part of the prepaid total under which Row.Idle is
-	// corrected if it is too high. Chosen, not measured (c814f3e).
+	// staleIdleBelow is the part of the prepaid total under which Row.Idle is corrected if
+	// it is too high.
 	staleIdleBelow = 0.1
-	// staleIdlePart is the part of the prepaid total by which Row.Idle must be too
-	// high for that. Chosen, not measured (c814f3e).
+	// staleIdlePart is the part of the prepaid total by which Row.Idle must be too high
+	// for that.
 	staleIdlePart = 0.001
 )
 
--- a/escrow/lenders.go
+++ b/escrow/lenders.go
@@ -9,8 +9,7 @@
 	"granitehoist.example/granitehoist"
 )
 
-// avoidTime is how long a neighbour that did not answer is left out. Chosen, not
-// measured (c814f3e).
+// avoidTime is how long a neighbour that did not answer is left out.
 const avoidTime = 1500 * time.Millisecond
 
 // avoid leaves a neighbour out for avoidTime.
--- a/escrow/packet.go
+++ b/escrow/packet.go
@@ -11,15 +11,14 @@
 
 const (
 	// packetCover is the time of its spending that a router with many requests of a
-	// workspace asks a holder for at once. Chosen, not measured: long enough to be
-	// asked for again before it is used up, and short beside what the holder keeps.
+	// workspace asks a holder for at once: long enough to be asked for again before it is
+	// used up, and short beside what the holder keeps.
 	packetCover = 2 * time.Second
 	// packetRequests is the number of requests of the mean size that a packet has at
 	// least. A router that expects fewer in packetCover asks for each of them, since
 	// packets at hundreds of routers would be most of a budget.
 	packetRequests = 4
-	// refillPacketBelow is the part of a packet under which the next one is asked
-	// for. Chosen, not measured.
+	// refillPacketBelow is the part of a packet under which the next one is asked for.
 	refillPacketBelow = 0.5
 )
 
--- a/escrow/rate.go
+++ b/escrow/rate.go
@@ -23,11 +23,10 @@
 }
 
 const (
-	// rateStep is the least time that a step of the mean covers. Chosen, not
-	// measured (a5ccbbc).
+	// rateStep is the least time that a step of the mean covers.
 	rateStep = 500 * time.Millisecond
-	// rateTime is the time over which the mean forgets, and after which a router
-	// trusts its own view of the demand. Chosen, not measured (f7eef06).
+	// rateTime is the time over which the mean forgets, and after which a router trusts
+	// its own view of the demand.
 	rateTime = 5 * time.Second
 )
 
--- a/escrow/refill.go
+++ b/escrow/refill.go
@@ -15,8 +15,8 @@
 	// made 7 % fewer calls to the store, and earned no more: -0.044 +- 0.053 of worth
 	// in three pairs of days.
 	refillBelow = 0.75
-	// joinBelow is the part under which a holding is filled if the record is going
-	// to be written for another workspace anyway. Chosen, not measured (f7eef06).
+	// joinBelow is the part under which a holding is filled if the record is going to be
+	// written for another workspace anyway.
 	joinBelow = 0.9
 )
 
--- a/escrow/repay.go
+++ b/escrow/repay.go
@@ -15,7 +15,6 @@
 )
 
 // maxGiveTries bounds the neighbours that are offered one workspace's tokens.
-// Chosen, not measured (ed11c68).
 const maxGiveTries = 3
 
 // ServeRepay answers a neighbour's call of MethodRepay. A total of zero only asks
--- a/escrow/role.go
+++ b/escrow/role.go
@@ -35,9 +35,9 @@
 	Asks
 )
 
-// standInTime is how long a router that was asked in place of a holder goes on as
-// one after the last such call. Chosen, not measured: twice the time after which a
-// holder that did not answer is asked again (avoidTime).
+// standInTime is how long a router that was asked in place of a holder goes on as one
+// after the last such call: twice the time after which a holder that did not answer is
+// asked again (avoidTime).
 const standInTime = 3 * time.Second
 
 // Lender is a neighbour that may lend a workspace's tokens.
--- a/escrow/run.go
+++ b/escrow/run.go
@@ -15,11 +15,9 @@
 )
 
 const (
-	// gatherTime lets requests that arrive together share a sync. Chosen, not
-	// measured (a5ccbbc).
+	// gatherTime lets requests that arrive together share a sync.
 	gatherTime = 3 * time.Millisecond
 	// borrowAfter is how long a sync may take before neighbours are asked as well.
-	// Chosen, not measured (f7eef06).
 	borrowAfter = 20 * time.Millisecond
 )
 
--- a/escrow/shortage.go
+++ b/escrow/shortage.go
@@ -10,13 +10,12 @@
 )
 
 const (
-	// loanCover is the time of its spending that a borrower asks for beyond what
-	// its waiting requests lack. Chosen, not measured (f7eef06).
+	// loanCover is the time of its spending that a borrower asks for beyond what its
+	// waiting requests lack.
 	loanCover = 2 * time.Second
-	// lendTimeout bounds a call to a lender. Chosen, not measured (c1de361).
+	// lendTimeout bounds a call to a lender.
 	lendTimeout = 120 * time.Millisecond
-	// repayTimeout bounds a repayment, for which nobody waits. Chosen, not measured
-	// (c1de361).
+	// repayTimeout bounds a repayment, for which nobody waits.
 	repayTimeout = 400 * time.Millisecond
 )
 
--- a/escrow/storefailures.go
+++ b/escrow/storefailures.go
@@ -6,20 +6,17 @@
 import "time"
 
 const (
-	// DefaultTimeout bounds a call to a store that answers. Chosen, not measured
-	// (a5ccbbc).
+	// DefaultTimeout bounds a call to a store that answers.
 	DefaultTimeout = 1500 * time.Millisecond
 	// probeTimeout bounds the calls to a store that is silent: a call that is sent
 	// before the store returns waits for its whole timeout. Measured with
 	// maxFailurePause (5f4c091): the end of an outage was noticed after 0.3 s in
 	// place of 1.2 s.
 	probeTimeout = 400 * time.Millisecond
-	// fullTimeoutEvery is after how many failed tries in a row one gets the full
-	// timeout again, since the store may only be slow. Chosen, not measured
-	// (5f4c091).
+	// fullTimeoutEvery is after how many failed tries in a row one gets the full timeout
+	// again, since the store may only be slow.
 	fullTimeoutEvery = 4
-	// failurePause is the first pause after a failed sync. Chosen, not measured
-	// (a5ccbbc).
+	// failurePause is the first pause after a failed sync.
 	failurePause = 150 * time.Millisecond
 	// maxFailurePause bounds the pause while the store fails for long. Measured with
 	// probeTimeout (5f4c091); it was 0.9 s before.
--- a/escrow/surplus.go
+++ b/escrow/surplus.go
@@ -6,14 +6,13 @@
 import "granitehoist.example/granitehoist"
 
 const (
-	// returnAboveTarget is the multiple of the target above which tokens are given
-	// back. Chosen, not measured (a5ccbbc).
+	// returnAboveTarget is the multiple of the target above which tokens are given back.
 	returnAboveTarget = 2.0
-	// returnAboveTargetAfterOutage replaces returnAboveTarget while holdings are
-	// kept small after an outage. Chosen, not measured (e3d7583).
+	// returnAboveTargetAfterOutage replaces returnAboveTarget while holdings are kept
+	// small after an outage.
 	returnAboveTargetAfterOutage = 1.2
-	// minReturnPart is the part of the prepaid total below which it is not worth a
-	// write to give tokens back. Chosen, not measured (c814f3e).
+	// minReturnPart is the part of the prepaid total below which it is not worth a write
+	// to give tokens back.
 	minReturnPart = 0.005
 	// minReturnPartAtEnd replaces minReturnPart below endPart, since what all
 	// routers keep is then a large part of what is left. Measured (0b8d3d0): eight routers kept
@@ -73,8 +72,8 @@
 }
 
 // strandedPart is the part of the prepaid total that all routers together may keep in
-// remainders that are not worth a call. Chosen, not measured: a third of the 3 % of
-// a budget that the users' pages allow to strand.
+// remainders that are not worth a call: a third of the 3 % of a budget that the users'
+// pages allow to strand.
 const strandedPart = 0.01
 
 // isSurplus decides whether what is free at a router that asks holders is worth the
--- a/escrow/sync.go
+++ b/escrow/sync.go
@@ -18,11 +18,10 @@
 )
 
 const (
-	// conflictTries bounds the writes that one sync tries while each conflicts with
-	// that of another router. Chosen, not measured (a5ccbbc).
+	// conflictTries bounds the writes that one sync tries while each conflicts with that
+	// of another router.
 	conflictTries = 8
 	// conflictPause is by how much the pause grows with each try.
-	// Chosen, not measured (a5ccbbc).
 	conflictPause = time.Millisecond
 )
 
--- a/escrow/syncer.go
+++ b/escrow/syncer.go
@@ -146,7 +146,6 @@
 }
 
 // handOverTimeout bounds what a closing router does after the store failed it.
-// Chosen, not measured (ed11c68).
 const handOverTimeout = 300 * time.Millisecond
 
 // Close returns what is free: to holders where this router asks them, else to the
--- a/escrow/target.go
+++ b/escrow/target.go
@@ -26,15 +26,14 @@
 	// that they expect. Chosen, not measured (f7eef06); there a floor of 27 % that
 	// did not fade lost 26 % of the tokens when all routers died.
 	startPart = 0.2
-	// spareRequests is how many requests of the largest size a router may hold
-	// tokens for where it sees next to no demand. Chosen, not measured
-	// (a5ccbbc).
+	// spareRequests is how many requests of the largest size a router may hold tokens for
+	// where it sees next to no demand.
 	spareRequests = 1.0
-	// sparePart is the part of what is left that all routers together may hold for
-	// such requests. Chosen, not measured (c814f3e).
+	// sparePart is the part of what is left that all routers together may hold for such
+	// requests.
 	sparePart = 0.15
 	// holderStartPart replaces startPart at a holder, which gets more from the store in
-	// milliseconds as soon as it is asked. Chosen, not measured on its own.
+	// milliseconds as soon as it is asked.
 	holderStartPart = 0.04
 	// holderSharePart replaces sharePart at a holder. All that it holds is lost if it
 	// dies, and serves its shards while the store is away. A quarter earned 0.033 +-
@@ -56,8 +55,8 @@
 	// (DefaultInterval), and would write the record for single requests between two
 	// looks. On a calm day of 87 routers with two outages it makes 1,194 writes 926.
 	leastCover = time.Second
-	// standInCover and standInSharePart are those of a router that stands in for a
-	// holder, which may take over again at any moment. Chosen, not measured.
+	// standInCover and standInSharePart are those of a router that stands in for a holder,
+	// which may take over again at any moment.
 	standInCover     = time.Second
 	standInSharePart = 0.1
 )
--- a/escrow/wait.go
+++ b/escrow/wait.go
@@ -9,9 +9,9 @@
 	"granitehoist.example/granitehoist"
 )
 
-// unreachableAfter is how old the last answer of the store, or of a lender in touch
-// with it, may be when a wait times out: if it is older, the wait ends as
-// Unreachable instead of Scarce. Chosen, not measured (7a995c8).
+// unreachableAfter is how old the last answer of the store, or of a lender in touch with
+// it, may be when a wait times out: if it is older, the wait ends as Unreachable instead
+// of Scarce.
 const unreachableAfter = 100 * time.Millisecond
 
 // waitVerdict is whether the wait of a request ends without tokens, and with which
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -12,11 +12,11 @@
 )
 
 const (
-	// maxAnswersRead bounds the answers read for one request: interim ones and
-	// those to earlier requests may precede its own. Chosen, not measured.
+	// maxAnswersRead bounds the answers read for one request: interim ones and those to
+	// earlier requests may precede its own.
 	maxAnswersRead = 8
-	// maxDrainBytes bounds the body of an earlier request's answer that is read
-	// to reach the next. Chosen, not measured.
+	// maxDrainBytes bounds the body of an earlier request's answer that is read to reach
+	// the next.
 	maxDrainBytes = 1 << 20
 )
 
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -22,11 +22,9 @@
 }
 
 // readBufferBytes is the size of the read buffer that each open connection has.
-// Chosen, not measured.
 const readBufferBytes = 2048
 
 // headBytes is the size allocated for the head of a request, which grows if needed.
-// Chosen, not measured.
 const headBytes = 1024
 
 // write writes the request, head and body.
--- a/exchange/down.go
+++ b/exchange/down.go
@@ -14,7 +14,7 @@
 
 // downTimeout bounds the connection attempt of IsDown. A port without a listener refuses
 // within a round trip; an upstream that is silent for longer is cut off or hangs, which
-// does not count as down. Chosen, not measured.
+// does not count as down.
 const downTimeout = 100 * time.Millisecond
 
 // ConnectionEnded reports whether an error of an exchange says that the upstream's
@@ -30,8 +30,8 @@
 }
 
 // keepsTime is how long a new connection has to stay open for its upstream to count as
-// running: several round trips between the zones of a site, and the time by which the retry
-// of a request whose connection alone was reset is delayed. Chosen, not measured.
+// running: several round trips between the zones of a site, and the time by which the
+// retry of a request whose connection alone was reset is delayed.
 const keepsTime = 15 * time.Millisecond
 
 // IsDown reports whether an address refuses connections, or ends a new one at once, which
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -28,18 +28,17 @@
 }
 
 const (
-	// connectTimeout bounds the making of a connection. Chosen, not measured: an
-	// attempt that can't connect leaves time for another.
+	// connectTimeout bounds the making of a connection: an attempt that can't connect
+	// leaves time for another.
 	connectTimeout = 400 * time.Millisecond
-	// silenceTimeout is how long sent bytes may stay unacknowledged by the peer
-	// before its connection is given up. Chosen, not measured.
+	// silenceTimeout is how long sent bytes may stay unacknowledged by the peer before its
+	// connection is given up.
 	silenceTimeout = 1500 * time.Millisecond
-	// idleTimeout is how long an idle connection is kept at most, and how long
-	// where the upstream does not report it. Chosen, not measured.
+	// idleTimeout is how long an idle connection is kept at most, and how long where the
+	// upstream does not report it.
 	idleTimeout = 4 * time.Second
-	// maxIdlePerUpstream bounds the idle connections to one address. Chosen, not
-	// measured. Upstreams bound the connections that they accept from all callers
-	// together.
+	// maxIdlePerUpstream bounds the idle connections to one address. Upstreams bound the
+	// connections that they accept from all callers together.
 	maxIdlePerUpstream = 16
 )
 
@@ -65,7 +64,6 @@
 	// the socket option.
 	probeInterval = time.Second
 	// maxProbes is the number of unanswered probes that end a connection.
-	// Chosen, not measured.
 	maxProbes = 2
 )
 
--- a/exchange/reuse.go
+++ b/exchange/reuse.go
@@ -10,9 +10,9 @@
 	"time"
 )
 
-// keepAliveMargin is subtracted from the time for which an upstream reports to
-// keep a connection, so that no request is sent just as it closes. Chosen, not
-// measured. The report is at least 1 s, so at least 0.6 s remain.
+// keepAliveMargin is subtracted from the time for which an upstream reports to keep a
+// connection, so that no request is sent just as it closes. The report is at least 1 s, so
+// at least 0.6 s remain.
 const keepAliveMargin = 400 * time.Millisecond
 
 // idlePeriod says how long an idle connection is expected to stay open.
--- a/exchange/writing.go
+++ b/exchange/writing.go
@@ -15,9 +15,8 @@
 	// connection was closed instead of reused (commit 6d43b45, once in a run under
 	// the race detector). The length is chosen, not measured.
 	writtenGrace = 5 * time.Millisecond
-	// lastPieceBytes is the size of the last piece of a request, which is written
-	// by a call of its own. Most requests are smaller and written with one call.
-	// Chosen, not measured.
+	// lastPieceBytes is the size of the last piece of a request, which is written by a
+	// call of its own. Most requests are smaller and written with one call.
 	lastPieceBytes = 64 << 10
 )
 
--- a/explain/budget.go
+++ b/explain/budget.go
@@ -20,8 +20,8 @@
 // ErrNoBudget says that the log has no line of the workspace's budget.
 var ErrNoBudget = eris.New("explain: the log has no line of this workspace's budget")
 
-// budgetStep is the time that one row of Budget's table covers. Chosen, not
-// measured: an outage of the users' standard days fills several.
+// budgetStep is the time that one row of Budget's table covers: an outage of the users'
+// standard days fills several.
 const budgetStep = 2 * time.Second
 
 // Budget is what a log tells of one workspace's prepaid tokens. ReadBudget makes
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -18,8 +18,8 @@
 // ErrNoRequest says that the log has no line of the request.
 var ErrNoRequest = eris.New("explain: the log has no line of this request")
 
-// maxLineBytes bounds a line of the log in bytes; a longer one fails Read. Chosen,
-// not measured: lines of nodes have some hundred bytes.
+// maxLineBytes bounds a line of the log in bytes; a longer one fails Read: lines of nodes
+// have some hundred bytes.
 const maxLineBytes = 1 << 20
 
 // Story is what a log tells of one request. Read makes one.
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -34,9 +34,8 @@
 	Timeout time.Duration
 }
 
-// defaultCallTimeout bounds a call where the settings don't. Chosen, not
-// measured: routers of a site answer in milliseconds, the longest calls wait for
-// a change at the receiver for 0.4 s.
+// defaultCallTimeout bounds a call where the settings don't: routers of a site answer in
+// milliseconds, the longest calls wait for a change at the receiver for 0.4 s.
 const defaultCallTimeout = time.Second
 
 // NewClient returns a client without connections.
--- a/fleet/entries.go
+++ b/fleet/entries.go
@@ -30,8 +30,8 @@
 	return members, nil
 }
 
-// maxDeleteTries bounds how often deleteKey reads an entry again after the answer to
-// its write was lost, or after another write came between. Chosen, not measured.
+// maxDeleteTries bounds how often deleteKey reads an entry again after the answer to its
+// write was lost, or after another write came between.
 const maxDeleteTries = 3
 
 // deleteKey deletes a key, whatever its value. A key that does not exist is no
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -29,13 +29,13 @@
 	Store granitehoist.Store
 }
 
-// DefaultTTL is how long an entry outlives its router, and so how long a dead
-// router stays in the views of others. Chosen, not measured: a shorter one costs
-// more writes for renewals, a longer one leaves roles with a dead router for longer.
+// DefaultTTL is how long an entry outlives its router, and so how long a dead router stays
+// in the views of others: a shorter one costs more writes for renewals, a longer one
+// leaves roles with a dead router for longer.
 const DefaultTTL = 15 * time.Second
 
-// renewalsPerTTL is how often an entry is renewed within its TTL, so that two
-// renewals in a row may fail. Chosen, not measured.
+// renewalsPerTTL is how often an entry is renewed within its TTL, so that two renewals in
+// a row may fail.
 const renewalsPerTTL = 3
 
 // Registry keeps a router's own entry in the store and its view of the others.
--- a/follow/copy.go
+++ b/follow/copy.go
@@ -12,8 +12,8 @@
 	"granitehoist.example/granitehoist"
 )
 
-// maxDeletions bounds the deletions that a copy keeps for incomplete updates. A
-// router that lags behind further gets a complete update. Chosen, not measured.
+// maxDeletions bounds the deletions that a copy keeps for incomplete updates. A router
+// that lags behind further gets a complete update.
 const maxDeletions = 512
 
 // prefixCopy is the state of the keys under a prefix at one version. It is safe
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -94,8 +94,8 @@
 	return err
 }
 
-// unreadyPause is the time to the next look whether it is known whom to ask. Chosen, not
-// measured: short beside the 1.5 s in which the list of a new fleet fills.
+// unreadyPause is the time to the next look whether it is known whom to ask: short beside
+// the 1.5 s in which the list of a new fleet fills.
 const unreadyPause = 100 * time.Millisecond
 
 // errRelaysCutOff says that the store was not asked, since the relays say that it does
--- a/follow/relayrules.go
+++ b/follow/relayrules.go
@@ -10,35 +10,30 @@
 )
 
 const (
-	// relayWait is how long a relay may hold a call while it has no change to
-	// report. Chosen, not measured.
+	// relayWait is how long a relay may hold a call while it has no change to report.
 	relayWait = 400 * time.Millisecond
-	// maxRelayAge is the age above which a relay's copy, or the router's own, no
-	// longer counts as that of the store. It is above relayWatchWait, so a relay that
-	// reaches the store stays below it. Chosen, not measured.
+	// maxRelayAge is the age above which a relay's copy, or the router's own, no longer
+	// counts as that of the store. It is above relayWatchWait, so a relay that reaches the
+	// store stays below it.
 	maxRelayAge = 1500 * time.Millisecond
-	// relayTries is the number of relays that a step asks before it asks the store
-	// itself. Chosen, not measured.
+	// relayTries is the number of relays that a step asks before it asks the store itself.
 	relayTries = 2
-	// avoidRelayFor is how long a relay is left out after it failed. Chosen, not
-	// measured.
+	// avoidRelayFor is how long a relay is left out after it failed.
 	avoidRelayFor = 2 * time.Second
-	// avoidOldRelayFor is how long a relay is left out whose copy is old. It is
-	// shorter: such a relay finds out soon that the store is back, and asking it
-	// costs the store nothing. Chosen, not measured.
+	// avoidOldRelayFor is how long a relay is left out whose copy is old. It is shorter:
+	// such a relay finds out soon that the store is back, and asking it costs the store
+	// nothing.
 	avoidOldRelayFor = 500 * time.Millisecond
-	// silentFor is how long a relay's word counts that the store does not answer it.
-	// Chosen, not measured: as long as a relay that failed is left out.
+	// silentFor is how long a relay's word counts that the store does not answer it: as
+	// long as a relay that failed is left out.
 	silentFor = avoidRelayFor
-	// minSilentRelays is how many relays must say so for the store to count as
-	// away. Chosen, not measured: one or two of a zone may be cut off together.
+	// minSilentRelays is how many relays must say so for the store to count as away: one
+	// or two of a zone may be cut off together.
 	minSilentRelays = 3
-	// relayWatchWait bounds the watches of a router that is a relay itself, so that
-	// its copy stays below maxRelayAge. Chosen, not measured.
+	// relayWatchWait bounds the watches of a router that is a relay itself, so that its
+	// copy stays below maxRelayAge.
 	relayWatchWait = time.Second
-	// relayFor is how long a router counts as a relay after another router called
-	// Updates.
-	// Chosen, not measured.
+	// relayFor is how long a router counts as a relay after another router called Updates.
 	relayFor = 5 * time.Second
 )
 
--- a/follow/storefailures.go
+++ b/follow/storefailures.go
@@ -7,7 +7,6 @@
 
 const (
 	// DefaultPause limits a router whose store fails to a few calls a second.
-	// Chosen, not measured.
 	DefaultPause = 250 * time.Millisecond
 	// defaultMaxPauseFactor is the default of Settings.MaxPause in multiples of Pause.
 	// Commit 5f4c091 lowered it from 4 and added probeWait: in a trial routers
@@ -22,8 +21,8 @@
 	// d92b98f). The trials there ran with 0.5 s and did not change the score beyond
 	// the noise; 0.8 s is chosen, not measured.
 	firstListTimeout = 800 * time.Millisecond
-	// fullTimeEvery makes every so many-th call to a store that failed run with its
-	// full time, since the store may only be slow. Chosen, not measured.
+	// fullTimeEvery makes every so many-th call to a store that failed run with its full
+	// time, since the store may only be slow.
 	fullTimeEvery = 4
 )
 
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -13,8 +13,8 @@
 	"granitehoist.example/granitehoist/exchange"
 )
 
-// maxAnswerBytes bounds the memory for an answer that is read completely before
-// it is passed on. Chosen, not measured.
+// maxAnswerBytes bounds the memory for an answer that is read completely before it is
+// passed on.
 const maxAnswerBytes = 8 << 20
 
 // completeAnswer is an answer that has arrived completely.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -35,19 +35,19 @@
 	crashed bool
 }
 
-// maxRefusalBytes is how much of a refusal's body is read so that its connection
-// can be reused. Chosen, not measured.
+// maxRefusalBytes is how much of a refusal's body is read so that its connection can be
+// reused.
 const maxRefusalBytes = 64 << 10
 
 // An upstream may close an idle connection just as a request is sent on it. Then
 // it is unknown whether the request ran, so one that must run at most once fails.
 const (
-	// maxIdle bounds the idle time of a connection that is reused for a request
-	// that may run more than once. Chosen, not measured. It has no effect while
-	// the pool closes idle connections earlier, as package exchange does.
+	// maxIdle bounds the idle time of a connection that is reused for a request that may
+	// run more than once. It has no effect while the pool closes idle connections earlier,
+	// as package exchange does.
 	maxIdle = time.Minute
-	// maxIdleUnsafe bounds the idle time of a connection that is reused for a
-	// request that runs at most once. Chosen, not measured.
+	// maxIdleUnsafe bounds the idle time of a connection that is reused for a request that
+	// runs at most once.
 	maxIdleUnsafe = 150 * time.Millisecond
 )
 
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -54,17 +54,14 @@
 
 // Retry-After of the refusals: when a new attempt of the caller may succeed.
 const (
-	// notReadyRetry is the time in which a starting router usually gets its
-	// configuration. Chosen, not measured.
+	// notReadyRetry is the time in which a starting router usually gets its configuration.
 	notReadyRetry = 500 * time.Millisecond
 	// evidenceRetry is the time in which a starting router usually gets the evidence of
 	// the others.
 	evidenceRetry = 100 * time.Millisecond
 	// drainingRetry is short because another box can serve the caller at once.
-	// Chosen, not measured.
 	drainingRetry = 50 * time.Millisecond
 	// noInstanceRetry is the time in which a new instance may be announced.
-	// Chosen, not measured.
 	noInstanceRetry = 500 * time.Millisecond
 	// deferredRetry is the time in which a deferred instance may take a request where
 	// nothing says when.
@@ -82,8 +79,8 @@
 	// exhaustedRetry is the time in which a spent budget may be raised or small
 	// requests may leave some tokens. Measured with unreachableRetry.
 	exhaustedRetry = 5 * time.Second
-	// instanceRefusedRetry is the time in which instances that were full may
-	// have room, where the instance itself states none. Chosen, not measured.
+	// instanceRefusedRetry is the time in which instances that were full may have room,
+	// where the instance itself states none.
 	instanceRefusedRetry = 300 * time.Millisecond
 )
 
@@ -93,7 +90,6 @@
 	// to a third of it.
 	maxRetryAfterPart = 0.3
 	// minRetryAfter is the shortest Retry-After that maxRetryAfterPart leads to.
-	// Chosen, not measured.
 	minRetryAfter = 50 * time.Millisecond
 )
 
--- a/forward/reserve.go
+++ b/forward/reserve.go
@@ -15,8 +15,7 @@
 	// for tokens: the users count a refusal as held up from an eighth on. At 0.18 as
 	// much was earned (0.12 -0.0043 +- 0.0049 of worth in 16 pairs of days).
 	tokenWaitPart = 0.12
-	// minTokenWait is the shortest wait for tokens, also on routes without a
-	// target. Chosen, not measured.
+	// minTokenWait is the shortest wait for tokens, also on routes without a target.
 	minTokenWait = 30 * time.Millisecond
 )
 
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// minRetryTime is the time left below which no other attempt is made, since an
-	// answer can hardly arrive in less. Chosen, not measured.
+	// minRetryTime is the time left below which no other attempt is made, since an answer
+	// can hardly arrive in less.
 	minRetryTime = 20 * time.Millisecond
-	// maxAttempts bounds the attempts of one request, also those that did not
-	// run, which the route's own bound does not count. Chosen, not measured.
+	// maxAttempts bounds the attempts of one request, also those that did not run, which
+	// the route's own bound does not count.
 	maxAttempts = 4
 )
 
--- a/forward/retrybudget.go
+++ b/forward/retrybudget.go
@@ -26,13 +26,11 @@
 }
 
 const (
-	// usedRatioPart is the part of Ratio that is used, so that the bound holds
-	// although the operators count some requests in another window. Chosen, not
-	// measured.
+	// usedRatioPart is the part of Ratio that is used, so that the bound holds although
+	// the operators count some requests in another window.
 	usedRatioPart = 0.6
-	// usedSlackPart is the part of Slack that is used, so that the bound holds
-	// although routers that restart begin with a full budget. Chosen, not
-	// measured.
+	// usedSlackPart is the part of Slack that is used, so that the bound holds although
+	// routers that restart begin with a full budget.
 	usedSlackPart = 0.5
 	// defaultRetryWindow is the window that the operators' settings files state
 	// at every site.
--- a/forward/stalllimits.go
+++ b/forward/stalllimits.go
@@ -11,25 +11,22 @@
 )
 
 const (
-	// firstEventPart is the part of the target for which an attempt waits for the
-	// first event of a stream. The remainder is left for another attempt. Chosen,
-	// not measured.
+	// firstEventPart is the part of the target for which an attempt waits for the first
+	// event of a stream. The remainder is left for another attempt.
 	firstEventPart = 0.55
-	// minFirstEventWait is the shortest wait for a first event, whatever the
-	// target. Chosen, not measured.
+	// minFirstEventWait is the shortest wait for a first event, whatever the target.
 	minFirstEventWait = 150 * time.Millisecond
-	// allowedPromptTokensPerMS extends the wait for the first event: by one
-	// millisecond for each so many tokens of the prompt. It is about a fifth of the
-	// reading rate that the users' pages give (promptTokensPerMS in package
-	// balance). Chosen, not measured.
+	// allowedPromptTokensPerMS extends the wait for the first event: by one millisecond
+	// for each so many tokens of the prompt. It is about a fifth of the reading rate that
+	// the users' pages give (promptTokensPerMS in package balance).
 	allowedPromptTokensPerMS granitehoist.Tokens = 12
 	// maxEventGap is the longest pause between two events of a stream. By the
 	// users' pages callers abandon a stream that is silent for 2 s; a shorter gap
 	// lets another attempt continue it before. The value itself is chosen, not
 	// measured.
 	maxEventGap = 900 * time.Millisecond
-	// completeAnswerTargets is how long an answer that is no stream may take to
-	// arrive completely, in multiples of the target. Chosen, not measured.
+	// completeAnswerTargets is how long an answer that is no stream may take to arrive
+	// completely, in multiples of the target.
 	completeAnswerTargets = 2.0
 )
 
--- a/forward/stalltimer.go
+++ b/forward/stalltimer.go
@@ -47,8 +47,8 @@
 }
 
 // unpaidPause is how long a stalled attempt goes on before the retry budget is asked
-// again. At half of it the budget is asked twice as often, at twice a caller waits
-// longer for a retry that can be paid for. Chosen, not measured.
+// again. At half of it the budget is asked twice as often, at twice a caller waits longer
+// for a retry that can be paid for.
 const unpaidPause = 200 * time.Millisecond
 
 // fire ends the attempt if a retry is paid for, and looks again later if not.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -13,8 +13,7 @@
 	"granitehoist.example/granitehoist/internal/eventstream"
 )
 
-// streamBufferBytes is how much of a stream is read at once. Chosen, not
-// measured.
+// streamBufferBytes is how much of a stream is read at once.
 const streamBufferBytes = 4096
 
 // passStream passes events on as soon as each has arrived completely. The head
--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -95,10 +95,10 @@
 }
 
 const (
-	// holdPart is the part of the route's target for which a request is held at most:
-	// two rounds of the routes with the shortest targets, 0.3 s. Chosen, not measured.
+	// holdPart is the part of the route's target for which a request is held at most: two
+	// rounds of the routes with the shortest targets, 0.3 s.
 	holdPart = 0.5
-	// minHold is the longest hold on routes without a target. Chosen, not measured.
+	// minHold is the longest hold on routes without a target.
 	minHold = 400 * time.Millisecond
 )
 
--- a/forward/timeout.go
+++ b/forward/timeout.go
@@ -5,9 +5,8 @@
 
 import "time"
 
-// maxTimeout is the longest that any request is held, and so the timeout of
-// one for which neither its caller nor its route states one. Chosen, not
-// measured.
+// maxTimeout is the longest that any request is held, and so the timeout of one for which
+// neither its caller nor its route states one.
 const maxTimeout = 60 * time.Second
 
 // timeoutOf decides how long a request may take in all, from its arrival to the
--- a/ids.go
+++ b/ids.go
@@ -63,8 +63,7 @@
 const (
 	// MinPriority is served last.
 	MinPriority Priority = 0
-	// DefaultPriority is that of a request for which nobody chose one. Chosen, not
-	// measured.
+	// DefaultPriority is that of a request for which nobody chose one.
 	DefaultPriority Priority = 5
 	// MaxPriority is served first.
 	MaxPriority Priority = 9
@@ -166,8 +165,8 @@
 // AttemptPrefix returns what the ids of all attempts of an incarnation begin with.
 func AttemptPrefix(i Incarnation) string { return string(i) + attemptSeparator }
 
-// randomIDBytes is the random part of an identifier, 96 bits: two of them are not
-// expected to be equal in the life of a fleet. Chosen, not measured.
+// randomIDBytes is the random part of an identifier, 96 bits: two of them are not expected
+// to be equal in the life of a fleet.
 const randomIDBytes = 12
 
 // NewID returns a random identifier with the given prefix: randomIDBytes of random
--- a/internal/boottime/clock.go
+++ b/internal/boottime/clock.go
@@ -16,10 +16,10 @@
 	// noticed is the shortest suspension that counts, and the smallest jump of the time of
 	// day that makes the Clock look for one. It is above the difference of two clocks that
 	// are read in turn, and below the shortest timeout of the router (20 ms, forward's
-	// minRetryTime). Chosen, not measured.
+	// minRetryTime).
 	noticed = 5 * time.Millisecond
 	// lookAgain is how often the Clock looks for a suspension that the time of day hides,
-	// because it was set back by the same amount. Chosen, not measured.
+	// because it was set back by the same amount.
 	lookAgain = time.Second
 )
 
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -24,8 +24,7 @@
 	incomplete []byte
 }
 
-// MaxEventBytes bounds the bytes that are held of an incomplete event. Chosen, not
-// measured.
+// MaxEventBytes bounds the bytes that are held of an incomplete event.
 const MaxEventBytes = 1 << 20
 
 // ErrTooLong says that an incomplete event is larger than MaxEventBytes.
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -32,9 +32,9 @@
 	Failed func(error)
 }
 
-// maxFailureBytes bounds a line that Failed gets; the rest of it is cut off.
-// Chosen, not measured: net/http writes up to 64 KB of a panic's stack, of which
-// the beginning holds the frames next to the panic.
+// maxFailureBytes bounds a line that Failed gets; the rest of it is cut off: net/http
+// writes up to 64 KB of a panic's stack, of which the beginning holds the frames next to
+// the panic.
 const maxFailureBytes = 4 << 10
 
 // Server is an HTTP server with its listener.
--- a/internal/pack/pack.go
+++ b/internal/pack/pack.go
@@ -17,12 +17,12 @@
 	"github.com/rotisserie/eris"
 )
 
-// windowSize is how far back the compression looks, in bytes. Records are small, and
-// a small window costs little memory. Chosen, not measured.
+// windowSize is how far back the compression looks, in bytes. Records are small, and a
+// small window costs little memory.
 const windowSize = 64 << 10
 
-// maxUnpacked bounds the bytes that a packed record may grow to, so that a bad one
-// can't fill the memory. Chosen, not measured.
+// maxUnpacked bounds the bytes that a packed record may grow to, so that a bad one can't
+// fill the memory.
 const maxUnpacked = 64 << 20
 
 var (
--- a/measure/loads.go
+++ b/measure/loads.go
@@ -108,8 +108,7 @@
 	coresPerNano = 1e-9
 	// base64Growth is what base64 makes of each byte.
 	base64Growth = 4.0 / 3
-	// pageCopies is a keeper's memory for a page, as a multiple of its packed
-	// size. Chosen, not measured.
+	// pageCopies is a keeper's memory for a page, as a multiple of its packed size.
 	pageCopies = 3
 	// renewalsPerTTL is how often a member renews its lease and lists the members
 	// within the time that the lease lasts, as fleet/registry.go has it.
--- a/measure/slopes.go
+++ b/measure/slopes.go
@@ -50,7 +50,7 @@
 	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
 }
 
-// leastTime is how long a duration is measured for. Chosen, not measured.
+// leastTime is how long a duration is measured for.
 const leastTime = 100 * time.Millisecond
 
 // nanoseconds returns the mean time of do.
--- a/measure/subjects.go
+++ b/measure/subjects.go
@@ -47,8 +47,8 @@
 }
 
 const (
-	// leastAmount and amounts bound the amounts in messages: eight digits, as
-	// the balances of large budgets have. Chosen, not measured.
+	// leastAmount and amounts bound the amounts in messages: eight digits, as the balances
+	// of large budgets have.
 	leastAmount = 10_000_000
 	// amounts is the number of different amounts.
 	amounts = 1 << 24
@@ -97,7 +97,6 @@
 func messageBytes(value any) float64 { return packedBytes(value) * base64Growth }
 
 // rowsPerAccount is the boxes that draw on one budget in a capacity page.
-// Chosen, not measured.
 const rowsPerAccount = 10
 
 // capacityPage returns a page with n rows.
--- a/node/budgetroles.go
+++ b/node/budgetroles.go
@@ -19,12 +19,12 @@
 // calls and time, never tokens.
 
 const (
-	// rankedPerShard is the number of nodes that are ranked for a shard: the holder,
-	// and those that stand in for it, one after the other. Chosen, not measured.
+	// rankedPerShard is the number of nodes that are ranked for a shard: the holder, and
+	// those that stand in for it, one after the other.
 	rankedPerShard = 3
-	// holderLinkPart is the part of the fastest link in the fleet that a holder's
-	// link has at least. Chosen, not measured: links on the users' sites differ by
-	// a factor of ten or twenty, and a holder answers for the whole fleet.
+	// holderLinkPart is the part of the fastest link in the fleet that a holder's link has
+	// at least: links on the users' sites differ by a factor of ten or twenty, and a
+	// holder answers for the whole fleet.
 	holderLinkPart = 0.5
 )
 
--- a/node/greeting.go
+++ b/node/greeting.go
@@ -17,12 +17,11 @@
 const methodGreet = "peers.greet"
 
 const (
-	// greetTimeout bounds one greeting, connecting included. Chosen, not
-	// measured: neighbours of one site answer in milliseconds.
+	// greetTimeout bounds one greeting, connecting included: neighbours of one site answer
+	// in milliseconds.
 	greetTimeout = 200 * time.Millisecond
-	// maxGreeted bounds the neighbours that are greeted at one time. Chosen, not
-	// measured: above the 6 to 9 routers of the small sites, so that all of them
-	// learn of a new incarnation at once.
+	// maxGreeted bounds the neighbours that are greeted at one time: above the 6 to 9
+	// routers of the small sites, so that all of them learn of a new incarnation at once.
 	maxGreeted = 12
 )
 
--- a/node/logpace.go
+++ b/node/logpace.go
@@ -11,7 +11,7 @@
 )
 
 // limitLogInterval is the least time between two lines on the limit of one upstream; what
-// changes meanwhile is not logged. Chosen, not measured.
+// changes meanwhile is not logged.
 const limitLogInterval = time.Second
 
 // logPace bounds the lines that are logged of one upstream. The zero value is ready. It
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -54,8 +54,7 @@
 }
 
 const (
-	// sampleSize is the number of values that a histogram keeps. Chosen, not
-	// measured.
+	// sampleSize is the number of values that a histogram keeps.
 	sampleSize = 512
 	// sampleBias is the decay by which newer values are kept more often; 0.015 is
 	// the library's usual value, for about the last five minutes.
--- a/node/nodelist.go
+++ b/node/nodelist.go
@@ -16,13 +16,11 @@
 )
 
 const (
-	// listInterval is the time from one list of nodes to the next. Chosen, not
-	// measured on its own: commit f7eef06 doubled it from 4 s to make fewer calls
-	// to the store. New nodes greet their neighbours, so that the list is not the
-	// only way to learn of them.
+	// listInterval is the time from one list of nodes to the next: commit f7eef06 doubled
+	// it from 4 s to make fewer calls to the store. New nodes greet their neighbours, so
+	// that the list is not the only way to learn of them.
 	listInterval = 8 * time.Second
-	// listRetryPause is the time to the next attempt after a list could not be
-	// read. Chosen, not measured.
+	// listRetryPause is the time to the next attempt after a list could not be read.
 	listRetryPause = 300 * time.Millisecond
 	// firstListPause is the time in which all nodes of a fleet enter themselves
 	// at its first start. Chosen, not measured on its own; commit 0c0db10
@@ -74,9 +72,8 @@
 // after every attempt that failed, since the store then reports nothing.
 func (a listAttempt) shouldGreet(greetedBefore bool) bool { return a.failed || !greetedBefore }
 
-// listFreshFor is the age up to which a relay vouches for its list of nodes. It
-// is two intervals, so that a relay still vouches after one read that failed.
-// Chosen, not measured.
+// listFreshFor is the age up to which a relay vouches for its list of nodes. It is two
+// intervals, so that a relay still vouches after one read that failed.
 const listFreshFor = 2 * listInterval
 
 // vouchesForList decides whether a node may tell others that its entries are
--- a/node/peers.go
+++ b/node/peers.go
@@ -110,9 +110,8 @@
 	return view.complete || !p.settings.first || !waiting
 }
 
-// maxUnready bounds the time for which a node does not know whom to ask, in case the
-// store does not list the nodes: twice the time in which the list of a new fleet fills.
-// Chosen, not measured.
+// maxUnready bounds the time for which a node does not know whom to ask, in case the store
+// does not list the nodes: twice the time in which the list of a new fleet fills.
 const maxUnready = 2 * firstListPause
 
 // role returns this node's role for the tokens of a shard.
--- a/node/permits.go
+++ b/node/permits.go
@@ -26,21 +26,20 @@
 const methodPermits = "limits.permits"
 
 const (
-	// permitTimeout bounds a question, connecting included. Chosen, not measured:
-	// neighbours of one site answer in milliseconds, and no request waits longer for a
-	// permit on a route with a target of 0.5 s.
+	// permitTimeout bounds a question, connecting included: neighbours of one site answer
+	// in milliseconds, and no request waits longer for a permit on a route with a target
+	// of 0.5 s.
 	permitTimeout = 100 * time.Millisecond
 	// permitRetry is the time until the next question after one that nobody answered.
-	// Chosen, not measured.
 	permitRetry = 200 * time.Millisecond
-	// permitPause is the least time between two rounds of questions, so that requests
-	// that come together share one. Chosen, not measured.
+	// permitPause is the least time between two rounds of questions, so that requests that
+	// come together share one.
 	permitPause = 2 * time.Millisecond
 	// avoidIssuer is how long an issuer that did not answer is left out. Chosen, not
 	// measured; as of a lender of tokens.
 	avoidIssuer = 1500 * time.Millisecond
-	// issuerShards is the number of groups of upstreams that have one issuer each:
-	// peers keeps the ranks of each group. Chosen, not measured.
+	// issuerShards is the number of groups of upstreams that have one issuer each: peers
+	// keeps the ranks of each group.
 	issuerShards = 256
 )
 
--- a/node/push.go
+++ b/node/push.go
@@ -17,21 +17,21 @@
 )
 
 const (
-	// pushTimeout bounds one message, connecting included. Chosen, not measured:
-	// neighbours of one site answer in milliseconds.
+	// pushTimeout bounds one message, connecting included: neighbours of one site answer
+	// in milliseconds.
 	pushTimeout = 200 * time.Millisecond
-	// maxPushes bounds the messages in progress. Chosen, not measured.
+	// maxPushes bounds the messages in progress.
 	maxPushes = 32
 	// pushPause times the number of nodes is the least time between two messages to one
 	// neighbour, so that a node sends at most 500 messages a second however much there is
-	// to push. Chosen, not measured: 2.2 s at 1,100 nodes, below the 3 s in which
-	// all nodes have to know of a crash.
+	// to push: 2.2 s at 1,100 nodes, below the 3 s in which all nodes have to know of a
+	// crash.
 	pushPause = 2 * time.Millisecond
-	// minPushPause is the least such time in small fleets. Chosen, not measured: far
-	// below the time in which callers retry.
+	// minPushPause is the least such time in small fleets: far below the time in which
+	// callers retry.
 	minPushPause = 50 * time.Millisecond
-	// pushRetry is the time until a failed push is retried.
-	// Chosen, not measured: a node that was cut off has to know within 3 s.
+	// pushRetry is the time until a failed push is retried: a node that was cut off has to
+	// know within 3 s.
 	pushRetry = 700 * time.Millisecond
 )
 
--- a/node/servers.go
+++ b/node/servers.go
@@ -17,18 +17,17 @@
 )
 
 const (
-	// headerTimeout bounds how long a client may take for a request's header.
-	// The limit of the configuration (headerTimeoutMs, 3 s on today's sites) is not
-	// used here, since it is not read yet when the server starts. Chosen, not
-	// measured.
+	// headerTimeout bounds how long a client may take for a request's header. The limit of
+	// the configuration (headerTimeoutMs, 3 s on today's sites) is not used here, since it
+	// is not read yet when the server starts.
 	headerTimeout = 5 * time.Second
-	// idleTimeout is how long a connection may be idle. Callers use connections
-	// that were idle for up to four fifths of the configuration's limit (15 s on
-	// today's sites). This is longer than that limit, so that the router does not
-	// close a connection that a caller may still use. Chosen, not measured.
+	// idleTimeout is how long a connection may be idle. Callers use connections that were
+	// idle for up to four fifths of the configuration's limit (15 s on today's sites).
+	// This is longer than that limit, so that the router does not close a connection that
+	// a caller may still use.
 	idleTimeout = 90 * time.Second
 	// headerBytes bounds a request's header. It is the maxHeaderBytes of the
-	// configurations seen so far; chosen, not measured.
+	// configurations seen so far.
 	headerBytes = 16 << 10
 )
 
--- a/node/shedding.go
+++ b/node/shedding.go
@@ -28,27 +28,24 @@
 // day from 0.598 to 0.666 (docs/design/platform.md, "Full links"). The bounds
 // themselves were not varied.
 const (
-	// shedAboveLoad is the load, as a share of the link's rate, above which a box
-	// begins to shed. Chosen, not measured: below a full link, so that loans and
-	// calls to the store still pass.
+	// shedAboveLoad is the load, as a share of the link's rate, above which a box begins
+	// to shed: below a full link, so that loans and calls to the store still pass.
 	shedAboveLoad = 0.82
-	// stopSheddingBelowLoad is the load, as a share of the link's rate, below
-	// which a box stops shedding. Chosen, not measured: far enough below
-	// shedAboveLoad that the callers who return don't fill the link again at once.
+	// stopSheddingBelowLoad is the load, as a share of the link's rate, below which a box
+	// stops shedding: far enough below shedAboveLoad that the callers who return don't
+	// fill the link again at once.
 	stopSheddingBelowLoad = 0.5
 	// minSheddingTime is the least time of shedding. The balancer asks once a
 	// second and takes a box out after two answers without a 200, so that a
 	// shorter time would not reach it.
 	minSheddingTime = 3 * time.Second
-	// minSheddingPause is the least time from one shedding to the next: the
-	// balancer's two questions, one second apart. Chosen, not measured.
+	// minSheddingPause is the least time from one shedding to the next: the balancer's two
+	// questions, one second apart.
 	minSheddingPause = 2 * time.Second
-	// linkInterval is the time between two readings of the link. Chosen, not
-	// measured.
+	// linkInterval is the time between two readings of the link.
 	linkInterval = 500 * time.Millisecond
-	// linkWindow is the number of intervals over which the load is averaged. Two
-	// are one second, so that a burst of a single interval does not shed. Chosen,
-	// not measured.
+	// linkWindow is the number of intervals over which the load is averaged. Two are one
+	// second, so that a burst of a single interval does not shed.
 	linkWindow = 2
 )
 
--- a/node/stop.go
+++ b/node/stop.go
@@ -21,22 +21,21 @@
 	// until commit ed6e543: stops took 7.5 s of 8 s and cut one to three streams,
 	// since new requests were taken for 3.2 s.
 	serveShare = 0.32
-	// finishShare is when requests still in progress are given up: 7.6 s of 8 s.
-	// Commit ed6e543 raised it from 0.93 together with serveShare. Chosen, not
-	// measured on its own.
+	// finishShare is when requests still in progress are given up: 7.6 s of 8 s. Commit
+	// ed6e543 raised it from 0.93 together with serveShare.
 	finishShare = 0.95
-	// returnShare is when the return of tokens is given up, 240 ms of 8 s before
-	// the platform kills the process. Chosen, not measured.
+	// returnShare is when the return of tokens is given up, 240 ms of 8 s before the
+	// platform kills the process.
 	returnShare = 0.97
-	// minReturnTime is the least time for the return of tokens, also if requests
-	// ran until finishShare. Chosen, not measured. Before commit ed11c68 it was the
-	// only time, and too short for a store that took 0.3 s a call.
+	// minReturnTime is the least time for the return of tokens, also if requests ran until
+	// finishShare. Before commit ed11c68 it was the only time, and too short for a store
+	// that took 0.3 s a call.
 	minReturnTime = 300 * time.Millisecond
 	// maxReturnTime bounds the return if more of the grace remains: five calls of
 	// such a store. Chosen with commit ed11c68, not measured on its own.
 	maxReturnTime = 1500 * time.Millisecond
-	// stopPollInterval is how often a stop checks whether requests are still in
-	// progress. Chosen, not measured: short compared with the grace.
+	// stopPollInterval is how often a stop checks whether requests are still in progress:
+	// short compared with the grace.
 	stopPollInterval = 20 * time.Millisecond
 )
 
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -37,19 +37,18 @@
 )
 
 const (
-	// maxPullPeers is how many neighbours a node pulls from at once. Chosen, not measured:
-	// one that has no evidence yet may be among them.
+	// maxPullPeers is how many neighbours a node pulls from at once: one that has no
+	// evidence yet may be among them.
 	maxPullPeers = 3
 	// pullInterval is the time between two such rounds, and pullFor how long a node that
 	// starts repeats them: by then all nodes have read the list that names it.
-	// Chosen, not measured.
 	pullInterval = time.Second
 	pullFor      = 2 * listInterval
 	// startPoll is the time between two looks at whether a node that starts knows its
 	// neighbours.
 	startPoll = 10 * time.Millisecond
 	// stallTime is the time between two rounds from which the process counts as having
-	// been stalled or suspended. Chosen, not measured: a busy machine delays rounds by less.
+	// been stalled or suspended: a busy machine delays rounds by less.
 	stallTime = 2 * pullInterval
 )
 
--- a/node/suspectstore.go
+++ b/node/suspectstore.go
@@ -28,7 +28,6 @@
 	// refusedPrefix begins the keys of the evidence, each followed by the digest.
 	refusedPrefix = suspectsPrefix + "refused/"
 	// keepRetryPause is the time to the next attempt after a call to the store failed.
-	// Chosen, not measured.
 	keepRetryPause = 500 * time.Millisecond
 )
 
@@ -81,9 +80,8 @@
 	}
 }
 
-// relayLoads is the number of tries in which a node that is no relay asks relays only.
-// Chosen, not measured: 3 s, in which relays that start together with it have read the
-// store.
+// relayLoads is the number of tries in which a node that is no relay asks relays only: 3
+// s, in which relays that start together with it have read the store.
 const relayLoads = 6
 
 // load gets the secret and the evidence from relays or from the store, and reports whether
--- a/node/suspension.go
+++ b/node/suspension.go
@@ -18,7 +18,7 @@
 	// users' pages let an answer be late. At 100 ms a router woke 20 times a second more
 	// than without, 61 for 41 a second at 31 routers of Dafatir grown.
 	suspensionInterval = 250 * time.Millisecond
-	// loggedSuspension is the least one that is logged. Chosen, not measured.
+	// loggedSuspension is the least one that is logged.
 	loggedSuspension = 50 * time.Millisecond
 )
 
--- a/node/updates.go
+++ b/node/updates.go
@@ -20,11 +20,10 @@
 	// on a link of 10 Mbit/s until replies were compressed
 	// (docs/design/platform.md).
 	updatesTimeout = 400 * time.Millisecond
-	// maxUpdatesWait bounds the wait that is granted to a caller. Chosen, not
-	// measured: above the 0.4 s that package follow asks for.
+	// maxUpdatesWait bounds the wait that is granted to a caller: above the 0.4 s that
+	// package follow asks for.
 	maxUpdatesWait = time.Second
-	// maxAsked bounds the neighbours that are asked at one time. Chosen, not
-	// measured.
+	// maxAsked bounds the neighbours that are asked at one time.
 	maxAsked = 3
 )
 
--- a/partner/bill/collector.go
+++ b/partner/bill/collector.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// MaxBatch bounds the charges that a box sends at once. Chosen, not measured.
+	// MaxBatch bounds the charges that a box sends at once.
 	MaxBatch = 500
-	// maxSegment bounds the batches of one segment, so that its 5,000 charges stay
-	// below granitehoist.MaxValueSize. Chosen, not measured.
+	// maxSegment bounds the batches of one segment, so that its 5,000 charges stay below
+	// granitehoist.MaxValueSize.
 	maxSegment = 10
 )
 
--- a/partner/bill/sender.go
+++ b/partner/bill/sender.go
@@ -24,8 +24,8 @@
 	Failed func(error)
 }
 
-// DefaultInterval is the time between a box's batches. What a router that is
-// killed leaves unconfirmed is about as old. Chosen, not measured.
+// DefaultInterval is the time between a box's batches. What a router that is killed leaves
+// unconfirmed is about as old.
 const DefaultInterval = time.Second
 
 // Sender brings the charges of a Ledger into the store. It is safe for concurrent
--- a/partner/boxlist/boxlist.go
+++ b/partner/boxlist/boxlist.go
@@ -24,11 +24,11 @@
 	Boxes map[granitehoist.Box]bool `json:"boxes"`
 }
 
-// defaultTimeout bounds a call. It is the interval at which package
-// partner/router reads the list. Chosen, not measured.
+// defaultTimeout bounds a call. It is the interval at which package partner/router reads
+// the list.
 const defaultTimeout = 2 * time.Second
 
-// idleTime closes connections that no call has used. Chosen, not measured.
+// idleTime closes connections that no call has used.
 const idleTime = time.Minute
 
 // Settings configure a Client.
--- a/partner/budget/agent.go
+++ b/partner/budget/agent.go
@@ -40,12 +40,11 @@
 }
 
 const (
-	// DefaultInterval is the time between two rounds of messages; a round holds
-	// only the accounts that are due. Chosen, not measured.
+	// DefaultInterval is the time between two rounds of messages; a round holds only the
+	// accounts that are due.
 	DefaultInterval = time.Second
-	// waitingInterval is that time while requests wait: a twentieth of
-	// DefaultWait, so that tokens are asked for several times during a wait. Chosen,
-	// not measured.
+	// waitingInterval is that time while requests wait: a twentieth of DefaultWait, so
+	// that tokens are asked for several times during a wait.
 	waitingInterval = DefaultWait / 20
 )
 
@@ -198,7 +197,7 @@
 	// one try 5 of 1,500 planned stops failed, with ten none (commit 7466cfe,
 	// which also made calls name their receiver). The value was chosen.
 	closeTries = 10
-	// closePause is the time between two tries. Chosen, not measured.
+	// closePause is the time between two tries.
 	closePause = 100 * time.Millisecond
 )
 
--- a/partner/budget/allot.go
+++ b/partner/budget/allot.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	// shrinkBelowLife is the remaining life of a budget, at the forecast of all
-	// holders, below which holdings shrink faster than the budget does. Chosen,
-	// not measured.
+	// shrinkBelowLife is the remaining life of a budget, at the forecast of all holders,
+	// below which holdings shrink faster than the budget does.
 	shrinkBelowLife = 60 * time.Second
 	// shrinkBelowRequests is the number of largest requests that a budget has
 	// left below which holdings shrink faster than the budget does. Measured with
@@ -32,8 +31,8 @@
 	// measured cut and from 0.523 % to 0.283 % without the store
 	// (docs/design/budgets.md, commit ec9716c).
 	quietRequests = 16
-	// quietParts bounds what all quiet holders keep together: one part in
-	// quietParts of the budget. Chosen, not measured.
+	// quietParts bounds what all quiet holders keep together: one part in quietParts of
+	// the budget.
 	quietParts = 10
 )
 
--- a/partner/budget/asks.go
+++ b/partner/budget/asks.go
@@ -16,8 +16,8 @@
 	// holds tokens or has changed. With it, rootInterval and gathered messages
 	// the store calls fell from 88 to 9.75 a second (commit 82e9a37).
 	reportInterval = 10 * time.Second
-	// shortfallInterval is how long an account that holds less than half of its
-	// target, or of its limit, waits before it asks again. Chosen, not measured.
+	// shortfallInterval is how long an account that holds less than half of its target, or
+	// of its limit, waits before it asks again.
 	shortfallInterval = time.Second
 )
 
--- a/partner/budget/historysteps_test.go
+++ b/partner/budget/historysteps_test.go
@@ -46,8 +46,7 @@
 	b.waiters = nil
 }
 
-// mostSaved bounds the messages of each kind that are saved. Chosen, not
-// measured.
+// mostSaved bounds the messages of each kind that are saved.
 const mostSaved = 20
 
 // save adds an item to the last ones.
--- a/partner/budget/keeper.go
+++ b/partner/budget/keeper.go
@@ -53,14 +53,14 @@
 const DefaultShards = 8
 
 const (
-	// conflictTries bounds how often a Keeper reads a record again after others
-	// changed it. Chosen, not measured.
+	// conflictTries bounds how often a Keeper reads a record again after others changed
+	// it.
 	conflictTries = 20
-	// lostTries bounds how often a Keeper reads a record again after the answer to
-	// its write was lost. Chosen, not measured.
+	// lostTries bounds how often a Keeper reads a record again after the answer to its
+	// write was lost.
 	lostTries = 3
-	// conflictPause is how much longer a Keeper waits with each further conflict,
-	// so that keepers which conflict do not do so again. Chosen, not measured.
+	// conflictPause is how much longer a Keeper waits with each further conflict, so that
+	// keepers which conflict do not do so again.
 	conflictPause = time.Millisecond
 )
 
--- a/partner/budget/loan.go
+++ b/partner/budget/loan.go
@@ -12,14 +12,12 @@
 	"granitehoist.example/granitehoist"
 )
 
-// lendParts is the part of its spare tokens that a box lends: one in lendParts,
-// so that a box that several others ask does not give all to the first. Chosen,
-// not measured.
+// lendParts is the part of its spare tokens that a box lends: one in lendParts, so that a
+// box that several others ask does not give all to the first.
 const lendParts = 2
 
-// leastCover is how long a box's own demand is kept from other boxes that want to
-// borrow: three DefaultIntervals, since the lender goes on while a loan is under
-// way. Chosen, not measured.
+// leastCover is how long a box's own demand is kept from other boxes that want to borrow:
+// three DefaultIntervals, since the lender goes on while a loan is under way.
 const leastCover = 3 * DefaultInterval
 
 // Lend gives part of what is free to another box and returns the total ever
@@ -135,9 +133,9 @@
 	a.settings.Purse.TakeLoan(params.Budget, result)
 }
 
-// maxUnanswered bounds the loans that are asked for again, so that their list
-// does not grow while no box answers. What a dropped loan deducted at its lender
-// stays unused until the pair's next loan. Chosen, not measured.
+// maxUnanswered bounds the loans that are asked for again, so that their list does not
+// grow while no box answers. What a dropped loan deducted at its lender stays unused until
+// the pair's next loan.
 const maxUnanswered = 1000
 
 // retryUnanswered asks lenders whose answers were lost what they have lent. It
--- a/partner/budget/page.go
+++ b/partner/budget/page.go
@@ -158,8 +158,8 @@
 	return replies
 }
 
-// maxLenders bounds the lenders that a reply names, and so the calls that a box
-// makes for one budget. Chosen, not measured.
+// maxLenders bounds the lenders that a reply names, and so the calls that a box makes for
+// one budget.
 const maxLenders = 3
 
 // withLenders names the incarnations other than the asker that hold most.
--- a/partner/budget/record.go
+++ b/partner/budget/record.go
@@ -230,9 +230,9 @@
 	return held
 }
 
-// doubtAfter is how long an incarnation may be silent before what it holds counts
-// as in doubt: it is shown so, and left out when tokens are divided. Nobody else
-// gets those tokens. It is three times reportInterval. Chosen, not measured.
+// doubtAfter is how long an incarnation may be silent before what it holds counts as in
+// doubt: it is shown so, and left out when tokens are divided. Nobody else gets those
+// tokens. It is three times reportInterval.
 const doubtAfter = 3 * reportInterval
 
 // InDoubt returns what is held by incarnations that have been silent for
--- a/partner/budget/reserve.go
+++ b/partner/budget/reserve.go
@@ -35,8 +35,8 @@
 	return outcomeError(ctx, outcome, k)
 }
 
-// unreachableRetry is the Retry-After of a request that was refused because no
-// tokens of its budget could be fetched. Chosen, not measured.
+// unreachableRetry is the Retry-After of a request that was refused because no tokens of
+// its budget could be fetched.
 const unreachableRetry = 5 * time.Second
 
 // outcomeError returns the error of a wait that ended, nil if tokens were
--- a/partner/budget/root.go
+++ b/partner/budget/root.go
@@ -47,9 +47,9 @@
 	return a
 }
 
-// regionSilentAfter is how long a region may be silent before its forecast is
-// left out when tokens are divided. It is 30 times rootInterval, so that a region
-// that is cut off for a while keeps its part. Chosen, not measured.
+// regionSilentAfter is how long a region may be silent before its forecast is left out
+// when tokens are divided. It is 30 times rootInterval, so that a region that is cut off
+// for a while keeps its part.
 const regionSilentAfter = 30 * rootInterval
 
 // serve processes a region's report and gives it what the budget allows. The
@@ -117,7 +117,6 @@
 }
 
 // regionCovers is how many times a box's cover a region's holding should last.
-// Chosen, not measured.
 const regionCovers = 2
 
 // forRegions returns the split between regions. They hold tokens for longer than
--- a/partner/budget/split.go
+++ b/partner/budget/split.go
@@ -28,12 +28,11 @@
 
 // Defaults of a Split.
 const (
-	// DefaultCover is for budgets without a weighting. Chosen, not measured.
+	// DefaultCover is for budgets without a weighting.
 	DefaultCover = 30 * time.Minute
-	// DefaultShare is for budgets without a weighting. Chosen, not measured.
+	// DefaultShare is for budgets without a weighting.
 	DefaultShare = 0.8
-	// DefaultWait leaves time for a few messages to the keeper. Chosen, not
-	// measured.
+	// DefaultWait leaves time for a few messages to the keeper.
 	DefaultWait = 2 * time.Second
 )
 
--- a/partner/budget/surplus.go
+++ b/partner/budget/surplus.go
@@ -9,11 +9,11 @@
 // Commit 82e9a37 brought both bounds in, after it had measured that boxes gave
 // back and asked for the same tokens with each message.
 const (
-	// boxSurplusParts: a box returns a surplus only if it is more than its target
-	// divided by this. Chosen, not measured.
+	// boxSurplusParts: a box returns a surplus only if it is more than its target divided
+	// by this.
 	boxSurplusParts = 8
-	// regionSurplusParts: a region returns a surplus only if it is more than what
-	// the region has divided by this. Chosen, not measured.
+	// regionSurplusParts: a region returns a surplus only if it is more than what the
+	// region has divided by this.
 	regionSurplusParts = 16
 )
 
--- a/partner/budget/wait.go
+++ b/partner/budget/wait.go
@@ -40,8 +40,8 @@
 	Unreachable
 )
 
-// remainingFresh is how long the Keeper's statement that a budget has too few
-// tokens refuses further requests without asking again. Chosen, not measured.
+// remainingFresh is how long the Keeper's statement that a budget has too few tokens
+// refuses further requests without asking again.
 const remainingFresh = time.Second
 
 // Wait reserves as Reserve does, or returns a Waiter that ends when tokens
--- a/partner/config/apply.go
+++ b/partner/config/apply.go
@@ -35,8 +35,7 @@
 	return c, nil
 }
 
-// readBackTries bounds the reads after a write whose answer was lost, until one
-// succeeds. Chosen, not measured.
+// readBackTries bounds the reads after a write whose answer was lost, until one succeeds.
 const readBackTries = 5
 
 // Apply writes a signed document over the one that it names as previous. Its
--- a/partner/config/check.go
+++ b/partner/config/check.go
@@ -31,8 +31,8 @@
 	nameRemedy = "use 1 to 63 of a-z, 0-9, dot, dash and underscore, a letter or digit first"
 )
 
-// maxTokens bounds the amounts that a document may name, so that the sum of
-// thousands of them fits into 64 bits. Chosen, not measured.
+// maxTokens bounds the amounts that a document may name, so that the sum of thousands of
+// them fits into 64 bits.
 const maxTokens granitehoist.Tokens = 1 << 50
 
 // name adds a fault if a value is no name.
--- a/partner/config/follower.go
+++ b/partner/config/follower.go
@@ -27,8 +27,7 @@
 	Pause time.Duration
 }
 
-// defaultPause keeps a router whose store fails to two calls a second. Chosen,
-// not measured.
+// defaultPause keeps a router whose store fails to two calls a second.
 const defaultPause = 500 * time.Millisecond
 
 // Follower keeps a router's view of the documents in the store. A document that
--- a/partner/config/service.go
+++ b/partner/config/service.go
@@ -53,8 +53,7 @@
 	Concurrency int `toml:"concurrency"`
 }
 
-// DefaultConcurrency is the Concurrency of an upstream that names none. Chosen, not
-// measured.
+// DefaultConcurrency is the Concurrency of an upstream that names none.
 const DefaultConcurrency = 32
 
 // services checks the services and returns their names. A model may belong to one
--- a/partner/gate/binding.go
+++ b/partner/gate/binding.go
@@ -13,8 +13,7 @@
 	"granitehoist.example/granitehoist/partner/once"
 )
 
-// bindingTimeout bounds the write that ends a binding, which outlives the
-// caller; chosen, not measured.
+// bindingTimeout bounds the write that ends a binding, which outlives the caller.
 const bindingTimeout = 2 * time.Second
 
 // bind records in the store that this router sends a request not to be
--- a/partner/gate/bound.go
+++ b/partner/gate/bound.go
@@ -11,14 +11,12 @@
 // Tokens that an engine may add to a prompt's own text. All are upper bounds
 // (docs/design/budgets.md).
 const (
-	// templateMessageTokens is what the chat template adds to each message;
-	// chosen, not measured.
+	// templateMessageTokens is what the chat template adds to each message.
 	templateMessageTokens = 16
-	// templateTokens is what the template adds to the prompt once; chosen, not
-	// measured.
+	// templateTokens is what the template adds to the prompt once.
 	templateTokens = 64
-	// toolFactor is the tokens that the template may make of each byte of the
-	// tools and the response format; chosen, not measured.
+	// toolFactor is the tokens that the template may make of each byte of the tools and
+	// the response format.
 	toolFactor = 2
 )
 
--- a/partner/gate/completion.go
+++ b/partner/gate/completion.go
@@ -23,11 +23,10 @@
 }
 
 const (
-	// maxChoices bounds the answers that one request may ask for; chosen, not
-	// measured.
+	// maxChoices bounds the answers that one request may ask for.
 	maxChoices = 8
-	// maxTokenCount bounds a maximum of output tokens: the largest 32-bit number,
-	// so that the bound of no request overflows; chosen, not measured.
+	// maxTokenCount bounds a maximum of output tokens: the largest 32-bit number, so that
+	// the bound of no request overflows.
 	maxTokenCount = granitehoist.Tokens(math.MaxInt32)
 )
 
--- a/partner/gate/identity.go
+++ b/partner/gate/identity.go
@@ -13,7 +13,7 @@
 
 const (
 	bearer = "Bearer "
-	// maxRequestID bounds a caller's request id in bytes; chosen, not measured.
+	// maxRequestID bounds a caller's request id in bytes.
 	maxRequestID = 128
 )
 
--- a/partner/gate/options.go
+++ b/partner/gate/options.go
@@ -23,7 +23,7 @@
 	budget string
 }
 
-// maxDeadline bounds the deadline that a caller may name; chosen, not measured.
+// maxDeadline bounds the deadline that a caller may name.
 const maxDeadline = 24 * time.Hour
 
 // parseOptions reads a request's headers. defaultTimeout is the time of a
--- a/partner/gate/prompt.go
+++ b/partner/gate/prompt.go
@@ -33,8 +33,8 @@
 	return granitehoist.Errorf(granitehoist.BadRequest, "it has neither \"messages\" nor \"prompt\"")
 }
 
-// plainPrefixBytes is the part of a plain prompt by which requests share an
-// upstream, in bytes of its JSON; chosen, not measured.
+// plainPrefixBytes is the part of a plain prompt by which requests share an upstream, in
+// bytes of its JSON.
 const plainPrefixBytes = 1024
 
 // readPlainPrompt reads a prompt that is one text.
--- a/partner/gate/refusals.go
+++ b/partner/gate/refusals.go
@@ -76,11 +76,10 @@
 // Times after which a refused caller may try again. They are advice in the
 // header Retry-After, which counts whole seconds.
 const (
-	// upstreamRetryAfter is for a request that found no upstream, or none with
-	// room; chosen, not measured.
+	// upstreamRetryAfter is for a request that found no upstream, or none with room.
 	upstreamRetryAfter = time.Second
-	// billsRetryAfter is for a ledger that is full, which empties only when the
-	// store answers again; chosen, not measured.
+	// billsRetryAfter is for a ledger that is full, which empties only when the store
+	// answers again.
 	billsRetryAfter = 10 * time.Second
 )
 
--- a/partner/gate/retry.go
+++ b/partner/gate/retry.go
@@ -8,8 +8,7 @@
 	"granitehoist.example/granitehoist/internal/retrybudget"
 )
 
-// maxAttempts bounds the attempts of one request, the first included; chosen,
-// not measured.
+// maxAttempts bounds the attempts of one request, the first included.
 const maxAttempts = 3
 
 // attemptState is what decides whether another attempt may follow one that
@@ -61,15 +60,13 @@
 }
 
 const (
-	// retriesPerRequest bounds retries to a tenth of the requests of all
-	// services together, so that they add little load to a failing service.
-	// Chosen, not measured.
+	// retriesPerRequest bounds retries to a tenth of the requests of all services
+	// together, so that they add little load to a failing service.
 	retriesPerRequest = 0.1
-	// maxSavedRetries is the most retries that requests without a retry can
-	// save up. Chosen, not measured.
+	// maxSavedRetries is the most retries that requests without a retry can save up.
 	maxSavedRetries = 20
-	// initialRetryPart is the part of maxSavedRetries that a router starts
-	// with: 10 retries. Chosen, not measured.
+	// initialRetryPart is the part of maxSavedRetries that a router starts with: 10
+	// retries.
 	initialRetryPart = 0.5
 )
 
--- a/partner/gate/run.go
+++ b/partner/gate/run.go
@@ -15,8 +15,8 @@
 	"granitehoist.example/granitehoist/partner/route"
 )
 
-// writeGrace is the time after a request's deadline in which its answer may
-// still be written; chosen, not measured.
+// writeGrace is the time after a request's deadline in which its answer may still be
+// written.
 const writeGrace = 5 * time.Second
 
 // answer takes a request from policy to charge and answers it. If err is not nil,
--- a/partner/gate/spend.go
+++ b/partner/gate/spend.go
@@ -93,10 +93,9 @@
 }
 
 const (
-	// resolveTries bounds how often an upstream is asked what an attempt cost;
-	// chosen, not measured.
+	// resolveTries bounds how often an upstream is asked what an attempt cost.
 	resolveTries = 3
-	// resolvePause is the time between them; chosen, not measured.
+	// resolvePause is the time between them.
 	resolvePause = 200 * time.Millisecond
 )
 
--- a/partner/orphan/orphan.go
+++ b/partner/orphan/orphan.go
@@ -160,8 +160,8 @@
 	return names
 }
 
-// maxOrphanSegments bounds the segments of one dead router; each settling that
-// finds something to charge writes one. Chosen, not measured.
+// maxOrphanSegments bounds the segments of one dead router; each settling that finds
+// something to charge writes one.
 const maxOrphanSegments = 1000
 
 // write stores the charges under the first free key. Two routers that settle at
--- a/partner/orphan/silent.go
+++ b/partner/orphan/silent.go
@@ -12,9 +12,9 @@
 	"granitehoist.example/granitehoist/partner/budget"
 )
 
-// SilentAfter is how long a router must be silent before its attempts are
-// charged by another. A router that is only cut off may return; its own charges
-// then replace those made here. Chosen, not measured.
+// SilentAfter is how long a router must be silent before its attempts are charged by
+// another. A router that is only cut off may return; its own charges then replace those
+// made here.
 const SilentAfter = 2 * time.Minute
 
 // lastSeen is what the pages of a region's budgets record of a router.
--- a/partner/policy/policy.go
+++ b/partner/policy/policy.go
@@ -11,12 +11,11 @@
 	"granitehoist.example/granitehoist"
 )
 
-// costLimit bounds the cost of one program in CEL's own cost units, about one
-// for each operation; chosen, not measured.
+// costLimit bounds the cost of one program in CEL's own cost units, about one for each
+// operation.
 const costLimit = 10_000
 
-// MaxProgramSize bounds the length of one program in bytes; chosen, not
-// measured.
+// MaxProgramSize bounds the length of one program in bytes.
 const MaxProgramSize = 4096
 
 // Source is the text of a policy.
--- a/partner/report/metrics.go
+++ b/partner/report/metrics.go
@@ -13,8 +13,8 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// quantiles are those that are written of each timer: the median, the one of the
-// service levels, and one beyond; chosen, not measured.
+// quantiles are those that are written of each timer: the median, the one of the service
+// levels, and one beyond.
 var quantiles = []float64{0.5, 0.95, 0.99}
 
 const metricPrefix = "granitehoist_"
--- a/partner/report/recorder.go
+++ b/partner/report/recorder.go
@@ -19,8 +19,8 @@
 	bucketCount = int64(24 * time.Hour / bucketLength)
 	// bucketSeconds is bucketLength in seconds of Unix time.
 	bucketSeconds = int64(bucketLength / time.Second)
-	// maxRecordedKeys bounds a recorder's memory; chosen, not measured. A key takes
-	// 18.6 KB (burn-memory in docs/CAPACITY.md), all of them 37 MB.
+	// maxRecordedKeys bounds a recorder's memory. A key takes 18.6 KB (burn-memory in
+	// docs/CAPACITY.md), all of them 37 MB.
 	maxRecordedKeys = 2000
 )
 
--- a/partner/route/ejection.go
+++ b/partner/route/ejection.go
@@ -6,10 +6,9 @@
 import "time"
 
 const (
-	// firstEjection is how long an upstream is left out after its first failure
-	// in a row; chosen, not measured.
+	// firstEjection is how long an upstream is left out after its first failure in a row.
 	firstEjection = 500 * time.Millisecond
-	// maxEjection bounds it; chosen, not measured.
+	// maxEjection bounds it.
 	maxEjection = 30 * time.Second
 	// maxEjectionDoublings keeps the doubling from overflowing; it is reached
 	// beyond maxEjection, and so changes nothing else.
--- a/partner/route/pool.go
+++ b/partner/route/pool.go
@@ -90,8 +90,7 @@
 	return nil
 }
 
-// smallPool is the number of members up to which all are looked at; chosen, not
-// measured.
+// smallPool is the number of members up to which all are looked at.
 const smallPool = 16
 
 // lightest returns the member with room and the fewest requests: of all in a
--- a/partner/route/ring.go
+++ b/partner/route/ring.go
@@ -22,13 +22,13 @@
 	// rest. A choice takes 0.21 µs at 12 upstreams and 0.38 µs at 10,000 (commit
 	// 4bb7e6e, docs/design/requests.md).
 	pointsPerMember = 32
-	// ringSteps bounds the points that are looked at for one request. Unless the
-	// pool is nearly full, one of them almost certainly has room; if none has,
-	// choose goes on with lightest and scan. Chosen, not measured.
+	// ringSteps bounds the points that are looked at for one request. Unless the pool is
+	// nearly full, one of them almost certainly has room; if none has, choose goes on with
+	// lightest and scan.
 	ringSteps = 64
-	// loadSlack is how much more than the average load an upstream may have
-	// before requests pass on to the next. Chosen, not measured: the comparison in
-	// docs/design/requests.md ran with this value only.
+	// loadSlack is how much more than the average load an upstream may have before
+	// requests pass on to the next: the comparison in docs/design/requests.md ran with
+	// this value only.
 	loadSlack = 0.25
 )
 
--- a/partner/route/table.go
+++ b/partner/route/table.go
@@ -44,8 +44,7 @@
 	Seed uint64
 }
 
-// defaultQueueLimit is in requests of one service at one router; chosen, not
-// measured.
+// defaultQueueLimit is in requests of one service at one router.
 const defaultQueueLimit = 1000
 
 // NewTable returns an empty table.
--- a/partner/router/orphans.go
+++ b/partner/router/orphans.go
@@ -15,12 +15,10 @@
 )
 
 const (
-	// orphanInterval is the time between looks for routers that died; chosen,
-	// not measured.
+	// orphanInterval is the time between looks for routers that died.
 	orphanInterval = 30 * time.Second
-	// maxOrphanRounds bounds how often one dead router is settled: an engine that
-	// could not be reached at first is asked again, for ten minutes; chosen, not
-	// measured.
+	// maxOrphanRounds bounds how often one dead router is settled: an engine that could
+	// not be reached at first is asked again, for ten minutes.
 	maxOrphanRounds = 20
 )
 
--- a/partner/router/servers.go
+++ b/partner/router/servers.go
@@ -24,11 +24,10 @@
 }
 
 const (
-	// hardHeaderBytes bounds the headers that are read at all, in bytes. Below
-	// it the gate refuses with a numbered code; chosen, not measured.
+	// hardHeaderBytes bounds the headers that are read at all, in bytes. Below it the gate
+	// refuses with a numbered code.
 	hardHeaderBytes = 1 << 20
-	// callersIdleTimeout is how long a caller's connection may be idle between
-	// requests; chosen, not measured.
+	// callersIdleTimeout is how long a caller's connection may be idle between requests.
 	callersIdleTimeout = time.Minute
 )
 
--- a/partner/router/start.go
+++ b/partner/router/start.go
@@ -31,8 +31,7 @@
 		zap.String("admin", r.AdminAddress()))
 }
 
-// enrollPause is the time between tries to enter the router in the store;
-// chosen, not measured.
+// enrollPause is the time between tries to enter the router in the store.
 const enrollPause = 500 * time.Millisecond
 
 // follow enters the router among those that may serve, and only then reads the
--- a/partner/settings/settings.go
+++ b/partner/settings/settings.go
@@ -117,19 +117,19 @@
 
 // Defaults of unset values.
 const (
-	// DefaultBodyBytes is 4 MiB. Chosen, not measured.
+	// DefaultBodyBytes is 4 MiB.
 	DefaultBodyBytes = 4 << 20
-	// DefaultHeaderBytes is 32 KiB. Chosen, not measured.
+	// DefaultHeaderBytes is 32 KiB.
 	DefaultHeaderBytes = 32 << 10
 	// DefaultReadTimeout is chosen, not measured.
 	DefaultReadTimeout = Duration(10 * time.Second)
 	// DefaultRequest is chosen, not measured.
 	DefaultRequest = Duration(5 * time.Minute)
-	// defaultDrain is twice DefaultRequest, so that a stop waits for every request
-	// that names no deadline. Chosen, not measured.
+	// defaultDrain is twice DefaultRequest, so that a stop waits for every request that
+	// names no deadline.
 	defaultDrain = 2 * DefaultRequest
-	// defaultUnready is meant to be more than a balancer takes to see that a
-	// router is not ready. Chosen, not measured.
+	// defaultUnready is meant to be more than a balancer takes to see that a router is not
+	// ready.
 	defaultUnready = Duration(3 * time.Second)
 	// defaultLevel leaves out what only debugging needs.
 	defaultLevel = "info"
--- a/partner/upstream/enginestream.go
+++ b/partner/upstream/enginestream.go
@@ -25,7 +25,7 @@
 )
 
 const (
-	// maxEventSize bounds one line of a stream, in bytes. Chosen, not measured.
+	// maxEventSize bounds one line of a stream, in bytes.
 	maxEventSize = 1 << 20
 	// maxResumes bounds how often one stream is resumed. With it the trial's
 	// callers with a cut stream went from 4, 2 and 3 of 500 to none (seeds 1, 2
--- a/partner/upstream/transport.go
+++ b/partner/upstream/transport.go
@@ -25,20 +25,17 @@
 const HeaderAttempt = "X-Request-Id"
 
 const (
-	// connectTimeout bounds the making of a connection within a region. Chosen, not
-	// measured.
+	// connectTimeout bounds the making of a connection within a region.
 	connectTimeout = time.Second
 	// lookupTimeout bounds a call of Stop or List, which only looks up attempts.
-	// Chosen, not measured.
 	lookupTimeout = time.Second
-	// maxAnswer bounds the size of a whole answer in bytes, and so what one request
-	// keeps in memory. Chosen, not measured.
+	// maxAnswer bounds the size of a whole answer in bytes, and so what one request keeps
+	// in memory.
 	maxAnswer = 32 << 20
-	// idlePerUpstream is twice config.DefaultConcurrency, so that a burst finds
-	// its connections made. Chosen, not measured.
+	// idlePerUpstream is twice config.DefaultConcurrency, so that a burst finds its
+	// connections made.
 	idlePerUpstream = 64
-	// idleTimeout is how long a connection is kept without a call. Chosen, not
-	// measured.
+	// idleTimeout is how long a connection is kept without a call.
 	idleTimeout = time.Minute
 )
 
--- a/standin/completion.go
+++ b/standin/completion.go
@@ -59,7 +59,7 @@
 	return nil
 }
 
-// What the engine's stand-in counts. Chosen, not measured.
+// What the engine's stand-in counts.
 const (
 	// messageTokens is what a chat message costs beyond its text.
 	messageTokens = 4
--- a/standin/store.go
+++ b/standin/store.go
@@ -50,8 +50,7 @@
 	Watch time.Duration
 }
 
-// defaultStoreWatch is as long as the longest watch that 'granitehoist router'
-// asks for. Chosen, not measured.
+// defaultStoreWatch is as long as the longest watch that 'granitehoist router' asks for.
 const defaultStoreWatch = 20 * time.Second
 
 // NewStore returns an empty store.
--- a/store/swap.go
+++ b/store/swap.go
@@ -11,7 +11,6 @@
 )
 
 // settleTries bounds how often a write whose answer was lost is read back.
-// Chosen, not measured.
 const settleTries = 3
 
 // Create writes a key that must not exist and returns its version. If the answer
--- a/suspect/block.go
+++ b/suspect/block.go
@@ -8,8 +8,8 @@
 const (
 	// firstScopeBlock is how long a scope is refused at first, and maxScopeBlock at most;
 	// each further round doubles it. After a block its requests are tried again at one
-	// upstream. Chosen, not measured: an innocent scope is free after seconds, and one that
-	// goes on crashes one upstream in half a minute.
+	// upstream: an innocent scope is free after seconds, and one that goes on crashes one
+	// upstream in half a minute.
 	firstScopeBlock = 5 * time.Second
 	maxScopeBlock   = 30 * time.Second
 )
--- a/suspect/crashedlives.go
+++ b/suspect/crashedlives.go
@@ -7,16 +7,16 @@
 
 const (
 	// crashedMemory is how long a life that crashed is remembered. Upstreams are replaced
-	// under new names within some seconds. Chosen, not measured.
+	// under new names within some seconds.
 	crashedMemory = 5 * time.Second
-	// maxCrashedLives bounds the lives that are remembered. Chosen, not measured: above
-	// the upstreams that a router has connections to.
+	// maxCrashedLives bounds the lives that are remembered: above the upstreams that a
+	// router has connections to.
 	maxCrashedLives = 4096
 	// lossTime is the time in which the crashes of one loss are known to a router, and
 	// lossLives how many lives have to crash in it for a loss: all routers send a suspect
-	// to the same upstream, so that one suspect crashes one life in that time, or two while
-	// routers see different upstreams. Chosen, not measured: the crashes of a loss of
-	// power were known within 6 ms, in one process.
+	// to the same upstream, so that one suspect crashes one life in that time, or two
+	// while routers see different upstreams. The crashes of a loss of power were known
+	// within 6 ms, in one process.
 	lossTime  = 50 * time.Millisecond
 	lossLives = 4
 )
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -70,7 +70,7 @@
 }
 
 // maxCrashes bounds the crashes kept for one request. It is above enoughCrashes, so that
-// what suffices for a refusal is never dropped. Chosen, not measured.
+// what suffices for a refusal is never dropped.
 const maxCrashes = 8
 
 // openCrashes returns the number of crashes that are not cleared.
@@ -170,13 +170,13 @@
 	// enoughRounds is the same for crashes of any kind. With three instead of five that
 	// day refused 0 to 67. The platform allows three more runs after the third crash.
 	enoughRounds = 5
-	// enoughCrashes is the number of early crashes from which the second round suffices:
-	// a request that arrives at many routers at once crashes many upstreams per round.
-	// Chosen, not measured: twice enoughEarly.
+	// enoughCrashes is the number of early crashes from which the second round suffices: a
+	// request that arrives at many routers at once crashes many upstreams per round. Twice
+	// enoughEarly.
 	enoughCrashes = 2 * enoughEarly
 	// enoughEarlyOfScope is enoughEarly for all requests of a scope: more, since they may
-	// have nothing else in common. Chosen, not measured: with the four callers of
-	// TestDeadlyWithVariedBodies 8 upstreams crash until then.
+	// have nothing else in common. With the four callers of TestDeadlyWithVariedBodies 8
+	// upstreams crash until then.
 	enoughEarlyOfScope = 5
 )
 
--- a/suspect/forget.go
+++ b/suspect/forget.go
@@ -15,8 +15,8 @@
 	// took 314 µs when one was evicted at a time (BenchmarkNoteCrashInFullTable).
 	roomShare = 16
 	// clearedMemory is how long cleared evidence is kept, so that a late message does not
-	// bring it back. Chosen, not measured: above
-	// the time in which routers that were cut off for a while have caught up.
+	// bring it back: above the time in which routers that were cut off for a while have
+	// caught up.
 	clearedMemory = 30 * time.Second
 )
 
--- a/suspect/record.go
+++ b/suspect/record.go
@@ -37,7 +37,7 @@
 }
 
 // MaxRecords bounds the records of one message, some 150 bytes each. What exceeds it
-// follows in the next. Chosen, not measured.
+// follows in the next.
 const MaxRecords = 64
 
 // MarshalText implements encoding.TextMarshaler.
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -16,12 +16,11 @@
 	// router from when it learned of it. It is the longest TTL of a lease in the platform's
 	// store, so that a router that starts finds the evidence there for as long.
 	DefaultBlock = 10 * time.Minute
-	// DefaultMemory is how long evidence is kept after the last crash. Within it a
-	// request whose block has expired is refused again after one more crash.
-	// Chosen, not measured.
+	// DefaultMemory is how long evidence is kept after the last crash. Within it a request
+	// whose block has expired is refused again after one more crash.
 	DefaultMemory = 30 * time.Minute
 	// DefaultMax bounds the requests with evidence, some 0.2 KB each. An upstream that
-	// crashes under load leaves some 30. Chosen, not measured.
+	// crashes under load leaves some 30.
 	DefaultMax = 4096
 )
 
--- a/throttle/issuer.go
+++ b/throttle/issuer.go
@@ -33,19 +33,17 @@
 	lateInterval = 0.5
 	// retrySpread times the requests without a permit since the last one is over how many
 	// permits those that were told to wait are spread: all routers would otherwise come
-	// back together for one permit. Chosen, not measured.
+	// back together for one permit.
 	retrySpread = 0.5
 	// batchTime is how far behind the first of a batch its other permits may be due.
-	// Chosen, not measured.
 	batchTime = 100 * time.Millisecond
-	// maxBatch bounds the permits of one grant. Chosen, not measured.
+	// maxBatch bounds the permits of one grant.
 	maxBatch = 100
 	// minRate is what an upstream gets that names less, zero included: without any
 	// request no answer would tell when its need is over. The users' bound allows 5
 	// requests in 4 s whatever the rate; chosen far below that.
 	minRate = 0.1
 	// forgetAfter is how long an upstream is remembered after its last permit was due.
-	// Chosen, not measured.
 	forgetAfter = time.Minute
 )
 
--- a/trial/books.go
+++ b/trial/books.go
@@ -20,7 +20,6 @@
 }
 
 // storeFaults let the store take a write now and then and lose its answer.
-// Chosen, not measured.
 var storeFaults = standin.StoreFaults{LoseEvery: 7}
 
 // disturb lets the stand-ins fail now and then.
--- a/trial/documents.go
+++ b/trial/documents.go
@@ -28,15 +28,13 @@
 const (
 	// budgetName is the name of each workspace's one budget.
 	budgetName = "season"
-	// smallBudget is what the workspace that runs out has, in tokens. Chosen,
-	// not measured.
+	// smallBudget is what the workspace that runs out has, in tokens.
 	smallBudget = 2500
-	// largeBudget is what the others have, in tokens. Chosen, not measured.
+	// largeBudget is what the others have, in tokens.
 	largeBudget = 50_000_000
-	// plainPrice is what a request to a plain service costs, in tokens. Chosen,
-	// not measured.
+	// plainPrice is what a request to a plain service costs, in tokens.
 	plainPrice = 3
-	// maxOutput bounds an engine's answer, in tokens. Chosen, not measured.
+	// maxOutput bounds an engine's answer, in tokens.
 	maxOutput = 64
 )
 
--- a/trial/run.go
+++ b/trial/run.go
@@ -45,21 +45,19 @@
 	Calm bool
 }
 
-// DefaultRequests is the length of a trial. Chosen, not measured.
+// DefaultRequests is the length of a trial.
 const DefaultRequests = 500
 
 const (
-	// defaultInterval lets a trial of DefaultRequests last two seconds. Chosen,
-	// not measured.
+	// defaultInterval lets a trial of DefaultRequests last two seconds.
 	defaultInterval = 4 * time.Millisecond
-	// startLimit bounds the time until the documents are in force. Chosen, not
-	// measured.
+	// startLimit bounds the time until the documents are in force.
 	startLimit = 30 * time.Second
-	// stopLimit bounds the time for settling and stopping. Chosen, not measured.
+	// stopLimit bounds the time for settling and stopping.
 	stopLimit = time.Minute
-	// firstDelay is an engine's time to the first token. Chosen, not measured.
+	// firstDelay is an engine's time to the first token.
 	firstDelay = 2 * time.Millisecond
-	// tokenDelay is its time for each further token. Chosen, not measured.
+	// tokenDelay is its time for each further token.
 	tokenDelay = 200 * time.Microsecond
 )
 
--- a/trial/site.go
+++ b/trial/site.go
@@ -33,7 +33,7 @@
 	Lima: {"miraflores", "callao", "ate", "surco"},
 }
 
-// Sizes of a trial site. Chosen, not measured.
+// Sizes of a trial site.
 const (
 	// routersPerZone makes fourteen routers in seven availability zones.
 	routersPerZone = 2
@@ -116,7 +116,6 @@
 }
 
 // standinHeaderTimeout bounds the reading of a request's header at a stand-in.
-// Chosen, not measured.
 const standinHeaderTimeout = time.Minute
 
 // serve starts a handler on a free loopback port and returns its URL.
--- a/trial/stops.go
+++ b/trial/stops.go
@@ -66,11 +66,10 @@
 }
 
 const (
-	// settleTries bounds the tries of settling a dead router. An engine may be
-	// too busy to answer at first; routers ask again in the same way. Chosen,
-	// not measured.
+	// settleTries bounds the tries of settling a dead router. An engine may be too busy to
+	// answer at first; routers ask again in the same way.
 	settleTries = 50
-	// settlePause is the time between two tries. Chosen, not measured.
+	// settlePause is the time between two tries.
 	settlePause = 100 * time.Millisecond
 )
 
