Wait for what keeps a request from being sent in one place

The holds of suspects, the waits for a permit or the end of a rest, and the wait of a router that has just started were loops of one shape; activeRequest.await is that loop, and each of them says only what stands in the way, until when, and with which refusal. No behaviour changes but one: a suspect whose time ends during its hold gets the hold's refusal, not run, where it went on to the next check before.

--- a/forward/deferred.go
+++ b/forward/deferred.go
@@ -41,18 +41,14 @@
 	if evidence == nil {
 		return nil
 	}
-	select {
-	case <-evidence:
-		return nil
-	default:
-	}
-	waitForChange(ctx, evidence, max(minEvidenceWait, a.deferredWait()))
-	select {
-	case <-evidence:
-		return nil
-	default:
-		return evidenceMissing.error(a.timeLeft())
-	}
+	return a.await(ctx, max(minEvidenceWait, a.deferredWait()), func(time.Time) (*obstacle, error) {
+		select {
+		case <-evidence:
+			return nil, nil
+		default:
+			return &obstacle{changed: evidence, refusal: func() error { return evidenceMissing.error(a.timeLeft()) }}, nil
+		}
+	})
 }
 
 // pickOrWait chooses the instance of the next attempt. If all rest or name a limit it waits
@@ -74,40 +70,17 @@
 	defer waiter.Close()
 	defer func() { a.progress.deferredFor += settings.Clock().Sub(started) }()
 	query.Waiting = true
-	for {
+	err = a.await(ctx, query.MaxWait, func(now time.Time) (*obstacle, error) {
 		changed := settings.Table.PermitsChanged()
-		now := settings.Clock()
-		lease, err = settings.Table.Pick(query, now)
-		deferral, deferred := balance.DeferralOf(err)
-		left := query.MaxWait - now.Sub(started)
-		switch {
-		case !deferred:
-			return lease, err
-		case ctx.Err() != nil, deferral.Chance > left, left <= 0:
-			return nil, a.deferredRefusal(err)
+		var later error
+		lease, later = settings.Table.Pick(query, now)
+		deferral, deferred := balance.DeferralOf(later)
+		if !deferred {
+			return nil, later
 		}
-		waitForChange(ctx, changed, nextLook(deferral.Chance, left))
-	}
-}
-
-// nextLook returns when to look again at the latest: when the first instance may take the
-// request, or when the request can't wait longer.
-func nextLook(chance, left time.Duration) time.Duration {
-	if chance > 0 {
-		return min(chance, left)
-	}
-	return left
-}
-
-// waitForChange waits until changed is closed, ctx ends, or a time has passed.
-func waitForChange(ctx context.Context, changed <-chan struct{}, most time.Duration) {
-	timer := time.NewTimer(most)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-changed:
-	case <-timer.C:
-	}
+		return &obstacle{left: deferral.Chance, changed: changed, refusal: func() error { return a.deferredRefusal(later) }}, nil
+	})
+	return lease, err
 }
 
 // deferredRefusal returns the refusal of a request for which no instance takes it in time.
--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -13,7 +13,6 @@
 	"granitehoist.example/granitehoist/balance"
 	"granitehoist.example/granitehoist/exchange"
 	"granitehoist.example/granitehoist/internal/event"
-	"granitehoist.example/granitehoist/internal/pause"
 	"granitehoist.example/granitehoist/suspect"
 )
 
@@ -74,24 +73,17 @@
 // upstreams crash under it may be under way (suspect.Verdict.Hold), for holdPart of the
 // route's target at most. One that is to be held for longer is refused, as not run.
 func (a *activeRequest) awaitSettled(ctx context.Context) error {
-	settings := &a.forwarder.settings
-	started := settings.Clock()
 	most := max(minHold, time.Duration(holdPart*float64(a.admission.route.Target)))
-	for {
+	return a.await(ctx, min(most, a.timeLeft()), func(time.Time) (*obstacle, error) {
 		if err := a.checkSuspicion(); err != nil {
-			return err
+			return nil, err
 		}
 		s := &a.progress.suspicion
-		hold := s.hold()
-		if hold <= 0 || ctx.Err() != nil {
-			return nil
+		if s.hold() <= 0 {
+			return nil, nil
 		}
-		held := settings.Clock().Sub(started)
-		if held+hold > most || hold > a.timeLeft() {
-			return s.longestHold().HoldRefusal()
-		}
-		pause.For(ctx, hold)
-	}
+		return &obstacle{left: s.hold(), refusal: func() error { return s.longestHold().HoldRefusal() }}, nil
+	})
 }
 
 const (
