Name what wakes waiting requests after deferred instances

Names only: PermitsChanged also wakes for the end of a rest, the table of the tests also serves rests and leaving, and the pace of log lines also those on rests.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -93,8 +93,8 @@
 
 	// permitsWanted is the channel of PermitsWanted. It holds one.
 	permitsWanted chan struct{}
-	// permitsChanged is the channel of PermitsChanged; mu guards it.
-	permitsChanged chan struct{}
+	// deferredChanged is the channel of DeferredChanged; mu guards it.
+	deferredChanged chan struct{}
 }
 
 // instanceState is an instance with what this router observed of it. The lock of its
@@ -141,8 +141,8 @@
 		instances: map[granitehoist.Upstream]*instanceState{},
 		evacuated: map[granitehoist.AvailabilityZone]bool{},
 
-		earlyLimits:    map[Life]knownLimit{},
-		permitsWanted:  make(chan struct{}, 1),
-		permitsChanged: make(chan struct{}),
+		earlyLimits:     map[Life]knownLimit{},
+		permitsWanted:   make(chan struct{}, 1),
+		deferredChanged: make(chan struct{}),
 	}
 }
--- a/balance/crowding_test.go
+++ b/balance/crowding_test.go
@@ -8,7 +8,7 @@
 // TestCrowding checks how many requests an instance may have beside others with a limit.
 func TestCrowding(t *testing.T) {
 	// start picks so many times without an end, and returns how many found an instance.
-	start := func(p *limitedPool, count, routers int) int {
+	start := func(p *testPool, count, routers int) int {
 		found := 0
 		for range count {
 			if _, err := p.Pick(Query{Service: "pool", Routers: routers}, p.now); err == nil {
@@ -18,24 +18,24 @@
 		return found
 	}
 	t.Run("without a limit as many as come", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		p.expect("of 100", start(p, 100, 2), 100)
 	})
 	t.Run("beside a limit twice its capacity, of all routers together", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		p.limit("i-0", 2)
 		p.expect("of 100, two routers", start(p, 100, 2), 8)
-		alone := newLimitedPool(t, 2)
+		alone := newTestPool(t, 2)
 		alone.limit("i-0", 2)
 		alone.expect("of 100, one router", start(alone, 100, 1), 16)
 	})
 	t.Run("as many as come where the share of a router is too small to tell", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		p.limit("i-0", 2)
 		p.expect("of 100, five routers", start(p, 100, 5), 100)
 	})
 	t.Run("room again when a request has ended", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		p.limit("i-0", 2)
 		lease, err := p.Pick(Query{Service: "pool"}, p.now)
 		if err != nil {
@@ -47,7 +47,7 @@
 			t.Fatal("nobody waits yet")
 		}
 		defer w.Close()
-		changed := p.PermitsChanged()
+		changed := p.DeferredChanged()
 		lease.Done(Good, p.now)
 		select {
 		case <-changed:
--- a/balance/leaving_test.go
+++ b/balance/leaving_test.go
@@ -12,7 +12,7 @@
 )
 
 // sayLeaving makes an answer of an instance, to a request that it got, say that it leaves.
-func (p *limitedPool) sayLeaving(id granitehoist.Upstream) {
+func (p *testPool) sayLeaving(id granitehoist.Upstream) {
 	p.t.Helper()
 	lease := p.leaseOf(id)
 	lease.Note(Statement{Leaving: true}, p.now)
@@ -20,7 +20,7 @@
 }
 
 // leaseOf picks until it gets a lease of an instance.
-func (p *limitedPool) leaseOf(id granitehoist.Upstream) *Lease {
+func (p *testPool) leaseOf(id granitehoist.Upstream) *Lease {
 	p.t.Helper()
 	for range 1000 {
 		lease, err := p.Pick(Query{Service: "pool"}, p.now)
@@ -37,19 +37,19 @@
 }
 
 // announceAgain announces i-0 as ready, in a life.
-func (p *limitedPool) announceAgain(version granitehoist.Version, born int64) {
+func (p *testPool) announceAgain(version granitehoist.Version, born int64) {
 	p.Announce(Instance{ID: "i-0", Service: "pool", Capacity: 8, Version: version, Born: born}, p.now)
 }
 
 // TestLeaving checks what an instance gets that said in an answer that it leaves, and for
 // how long that holds.
 func TestLeaving(t *testing.T) {
-	leaving := func(t *testing.T, instances int) *limitedPool {
-		p := newLimitedPool(t, instances)
+	leaving := func(t *testing.T, instances int) *testPool {
+		p := newTestPool(t, instances)
 		p.sayLeaving("i-0")
 		return p
 	}
-	expectNone := func(p *limitedPool) {
+	expectNone := func(p *testPool) {
 		p.t.Helper()
 		p.expect("i-0", p.picks(50, Query{})["i-0"], 0)
 	}
@@ -66,7 +66,7 @@
 		p.expect("none", p.picks(1, Query{})[""], 1)
 	})
 	t.Run("a permit that it issued before changes nothing", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		lease := p.leaseOf("i-0")
 		p.limit("i-0", 2)
 		p.permit("i-0", 1, 0, time.Second)
@@ -74,7 +74,7 @@
 		expectNone(p)
 	})
 	t.Run("a later answer that does not say so takes nothing back", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		first, second := p.leaseOf("i-0"), p.leaseOf("i-0")
 		first.Note(Statement{Leaving: true}, p.now)
 		second.Note(Statement{Rate: RateStatement{Own: true}}, p.now)
@@ -97,7 +97,7 @@
 		expectNone(p)
 	})
 	t.Run("an answer to a request of the life before says nothing of the next", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.announceAgain(2, 40)
 		lease := p.leaseOf("i-0")
 		p.announceAgain(3, 50)
@@ -108,7 +108,7 @@
 		}
 	})
 	t.Run("the next life begins free", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.announceAgain(2, 40)
 		p.sayLeaving("i-0")
 		p.announceAgain(3, 50)
@@ -121,7 +121,7 @@
 	})
 	t.Run("it is told once for each life", func(t *testing.T) {
 		var notes []LeavingNote
-		p := &limitedPool{t: t, now: noon, Table: New(Settings{Seed: 1, LeavingNoted: func(n LeavingNote) { notes = append(notes, n) }})}
+		p := &testPool{t: t, now: noon, Table: New(Settings{Seed: 1, LeavingNoted: func(n LeavingNote) { notes = append(notes, n) }})}
 		p.announceAgain(1, 40)
 		first, second := p.leaseOf("i-0"), p.leaseOf("i-0")
 		first.Note(Statement{Leaving: true}, p.now)
@@ -152,7 +152,7 @@
 // TestLeavingNews checks what one router tells another of instances that leave.
 func TestLeavingNews(t *testing.T) {
 	t.Run("what it heard itself, once for each that asks", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		if news, _ := p.NewsAfter(0, p.now); news.Any() {
 			t.Errorf("%+v", news)
 		}
@@ -163,7 +163,7 @@
 		p.expect("leaving", len(news.Leaving), 0)
 	})
 	t.Run("the other sends it nothing more, and does not pass it on", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		p.MergeNews(News{Leaving: []LeavingRecord{{Upstream: "i-0"}}}, p.now)
 		p.expect("i-0", p.picks(50, Query{})["i-0"], 0)
 		if news, _ := p.NewsAfter(0, p.now); news.Any() {
@@ -172,19 +172,19 @@
 		p.expect("in a greeting", len(p.AllNews(p.now).Leaving), 1)
 	})
 	t.Run("before the announcement it holds after that", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		p.MergeNews(News{Leaving: []LeavingRecord{{Upstream: "i-9", Born: 40}}}, p.now)
 		p.Announce(Instance{ID: "i-9", Service: "pool", Version: 1, Born: 40}, p.now)
 		p.expect("i-9", p.picks(50, Query{})["i-9"], 0)
 	})
 	t.Run("of an earlier life it says nothing", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.announceAgain(2, 50)
 		p.MergeNews(News{Leaving: []LeavingRecord{{Upstream: "i-0", Born: 40}}}, p.now)
 		p.expect("i-0", p.picks(5, Query{})["i-0"], 5)
 	})
 	t.Run("of a later life it holds once that is announced", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.announceAgain(2, 40)
 		p.MergeNews(News{Leaving: []LeavingRecord{{Upstream: "i-0", Born: 50}}}, p.now)
 		p.expect("i-0", p.picks(5, Query{})["i-0"], 5)
--- a/balance/ratelimit_test.go
+++ b/balance/ratelimit_test.go
@@ -59,16 +59,16 @@
 	})
 }
 
-// limitedPool is a table with instances of one service.
-type limitedPool struct {
+// testPool is a table with instances of one service.
+type testPool struct {
 	t   *testing.T
 	now time.Time
 	*Table
 }
 
-// newLimitedPool returns a table with so many instances, i-0 and so on.
-func newLimitedPool(t *testing.T, instances int) *limitedPool {
-	p := &limitedPool{t: t, now: noon, Table: New(Settings{Seed: 1})}
+// newTestPool returns a table with so many instances, i-0 and so on.
+func newTestPool(t *testing.T, instances int) *testPool {
+	p := &testPool{t: t, now: noon, Table: New(Settings{Seed: 1})}
 	for i := range instances {
 		p.Announce(Instance{ID: granitehoist.Upstream(fmt.Sprint("i-", i)), Service: "pool", Capacity: 8, Version: 1}, p.now)
 	}
@@ -76,13 +76,13 @@
 }
 
 // limit makes another router tell of a limit.
-func (p *limitedPool) limit(id granitehoist.Upstream, rate Rate) {
+func (p *testPool) limit(id granitehoist.Upstream, rate Rate) {
 	p.MergeLimits([]LimitRecord{{Upstream: id, Limited: true, Rate: rate}}, p.now)
 }
 
 // picks returns how many of so many requests each instance gets; "" counts those that
 // found none.
-func (p *limitedPool) picks(count int, q Query) map[granitehoist.Upstream]int {
+func (p *testPool) picks(count int, q Query) map[granitehoist.Upstream]int {
 	q.Service = "pool"
 	got := map[granitehoist.Upstream]int{}
 	for range count {
@@ -98,11 +98,11 @@
 }
 
 // permit gives the table permits that may be used from due until expires, from now on.
-func (p *limitedPool) permit(id granitehoist.Upstream, count int, due, expires time.Duration) {
+func (p *testPool) permit(id granitehoist.Upstream, count int, due, expires time.Duration) {
 	p.NotePermits(PermitAnswer{Life: Life{ID: id}, Count: count, Due: p.now.Add(due), Expires: p.now.Add(expires)})
 }
 
-func (p *limitedPool) expect(what string, got, want int) {
+func (p *testPool) expect(what string, got, want int) {
 	p.t.Helper()
 	if got != want {
 		p.t.Errorf("%s: %d, not %d", what, got, want)
@@ -112,12 +112,12 @@
 // TestPermits checks that an instance with a limit gets what permits allow, and nothing else.
 func TestPermits(t *testing.T) {
 	t.Run("without a permit all goes elsewhere", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		p.limit("i-0", 2)
 		p.expect("i-1", p.picks(10, Query{})["i-1"], 10)
 	})
 	t.Run("the owner of a prefix is no exception", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		p.limit("i-0", 2)
 		for hash := range uint64(20) {
 			p.expect("i-0", p.picks(1, Query{PrefixHash: hash + 1, PrefixTokens: 5000, PromptTokens: 6000})["i-0"], 0)
@@ -125,7 +125,7 @@
 		}
 	})
 	t.Run("a permit serves once", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.limit("i-0", 2)
 		p.permit("i-0", 3, 0, time.Second)
 		got := p.picks(10, Query{})
@@ -133,7 +133,7 @@
 		p.expect("none", got[""], 7)
 	})
 	t.Run("not before it is due, and not after it has expired", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.limit("i-0", 2)
 		p.permit("i-0", 1, 10*time.Millisecond, 20*time.Millisecond)
 		p.expect("before", p.picks(1, Query{})["i-0"], 0)
@@ -141,7 +141,7 @@
 		p.expect("after", p.picks(1, Query{})["i-0"], 0)
 	})
 	t.Run("a new life has no limit, and permits of the one before don't count", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.Announce(Instance{ID: "i-0", Service: "pool", Version: 2, Born: 5}, p.now)
 		p.MergeLimits([]LimitRecord{{Upstream: "i-0", Born: 5, Limited: true, Rate: 2}}, p.now)
 		p.expect("limited", p.picks(1, Query{})["i-0"], 0)
@@ -149,20 +149,20 @@
 		p.expect("reborn", p.picks(5, Query{})["i-0"], 5)
 	})
 	t.Run("what another router tells before the announcement holds after it", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.limit("i-1", 2)
 		p.Announce(Instance{ID: "i-1", Service: "pool", Version: 1}, p.now)
 		p.expect("i-1", p.picks(10, Query{})["i-1"], 0)
 	})
 	t.Run("a stricter rule goes before a permit", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.limit("i-0", 2)
 		p.permit("i-0", 5, 0, time.Second)
 		p.Announce(Instance{ID: "i-0", Service: "pool", Version: 2, Draining: true}, p.now)
 		p.expect("draining", p.picks(1, Query{})["i-0"], 0)
 	})
 	t.Run("all is as before once the limit has ended", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.limit("i-0", 2)
 		p.now = p.now.Add(time.Second)
 		p.MergeLimits([]LimitRecord{{Upstream: "i-0"}}, p.now)
@@ -172,7 +172,7 @@
 
 // TestPermitRequests checks what is asked for, and when.
 func TestPermitRequests(t *testing.T) {
-	expectRequests := func(p *limitedPool, want ...int) {
+	expectRequests := func(p *testPool, want ...int) {
 		p.t.Helper()
 		requests, _ := p.PermitRequests(p.now)
 		var got []int
@@ -184,12 +184,12 @@
 		}
 	}
 	t.Run("nothing while nobody needs one", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		p.limit("i-0", 2)
 		expectRequests(p)
 	})
 	t.Run("one question for all requests since the last, and none while it is under way", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		p.limit("i-0", 2)
 		p.picks(4, Query{})
 		expectRequests(p, 4)
@@ -199,7 +199,7 @@
 		expectRequests(p, 3)
 	})
 	t.Run("not before the issuer said", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		p.limit("i-0", 2)
 		p.picks(1, Query{})
 		expectRequests(p, 1)
@@ -212,7 +212,7 @@
 		expectRequests(p, 1)
 	})
 	t.Run("nothing for a life that is over", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.Announce(Instance{ID: "i-0", Service: "pool", Version: 2, Born: 5}, p.now)
 		p.MergeLimits([]LimitRecord{{Upstream: "i-0", Born: 5, Limited: true}}, p.now)
 		p.picks(1, Query{})
@@ -224,11 +224,11 @@
 
 // TestWaitingOrder checks who may use a permit while others wait, and how many wait.
 func TestWaitingOrder(t *testing.T) {
-	wait := func(p *limitedPool, priority granitehoist.Priority) (*Waiter, bool) {
+	wait := func(p *testPool, priority granitehoist.Priority) (*Waiter, bool) {
 		return p.NewWaiter(&Query{Service: "pool", Priority: priority, MaxWait: time.Second})
 	}
 	t.Run("the most urgent one first, and whoever came before", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.limit("i-0", 5)
 		p.permit("i-0", 9, 0, time.Second)
 		w, _ := wait(p, 5)
@@ -240,7 +240,7 @@
 		p.expect("when nobody waits", p.picks(1, Query{Priority: 4})["i-0"], 1)
 	})
 	t.Run("no more than can be served", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.limit("i-0", 2)
 		for range 3 {
 			if _, ok := wait(p, 5); !ok {
@@ -252,7 +252,7 @@
 		}
 	})
 	t.Run("the error says when a permit may be had", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		for _, id := range []granitehoist.Upstream{"i-0", "i-1"} {
 			p.limit(id, 2)
 			p.picks(1, Query{})
--- a/balance/rest_test.go
+++ b/balance/rest_test.go
@@ -12,7 +12,7 @@
 )
 
 // askRest makes an answer to a new request of an instance ask for rest.
-func (p *limitedPool) askRest(id granitehoist.Upstream, d time.Duration) {
+func (p *testPool) askRest(id granitehoist.Upstream, d time.Duration) {
 	p.t.Helper()
 	lease := p.leaseOf(id)
 	lease.Note(Statement{Rest: d}, p.now)
@@ -20,13 +20,13 @@
 }
 
 // after moves the time on.
-func (p *limitedPool) after(d time.Duration) { p.now = p.now.Add(d) }
+func (p *testPool) after(d time.Duration) { p.now = p.now.Add(d) }
 
 // TestRest checks for how long an instance gets nothing that asked for rest.
 func TestRest(t *testing.T) {
 	const rest = 3 * time.Second
-	resting := func(t *testing.T, instances int) *limitedPool {
-		p := newLimitedPool(t, instances)
+	resting := func(t *testing.T, instances int) *testPool {
+		p := newTestPool(t, instances)
 		p.askRest("i-0", rest)
 		return p
 	}
@@ -46,7 +46,7 @@
 		}
 	})
 	t.Run("of several rests the latest end holds", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		first, second := p.leaseOf("i-0"), p.leaseOf("i-0")
 		first.Note(Statement{Rest: rest}, p.now)
 		first.Done(Refused, p.now)
@@ -59,7 +59,7 @@
 		p.expect("i-0", p.picks(1, Query{})["i-0"], 1)
 	})
 	t.Run("what was under way before and ends well does not end it", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		before := p.leaseOf("i-0")
 		p.askRest("i-0", rest)
 		p.after(time.Second)
@@ -68,7 +68,7 @@
 		p.expect("i-0", p.picks(1, Query{})["i-0"], 0)
 	})
 	t.Run("a refusal that names no time does not end it, nor does a repeated entry", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		before := p.leaseOf("i-0")
 		p.askRest("i-0", rest)
 		before.Done(Refused, p.now)
@@ -77,14 +77,14 @@
 		p.expect("i-0", p.picks(1, Query{})["i-0"], 0)
 	})
 	t.Run("the next life begins without it", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.announceAgain(2, 40)
 		p.askRest("i-0", rest)
 		p.announceAgain(3, 50)
 		p.expect("i-0", p.picks(3, Query{})["i-0"], 3)
 	})
 	t.Run("a time beyond belief ends", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.askRest("i-0", 1e9*time.Second)
 		p.after(pushback.MaxRest - time.Second)
 		p.expect("before", p.picks(1, Query{})["i-0"], 0)
@@ -92,7 +92,7 @@
 		p.expect("after", p.picks(1, Query{})["i-0"], 1)
 	})
 	t.Run("a permit for it is not used", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		p.askRest("i-0", rest)
 		p.limit("i-0", 5)
 		p.permit("i-0", 3, 0, rest)
@@ -112,7 +112,7 @@
 		}
 	})
 	t.Run("of two that rest the error names the first end", func(t *testing.T) {
-		p := newLimitedPool(t, 2)
+		p := newTestPool(t, 2)
 		p.askRest("i-0", rest)
 		p.askRest("i-1", time.Second)
 		_, err := p.Pick(Query{Service: "pool"}, p.now)
@@ -125,14 +125,14 @@
 // TestRecovery checks how an instance gets its requests back after a rest.
 func TestRecovery(t *testing.T) {
 	const rest = time.Second
-	rested := func(t *testing.T) *limitedPool {
-		p := newLimitedPool(t, 1)
+	rested := func(t *testing.T) *testPool {
+		p := newTestPool(t, 1)
 		p.askRest("i-0", rest)
 		p.after(rest)
 		return p
 	}
 	// takes picks until there is no room, and returns the leases.
-	takes := func(p *limitedPool, most int) []*Lease {
+	takes := func(p *testPool, most int) []*Lease {
 		var leases []*Lease
 		for len(leases) < most {
 			lease, err := p.Pick(Query{Service: "pool"}, p.now)
@@ -200,7 +200,7 @@
 		p.expect("urgent", p.picks(1, Query{Priority: granitehoist.MaxPriority, Waiting: true})["i-0"], 1)
 	})
 	t.Run("an instance that never rested is not concerned", func(t *testing.T) {
-		p := newLimitedPool(t, 1)
+		p := newTestPool(t, 1)
 		p.expect("at once", len(takes(p, 100)), 100)
 	})
 }
--- a/balance/waiting.go
+++ b/balance/waiting.go
@@ -84,18 +84,18 @@
 	return true
 }
 
-// PermitsChanged returns a channel that is closed when waiting requests may find a permit
-// that they did not find before.
-func (t *Table) PermitsChanged() <-chan struct{} {
+// DeferredChanged returns a channel that is closed when waiting requests may find an
+// instance that they did not find before.
+func (t *Table) DeferredChanged() <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.permitsChanged
+	return t.deferredChanged
 }
 
-// wakeWaiting closes the channel of PermitsChanged. The caller holds mu.
+// wakeWaiting closes the channel of DeferredChanged. The caller holds mu.
 func (t *Table) wakeWaiting() {
-	close(t.permitsChanged)
-	t.permitsChanged = make(chan struct{})
+	close(t.deferredChanged)
+	t.deferredChanged = make(chan struct{})
 }
 
 // wakeAsker makes whoever receives from PermitsWanted look again. The caller holds mu.
--- a/forward/deferred.go
+++ b/forward/deferred.go
@@ -71,7 +71,7 @@
 	defer func() { a.progress.deferredFor += settings.Clock().Sub(started) }()
 	query.Waiting = true
 	err = a.await(ctx, query.MaxWait, func(now time.Time) (*obstacle, error) {
-		changed := settings.Table.PermitsChanged()
+		changed := settings.Table.DeferredChanged()
 		var later error
 		lease, later = settings.Table.Pick(query, now)
 		deferral, deferred := balance.DeferralOf(later)
--- a/node/logpace.go
+++ b/node/logpace.go
@@ -10,9 +10,9 @@
 	"granitehoist.example/granitehoist"
 )
 
-// limitLogInterval is the least time between two lines on the limit of one upstream; what
+// lineInterval is the least time between two lines of one kind on one upstream; what
 // changes meanwhile is not logged.
-const limitLogInterval = time.Second
+const lineInterval = time.Second
 
 // logPace bounds the lines that are logged of one upstream. The zero value is ready. It
 // is safe for concurrent use.
@@ -23,12 +23,12 @@
 }
 
 // allows decides whether a line on an upstream may be logged now: one each
-// limitLogInterval. It forgets the upstreams whose last line is older.
+// lineInterval. It forgets the upstreams whose last line is older.
 func (p *logPace) allows(u granitehoist.Upstream, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for other, at := range p.last {
-		if now.Sub(at) >= limitLogInterval {
+		if now.Sub(at) >= lineInterval {
 			delete(p.last, other)
 		}
 	}
