Pull evidence at a start until a neighbour has answered

A router that starts asked its neighbours once and counted that as read whether or not one answered: beside a roll they start as well.

--- a/node/suspects.go
+++ b/node/suspects.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/event"
@@ -111,20 +110,26 @@
 func (s *suspects) runStart(ctx context.Context) {
 	bound := time.AfterFunc(evidenceWait, s.gate.open)
 	defer bound.Stop()
-	for !s.peers.view().complete && !s.gate.isOpen() && ctx.Err() == nil {
+	for !s.gate.isOpen() && ctx.Err() == nil {
+		if s.peers.view().complete && s.pullOne(ctx) {
+			s.gate.read()
+			break
+		}
 		pause.For(ctx, startPoll)
 	}
-	if s.gate.isOpen() {
-		return
-	}
-	s.pull(ctx, s.peers.nextNeighbours(maxPullPeers))
-	s.gate.read()
 	select {
 	case <-s.gate.opened:
 	case <-ctx.Done():
 	}
 }
 
+// pullOne pulls from some neighbours, and reports whether one of them answered or there is
+// none. Those that have just started themselves know nothing, so that several are asked.
+func (s *suspects) pullOne(ctx context.Context) bool {
+	neighbours := s.peers.nextNeighbours(maxPullPeers)
+	return len(neighbours) == 0 || s.pull(ctx, neighbours) > 0
+}
+
 // observedAfter returns what this node saw after a version of its table.
 func (s *suspects) observedAfter(version uint64) (suspectNews, bool, uint64) {
 	records, upTo := s.table.ObservedAfter(version)
@@ -215,15 +220,20 @@
 	}
 }
 
-// pull fetches what neighbours know, and reports whether the fleet's secret is known then.
-func (s *suspects) pull(ctx context.Context, neighbours []peerEntry) bool {
-	var calls errgroup.Group
+// pull fetches what neighbours know, and returns how many of them answered.
+func (s *suspects) pull(ctx context.Context, neighbours []peerEntry) int {
+	var calls sync.WaitGroup
+	var answered atomic.Int32
 	for _, other := range neighbours {
-		calls.Go(func() error { return s.pullFrom(ctx, other.peer()) })
+		calls.Go(func() {
+			// The next round tries again, perhaps with others.
+			if s.pullFrom(ctx, other.peer()) == nil {
+				answered.Add(1)
+			}
+		})
 	}
-	// The next round tries again, perhaps with others.
-	_ = calls.Wait()
-	return s.table.Secret() != nil
+	calls.Wait()
+	return int(answered.Load())
 }
 
 // pullFrom fetches what one neighbour knows. Its error is that of the call.
--- a/node/suspectstore.go
+++ b/node/suspectstore.go
@@ -88,7 +88,7 @@
 // it did. try counts the calls.
 func (s *suspects) load(ctx context.Context, try int) bool {
 	relays := s.peers.view().relayEntries()
-	if len(relays) > 0 && s.pull(ctx, relays) {
+	if len(relays) > 0 && s.pull(ctx, relays) > 0 && s.table.Secret() != nil {
 		return true
 	}
 	if len(relays) > 0 && try <= relayLoads {
