--- a/partner/route/table.go
+++ b/partner/route/table.go
@@ -175,6 +175,7 @@
 	return nil, untried
 }
 
+// take counts a request at a member and returns its slot. The caller holds mu.
 func (t *Table) take(p *servicePool, m *member, now time.Time) *Slot {
 	m.inFlight++
 	p.inFlight++
