Look only at rested instances in the simulation of rests

The comparison of ways took most of 190 s that package balance needed under the race detector beside load, since it walked over all instances of all routers in each step.

--- a/balance/restways_test.go
+++ b/balance/restways_test.go
@@ -65,7 +65,9 @@
 	// turnedAway are the requests of which the routers learn that next, returning those of
 	// callers that were refused.
 	turnedAway, returning []*restRequest
-	outcome               restOutcome
+	// asked are the states of instances that asked a router for rest.
+	asked   []*instanceState
+	outcome restOutcome
 }
 
 // askedRest is a rest that one upstream asked one router for.
@@ -177,6 +179,7 @@
 	s.turnedAway = nil
 	for _, r := range before {
 		r.lease.Note(Statement{Rest: restAsked}, s.now)
+		s.asked = append(s.asked, r.lease.state)
 		r.lease.Done(Refused, s.now)
 	}
 	for _, r := range before {
@@ -245,14 +248,16 @@
 	if !s.way.atOnce {
 		return
 	}
-	for _, t := range s.tables {
-		for _, i := range t.instances {
-			if i.rest.Left(s.now) == 0 {
-				// It counts as having room for all.
-				i.rest.Took(s.now, 0)
-			}
+	asked := s.asked[:0]
+	for _, i := range s.asked {
+		if i.rest.Left(s.now) > 0 {
+			asked = append(asked, i)
+			continue
 		}
+		// It counts as having room for all.
+		i.rest.Took(s.now, 0)
 	}
+	s.asked = asked
 }
 
 // noteBack notes when the resting upstreams have four fifths of their share.
