Leave a caller whose request reached no upstream without a time to return

What callers saw since the mend of rests: a request that found only closed ports was told to come back after 0.3 s, where it could return at once before; and an upstream's short time of 0.2 s was told as 0.3 s.

Cause: the time for callers was computed for every refusal, with 0.3 s as the least.

Change: only refusals that name a time get one, and it is the time of the first rest or, where another upstream may take the request now, 0.3 s as before. Both cases are tests that fail without it.

--- a/forward/deferred.go
+++ b/forward/deferred.go
@@ -107,10 +107,11 @@
 
 // refusedForCaller returns the failure of a request that gets no further attempt. One that
 // the instances refused says when the caller may be served: the time that the last of them
-// named is only its own, while others may take a request sooner.
+// named is only its own, while others may take a request sooner. One that reached none keeps
+// its error, by which the caller may return at once.
 func (a *activeRequest) refusedForCaller(failure error) error {
 	var refused *granitehoist.Error
-	if !errors.As(failure, &refused) || refused.Code != granitehoist.UpstreamRefused {
+	if !errors.As(failure, &refused) || refused.Code != granitehoist.UpstreamRefused || refused.RetryAfter == 0 {
 		return failure
 	}
 	query := a.query()
@@ -120,6 +121,9 @@
 		return failure
 	}
 	sooner := *refused
-	sooner.RetryAfter = max(refusalRules[refusedByInstance].retryAfter, spread(chance, rand.Float64()))
+	sooner.RetryAfter = refusalRules[refusedByInstance].retryAfter
+	if chance > 0 {
+		sooner.RetryAfter = spread(chance, rand.Float64())
+	}
 	return &sooner
 }
--- a/forward/statements_test.go
+++ b/forward/statements_test.go
@@ -122,6 +122,18 @@
 		Expect(refused.RetryAfter).To(And(BeNumerically(">", 900*time.Millisecond), BeNumerically("<=", 1250*time.Millisecond)))
 	})
 
+	It("is told to the caller as it is, also if it is short", func() {
+		turnsAwayOnce("i-1", "0.2")
+		Expect(serve().RetryAfter).To(And(BeNumerically(">", 180*time.Millisecond), BeNumerically("<=", 250*time.Millisecond)))
+	})
+
+	It("is not told to a caller whose request reached no worker", func() {
+		s.worker(desk, "i-1", always(standin.WorkerAnswer{})).Close()
+		refused := serve()
+		Expect(refused.Code).To(Equal(granitehoist.UpstreamRefused))
+		Expect(refused.RetryAfter).To(BeZero())
+	})
+
 	It("costs a request one attempt, which another worker serves", func() {
 		turnsAwayOnce("i-1", "3")
 		s.worker(desk, "i-2", always(standin.WorkerAnswer{Body: "answer"}))
