Count dials and rejections, and log what an upstream says of its rejections

Change: metrics upstream_dials (by result) and upstream_rejections (by service); the line of an attempt has rejection_limit= and ejected=true.

--- a/balance/choice.go
+++ b/balance/choice.go
@@ -168,7 +168,7 @@
 	if q.PrefixHash != 0 && s != owner {
 		s.rememberPrefix(q.PrefixHash, now)
 	}
-	lease := &Lease{Instance: s.Instance, PrefixOwner: s == owner, Load: s.inFlight, table: t, state: s, pendingTokens: uncached, picked: now, Heavy: q.heavy, Slow: s.slow}
+	lease := &Lease{Instance: s.Instance, PrefixOwner: s == owner, Load: s.inFlight, table: t, state: s, pendingTokens: uncached, picked: now, Heavy: q.heavy, Slow: s.slow, Ejected: s.ejected(now)}
 	s.inFlight++
 	s.queuedTokens += uncached
 	if s.isCold(now) {
--- a/balance/feedback.go
+++ b/balance/feedback.go
@@ -16,6 +16,10 @@
 	Backoff time.Duration
 	// Accepted reports that the instance accepted the request.
 	Accepted bool
+	// RejectionLimit is the number of requests a second that the instance can reject for
+	// lack of capacity; it crashes if it has to reject more. Zero means that the response
+	// states none.
+	RejectionLimit int
 }
 
 // Observe records the information in a response of the instance. It must not be called
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -18,6 +18,8 @@
 	// Slow reports that the instance is slow for its service, Heavy that the prompt is
 	// heavy (slow.go).
 	Slow, Heavy bool
+	// Ejected reports that the instance was ejected and no other could be chosen.
+	Ejected bool
 	// Load is the number of this router's other attempts in progress at the instance.
 	Load int
 	// Crossing says whether the instance is in another zone or region and why.
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -25,6 +25,8 @@
 	// OnOpen, if set, is called for each new connection, by the goroutine that
 	// opened it.
 	OnOpen func()
+	// OnDial, if set, is called with the result of each dial, by the goroutine that dialed.
+	OnDial func(DialResult)
 }
 
 const (
@@ -128,6 +130,9 @@
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	started := p.settings.Clock()
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if p.settings.OnDial != nil {
+		p.settings.OnDial(dialResultOf(err))
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/forward/active.go
+++ b/forward/active.go
@@ -53,8 +53,9 @@
 	// tried holds the instances to which the request was sent.
 	tried    map[granitehoist.Upstream]bool
 	attempts int
-	// runs is the number of attempts that ran or may have run.
-	runs int
+	// runs is the number of attempts that ran or may have run. rejections is the number of
+	// those that the instance rejected.
+	runs, rejections int
 	// started is set once the response head was relayed, at firstByteAt.
 	started     bool
 	firstByteAt time.Time
@@ -200,7 +201,7 @@
 	settings.Rollouts.Sent(a.admission.service.Name, lease.Release, sent)
 	result := a.attempt(ctx, lease, afterEvent)
 	a.recordOutcome(ctx, lease, &result)
-	a.countRun(result.err)
+	a.countRun(&result)
 	decision := a.nextAttempt(ctx, &result)
 	if result.failure != nil && !decision.allowed {
 		result.err = a.relayBuffered(*result.failure)
@@ -214,9 +215,12 @@
 	return decision, result.err
 }
 
-// countRun counts an attempt with result err if it ran or may have run.
-func (a *activeRequest) countRun(err error) {
-	if executionOf(err) != granitehoist.NotRun {
+// countRun counts an attempt that ran or may have run, or that the instance rejected.
+func (a *activeRequest) countRun(result *attemptResult) {
+	switch {
+	case result.class == responseRefused:
+		a.progress.rejections++
+	case executionOf(result.err) != granitehoist.NotRun:
 		a.progress.runs++
 	}
 }
@@ -293,7 +297,7 @@
 // end logs the request and reports it to Settings.OnEnd.
 func (a *activeRequest) end(err error) {
 	now := a.forwarder.settings.Clock()
-	report := Report{Code: granitehoist.CodeOf(err), Attempts: a.progress.attempts, Budget: a.progress.budget.Outcome, Duration: now.Sub(a.request.Arrived)}
+	report := Report{Code: granitehoist.CodeOf(err), Attempts: a.progress.attempts, Rejections: a.progress.rejections, Budget: a.progress.budget.Outcome, Duration: now.Sub(a.request.Arrived)}
 	if a.admission.service != nil {
 		report.Service = a.admission.service.Name
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -78,6 +78,8 @@
 	Code granitehoist.Code
 	// Attempts is the number of attempts, including those that did not run.
 	Attempts int
+	// Rejections is the number of attempts that the instance rejected.
+	Rejections int
 	// Budget is the outcome of the reservation; Granted if none was needed.
 	Budget escrow.Outcome
 	// Duration is the time from the arrival of the request to its end.
--- a/forward/log.go
+++ b/forward/log.go
@@ -93,6 +93,9 @@
 	if s.Backoff > 0 {
 		fields = append(fields, zap.Duration("rest", s.Backoff))
 	}
+	if s.RejectionLimit > 0 {
+		fields = append(fields, zap.Int("rejection_limit", s.RejectionLimit))
+	}
 	return fields
 }
 
@@ -100,7 +103,8 @@
 // "entry" is the version of the instance's entry, "home" whether the instance owns the
 // prefix of the prompt, "pause" the longest gap between events, and "after" the last event
 // that the caller has. "crosses" and "why" are logged if the instance is in another zone or
-// region, "crashed" if the upstream crashed during the attempt.
+// region, "crashed" if the upstream crashed during the attempt, "ejected" if it was ejected
+// and no other could be chosen.
 func (a *activeRequest) logAttempt(l *balance.Lease, result *attemptResult, took time.Duration) {
 	fields := []zap.Field{
 		zap.String("request", string(a.request.ID)),
@@ -119,6 +123,9 @@
 	if result.err != nil {
 		fields = append(fields, zap.Error(result.err))
 	}
+	if l.Ejected {
+		fields = append(fields, zap.Bool("ejected", true))
+	}
 	fields = append(fields, feedbackFields(result.feedback)...)
 	if result.crashed {
 		fields = append(fields, zap.Bool("crashed", true))
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -14,6 +14,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/escrow"
+	"granitehoist.example/granitehoist/exchange"
 	"granitehoist.example/granitehoist/forward"
 )
 
@@ -33,6 +34,8 @@
 	metricDuration            = "took_seconds"
 	metricFirstByte           = "first_seconds"
 	metricConnections         = "upstream_connections"
+	metricDials               = "upstream_dials"
+	metricRejections          = "upstream_rejections"
 	metricSuspects            = "suspects"
 	metricSuspectsRefused     = "suspects_refused"
 	metricUpstreamsEjected    = "upstream_out"
@@ -54,7 +57,7 @@
 func MetricNames() []string {
 	return []string{
 		metricActiveRequests, metricRouters, metricConfigVersion, metricConfigAge, metricInstancesAge, metricBudgetFree, metricBudgetSpent, metricStoreRemaining,
-		metricRequests, metricAttempts, metricRefusals, metricDuration, metricFirstByte, metricConnections, metricSuspects, metricSuspectsRefused, metricUpstreamsEjected, metricUpstreamsLeaving, metricUpstreamsBackingOff, metricAvoidedChoices, metricUpstreamLimit, metricPermits, metricRolloutShare, metricRolloutAnswers, metricStoreCalls, metricLogLinesDropped,
+		metricRequests, metricAttempts, metricRefusals, metricDuration, metricFirstByte, metricConnections, metricDials, metricRejections, metricSuspects, metricSuspectsRefused, metricUpstreamsEjected, metricUpstreamsLeaving, metricUpstreamsBackingOff, metricAvoidedChoices, metricUpstreamLimit, metricPermits, metricRolloutShare, metricRolloutAnswers, metricStoreCalls, metricLogLinesDropped,
 		metricCrossings, metricCrossedBytes, metricCrossedTokens,
 	}
 }
@@ -104,6 +107,9 @@
 func (c *counters) countRequest(r forward.Report) {
 	c.count(1, metricRequests, "service=%q,code=\"%d\"", r.Service, int(r.Code))
 	c.count(int64(r.Attempts), metricAttempts, "service=%q", r.Service)
+	if r.Rejections > 0 {
+		c.count(int64(r.Rejections), metricRejections, "service=%q", r.Service)
+	}
 	if r.Budget != escrow.Granted {
 		c.count(1, metricRefusals, "workspace=%q,outcome=%q", r.Workspace, r.Budget)
 	}
@@ -116,6 +122,9 @@
 	}
 }
 
+// countDial counts a dial to an upstream.
+func (c *counters) countDial(r exchange.DialResult) { c.count(1, metricDials, "result=%q", r) }
+
 // countCrossing counts an attempt that left the router's zone.
 func (c *counters) countCrossing(t forward.CrossedTraffic) {
 	const labels = "to=%q,reason=%q,service=%q"
