--- a/standin/workerresponse.go
+++ b/standin/workerresponse.go
@@ -47,6 +47,9 @@
 	// Leaving and RetryAfter hold the values of the headers Server-Leaving and Retry-After;
 	// nil omits the header.
 	Leaving, RetryAfter []string
+	// RejectionLimit is the value of the header Server-Brittle, the number of requests a
+	// second that the worker can reject; zero omits it.
+	RejectionLimit int
 }
 
 // Cut says whether and where a response is truncated. The zero value leaves it complete.
@@ -146,6 +149,9 @@
 	for _, value := range response.RetryAfter {
 		fmt.Fprintf(&head, "Retry-After: %s\r\n", value)
 	}
+	if response.RejectionLimit > 0 {
+		fmt.Fprintf(&head, "Server-Brittle: %d\r\n", response.RejectionLimit)
+	}
 	if response.NotRun {
 		head.WriteString("Not-Executed: 1\r\n")
 	}
