Serve through a neighbour while a router is partitioned from all upstreams

What callers saw: at routers that could not reach any upstream nearly every request ran into up to four dial timeouts of 0.4 s and was refused after 1.6 s, or its caller gave up, while the other routers served nearly all.

Cause: a router judged each upstream by itself. Dials that failed to all of them were taken for failures of each of them; there was no notion of the router's own path, and no other path.

Evidence: four attempts of 0.400 s in a row in nearly every refusal, spread over all upstreams, while neighbours dialed the same upstreams; in the second partition only connections opened before it served.

Change: dials to two upstreams that fail in a row, without a success in between, mean that the direct path is lost (exchange/path.go). New connections then go through a neighbour that says that it reaches the upstreams (upstreams.reach), over CONNECT with framed responses (package tunnel). All decisions on a request stay at its router, so that retries, budgets and promises are those of a direct connection. A probe every 0.25 s finds the direct path again. Failures up to the change don't eject upstreams. Without a detour the request is refused at once (5006, not run); a router beside which only older versions reach upstreams is not ready.

Why it works: the detour depends on neighbours alone, whatever the share of routers, the zone or the kind of the cut; one router with a path suffices.

--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -104,3 +104,14 @@
 	doublings := min(failuresInRow-ejectAfterFailures, maxEjectionDoublings)
 	return min(maxEjection, ejection<<doublings)
 }
+
+// ForgetFailures resets the health of all instances. It is meant for failures that had
+// another cause than the instances, such as a partition of this router.
+func (t *Table) ForgetFailures() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.instances {
+		s.health = health{}
+	}
+	t.wakeWaiters()
+}
--- a/balance/membership.go
+++ b/balance/membership.go
@@ -125,3 +125,33 @@
 		}
 	}
 }
+
+// Lookup returns an announced instance, or one whose announcement was removed a short while
+// ago, and whether the table has it.
+func (t *Table) Lookup(id granitehoist.Upstream) (Instance, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, found := t.instances[id]
+	if !found {
+		return Instance{}, false
+	}
+	return s.Instance, true
+}
+
+// Sample returns up to count different instances that are announced and not leaving, in no
+// particular order.
+func (t *Table) Sample(count int) []Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var sample []Instance
+	// The iteration begins at a random instance.
+	for _, s := range t.instances {
+		if len(sample) >= count {
+			break
+		}
+		if !s.isLeaving() && s.removedAt.IsZero() {
+			sample = append(sample, s.Instance)
+		}
+	}
+	return sample
+}
--- a/codes.go
+++ b/codes.go
@@ -51,18 +51,20 @@
 	UpstreamCut       Code = 5003
 	AnswerCrossed     Code = 5004
 	UpstreamBadAnswer Code = 5005
-	AlreadyRun        Code = 6001
-	OnceUnsure        Code = 6002
-	OnceUnavailable   Code = 6003
-	Internal          Code = 6004
-	NotReady          Code = 6005
-	RouterLive        Code = 6006
-	NotAuthorised     Code = 7001
-	DocumentBad       Code = 7002
-	DocumentConflict  Code = 7003
-	StoreDown         Code = 7004
-	DocumentPending   Code = 7005
-	DocumentUnsettled Code = 7006
+	// UpstreamsUnreachable concerns the router rather than an upstream.
+	UpstreamsUnreachable Code = 5006
+	AlreadyRun           Code = 6001
+	OnceUnsure           Code = 6002
+	OnceUnavailable      Code = 6003
+	Internal             Code = 6004
+	NotReady             Code = 6005
+	RouterLive           Code = 6006
+	NotAuthorised        Code = 7001
+	DocumentBad          Code = 7002
+	DocumentConflict     Code = 7003
+	StoreDown            Code = 7004
+	DocumentPending      Code = 7005
+	DocumentUnsettled    Code = 7006
 )
 
 // ExecutionStatus is the execution status of a request: whether an upstream ran it, as far
@@ -150,6 +152,7 @@
 	{UpstreamCut, "upstream_cut", MayHaveRun, http.StatusBadGateway, AdviceCheck, "the answer of the upstream ended early"},
 	{AnswerCrossed, "answer_crossed", MayHaveRun, http.StatusBadGateway, AdviceCheck, "the upstream gave the answer of another request"},
 	{UpstreamBadAnswer, "upstream_bad_answer", MayHaveRun, http.StatusBadGateway, AdviceCheck, "the answer of the upstream can't be read"},
+	{UpstreamsUnreachable, "upstreams_unreachable", NotRun, http.StatusServiceUnavailable, AdviceRetryLater, "this router reaches no upstream"},
 	{AlreadyRun, "already_run", Ran, http.StatusConflict, AdviceNone, "this request has already run"},
 	{OnceUnsure, "once_unsure", MayHaveRun, http.StatusConflict, AdviceCheck, "an earlier attempt of this request may have run"},
 	{OnceUnavailable, "once_unavailable", NotRun, http.StatusServiceUnavailable, AdviceRetryLater, "a request not to be repeated can't be bound now"},
--- a/exchange/dialresult.go
+++ b/exchange/dialresult.go
@@ -28,8 +28,8 @@
 	DialFailed DialResult = "failed"
 )
 
-// dialResultOf returns the result of a dial that ended with err.
-func dialResultOf(err error) DialResult {
+// DialResultOf returns the result of a dial that ended with err.
+func DialResultOf(err error) DialResult {
 	var timeout net.Error
 	switch {
 	case err == nil:
--- a/exchange/dialresult_test.go
+++ b/exchange/dialresult_test.go
@@ -21,11 +21,11 @@
 		DialCancelled: &net.OpError{Op: "dial", Err: context.Canceled},
 		DialFailed:    errors.New("too many open files"),
 	} {
-		if got := dialResultOf(err); got != want {
-			t.Errorf("dialResultOf(%v) = %s, want %s", err, got, want)
+		if got := DialResultOf(err); got != want {
+			t.Errorf("DialResultOf(%v) = %s, want %s", err, got, want)
 		}
 	}
-	if got := dialResultOf(syscall.ECONNRESET); got != DialRefused {
+	if got := DialResultOf(syscall.ECONNRESET); got != DialRefused {
 		t.Errorf("a reset counts as %s, want %s", got, DialRefused)
 	}
 }
--- a/exchange/doc.go
+++ b/exchange/doc.go
@@ -19,6 +19,9 @@
 // keep-alive probes and TCP_USER_TIMEOUT detect unresponsive peers; deadlines come from the
 // caller's context.
 //
+// While dials to different upstreams fail in a row, the direct path counts as lost, and the
+// Pool opens connections through a Detour (path.go, dial.go).
+//
 // The decisions are pure functions: when an idle connection may be reused (reuse.go),
 // whether a response belongs to the request and what a read error means (response.go), and
 // when a connection must be closed (closereason.go). Begin reading at Pool.Do.
--- a/exchange/down.go
+++ b/exchange/down.go
@@ -10,6 +10,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"granitehoist.example/granitehoist"
 )
 
 // downTimeout bounds the connection attempt of IsDown. A port without a listener refuses
@@ -45,22 +47,22 @@
 // connection. A proxy or a supervisor that holds the socket may still accept connections
 // for a crashed upstream, but closes them. IsDown opens a connection, sends nothing and
 // closes it. It takes up to downTimeout, and returns false if ctx ends first.
-func (p *Pool) IsDown(ctx context.Context, address string) bool {
-	return p.closesWithin(ctx, address, minOpenTime)
+func (p *Pool) IsDown(ctx context.Context, upstream granitehoist.Upstream, address string) bool {
+	return p.closesWithin(ctx, upstream, address, minOpenTime)
 }
 
 // IsDownBeforeSuspect is IsDown with suspectOpenTime in place of minOpenTime, for the check
 // before a suspect request is sent.
-func (p *Pool) IsDownBeforeSuspect(ctx context.Context, address string) bool {
-	return p.closesWithin(ctx, address, suspectOpenTime)
+func (p *Pool) IsDownBeforeSuspect(ctx context.Context, upstream granitehoist.Upstream, address string) bool {
+	return p.closesWithin(ctx, upstream, address, suspectOpenTime)
 }
 
 // closesWithin reports whether an address refuses connections or closes a new one within
 // openTime.
-func (p *Pool) closesWithin(ctx context.Context, address string, openTime time.Duration) bool {
+func (p *Pool) closesWithin(ctx context.Context, upstream granitehoist.Upstream, address string, openTime time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, downTimeout)
 	defer cancel()
-	c, err := p.dial(ctx, address)
+	c, err := p.DialDirect(ctx, upstream, address)
 	if err != nil {
 		// A reset may arrive while the connection is being established.
 		return errors.Is(err, syscall.ECONNREFUSED) || ClosedByPeer(err)
--- a/exchange/down_test.go
+++ b/exchange/down_test.go
@@ -38,12 +38,12 @@
 	It("is down if nothing listens at its address", func() {
 		listener := listen()
 		Expect(listener.Close()).To(Succeed())
-		Expect(exchange.NewPool(exchange.Settings{}).IsDown(context.Background(), listener.Addr().String())).To(BeTrue())
+		Expect(exchange.NewPool(exchange.Settings{}).IsDown(context.Background(), "i-1", listener.Addr().String())).To(BeTrue())
 	})
 
 	It("is not down if it accepts connections; the probe connection is closed", func() {
 		listener := listen()
-		Expect(exchange.NewPool(exchange.Settings{}).IsDown(context.Background(), listener.Addr().String())).To(BeFalse())
+		Expect(exchange.NewPool(exchange.Settings{}).IsDown(context.Background(), "i-1", listener.Addr().String())).To(BeFalse())
 		conn, err := listener.Accept()
 		Expect(err).NotTo(HaveOccurred())
 		_, err = conn.Read(make([]byte, 1))
@@ -61,13 +61,13 @@
 					_ = conn.Close()
 				}
 			}()
-			Expect(exchange.NewPool(exchange.Settings{}).IsDown(context.Background(), listener.Addr().String())).To(BeTrue())
+			Expect(exchange.NewPool(exchange.Settings{}).IsDown(context.Background(), "i-1", listener.Addr().String())).To(BeTrue())
 		}
 	})
 
 	It("is not down if the context has ended", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		Expect(exchange.NewPool(exchange.Settings{}).IsDown(ctx, listen().Addr().String())).To(BeFalse())
+		Expect(exchange.NewPool(exchange.Settings{}).IsDown(ctx, "i-1", listen().Addr().String())).To(BeFalse())
 	})
 })
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -15,9 +15,10 @@
 
 // Request is an HTTP request to one upstream.
 type Request struct {
-	// Address is the host:port of the upstream.
-	Address string
-	Method  string
+	// Upstream identifies the upstream at Address, which is host:port.
+	Upstream granitehoist.Upstream
+	Address  string
+	Method   string
 	// Target is the request target: the escaped path and query.
 	Target string
 	Host   string
@@ -62,14 +63,15 @@
 func (r *Response) Close() { r.end(r.complete) }
 
 // Do sends a request and returns the response after its head was read. Errors are of type
-// *granitehoist.Error, with code UpstreamRefused if nothing was sent, and UpstreamLost,
-// UpstreamBadAnswer or AnswerCrossed if the upstream may have run the request. When ctx ends
+// *granitehoist.Error, with code UpstreamRefused or UpstreamsUnreachable if nothing was sent,
+// and UpstreamLost, UpstreamBadAnswer or AnswerCrossed if the upstream may have run the
+// request. When ctx ends
 // the connection is closed, also while the body is read. now is the current time on
 // Settings.Clock.
 func (p *Pool) Do(ctx context.Context, r Request, now time.Time) (*Response, error) {
-	c, err := p.get(ctx, r.Address, r.MaxIdle, now)
+	c, err := p.get(ctx, &r, now)
 	if err != nil {
-		return nil, granitehoist.Wrap(granitehoist.UpstreamRefused, err, "cannot connect")
+		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { discard(c) })
 	progress := newWriteProgress()
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -4,11 +4,8 @@
 package exchange
 
 import (
-	"bufio"
 	"context"
-	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"granitehoist.example/granitehoist"
@@ -25,19 +22,18 @@
 	// Dialer opens the connections; nil means a net.Dialer that detects unresponsive
 	// peers. Connections that do not implement syscall.Conn are not reused.
 	Dialer Dialer
-	// OnOpen, if set, is called for each new connection, by the goroutine that
-	// opened it.
-	OnOpen func()
-	// OnDial, if set, is called with the result of each dial, by the goroutine that dialed.
-	OnDial func(DialResult)
+	// Detour opens connections while the direct path to the upstreams is lost; nil means
+	// that there is none.
+	Detour Detour
+	// OnDial, if set, is called with the result of each direct dial, and OnOpen for each
+	// that succeeded, by the goroutine that dialed. OnPathChange, if set, is called in the
+	// same way when the direct path is lost or regained, with its state.
+	OnOpen       func()
+	OnDial       func(DialResult)
+	OnPathChange func(PathState)
 }
 
 const (
-	// connectTimeout bounds a dial, so that time is left for another attempt.
-	connectTimeout = 400 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the kernel
-	// closes the connection.
-	unackedTimeout = 1500 * time.Millisecond
 	// idleTimeout is the maximum idle time of a connection, and the default for upstreams
 	// that send no keep-alive timeout.
 	idleTimeout = 4 * time.Second
@@ -46,17 +42,11 @@
 	maxIdlePerUpstream = 16
 )
 
-// Dialer opens connections, like net.Dialer. Implementations must be safe for concurrent
-// use.
-type Dialer interface {
-	// DialContext connects to address until ctx ends.
-	DialContext(ctx context.Context, network, address string) (net.Conn, error)
-}
-
 // Pool sends requests to upstreams over a pool of persistent connections. It is safe for
 // concurrent use. Create one with NewPool.
 type Pool struct {
 	settings Settings
+	path     directPath
 
 	// mu guards idle.
 	mu sync.Mutex
@@ -64,55 +54,36 @@
 	idle map[string][]*conn
 }
 
-// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT: how long, in milliseconds, sent
-// bytes may stay unacknowledged. Package syscall lacks it on some architectures.
-const tcpUserTimeout = 18
-
-const (
-	// probeInterval is the idle time before the first TCP keep-alive probe and the time
-	// between probes. One second is the minimum of the socket option.
-	probeInterval = time.Second
-	// maxProbes is the number of unanswered probes after which the kernel closes a
-	// connection.
-	maxProbes = 2
-)
-
 // NewPool returns a Pool without connections.
 func NewPool(s Settings) *Pool {
 	if s.Clock == nil {
 		s.Clock = time.Now
 	}
 	if s.Dialer == nil {
-		s.Dialer = newDialer()
+		s.Dialer = NewDialer()
 	}
-	return &Pool{settings: s, idle: map[string][]*conn{}}
-}
-
-// newDialer returns a dialer whose connections detect unresponsive peers.
-func newDialer() *net.Dialer {
-	return &net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     probeInterval,
-			Interval: probeInterval,
-			Count:    maxProbes,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) {
-				// Without the option an unresponsive peer is detected later, by the
-				// keep-alive probes or the deadline of the attempt.
-				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-			})
-		},
+	if s.Detour == nil {
+		s.Detour = noDetour{}
 	}
+	if s.OnOpen == nil {
+		s.OnOpen = func() {}
+	}
+	if s.OnDial == nil {
+		s.OnDial = func(DialResult) {}
+	}
+	if s.OnPathChange == nil {
+		s.OnPathChange = func(PathState) {}
+	}
+	return &Pool{settings: s, idle: map[string][]*conn{}}
 }
 
-// get returns a reusable idle connection to address, or else a new one.
-func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration, now time.Time) (*conn, error) {
+// get returns a reusable idle connection for a request, or else a new one. Its error is
+// that of dial.
+func (p *Pool) get(ctx context.Context, r *Request, now time.Time) (*conn, error) {
 	for {
-		c := p.takeIdle(address, maxIdle, now)
+		c := p.takeIdle(r.Address, r.MaxIdle, now)
 		if c == nil {
-			return p.dial(ctx, address)
+			return p.dial(ctx, r.Upstream, r.Address)
 		}
 		if c.healthy() {
 			return c, nil
@@ -140,25 +111,6 @@
 	return nil
 }
 
-// dial opens a connection and reports it to Settings.OnOpen.
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	started := p.settings.Clock()
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	raw, err := p.settings.Dialer.DialContext(ctx, "tcp", address)
-	if p.settings.OnDial != nil {
-		p.settings.OnDial(dialResultOf(err))
-	}
-	if err != nil {
-		return nil, err
-	}
-	if p.settings.OnOpen != nil {
-		p.settings.OnOpen()
-	}
-	metered := p.settings.Meter.Conn(raw)
-	return &conn{Conn: metered, reader: bufio.NewReaderSize(metered, readBufferBytes), address: address, connectTime: p.settings.Clock().Sub(started)}, nil
-}
-
 // put adds a connection to the idle ones, or closes it if there are too many. keepAlive is
 // the keep-alive timeout that the upstream sent, zero if it sent none.
 func (p *Pool) put(c *conn, keepAlive time.Duration, now time.Time) {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -71,10 +71,7 @@
 	now := a.forwarder.settings.Clock()
 	response, err := a.forwarder.settings.Pool.Do(ctx, a.upstreamRequest(lease, afterEvent, now), now)
 	if err != nil {
-		return attemptResult{
-			err:    timer.attemptError(ctx, err),
-			unsent: granitehoist.CodeOf(err) == granitehoist.UpstreamRefused,
-		}
+		return attemptResult{err: a.withPathRetry(timer.attemptError(ctx, err)), unsent: isUnsent(err)}
 	}
 	defer response.Close()
 	headAt := a.forwarder.settings.Clock()
@@ -100,6 +97,23 @@
 	return result
 }
 
+// isUnsent reports whether an error of exchange.Pool.Do means that no byte was sent.
+func isUnsent(err error) bool {
+	code := granitehoist.CodeOf(err)
+	return code == granitehoist.UpstreamRefused || code == granitehoist.UpstreamsUnreachable
+}
+
+// withPathRetry adds a Retry-After to the error of a router that reaches no upstream,
+// and returns other errors unchanged.
+func (a *activeRequest) withPathRetry(err error) error {
+	if granitehoist.CodeOf(err) != granitehoist.UpstreamsUnreachable {
+		return err
+	}
+	refused := upstreamsUnreachable.error(a.timeLeft())
+	refused.Cause = err
+	return refused
+}
+
 // bufferFailure reads a 5xx response of the instance, which is relayed only if no other
 // attempt follows.
 func (r *attemptResult) bufferFailure(response *exchange.Response) {
@@ -134,13 +148,14 @@
 		LastEventID: afterEvent,
 	})
 	return exchange.Request{
-		Address: lease.Address,
-		Method:  request.Method,
-		Target:  request.Target,
-		Host:    request.Host,
-		Header:  header,
-		Body:    request.Body,
-		Matches: func(h http.Header) bool { return codec.Matches(request, h) },
-		MaxIdle: idleLimit(a.admission.route),
+		Upstream: lease.ID,
+		Address:  lease.Address,
+		Method:   request.Method,
+		Target:   request.Target,
+		Host:     request.Host,
+		Header:   header,
+		Body:     request.Body,
+		Matches:  func(h http.Header) bool { return codec.Matches(request, h) },
+		MaxIdle:  idleLimit(a.admission.route),
 	}
 }
--- a/forward/classify.go
+++ b/forward/classify.go
@@ -78,8 +78,8 @@
 //
 // Attempts that were misdirected, got a 5xx response, were relayed completely or got a
 // rejection of an invalid request have the same result whether or not the request ended.
-// Any other attempt is Inconclusive if the request ended or the response could not be
-// written to the caller. Otherwise it is Refused if the instance refused the request, and
+// Any other attempt is Inconclusive if the request ended, the response could not be written
+// to the caller or the router reaches no upstream. Otherwise it is Refused if the instance refused the request, and
 // Broken if not.
 func instanceResult(r *attemptResult, ended bool) balance.Result {
 	switch {
@@ -89,7 +89,7 @@
 		return balance.Failed
 	case r.err == nil, r.class == responseBadRequest:
 		return balance.Succeeded
-	case ended, granitehoist.CodeOf(r.err) == granitehoist.CallerGone:
+	case ended, granitehoist.CodeOf(r.err) == granitehoist.CallerGone, granitehoist.CodeOf(r.err) == granitehoist.UpstreamsUnreachable:
 		return balance.Inconclusive
 	case r.class == responseRefused:
 		return balance.Refused
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -54,6 +54,8 @@
 	instancesDeferred
 	// refusedByInstance: the instances to which the request was sent did not run it.
 	refusedByInstance
+	// upstreamsUnreachable: this router has no path to the upstreams.
+	upstreamsUnreachable
 )
 
 // Retry-After of the refusals: the time after which a retry by the caller may succeed.
@@ -75,6 +77,8 @@
 	// retry only once do not do so during it. With 700 ms callers were refused again and
 	// lost their one retry; no other value was tried.
 	unreachableRetry = 4500 * time.Millisecond
+	// unreachablePathRetry lets the caller reach another box, which may have a path.
+	unreachablePathRetry = 200 * time.Millisecond
 	// exhaustedRetry is the time within which an exhausted budget may be raised or
 	// reserved tokens may be returned.
 	exhaustedRetry = 5 * time.Second
@@ -118,6 +122,7 @@
 	noRegionAllowed:      {code: granitehoist.NoUpstream},
 	noInstance:           {code: granitehoist.NoUpstream, retryAfter: noInstanceRetry},
 	instancesDeferred:    {code: granitehoist.Overloaded, retryAfter: deferredRetry, capToTimeLeft: true},
+	upstreamsUnreachable: {code: granitehoist.UpstreamsUnreachable, retryAfter: unreachablePathRetry, capToTimeLeft: true},
 	refusedByInstance:    {code: granitehoist.UpstreamRefused, retryAfter: instanceRefusedRetry},
 }
 
--- a/forward/stalltimer.go
+++ b/forward/stalltimer.go
@@ -85,10 +85,10 @@
 }
 
 // attemptError returns the error of an attempt, with code UpstreamLost if the attempt was
-// cancelled because it stalled. The error of an attempt that was not sent
-// (UpstreamRefused) is unchanged, since the attempt did not run.
+// cancelled because it stalled. The error of an attempt that was not sent is unchanged,
+// since the attempt did not run.
 func (t *stallTimer) attemptError(ctx context.Context, err error) error {
-	if err == nil || !errors.Is(context.Cause(ctx), errStalled) || granitehoist.CodeOf(err) == granitehoist.UpstreamRefused {
+	if err == nil || !errors.Is(context.Cause(ctx), errStalled) || isUnsent(err) {
 		return err
 	}
 	return granitehoist.Wrap(granitehoist.UpstreamLost, err, "no progress")
--- a/forward/suspects.go
+++ b/forward/suspects.go
@@ -104,7 +104,7 @@
 	settings := &a.forwarder.settings
 	for {
 		lease, err := a.pick(ctx)
-		if err != nil || !a.progress.suspectStatus.isSuspect() || !settings.Pool.IsDownBeforeSuspect(ctx, lease.Address) {
+		if err != nil || !a.progress.suspectStatus.isSuspect() || !settings.Pool.IsDownBeforeSuspect(ctx, lease.ID, lease.Address) {
 			return lease, err
 		}
 		now := settings.Clock()
@@ -189,7 +189,7 @@
 	if !exchange.ClosedByPeer(err) || ctx.Err() != nil || settings.Table.IsLeaving(lease.ID) {
 		return false
 	}
-	return settings.Pool.IsDown(ctx, lease.Address)
+	return settings.Pool.IsDown(ctx, lease.ID, lease.Address)
 }
 
 // logSuspect logs that an instance crashed during the request.
--- a/layout_test.go
+++ b/layout_test.go
@@ -53,5 +53,6 @@
 	Entry(nil, "platform"),
 	Entry(nil, "fleet"),
 	Entry(nil, "store"),
+	Entry(nil, "tunnel"),
 	Entry(nil, "cmd/granitehoist-edge"),
 )
--- a/node/components.go
+++ b/node/components.go
@@ -38,13 +38,19 @@
 	signals *upstreamSignals
 	// limits fetches and issues the permits for upstreams with a rate limit.
 	limits *rateLimits
+	// detours opens connections through neighbours while the direct path to the upstreams
+	// is lost, and path probes that path. tunnels serves neighbours that have lost theirs.
+	detours *detours
+	path    *pathMonitor
+	tunnels *tunnels
 	// rollouts moves services to other releases of their upstreams.
 	rollouts *rollouts
 }
 
 // newComponents builds the components of a node. current holds the configuration that
-// they use, self is the node's own entry.
-func newComponents(n *Node, self peerEntry, current *catalog.Current) *components {
+// they use, self is the node's own entry, and tunnelAddress the address at which it opens
+// tunnels, empty if it opens none.
+func newComponents(n *Node, self peerEntry, tunnelAddress string, current *catalog.Current) *components {
 	c := &components{linkMeter: &linkmeter.Meter{}, deadlines: &boottime.Deadlines{}}
 	c.signals = newUpstreamSignals(n)
 	c.limits = newRateLimits(n)
@@ -59,7 +65,6 @@
 		OnLeaving:     c.signals.onLeaving,
 		OnBackoff:     c.signals.onBackoff,
 	})
-	c.pool = exchange.NewPool(exchange.Settings{Clock: n.clock, Dialer: n.config.UpstreamDialer, OnOpen: n.counters.counter(metricConnections), OnDial: n.counters.countDial, Meter: c.linkMeter})
 	c.peers = newPeers(peersSettings{
 		self:      self,
 		store:     n.adapter.Store,
@@ -69,6 +74,19 @@
 		regions:   n.config.Regions,
 		table:     c.table,
 	})
+	c.detours = newDetours(n, c.peers)
+	c.path = newPathMonitor(n, c.table, c.detours)
+	c.pool = exchange.NewPool(exchange.Settings{
+		Clock:        n.clock,
+		Dialer:       n.config.UpstreamDialer,
+		Detour:       c.detours,
+		OnOpen:       n.counters.counter(metricConnections),
+		OnDial:       n.counters.countDial,
+		OnPathChange: c.path.onChange,
+		Meter:        c.linkMeter,
+	})
+	c.path.pool = c.pool
+	c.tunnels = newTunnels(n, c, tunnelAddress)
 	c.suspects = newSuspects(n, c.peers)
 	c.signals.connect(c.table, c.peers)
 	c.limits.connect(c.table, c.peers)
--- a/node/config.go
+++ b/node/config.go
@@ -29,6 +29,9 @@
 	// PeerIP and PeerPort form the address at which neighbours reach the node.
 	PeerIP   string
 	PeerPort int
+	// TunnelPort is the port at PeerIP at which the node opens tunnels to upstreams for
+	// neighbours that have lost their path to them; zero opens none.
+	TunnelPort int
 	// CallerAddress and ReadinessAddress are the listening addresses, as IP:PORT, for
 	// callers and for the platform's health checks.
 	CallerAddress    string
@@ -85,6 +88,9 @@
 	if c.PeerPort <= 0 || c.PeerPort > maxPort {
 		return eris.Errorf("port for neighbours %d is not in the range 1 to %d", c.PeerPort, maxPort)
 	}
+	if c.TunnelPort < 0 || c.TunnelPort > maxPort || (c.TunnelPort > 0 && c.TunnelPort == c.PeerPort) {
+		return eris.Errorf("port for tunnels %d is not in the range 0 to %d, or is the port for neighbours", c.TunnelPort, maxPort)
+	}
 	if err := c.Rollout.Check(); err != nil {
 		return eris.Wrap(err, "roll-outs")
 	}
--- a/node/doc.go
+++ b/node/doc.go
@@ -18,6 +18,8 @@
 //     itself is in a suspect.Table.
 //   - upstreamSignals shares what upstreams say of themselves: rate limits, that they
 //     leave, and requests to back off.
+//   - detours knows the neighbours that open tunnels to upstreams, as of their responses in
+//     the last seconds; tunnels opens them for neighbours.
 //   - rateLimits fetches and issues the permits for upstreams with a rate limit.
 //   - Node.stopping is set by Stop, Node.shedding by watchLink. Both are atomic.
 //   - The node's entry in the store, boxes/BOX, is written only by the router of that box
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -76,6 +76,8 @@
 	clock granitehoist.Clock
 	// terms are the terms of roll-outs of the nodes started.
 	terms rollout.Terms
+	// withoutTunnels makes the nodes started open no tunnels for neighbours.
+	withoutTunnels bool
 }
 
 // lastIP is the last loopback address assigned to a node of any test, so that no two
@@ -117,7 +119,10 @@
 }
 
 // start starts a node with its own store front end.
-func (s *testFleet) start() *member {
+func (s *testFleet) start() *member { return s.startPartitioned(connected) }
+
+// startPartitioned starts a node in a partition from the workers.
+func (s *testFleet) startPartitioned(kind partitionKind) *member {
 	ip := nextIP()
 	front := &standin.PlatformStore{Store: s.store}
 	listener, err := net.Listen("tcp", ip+":8223")
@@ -133,7 +138,11 @@
 	config.MetricsAddress = ip + ":9464"
 	config.Clock = s.clock
 	config.Rollout = s.terms
+	if s.withoutTunnels {
+		config.TunnelPort = 0
+	}
 	cut := newPartition()
+	cut.set(kind)
 	config.UpstreamDialer = cut
 	m := s.run(config, front)
 	m.partition = cut
--- a/node/golden_test.go
+++ b/node/golden_test.go
@@ -56,6 +56,7 @@
 	{"greeting-leaving", decodeAs[greeting]},
 	{"permits-question", decodeAs[permitsParams]},
 	{"permits", decodeAs[permitsResult]},
+	{"reach", decodeAs[reachResult]},
 	{"rollout-report", decodeAs[rollout.ReportParams]},
 	{"rollout-reply", decodeAs[rollout.ReportResult]},
 	{"rollout-record", decodeAs[rollout.Record]},
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -36,6 +36,10 @@
 	metricConnections         = "upstream_connections"
 	metricDials               = "upstream_dials"
 	metricRejections          = "upstream_rejections"
+	metricPathLost            = "path_lost"
+	metricDetours             = "detour_dials"
+	metricTunnels             = "tunnels"
+	metricTunnelBytes         = "tunnel_bytes"
 	metricSuspects            = "suspects"
 	metricSuspectsRefused     = "suspects_refused"
 	metricUpstreamsEjected    = "upstream_out"
@@ -57,7 +61,7 @@
 func MetricNames() []string {
 	return []string{
 		metricActiveRequests, metricRouters, metricConfigVersion, metricConfigAge, metricInstancesAge, metricBudgetFree, metricBudgetSpent, metricStoreRemaining,
-		metricRequests, metricAttempts, metricRefusals, metricDuration, metricFirstByte, metricConnections, metricDials, metricRejections, metricSuspects, metricSuspectsRefused, metricUpstreamsEjected, metricUpstreamsLeaving, metricUpstreamsBackingOff, metricAvoidedChoices, metricUpstreamLimit, metricPermits, metricRolloutShare, metricRolloutAnswers, metricStoreCalls, metricLogLinesDropped,
+		metricRequests, metricAttempts, metricRefusals, metricDuration, metricFirstByte, metricConnections, metricDials, metricRejections, metricPathLost, metricDetours, metricTunnels, metricTunnelBytes, metricSuspects, metricSuspectsRefused, metricUpstreamsEjected, metricUpstreamsLeaving, metricUpstreamsBackingOff, metricAvoidedChoices, metricUpstreamLimit, metricPermits, metricRolloutShare, metricRolloutAnswers, metricStoreCalls, metricLogLinesDropped,
 		metricCrossings, metricCrossedBytes, metricCrossedTokens,
 	}
 }
@@ -125,6 +129,11 @@
 // countDial counts a dial to an upstream.
 func (c *counters) countDial(r exchange.DialResult) { c.count(1, metricDials, "result=%q", r) }
 
+// countTunnel counts the bytes of a tunnel that has ended.
+func (c *counters) countTunnel(bytes int64) {
+	metrics.GetOrRegisterCounter(metricTunnelBytes, c.registry).Inc(bytes)
+}
+
 // countCrossing counts an attempt that left the router's zone.
 func (c *counters) countCrossing(t forward.CrossedTraffic) {
 	const labels = "to=%q,reason=%q,service=%q"
@@ -179,6 +188,7 @@
 		fmt.Sprintf("%s %.3f", metricInstancesAge, n.instances.follower.Age(now).Seconds()),
 	}
 	lines = append(lines, n.upstreamLines(now)...)
+	lines = append(lines, n.pathLines()...)
 	lines = append(lines, n.components.rollouts.metricLines()...)
 	for _, limit := range n.components.table.Limits(now) {
 		lines = append(lines, fmt.Sprintf("%s{upstream=%q} %g", metricUpstreamLimit, limit.Upstream, float64(limit.Rate)))
@@ -214,6 +224,19 @@
 	}
 }
 
+// pathLines returns the metrics of the path to the upstreams and of the tunnels for
+// neighbours.
+func (n *Node) pathLines() []string {
+	lost := 0
+	if n.components.pool.Path() != exchange.PathOpen {
+		lost = 1
+	}
+	return []string{
+		fmt.Sprintf("%s %d", metricPathLost, lost),
+		fmt.Sprintf("%s %d", metricTunnels, n.components.tunnels.Open()),
+	}
+}
+
 // configLines returns the metrics of the active configuration and its workspaces, none
 // before the first configuration.
 func (n *Node) configLines() []string {
--- a/node/node.go
+++ b/node/node.go
@@ -68,7 +68,7 @@
 	n.prober.Interval = follow.ProbeInterval(c.ContactTime)
 	n.adapter.Store = &countedStore{Store: a.Store, count: n.counters.countStoreCall}
 	current := &catalog.Current{}
-	n.components = newComponents(n, selfEntry(c, n.incarnation, open.peers.Addr().String()), current)
+	n.components = newComponents(n, selfEntry(c, n.incarnation, open.peers.Addr().String()), open.tunnelAddress(), current)
 	n.configs = newConfigCopy(n, current)
 	n.instances = newInstanceCopy(n)
 	n.servers = newServers(n, open)
@@ -129,12 +129,16 @@
 	go n.components.signals.runPush(ctx)
 	go n.components.limits.runPermits(ctx)
 	go n.components.rollouts.run(ctx)
+	go n.components.path.run(ctx)
 	go n.watchLink(ctx)
 	go n.watchSuspensions(ctx)
 	go n.components.syncer.Run(ctx)
 	go n.serveCalls()
 	go n.serve(readyServer, n.servers.ready)
 	go n.serve(callersServer, n.servers.callers)
+	if n.servers.tunnels != nil {
+		go n.serve(tunnelServer, n.servers.tunnels)
+	}
 	if n.servers.metrics != nil {
 		go n.serve(metricsServer, n.servers.metrics)
 	}
--- a/node/partition_test.go
+++ b/node/partition_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -17,6 +18,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"granitehoist.example/granitehoist/internal/event"
 	"granitehoist.example/granitehoist/standin"
 )
 
@@ -202,3 +204,115 @@
 		}
 	}
 }
+
+// TestAllRoutersPartitioned guards against requests that are held although no router reaches
+// an upstream, and against refusals that outlast the partition.
+func TestAllRoutersPartitioned(t *testing.T) {
+	t.Parallel()
+	s := newTestFleet(t, 3)
+	s.configure(1, 1_000_000, "/a/")
+	for range 4 {
+		s.startWorker(standin.WorkerResponse{Body: "answer"})
+	}
+	s.awaitFleet("/a/x")
+	for _, m := range s.members {
+		m.partition.set(hanging)
+	}
+	began := time.Now()
+	all := s.sendLoad("/a/x", 40*time.Millisecond, partitionSettleTime+2*time.Second)
+	for _, e := range all {
+		if e.sent.Before(began.Add(partitionSettleTime)) {
+			continue
+		}
+		s.Expect(e.got.status).To(Equal(http.StatusServiceUnavailable))
+		s.Expect(e.got.header.Get("Retry-After")).NotTo(BeEmpty())
+		s.Expect(e.took).To(BeNumerically("<", 400*time.Millisecond))
+	}
+	for _, m := range s.members {
+		s.Expect(m.ready()).To(Equal(http.StatusOK), "no other router is better")
+		m.partition.set(connected)
+	}
+	time.Sleep(time.Second)
+	s.Expect(s.sendLoadStatuses("/a/x", 40*time.Millisecond, time.Second)).To(And(HaveLen(1), HaveKey(http.StatusOK)), "statuses afterwards")
+}
+
+// TestRouterStartsPartitioned guards against a router that is started again during a
+// partition and does not find a detour.
+func TestRouterStartsPartitioned(t *testing.T) {
+	t.Parallel()
+	s := newTestFleet(t, 3)
+	s.configure(1, 1_000_000, "/a/")
+	for range 4 {
+		s.startWorker(standin.WorkerResponse{Body: "answer"})
+	}
+	s.awaitFleet("/a/x")
+	started := s.startPartitioned(resetting)
+	s.Eventually(started.ready, stepTimeout).Should(Equal(http.StatusOK))
+	s.Eventually(started.status("/a/x"), partitionSettleTime).Should(Equal(http.StatusOK))
+	s.members = []*member{started}
+	s.Expect(s.sendLoadStatuses("/a/x", 40*time.Millisecond, time.Second)).To(And(HaveLen(1), HaveKey(http.StatusOK)), "statuses")
+	s.Expect(started.logs.FilterMessage(event.PathLost).Len()).To(Equal(1))
+}
+
+// TestPartitionedBesideOldVersion guards against a partitioned router that remains ready
+// although only routers without tunnels, as those of an older version, reach upstreams.
+func TestPartitionedBesideOldVersion(t *testing.T) {
+	t.Parallel()
+	s := newTestFleet(t, 0)
+	s.withoutTunnels = true
+	s.members = append(s.members, s.start())
+	s.withoutTunnels = false
+	s.members = append(s.members, s.start())
+	s.configure(1, 1_000_000, "/a/")
+	for range 4 {
+		s.startWorker(standin.WorkerResponse{Body: "answer"})
+	}
+	s.awaitFleet("/a/x")
+	m := s.members[1]
+	m.partition.set(resetting)
+	s.members = []*member{m}
+	began := time.Now()
+	all := s.sendLoad("/a/x", 40*time.Millisecond, partitionSettleTime+time.Second)
+	s.Expect(m.ready()).To(Equal(http.StatusServiceUnavailable))
+	for _, e := range all {
+		if e.sent.After(began.Add(partitionSettleTime)) {
+			s.Expect(e.got.status).To(Equal(http.StatusServiceUnavailable))
+			s.Expect(e.took).To(BeNumerically("<", 400*time.Millisecond))
+		}
+	}
+	m.partition.set(connected)
+	s.Eventually(m.ready, partitionSettleTime).Should(Equal(http.StatusOK))
+	s.Expect(m.status("/a/x")()).To(Equal(http.StatusOK))
+}
+
+// TestTunnelOutlivesStop guards against streams of a partitioned router that break when the
+// router which carries them stops in good order.
+func TestTunnelOutlivesStop(t *testing.T) {
+	t.Parallel()
+	s := newTestFleet(t, 2)
+	s.configure(1, 1_000_000, "/stream/")
+	for range 3 {
+		s.startWorker(standin.WorkerResponse{Events: 10, Gap: 100 * time.Millisecond})
+	}
+	s.awaitFleet("/stream/x")
+	m, carrier := s.members[0], s.members[1]
+	m.partition.set(resetting)
+	s.Eventually(m.status("/stream/x"), stepTimeout).Should(Equal(http.StatusOK))
+	s.Expect(carrier.metric("tunnels")).NotTo(Equal("0"))
+	var streams sync.WaitGroup
+	answers := make([]answer, 12)
+	for i := range answers {
+		streams.Go(func() {
+			got, err := m.ask("/stream/x", fmt.Sprintf("r-%d", i), "Token-Usage", "10,100")
+			s.Expect(err).NotTo(HaveOccurred())
+			answers[i] = got
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	carrier.node.Stop()
+	streams.Wait()
+	for _, got := range answers {
+		s.Expect(got.status).To(Equal(http.StatusOK))
+		s.Expect(strings.Count(got.body, "id: ")).To(Equal(10))
+	}
+}
--- /dev/null
+++ b/node/path.go
@@ -0,0 +1,82 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"granitehoist.example/granitehoist/balance"
+	"granitehoist.example/granitehoist/exchange"
+	"granitehoist.example/granitehoist/internal/event"
+	"granitehoist.example/granitehoist/internal/pause"
+)
+
+const (
+	// pathProbeInterval is the time between two probes of the direct path while it is lost.
+	pathProbeInterval = 250 * time.Millisecond
+	// pathProbes is the number of upstreams probed at a time.
+	pathProbes = 2
+)
+
+// pathMonitor probes the direct path to the upstreams while it is lost, so that the node
+// returns to it also if callers send nothing. It is safe for concurrent use.
+type pathMonitor struct {
+	table   *balance.Table
+	detours *detours
+	log     *zap.Logger
+	wake    chan struct{}
+	// pool is set before the first change of the path.
+	pool *exchange.Pool
+}
+
+// newPathMonitor returns a pathMonitor. Its pool must be set before use.
+func newPathMonitor(n *Node, t *balance.Table, d *detours) *pathMonitor {
+	return &pathMonitor{table: t, detours: d, log: n.log, wake: make(chan struct{}, 1)}
+}
+
+// onChange handles a path that was lost or regained. The failures of upstreams up to now
+// may have been those of the path.
+func (m *pathMonitor) onChange(state exchange.PathState) {
+	m.table.ForgetFailures()
+	if state == exchange.PathOpen {
+		m.log.Info(event.PathRegained)
+		return
+	}
+	m.log.Warn(event.PathLost)
+	wake(m.wake)
+}
+
+// run probes the path whenever it is lost, until ctx ends.
+func (m *pathMonitor) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		waitForWake(ctx, m.wake)
+		for ctx.Err() == nil && m.pool.Path() != exchange.PathOpen {
+			m.probe(ctx)
+			pause.For(ctx, pathProbeInterval)
+		}
+	}
+}
+
+// probe dials some upstreams and keeps a detour known.
+func (m *pathMonitor) probe(ctx context.Context) {
+	var dials sync.WaitGroup
+	for _, instance := range m.table.Sample(pathProbes) {
+		dials.Go(func() {
+			// The pool judges the path by the result.
+			_ = m.pool.Probe(ctx, instance.ID, instance.Address)
+		})
+	}
+	dials.Go(func() { _, _ = m.detours.route(ctx) })
+	dials.Wait()
+}
+
+// isolated reports whether this node reaches no upstream, directly or through a neighbour,
+// although another node may.
+func (m *pathMonitor) isolated(now time.Time) bool {
+	return m.pool.Path() == exchange.PathIsolated && m.detours.onlyOthersReach(now)
+}
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -26,6 +26,8 @@
 	// notReadyNoEvidence: the evidence against requests that crash upstreams has not been
 	// read yet.
 	notReadyNoEvidence
+	// notReadyIsolated: the node reaches no upstream, and another node may.
+	notReadyIsolated
 )
 
 // readinessInputs holds what readiness depends on.
@@ -39,6 +41,9 @@
 	hasInstances bool
 	// hasEvidence says that the evidence has been read, or that the wait for it is over.
 	hasEvidence bool
+	// isolated says that the node reaches no upstream, directly or through a neighbour, and
+	// that another node may.
+	isolated bool
 }
 
 // readiness decides whether a node is ready. The age of its data does not matter: a node
@@ -56,16 +61,20 @@
 		return notReadyNoInstances
 	case !s.hasEvidence:
 		return notReadyNoEvidence
+	case s.isolated:
+		return notReadyIsolated
 	default:
 		return readyForCallers
 	}
 }
 
 // asksCallersToReconnect decides whether responses ask callers to reconnect, so that they
-// reach another node: while this one stops or its link is nearly full. A node without a
+// reach another node: while this one stops, its link is nearly full or it is isolated. A node without a
 // configuration or instances does not, since the load balancer sends it callers only if
 // no other node is ready.
-func (s readinessInputs) asksCallersToReconnect() bool { return s.stopping || s.shedding }
+func (s readinessInputs) asksCallersToReconnect() bool {
+	return s.stopping || s.shedding || s.isolated
+}
 
 // readinessInputs collects the current inputs of readiness.
 func (n *Node) readinessInputs() readinessInputs {
@@ -75,6 +84,7 @@
 		hasConfig:    n.configs.catalog.Get() != nil,
 		hasInstances: n.instances.follower.HasCopy(),
 		hasEvidence:  n.components.suspects.gate.isOpen(),
+		isolated:     n.components.path.isolated(n.clock()),
 	}
 }
 
@@ -84,7 +94,7 @@
 // asksCallersToReconnect reports whether responses ask callers to reconnect. It runs for
 // every request, so it reads no more than it needs.
 func (n *Node) asksCallersToReconnect() bool {
-	return readinessInputs{stopping: n.stopping.Load(), shedding: n.shedding.Load()}.asksCallersToReconnect()
+	return readinessInputs{stopping: n.stopping.Load(), shedding: n.shedding.Load(), isolated: n.components.path.isolated(n.clock())}.asksCallersToReconnect()
 }
 
 // serveReady serves the platform's health checks.
--- a/node/readiness_test.go
+++ b/node/readiness_test.go
@@ -35,6 +35,7 @@
 		{"without instances", readinessInputs{hasConfig: true}, notReadyNoInstances, false},
 		{"with a full link", readinessInputs{shedding: true, hasConfig: true, hasInstances: true}, notReadyShedding, true},
 		{"at a stop", readinessInputs{stopping: true, hasConfig: true, hasInstances: true}, notReadyStopping, true},
+		{"isolated from the upstreams", readinessInputs{isolated: true, hasConfig: true, hasInstances: true, hasEvidence: true}, notReadyIsolated, true},
 		{"at a stop with a full link", readinessInputs{stopping: true, shedding: true}, notReadyStopping, true},
 	}
 	for _, c := range cases {
--- a/node/servers.go
+++ b/node/servers.go
@@ -34,10 +34,20 @@
 	callers net.Listener
 	ready   net.Listener
 	peers   net.Listener
-	// metrics is nil if no metrics are served.
+	// tunnels is nil if the node opens no tunnels for neighbours, metrics if no metrics are
+	// served.
+	tunnels net.Listener
 	metrics net.Listener
 }
 
+// tunnelAddress returns the address of the listener for tunnels, empty if there is none.
+func (l *listeners) tunnelAddress() string {
+	if l.tunnels == nil {
+		return ""
+	}
+	return l.tunnels.Addr().String()
+}
+
 // listen opens the configured addresses. If one cannot be opened, it closes those opened
 // before and returns the error.
 func listen(c *Config) (listeners, error) {
@@ -61,6 +71,11 @@
 	if l.peers, err = net.Listen("tcp", net.JoinHostPort(c.PeerIP, strconv.Itoa(c.PeerPort))); err != nil {
 		return eris.Wrap(err, "node: cannot listen for neighbours")
 	}
+	if c.TunnelPort > 0 {
+		if l.tunnels, err = net.Listen("tcp", net.JoinHostPort(c.PeerIP, strconv.Itoa(c.TunnelPort))); err != nil {
+			return eris.Wrap(err, "node: cannot listen for tunnels")
+		}
+	}
 	if c.MetricsAddress == "" {
 		return nil
 	}
@@ -72,7 +87,7 @@
 
 // close closes the listeners that are open.
 func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.callers, l.ready, l.peers, l.metrics} {
+	for _, listener := range []net.Listener{l.callers, l.ready, l.peers, l.tunnels, l.metrics} {
 		if listener != nil {
 			// No connection was accepted yet, so a failure to close loses nothing.
 			_ = listener.Close()
@@ -89,12 +104,15 @@
 	readyServer      serverName = "ready"
 	metricsServer    serverName = "metrics"
 	neighboursServer serverName = "neighbours"
+	tunnelServer     serverName = "tunnels"
 )
 
-// servers holds the servers for callers, health checks, neighbours and metrics.
+// servers holds the servers for callers, health checks, neighbours, tunnels and metrics.
 type servers struct {
 	callers *httpserver.Server
 	ready   *httpserver.Server
+	// tunnels is nil if the node opens no tunnels.
+	tunnels *httpserver.Server
 	// metrics is nil if no metrics are served.
 	metrics *httpserver.Server
 	// calls serves the calls of neighbours on the listener peers.
@@ -117,6 +135,15 @@
 		HeaderTimeout: headerTimeout,
 		OnError:       n.serveErrorLogger(readyServer),
 	}, l.ready)
+	if l.tunnels != nil {
+		s.tunnels = httpserver.New(httpserver.Settings{
+			Handler:       n.components.tunnels,
+			HeaderTimeout: headerTimeout,
+			IdleTimeout:   idleTimeout,
+			HeaderBytes:   headerBytes,
+			OnError:       n.serveErrorLogger(tunnelServer),
+		}, n.components.linkMeter.Listener(l.tunnels))
+	}
 	if l.metrics != nil {
 		s.metrics = httpserver.New(httpserver.Settings{
 			Handler:       http.HandlerFunc(n.serveMetrics),
@@ -132,6 +159,9 @@
 func (s *servers) closeHTTP() {
 	s.callers.Close()
 	s.ready.Close()
+	if s.tunnels != nil {
+		s.tunnels.Close()
+	}
 	if s.metrics != nil {
 		s.metrics.Close()
 	}
@@ -147,6 +177,7 @@
 		methodPullSuspects: fleet.Handle(n.components.suspects.servePull),
 		methodPushSignals:  fleet.Handle(n.components.signals.servePush),
 		methodPermits:      fleet.Handle(n.components.limits.servePermits),
+		methodReach:        fleet.Handle(n.components.tunnels.serveReach),
 	}
 	n.components.rollouts.addMethods(methods)
 	return fleet.NewServer(fleet.ServerSettings{
--- a/node/stop.go
+++ b/node/stop.go
@@ -106,16 +106,17 @@
 	plan := newStopPlan(start, grace)
 	forwarder := n.components.forwarder
 	n.stopping.Store(true)
+	n.components.tunnels.Drain()
 	n.log.Info(event.Stop, zap.Int("active", forwarder.Active()), zap.Duration("grace", grace))
 	// The loop polls because the platform's grace period also runs while the machine is
 	// suspended, which a single sleep would not notice.
-	for plan.phase(n.clock(), forwarder.Active()) == phaseServe {
+	for plan.phase(n.clock(), n.active()) == phaseServe {
 		time.Sleep(stopPollInterval)
 	}
 	// The listener stays open, so that late callers are told that their request was not
 	// run.
 	forwarder.Stop()
-	for plan.phase(n.clock(), forwarder.Active()) != phaseReturn {
+	for plan.phase(n.clock(), n.active()) != phaseReturn {
 		time.Sleep(stopPollInterval)
 	}
 	n.returnTokens(plan)
@@ -123,11 +124,18 @@
 	n.servers.closeHTTP()
 	n.cancel()
 	n.servers.calls.Close()
+	n.components.tunnels.Close()
 	n.components.pool.Close()
 	// Connections to neighbours end with the process: a call in progress that failed
 	// because stop closed its connection would be logged as a lost relay.
 }
 
+// active returns the number of requests in progress, those of neighbours included that use
+// a tunnel of this node. It closes the other tunnels.
+func (n *Node) active() int {
+	return n.components.forwarder.Active() + n.components.tunnels.CloseUnused(n.clock())
+}
+
 // returnTokens returns the unused tokens and removes the node's entry, within the time
 // limit of the plan. Failures are logged: the budget then loses the tokens, or the entry
 // stays until a router starts on this box again.
--- a/partner/gate/crashhistory.go
+++ b/partner/gate/crashhistory.go
@@ -105,5 +105,5 @@
 	}
 	// Addresses are validated with the documents; an invalid one counts as not crashed.
 	base, err := url.Parse(u.Address)
-	return err == nil && g.prober.IsDown(ctx, base.Host)
+	return err == nil && g.prober.IsDown(ctx, u.Name, base.Host)
 }
