Take an upstream for crashed only if another router sees it too

A router whose connections to all upstreams are reset, and whose new ones are refused, recorded each request in progress as one that crashes upstreams, and told all routers, which hold such requests back, pin them to one upstream and refuse them after three rounds.

IsDown asked the network from this router only.

Evidence: TestPartitionIsNoCrash had 6 crashes recorded in four partitions of a second of one of three routers; no upstream had crashed.

Change: IsDown confirms a refusal through a neighbour, as detours do.

Measured: TestPartitionIsNoCrash has none recorded; the tests of requests that crash upstreams pass.

--- a/exchange/down.go
+++ b/exchange/down.go
@@ -42,33 +42,49 @@
 // and are held for longer than this anyway.
 const suspectOpenTime = 60 * time.Millisecond
 
-// IsDown reports whether an address refuses connections or closes a new one within
-// minOpenTime. It distinguishes a crashed upstream from a running one that reset a
+// IsDown reports whether an upstream's address refuses connections or closes a new one
+// within minOpenTime. It distinguishes a crashed upstream from a running one that reset a
 // connection. A proxy or a supervisor that holds the socket may still accept connections
-// for a crashed upstream, but closes them. IsDown opens a connection, sends nothing and
-// closes it. It takes up to downTimeout, and returns false if ctx ends first.
+// for a crashed upstream, but closes them.
+//
+// A partition of this router may look the same. What it sees is therefore confirmed through
+// the Detour, unless there is none: the upstream is down only if it is for another router
+// too.
+//
+// IsDown opens connections, sends nothing and closes them. It takes up to downTimeout for
+// each, and returns false if ctx ends first.
 func (p *Pool) IsDown(ctx context.Context, upstream granitehoist.Upstream, address string) bool {
-	return p.closesWithin(ctx, upstream, address, minOpenTime)
+	return p.isDown(ctx, upstream, address, minOpenTime)
 }
 
 // IsDownBeforeSuspect is IsDown with suspectOpenTime in place of minOpenTime, for the check
 // before a suspect request is sent.
 func (p *Pool) IsDownBeforeSuspect(ctx context.Context, upstream granitehoist.Upstream, address string) bool {
-	return p.closesWithin(ctx, upstream, address, suspectOpenTime)
+	return p.isDown(ctx, upstream, address, suspectOpenTime)
 }
 
-// closesWithin reports whether an address refuses connections or closes a new one within
-// openTime.
-func (p *Pool) closesWithin(ctx context.Context, upstream granitehoist.Upstream, address string, openTime time.Duration) bool {
+func (p *Pool) isDown(ctx context.Context, upstream granitehoist.Upstream, address string, openTime time.Duration) bool {
+	direct := func(ctx context.Context) (net.Conn, error) { return p.DialDirect(ctx, upstream, address) }
+	if down, _ := closesWithin(ctx, direct, openTime); !down {
+		return false
+	}
+	detour := func(ctx context.Context) (net.Conn, error) { return p.dialDetour(ctx, upstream) }
+	down, err := closesWithin(ctx, detour, openTime)
+	return down || errors.Is(err, ErrNoDetour)
+}
+
+// closesWithin reports whether a dial is refused or its connection is closed within
+// openTime. It also returns the error of the dial.
+func closesWithin(ctx context.Context, dial func(context.Context) (net.Conn, error), openTime time.Duration) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, downTimeout)
 	defer cancel()
-	c, err := p.DialDirect(ctx, upstream, address)
+	c, err := dial(ctx)
 	if err != nil {
 		// A reset may arrive while the connection is being established.
-		return errors.Is(err, syscall.ECONNREFUSED) || ClosedByPeer(err)
+		return errors.Is(err, syscall.ECONNREFUSED) || ClosedByPeer(err), err
 	}
 	defer discard(c)
-	return closesImmediately(c, openTime)
+	return closesImmediately(c, openTime), nil
 }
 
 // closesImmediately reports whether the peer closes the connection within openTime.
--- a/exchange/down_test.go
+++ b/exchange/down_test.go
@@ -71,3 +71,44 @@
 		Expect(exchange.NewPool(exchange.Settings{}).IsDown(ctx, "i-1", listen().Addr().String())).To(BeFalse())
 	})
 })
+
+var _ = Describe("An upstream that refuses this router", func() {
+	// closedPort returns an address that refuses connections.
+	closedPort := func() string {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = listener.Close() }()
+		return listener.Addr().String()
+	}
+	isDown := func(d exchange.Detour) bool {
+		return exchange.NewPool(exchange.Settings{Detour: d}).IsDown(context.Background(), "i-1", closedPort())
+	}
+
+	It("is not down if another router reaches it", func() {
+		Expect(isDown(openDetour{})).To(BeFalse())
+	})
+
+	It("is down if it refuses the other router too, or there is no other router", func() {
+		Expect(isDown(failingDetour{syscall.ECONNREFUSED})).To(BeTrue())
+		Expect(isDown(failingDetour{exchange.ErrNoDetour})).To(BeTrue())
+	})
+
+	It("is not known to be down if it does not respond to the other router", func() {
+		Expect(isDown(failingDetour{context.DeadlineExceeded})).To(BeFalse())
+	})
+})
+
+// openDetour is a Detour whose connections stay open.
+type openDetour struct{}
+
+func (openDetour) DialUpstream(context.Context, granitehoist.Upstream) (net.Conn, error) {
+	near, _ := net.Pipe()
+	return near, nil
+}
+
+// failingDetour is a Detour that returns its error.
+type failingDetour struct{ err error }
+
+func (d failingDetour) DialUpstream(context.Context, granitehoist.Upstream) (net.Conn, error) {
+	return nil, d.err
+}
--- a/node/partition_test.go
+++ b/node/partition_test.go
@@ -12,12 +12,15 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
+	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/event"
 	"granitehoist.example/granitehoist/standin"
 )
@@ -108,18 +111,23 @@
 type partitionedConn struct {
 	*net.TCPConn
 	partition *partition
+	wasReset  atomic.Bool
 }
 
 func (c *partitionedConn) reset() {
+	c.wasReset.Store(true)
 	// An error means that the connection is closed already.
 	_ = c.SetLinger(0)
 	_ = c.TCPConn.Close()
 }
 
 // Read implements net.Conn. While the partition hangs it returns nothing, and a time-out
-// after silentPeerTimeout.
+// after silentPeerTimeout. After a reset it returns ECONNRESET.
 func (c *partitionedConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
+	if err != nil && c.wasReset.Load() {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+	}
 	for {
 		kind, since, changed := c.partition.current()
 		if kind != hanging {
@@ -316,3 +324,31 @@
 		s.Expect(strings.Count(got.body, "id: ")).To(Equal(10))
 	}
 }
+
+// TestPartitionIsNoCrash guards against requests that are recorded as crashing upstreams,
+// which all routers then hold back or refuse, because one router was partitioned while it
+// sent them.
+func TestPartitionIsNoCrash(t *testing.T) {
+	t.Parallel()
+	const cuts = 4
+	s := newTestFleet(t, 3)
+	s.configure(1, 1_000_000, "/a/")
+	for range 6 {
+		s.startWorker(standin.WorkerResponse{Body: "answer", Delay: 300 * time.Millisecond})
+	}
+	s.awaitFleet("/a/x")
+	m := s.members[0]
+	statuses := make(chan map[int]int)
+	go func() { statuses <- s.sendLoadStatuses("/a/x", 50*time.Millisecond, 2*cuts*time.Second) }()
+	for range cuts {
+		time.Sleep(time.Second)
+		m.partition.set(resetting)
+		time.Sleep(time.Second)
+		m.partition.set(connected)
+	}
+	s.Expect(<-statuses).To(HaveKey(http.StatusOK))
+	for _, each := range s.members {
+		s.Expect(each.logs.FilterMessage(event.Suspect).Len()).To(BeZero(), "crashes recorded")
+		s.Expect(each.logs.FilterMessage(event.Request).FilterField(zap.Int("code", int(granitehoist.CrashesUpstreams))).Len()).To(BeZero())
+	}
+}
