Ask neighbours for other nodes if none of them opens a tunnel

Cause: a node learns of others from the node list, which it reads every 8 s. Nodes that start at the same time may miss each other until then; the partitioned one asked the two that it knew, which were partitioned too.

Change: a search without a result greets the neighbours, whose replies name the nodes that they know.

--- a/node/detours.go
+++ b/node/detours.go
@@ -212,6 +212,10 @@
 		})
 	}
 	calls.Wait()
+	if _, found := d.knownRoute(d.clock()); !found {
+		// The neighbours may know nodes that this one does not know yet.
+		d.peers.greetNeighbours(context.Background())
+	}
 	d.mu.Lock()
 	d.search, d.searchedAt, d.othersMayReach = nil, d.clock(), othersMayReach
 	d.mu.Unlock()
--- a/node/partition_test.go
+++ b/node/partition_test.go
@@ -352,3 +352,31 @@
 		s.Expect(each.logs.FilterMessage(event.Request).FilterField(zap.Int("code", int(granitehoist.CrashesUpstreams))).Len()).To(BeZero())
 	}
 }
+
+// TestDetourThroughUnknownNode guards against a partitioned router that finds no detour
+// because it does not know yet the only node with a path.
+func TestDetourThroughUnknownNode(t *testing.T) {
+	t.Parallel()
+	s := newTestFleet(t, 2)
+	s.configure(1, 1_000_000, "/a/")
+	for range 4 {
+		s.startWorker(standin.WorkerResponse{Body: "answer"})
+	}
+	s.awaitFleet("/a/x")
+	// The node that joins is known to the second one only, since it lists the nodes before
+	// the first one has an entry.
+	hidden := s.keysUnder("boxes/")
+	first := s.members[0]
+	for _, key := range hidden {
+		if strings.HasSuffix(key, first.config.PeerIP) {
+			s.deleteKey(key)
+		}
+	}
+	s.start()
+	s.Eventually(s.members[1].node.FleetSize, stepTimeout).Should(Equal(3))
+	s.Expect(first.node.FleetSize()).To(Equal(2))
+	for _, m := range s.members {
+		m.partition.set(resetting)
+	}
+	s.Eventually(first.status("/a/x"), partitionSettleTime).Should(Equal(http.StatusOK))
+}
