Let a router try one request at a time within its part of the capacity

Cause: while nothing rejected, a router sent whatever fitted into its part of the announced capacity without counting it, so that all of it was rejected when an upstream had less room.

Change: the part of the capacity raises a part of zero to one request, no more, and only there.

--- a/balance/rejections.go
+++ b/balance/rejections.go
@@ -18,7 +18,8 @@
 //
 // Nothing bounds the requests that the instance accepts: a router whose requests are
 // accepted at once sends as many as before. While no instance of the service rejects any, a
-// router may also send what fits into its part of the capacity.
+// router with a part below one may send one request at a time that fits into its part of
+// the capacity.
 
 const (
 	// rejectionWindow is the time for which a rejection counts. It is longer than the second
@@ -163,11 +164,12 @@
 	if !c.firstInQueue {
 		return true
 	}
-	if !c.rejections.rejecting && (s.inFlight+1)*c.routers <= s.concurrency() {
+	part := s.rejections.part(limit, c.routers, c.seed^s.idHash, c.now)
+	if part == 0 && !c.rejections.rejecting && (s.inFlight+1)*c.routers <= s.concurrency() {
 		// If all routers send as many, the instance has room for all of them.
-		return false
+		part = 1
 	}
-	return s.rejections.used(c.now) >= s.rejections.part(limit, c.routers, c.seed^s.idHash, c.now)
+	return s.rejections.used(c.now) >= part
 }
 
 // retryIn returns the time until this router may use its part again, zero if unknown.
