Soak partitions of processes from all workers, and brittle workers

Change: each process reaches the workers through links of its own (soak/link_test.go), which cut as a network does: connections hang, are reset, or live on while new ones are refused, before they are established. A fleet now starts with bootstrap set, as on the platform, so that its processes know each other after 2 s.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -59,14 +60,18 @@
 	ip       string
 	settings string
 	store    *proxy
+	// links holds the process's connections to the workers by the keys of their entries.
+	links map[string]*link
 	// binary is the program to run at the next start. restartMu guards it.
 	binary string
 	// restartMu serialises restarts of the process.
 	restartMu sync.Mutex
-	mu        sync.Mutex
-	command   *exec.Cmd
-	exited    chan struct{}
-	log       bytes.Buffer
+	// faultAt is when the latest fault of the process ended.
+	faultAt atomic.Pointer[time.Time]
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+	log     bytes.Buffer
 }
 
 // fleet holds the store, the workers and the router processes of one seed.
@@ -76,9 +81,12 @@
 	// prepaidTokens is the budget of the workspace.
 	prepaidTokens int
 	runCounts     *runCounts
+	brittle       *brittleService
 	store         *standin.Store
 	processes     []*process
 	workers       []*proxy
+	// workerIDs holds the ids of the workers.
+	workerIDs []string
 }
 
 // loopbackOctet returns the second octet of this run's loopback addresses. It depends on the
@@ -91,15 +99,14 @@
 // newFleet starts the store, workers and processes of one seed. block is the third octet of
 // their loopback addresses, prepaidTokens the budget of the workspace.
 func newFleet(t *testing.T, binary string, block, prepaidTokens int) *fleet {
+	t.Helper()
+	return newFleetOf(t, binary, nodeCount, block, prepaidTokens)
+}
+
+// newFleetOf starts a fleet with a number of processes, at most 99.
+func newFleetOf(t *testing.T, binary string, processes, block, prepaidTokens int) *fleet {
 	t.Helper()
 	f := &fleet{t: t, binary: binary, prepaidTokens: prepaidTokens, runCounts: &runCounts{runs: map[string]int{}}, store: standin.NewStore(standin.StoreSettings{})}
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.200:0", loopbackOctet(), block))
-	f.must(err)
-	server := &http.Server{Handler: &standin.PlatformStore{Store: f.store}, ReadHeaderTimeout: time.Minute}
-	// If the server stops early, awaitReady fails.
-	go func() { _ = server.Serve(listener) }()
-	// An error of Close doesn't matter at the end of the test.
-	t.Cleanup(func() { _ = server.Close() })
 	f.put(platform.ConfigKey, fmt.Sprintf(`{"revision":1,"routes":[
 		{"name":"safe","hostname":"h.example","pathPrefix":"/safe/","type":"safe","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":2},
 		{"name":"once","hostname":"h.example","pathPrefix":"/once/","type":"unsafe","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":1},
@@ -108,11 +115,13 @@
 		"backends":[{"name":"fragile","healthPath":"/healthz","runtime":{"capacity":64,"increment":%[1]d}},{"name":"pool","healthPath":"/healthz","runtime":{"capacity":64,"increment":%[1]d}}],
 		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 		"tenants":[{"name":"kiosk","apiKeys":["a-key"],"reserved":%[2]d}]}`, tokensPerEvent, prepaidTokens))
+	f.brittle = &brittleService{fleet: f, workers: make([]brittleWorker, workerCount)}
 	for i := range workerCount {
-		f.addWorker(fmt.Sprintf("i-%d", i), fmt.Sprintf("127.%d.%d.%d:0", loopbackOctet(), block, 100+i), f.runCounts.respond)
+		respond := func(a standin.ReceivedRequest) standin.WorkerResponse { return f.brittle.respond(i, a) }
+		f.addWorker(fmt.Sprintf("i-%d", i), fmt.Sprintf("127.%d.%d.%d:0", loopbackOctet(), block, 100+i), respond)
 	}
-	for i := range nodeCount {
-		f.addProcess(fmt.Sprintf("127.%d.%d.%d", loopbackOctet(), block, 1+i), listener.Addr().String())
+	for i := range processes {
+		f.addProcess(fmt.Sprintf("127.%d.%d.%d", loopbackOctet(), block, 1+i))
 	}
 	return f
 }
@@ -139,24 +148,60 @@
 	f.must(err)
 	f.t.Cleanup(p.close)
 	f.workers = append(f.workers, p)
+	f.workerIDs = append(f.workerIDs, id)
 	f.put(platform.InstancesPrefix+id, fmt.Sprintf(`{"backend":"pool","address":%q,"zone":"hall","capacity":64,"phase":"ready"}`, p.address()))
 }
 
-// addProcess starts a router process at ip that accesses the store through a proxy.
-func (f *fleet) addProcess(ip, store string) {
-	storeProxy, err := newProxy(ip+":8223", store)
+// startStore starts a front end of the store for the process at ip and returns its address.
+// The process sees the addresses of its links as those of the workers.
+func (f *fleet) startStore(ip string, links map[string]*link) string {
+	listener, err := net.Listen("tcp", ip+":0")
+	f.must(err)
+	rewrite := func(key string, value []byte) []byte {
+		if l, found := links[key]; found {
+			return bytes.ReplaceAll(value, []byte(l.target), []byte(l.address))
+		}
+		return value
+	}
+	server := &http.Server{Handler: &standin.PlatformStore{Store: f.store, Rewrite: rewrite}, ReadHeaderTimeout: time.Minute}
+	// If the server stops early, awaitReady fails.
+	go func() { _ = server.Serve(listener) }()
+	// An error of Close doesn't matter at the end of the test.
+	f.t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// addProcess starts a router process at ip that accesses the store through a proxy, and the
+// workers announced so far through links of its own.
+func (f *fleet) addProcess(ip string) {
+	links := map[string]*link{}
+	for i, worker := range f.workers {
+		l, err := newLink(ip+":0", worker.address())
+		f.must(err)
+		f.t.Cleanup(l.close)
+		links[platform.InstancesPrefix+f.workerIDs[i]] = l
+	}
+	storeProxy, err := newProxy(ip+":8223", f.startStore(ip, links))
 	f.must(err)
 	f.t.Cleanup(storeProxy.close)
-	p := &process{ip: ip, store: storeProxy, binary: f.binary, settings: filepath.Join(f.t.TempDir(), "settings.json")}
-	settings := fmt.Sprintf(`{"nodeName":"edge-%s","ipAddress":%q,"zone":"hall","listenAddrs":{"frontend":"%s:8227","ready":"%s:8220"},
-		"internalPortRange":[7340,7355],"bounds":{"gracePeriodS":%d,"drainMs":500,"retryBudgetRatio":0.2,"retryWindowS":10,"budgetSlack":50},
-		"platform":{"address":%q}}`, ip, ip, ip, ip, graceS, storeProxy.address())
-	f.must(os.WriteFile(p.settings, []byte(settings), 0o600))
+	p := &process{ip: ip, store: storeProxy, links: links, binary: f.binary, settings: filepath.Join(f.t.TempDir(), "settings.json")}
+	f.writeSettings(p, true)
 	f.processes = append(f.processes, p)
 	f.start(p)
 	f.t.Cleanup(func() { p.signal(syscall.SIGCONT); p.signal(syscall.SIGKILL); p.wait() })
 }
 
+// writeSettings writes the settings file of a process. bootstrap says that the whole fleet
+// starts for the first time.
+func (f *fleet) writeSettings(p *process, bootstrap bool) {
+	settings := fmt.Sprintf(`{"nodeName":"edge-%[1]s","ipAddress":%[1]q,"zone":"hall","listenAddrs":{"frontend":"%[1]s:8227","ready":"%[1]s:8220"},
+		"internalPortRange":[7340,7355],"bootstrap":%[2]t,"bounds":{"gracePeriodS":%[3]d,"drainMs":500,"retryBudgetRatio":0.2,"retryWindowS":10,"budgetSlack":50},
+		"platform":{"address":%[4]q}}`, p.ip, bootstrap, graceS, p.store.address())
+	if err := os.WriteFile(p.settings, []byte(settings), 0o600); err != nil {
+		f.t.Error(err)
+	}
+}
+
 func (f *fleet) start(p *process) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -205,6 +250,7 @@
 	p.signal(s)
 	p.wait()
 	time.Sleep(pause)
+	f.writeSettings(p, false)
 	f.start(p)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -106,10 +106,16 @@
 	clients.Wait()
 	f.check(results)
 	attack.stopAndCheck()
-	if t.Failed() {
-		for _, p := range f.processes {
-			t.Logf("log of %s:\n%s", p.ip, p.log.String())
-		}
+	f.logOnFailure()
+}
+
+// logOnFailure logs the output of the processes if the test has failed.
+func (f *fleet) logOnFailure() {
+	if !f.t.Failed() {
+		return
+	}
+	for _, p := range f.processes {
+		f.t.Logf("log of %s:\n%s", p.ip, p.log.String())
 	}
 }
 
@@ -206,6 +212,7 @@
 	request.Host = "h.example"
 	for name, value := range map[string]string{
 		"Attempt-Id": id, "Authorization": "Token a-key", "Deadline-Ms": fmt.Sprint(requestTimeout.Milliseconds()), "Kind": kind,
+		processHeader: p.ip,
 		"Token-Usage": fmt.Sprintf("%d,%d", promptTokens, eventsPerStream*tokensPerEvent),
 	} {
 		request.Header.Set(name, value)
--- a/standin/platformmessages.go
+++ b/standin/platformmessages.go
@@ -44,14 +44,17 @@
 	}
 )
 
-func newItem(e granitehoist.Entry) platformItem {
+func (p *PlatformStore) newItem(e granitehoist.Entry) platformItem {
+	if p.Rewrite != nil && !e.Deleted {
+		e.Value = p.Rewrite(e.Key, e.Value)
+	}
 	return platformItem{PrivateKey: e.Key, Data: e.Value, ModRevision: uint64(e.Version), Gone: e.Deleted}
 }
 
-func newItems(entries []granitehoist.Entry) []platformItem {
+func (p *PlatformStore) newItems(entries []granitehoist.Entry) []platformItem {
 	items := make([]platformItem, 0, len(entries))
 	for _, e := range entries {
-		items = append(items, newItem(e))
+		items = append(items, p.newItem(e))
 	}
 	return items
 }
--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -24,6 +24,9 @@
 	// PageItems is the maximum number of items on a page of a list; zero means
 	// testPageItems.
 	PageItems int
+	// Rewrite, if set, returns the value of a key as this front end serves it, for example
+	// with the address of an upstream as seen from one router. The version stays the same.
+	Rewrite func(key string, value []byte) []byte
 
 	mu     sync.Mutex
 	faults PlatformFaults
@@ -111,7 +114,7 @@
 	case entry.Version == 0:
 		w.WriteHeader(http.StatusNotFound)
 	default:
-		writeJSON(w, newItem(entry), nil)
+		writeJSON(w, p.newItem(entry), nil)
 	}
 }
 
@@ -138,7 +141,7 @@
 		items = testPageItems
 	}
 	page, more := pageAfter(entries, r.URL.Query().Get("sinceRevision"), items)
-	writeJSON(w, platformRange{Entries: newItems(page), More: more, At: uint64(at)}, nil)
+	writeJSON(w, platformRange{Entries: p.newItems(page), More: more, At: uint64(at)}, nil)
 }
 
 // pageAfter returns the page of entries that begins after a key, and whether more entries
@@ -185,7 +188,7 @@
 		p.writeError(w, err)
 		return
 	}
-	writeJSON(w, platformEvents{Events: newItems(entries), At: uint64(at)}, nil)
+	writeJSON(w, platformEvents{Events: p.newItems(entries), At: uint64(at)}, nil)
 }
 
 // write runs a transaction. It rejects transactions without a precondition for each
@@ -220,7 +223,7 @@
 			p.writeError(w, err)
 			return
 		}
-		items = append(items, newItem(current))
+		items = append(items, p.newItem(current))
 	}
 	w.WriteHeader(http.StatusPreconditionFailed)
 	writeJSON(w, transactionResult{Entries: items}, nil)
