Prefer detours through neighbours of the own region

A partitioned router asked its neighbours in turn, so that most detours led through another region: the bytes cross twice, and a connection takes two more round trips.

Change: a search asks random neighbours of the own region, and those of other regions only if none there has a path.

Measured: TestDetourSample and TestDetourRoutes pass; the tests of partitions pass (one run).

--- a/node/detours.go
+++ b/node/detours.go
@@ -40,8 +40,10 @@
 }
 
 const (
-	// reachTimeout bounds a call of methodReach, connecting included.
-	reachTimeout = 150 * time.Millisecond
+	// reachTimeout bounds a call of methodReach, connecting included, farReachTimeout one to
+	// another region.
+	reachTimeout    = 150 * time.Millisecond
+	farReachTimeout = 500 * time.Millisecond
 	// maxReachAsked is the number of neighbours asked in one search.
 	maxReachAsked = 8
 	// searchInterval is the minimum time between two searches without a result.
@@ -189,14 +191,39 @@
 	return d.search
 }
 
-// runSearch asks neighbours whether they open tunnels.
+// runSearch asks neighbours whether they open tunnels: those of its own region first and,
+// if none does, those of other regions, over which the bytes cross twice.
 func (d *detours) runSearch(search *detourSearch) {
-	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
+	othersMayReach := false
+	for _, far := range []bool{false, true} {
+		othersMayReach = d.askNeighbours(search, far) || othersMayReach
+		if _, found := d.knownRoute(d.clock()); found {
+			break
+		}
+	}
+	if _, found := d.knownRoute(d.clock()); !found {
+		// The neighbours may know nodes that this one does not know yet.
+		d.peers.greetNeighbours(context.Background())
+	}
+	d.mu.Lock()
+	d.search, d.searchedAt, d.othersMayReach = nil, d.clock(), othersMayReach
+	d.mu.Unlock()
+	close(search.ended)
+}
+
+// askNeighbours asks some neighbours of this node's region, or of the others if far is set,
+// and adds the routes that they offer. It reports whether one that offers none may have a
+// path to the upstreams.
+func (d *detours) askNeighbours(search *detourSearch, far bool) (mayReach bool) {
+	timeout := reachTimeout
+	if far {
+		timeout = farReachTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	var calls sync.WaitGroup
 	var mu sync.Mutex
-	othersMayReach := false
-	for _, other := range d.peers.nextNeighbours(maxReachAsked) {
+	for _, other := range d.peers.sampleNeighbours(maxReachAsked, far) {
 		calls.Go(func() {
 			var reply reachResult
 			err := d.peers.Call(ctx, other.peer(), methodReach, reachParams{}, &reply)
@@ -208,18 +235,11 @@
 			mu.Lock()
 			defer mu.Unlock()
 			// A neighbour of an older version does not serve the method.
-			othersMayReach = othersMayReach || reply.Reaches || isUnknownMethod(err)
+			mayReach = mayReach || reply.Reaches || isUnknownMethod(err)
 		})
 	}
 	calls.Wait()
-	if _, found := d.knownRoute(d.clock()); !found {
-		// The neighbours may know nodes that this one does not know yet.
-		d.peers.greetNeighbours(context.Background())
-	}
-	d.mu.Lock()
-	d.search, d.searchedAt, d.othersMayReach = nil, d.clock(), othersMayReach
-	d.mu.Unlock()
-	close(search.ended)
+	return mayReach
 }
 
 // add adds a route or replaces that of the same box.
--- a/node/peers.go
+++ b/node/peers.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -201,6 +202,20 @@
 	return chosen
 }
 
+// sampleNeighbours returns up to limit random neighbours of this node's region, or of the
+// other regions if far is set.
+func (p *peers) sampleNeighbours(limit int, far bool) []peerEntry {
+	view := p.view()
+	var sample []peerEntry
+	for _, other := range view.others {
+		if view.isFar(other) == far {
+			sample = append(sample, other)
+		}
+	}
+	rand.Shuffle(len(sample), func(i, j int) { sample[i], sample[j] = sample[j], sample[i] })
+	return sample[:min(limit, len(sample))]
+}
+
 // Call implements granitehoist.Caller. If the address now belongs to another incarnation,
 // the call fails, and Call greets that incarnation so that the next call can reach it.
 func (p *peers) Call(ctx context.Context, to granitehoist.Peer, method string, params, result any) error {
