Count the direct path as lost only once a neighbour reaches the upstream

Two upstreams that crashed at the same time counted as a lost path for up to 0.25 s, at all routers. Connections to sound upstreams went through neighbours meanwhile, and each change forgot which upstreams were ejected.

Cause: two refused dials in a row don't tell a partition from two crashes.

Change: two failures in a row make the path suspect: dials remain direct, and one that fails tries the detour. Only if that reaches the same upstream is the path lost, from when on detours come first; only then, and at its end, are the failures of upstreams forgotten. A suspected router still opens tunnels for others.

--- a/exchange/dial.go
+++ b/exchange/dial.go
@@ -99,7 +99,7 @@
 	result := DialResultOf(err)
 	p.settings.OnDial(result)
 	if p.path.record(upstream, result) {
-		p.settings.OnPathChange(p.path.current())
+		p.settings.OnPathChange()
 	}
 	if err != nil {
 		return nil, err
@@ -108,9 +108,9 @@
 	return p.settings.Meter.Conn(raw), nil
 }
 
-// dial opens a connection for a request. While the direct path is lost it takes a detour. Its error has code UpstreamsUnreachable if the path is
-// lost and there is no detour, and UpstreamRefused if the upstream did not accept the
-// connection.
+// dial opens a connection for a request. While the direct path is lost it takes a detour.
+// Its error has code UpstreamsUnreachable if no upstream is reached directly and there is no
+// detour, and UpstreamRefused if the upstream did not accept the connection.
 func (p *Pool) dial(ctx context.Context, upstream granitehoist.Upstream, address string) (*conn, error) {
 	started := p.settings.Clock()
 	raw, err := p.open(ctx, upstream, address)
@@ -123,12 +123,11 @@
 // open connects to an upstream directly or through the detour.
 func (p *Pool) open(ctx context.Context, upstream granitehoist.Upstream, address string) (net.Conn, error) {
 	var direct error
-	if p.Path() == PathOpen {
+	if state := p.Path(); state == PathOpen || state == PathSuspect {
 		raw, err := p.DialDirect(ctx, upstream, address)
 		if err == nil || p.Path() == PathOpen {
 			return raw, cannotConnect(err)
 		}
-		// This failure, or another one meanwhile, shows that the path is lost.
 		direct = err
 	}
 	raw, err := p.dialDetour(ctx, upstream)
@@ -136,7 +135,7 @@
 		return raw, cannotConnect(err)
 	}
 	switch {
-	case p.Path() == PathIsolated:
+	case p.path.isHopeless():
 		return nil, granitehoist.Wrap(granitehoist.UpstreamsUnreachable, err, "")
 	case direct != nil:
 		return nil, cannotConnect(direct)
@@ -153,6 +152,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if p.path.confirm(upstream) {
+		p.settings.OnPathChange()
+	}
 	return p.settings.Meter.Conn(raw), nil
 }
 
--- a/exchange/doc.go
+++ b/exchange/doc.go
@@ -19,8 +19,9 @@
 // keep-alive probes and TCP_USER_TIMEOUT detect unresponsive peers; deadlines come from the
 // caller's context.
 //
-// While dials to different upstreams fail in a row, the direct path counts as lost, and the
-// Pool opens connections through a Detour (path.go, dial.go).
+// If dials to different upstreams fail in a row, the Pool tries a Detour through another
+// router. Once that reaches one of them, the direct path counts as lost, and the Pool opens
+// new connections through the Detour until a direct dial succeeds (path.go, dial.go).
 //
 // The decisions are pure functions: when an idle connection may be reused (reuse.go),
 // whether a response belongs to the request and what a read error means (response.go), and
--- a/exchange/path.go
+++ b/exchange/path.go
@@ -14,9 +14,11 @@
 // therefore judged over all upstreams together.
 
 const (
-	// lostAfter is the number of different upstreams in a row whose dials failed, without a
-	// successful dial in between, from which the direct path counts as lost.
-	lostAfter = 2
+	// suspectAfter is the number of different upstreams in a row whose dials failed, without
+	// a successful dial in between, from which the direct path is suspected. Several
+	// upstreams may also fail at the same time, so that the path counts as lost only once
+	// another router has reached one of them.
+	suspectAfter = 2
 	// isolatedAfter is the same for a router that has no detour: from there on it does not
 	// dial for requests, which would only wait for the next timeout. The number is larger
 	// since all upstreams of a small service may have failed.
@@ -26,33 +28,38 @@
 // PathState is the state of the direct path from this router to the upstreams.
 type PathState int
 
-// The states of the direct path, from good to bad.
+// The states of the direct path.
 const (
 	// PathOpen means that the latest dials do not suggest a partition.
 	PathOpen PathState = iota
-	// PathLost means that dials to lostAfter upstreams failed in a row.
+	// PathSuspect means that dials to suspectAfter upstreams failed in a row.
+	PathSuspect
+	// PathLost means that another router reached one of these upstreams.
 	PathLost
-	// PathIsolated means that dials to isolatedAfter upstreams failed in a row.
+	// PathIsolated means that dials to isolatedAfter upstreams failed in a row and that no
+	// other router has reached one of them.
 	PathIsolated
 )
 
 // directPath judges the direct path from the results of dials. The zero value is an open
 // path. It is safe for concurrent use.
 type directPath struct {
-	// mu guards failed, the upstreams whose dials failed since the last successful dial.
-	mu     sync.Mutex
+	// mu guards the fields below it.
+	mu sync.Mutex
+	// failed holds the upstreams whose dials failed since the last successful dial.
 	failed map[granitehoist.Upstream]bool
+	// confirmed reports that another router reached one of them.
+	confirmed bool
 }
 
-// record takes the result of a direct dial. It reports whether the path was lost or
-// regained by it.
+// record takes the result of a direct dial. It reports whether it changed the state.
 func (p *directPath) record(upstream granitehoist.Upstream, result DialResult) (changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.state()
 	switch result {
 	case DialSucceeded:
-		p.failed = nil
+		p.failed, p.confirmed = nil, false
 	case DialRefused, DialTimedOut:
 		if p.failed == nil {
 			p.failed = map[granitehoist.Upstream]bool{}
@@ -61,18 +68,30 @@
 	case DialCancelled, DialFailed:
 		// The cause is this router itself.
 	}
-	return (before == PathOpen) != (p.state() == PathOpen)
+	return before != p.state()
+}
+
+// confirm takes a connection to an upstream through another router. It reports whether it
+// changed the state.
+func (p *directPath) confirm(upstream granitehoist.Upstream) (changed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.state()
+	p.confirmed = p.confirmed || p.failed[upstream]
+	return before != p.state()
 }
 
 // state returns the state of the path. The caller holds mu.
 func (p *directPath) state() PathState {
 	switch n := len(p.failed); {
+	case n < suspectAfter:
+		return PathOpen
+	case p.confirmed:
+		return PathLost
 	case n >= isolatedAfter:
 		return PathIsolated
-	case n >= lostAfter:
-		return PathLost
 	}
-	return PathOpen
+	return PathSuspect
 }
 
 func (p *directPath) current() PathState {
@@ -80,3 +99,10 @@
 	defer p.mu.Unlock()
 	return p.state()
 }
+
+// isHopeless reports whether a direct dial for a request is not worth its time.
+func (p *directPath) isHopeless() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.failed) >= isolatedAfter
+}
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -27,10 +27,10 @@
 	Detour Detour
 	// OnDial, if set, is called with the result of each direct dial, and OnOpen for each
 	// that succeeded, by the goroutine that dialed. OnPathChange, if set, is called in the
-	// same way when the direct path is lost or regained, with its state.
+	// same way after a change of Pool.Path.
 	OnOpen       func()
 	OnDial       func(DialResult)
-	OnPathChange func(PathState)
+	OnPathChange func()
 }
 
 const (
@@ -72,7 +72,7 @@
 		s.OnDial = func(DialResult) {}
 	}
 	if s.OnPathChange == nil {
-		s.OnPathChange = func(PathState) {}
+		s.OnPathChange = func() {}
 	}
 	return &Pool{settings: s, idle: map[string][]*conn{}}
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -228,7 +228,7 @@
 // neighbours.
 func (n *Node) pathLines() []string {
 	lost := 0
-	if n.components.pool.Path() != exchange.PathOpen {
+	if n.components.pool.Path() == exchange.PathLost {
 		lost = 1
 	}
 	return []string{
--- a/node/partition_test.go
+++ b/node/partition_test.go
@@ -380,3 +380,26 @@
 	}
 	s.Eventually(first.status("/a/x"), partitionSettleTime).Should(Equal(http.StatusOK))
 }
+
+// TestCrashedUpstreamsAreNoPartition guards against routers that take upstreams which
+// crashed at the same time for a partition, and forget which upstreams are ejected.
+func TestCrashedUpstreamsAreNoPartition(t *testing.T) {
+	t.Parallel()
+	s := newTestFleet(t, 3)
+	s.configure(1, 1_000_000, "/a/")
+	var workers []*standin.Worker
+	for range 6 {
+		workers = append(workers, s.startWorker(standin.WorkerResponse{Body: "answer", Delay: 20 * time.Millisecond}))
+	}
+	s.awaitFleet("/a/x")
+	statuses := make(chan map[int]int)
+	go func() { statuses <- s.sendLoadStatuses("/a/x", 20*time.Millisecond, 2*time.Second) }()
+	time.Sleep(500 * time.Millisecond)
+	for _, w := range workers[:4] {
+		w.Crash()
+	}
+	s.Expect(<-statuses).To(And(HaveLen(1), HaveKey(http.StatusOK)), "statuses")
+	for _, m := range s.members {
+		s.Expect(m.logs.FilterMessage(event.PathLost).Len()).To(BeZero())
+	}
+}
--- a/node/path.go
+++ b/node/path.go
@@ -17,14 +17,15 @@
 )
 
 const (
-	// pathProbeInterval is the time between two probes of the direct path while it is lost.
+	// pathProbeInterval is the time between two probes of the direct path while it is not
+	// open.
 	pathProbeInterval = 250 * time.Millisecond
 	// pathProbes is the number of upstreams probed at a time.
 	pathProbes = 2
 )
 
-// pathMonitor probes the direct path to the upstreams while it is lost, so that the node
-// returns to it also if callers send nothing. It is safe for concurrent use.
+// pathMonitor probes the direct path to the upstreams while it is not open, so that the
+// node returns to it also if callers send nothing. It is safe for concurrent use.
 type pathMonitor struct {
 	table   *balance.Table
 	detours *detours
@@ -32,6 +33,10 @@
 	wake    chan struct{}
 	// pool is set before the first change of the path.
 	pool *exchange.Pool
+
+	// mu guards lost, whether the path was lost at the last change.
+	mu   sync.Mutex
+	lost bool
 }
 
 // newPathMonitor returns a pathMonitor. Its pool must be set before use.
@@ -39,19 +44,26 @@
 	return &pathMonitor{table: t, detours: d, log: n.log, wake: make(chan struct{}, 1)}
 }
 
-// onChange handles a path that was lost or regained. The failures of upstreams up to now
-// may have been those of the path.
-func (m *pathMonitor) onChange(state exchange.PathState) {
+// onChange handles a change of the path.
+func (m *pathMonitor) onChange() {
+	wake(m.wake)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	lost := m.pool.Path() == exchange.PathLost
+	if lost == m.lost {
+		return
+	}
+	m.lost = lost
+	// The failures of upstreams up to now may have been those of the path.
 	m.table.ForgetFailures()
-	if state == exchange.PathOpen {
+	if lost {
+		m.log.Warn(event.PathLost)
+	} else {
 		m.log.Info(event.PathRegained)
-		return
 	}
-	m.log.Warn(event.PathLost)
-	wake(m.wake)
 }
 
-// run probes the path whenever it is lost, until ctx ends.
+// run probes the path whenever it is not open, until ctx ends.
 func (m *pathMonitor) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		waitForWake(ctx, m.wake)
@@ -78,5 +90,6 @@
 // isolated reports whether this node reaches no upstream, directly or through a neighbour,
 // although another node may.
 func (m *pathMonitor) isolated(now time.Time) bool {
-	return m.pool.Path() == exchange.PathIsolated && m.detours.onlyOthersReach(now)
+	state := m.pool.Path()
+	return (state == exchange.PathIsolated || state == exchange.PathLost) && m.detours.onlyOthersReach(now)
 }
--- a/node/tunnels.go
+++ b/node/tunnels.go
@@ -62,7 +62,11 @@
 }
 
 // reaches reports whether this node has a direct path to the upstreams and goes on serving.
-func (t *tunnels) reaches() bool { return !t.stopping() && t.pool.Path() == exchange.PathOpen }
+// A suspected path may still be open.
+func (t *tunnels) reaches() bool {
+	state := t.pool.Path()
+	return !t.stopping() && (state == exchange.PathOpen || state == exchange.PathSuspect)
+}
 
 // serveReach serves methodReach.
 func (t *tunnels) serveReach(context.Context, reachParams) (reachResult, error) {
