Pick an instance without copies of the constraints

Cause: the constraints of a choice were copied for each instance, and had grown by the rejection limits, which were also summed up where no instance had ever stated one. A choice took 20 to 40 % longer than before.

Change: the constraints are passed by reference; services without a rejection limit are not looked through.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -94,6 +94,8 @@
 	// updateVersion counts the changes that this router learned from responses and that
 	// other routers have to be told.
 	updateVersion uint64
+	// hasRejectionLimits is set once an instance has stated a rejection limit.
+	hasRejectionLimits bool
 	// pendingLimits holds rate limits that other routers reported for instances not
 	// announced yet.
 	pendingLimits map[Incarnation]knownLimit
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -68,22 +68,24 @@
 
 // constraints returns the constraints of a query for instances of a service. The caller
 // holds mu.
-func (t *Table) constraints(service *serviceState, q *Query, now time.Time) constraints {
-	return constraints{
+func (t *Table) constraints(service *serviceState, q *Query, now time.Time) *constraints {
+	c := &constraints{
 		now: now, tried: q.Tried, evacuated: t.evacuated, allowedRegions: q.AllowedRegions, regions: t.settings.Regions, releases: q.Releases,
 		cold:         coldShare{perSecond: coldRateShare(q.ColdRequestRate, q.Routers), random: t.random},
 		firstInQueue: service.isFirstInQueue(q),
 		hasLimited:   service.hasLimited(),
-
-		rejections: service.rejections(now), seed: t.settings.Seed,
-
-		routers: max(1, q.Routers),
+		seed:         t.settings.Seed,
+		routers:      max(1, q.Routers),
+	}
+	if t.hasRejectionLimits {
+		c.rejections = service.rejections(now)
 	}
+	return c
 }
 
 // eligibility determines whether an instance may get an attempt. It relies on the
 // announcement in this router's copy of the store, which may be stale.
-func (s *instanceState) eligibility(c constraints) eligibility {
+func (s *instanceState) eligibility(c *constraints) eligibility {
 	now := c.now
 	switch {
 	case c.tried[s.ID] || s.isLeaving() || c.evacuated[s.Zone]:
@@ -96,7 +98,7 @@
 		return excluded
 	case !s.removedAt.IsZero() && !usableAfterRemoval(s.removedAt, now):
 		return excluded
-	case !s.backoff.Allows(now), !s.backoff.Inactive() && !c.firstInQueue, s.lacksPermit(c.firstInQueue, now), s.holdsBack(&c):
+	case !s.backoff.Allows(now), !s.backoff.Inactive() && !c.firstInQueue, s.lacksPermit(c.firstInQueue, now), s.holdsBack(c):
 		return deferred
 	case c.hasLimited && s.isOverloaded(c.routers):
 		return excluded
@@ -130,7 +132,7 @@
 //   - the removed instances.
 //
 // There are no choices if all instances are excluded or deferred.
-func candidates(states []*instanceState, c constraints) selection {
+func candidates(states []*instanceState, c *constraints) selection {
 	chosen := selection{choices: make([]*instanceState, 0, len(states))}
 	var removedStates []*instanceState
 	var endsFirst *instanceState
--- a/balance/candidates_test.go
+++ b/balance/candidates_test.go
@@ -46,7 +46,7 @@
 
 	DescribeTable("include or exclude an instance",
 		func(id granitehoist.Upstream, change func(*instanceState), expected eligibility) {
-			Expect(newInstance(id, change).eligibility(constraints{now: testTime, tried: tried})).To(Equal(expected))
+			Expect(newInstance(id, change).eligibility(&constraints{now: testTime, tried: tried})).To(Equal(expected))
 		},
 		Entry("announced", granitehoist.Upstream("a"), nil, live),
 		Entry("tried before", granitehoist.Upstream("tried"), nil, excluded),
@@ -61,7 +61,7 @@
 
 	DescribeTable("are",
 		func(instances []*instanceState, expected ...granitehoist.Upstream) {
-			selected := candidates(instances, constraints{now: testTime, tried: tried})
+			selected := candidates(instances, &constraints{now: testTime, tried: tried})
 			Expect(selected.deferred).To(BeEmpty())
 			Expect(idsOf(selected.choices)).To(Equal(append([]granitehoist.Upstream{}, expected...)))
 		},
--- a/balance/locality_test.go
+++ b/balance/locality_test.go
@@ -136,7 +136,7 @@
 	// owners returns the owner of each of many prefixes with the given length.
 	owners := func(length granitehoist.Tokens) []*instanceState {
 		var all []*instanceState
-		selected := candidates(t.service("pool").instances, constraints{now: testTime.Add(removedGrace)})
+		selected := candidates(t.service("pool").instances, &constraints{now: testTime.Add(removedGrace)})
 		for hash := uint64(1); hash <= 200; hash++ {
 			q := &Query{PrefixHash: hash, PrefixTokens: length, PromptTokens: length}
 			all = append(all, t.prefixOwner(selected.choices, q, promptTokensPerMS))
--- a/balance/rejections.go
+++ b/balance/rejections.go
@@ -157,6 +157,9 @@
 // be rejected and the part of this router is used up. mayUse is false if a waiting request
 // takes precedence.
 func (s *instanceState) holdsBack(c *constraints) bool {
+	if c.rejections.limit == 0 {
+		return false
+	}
 	limit := s.rejections.limitOr(c.rejections.limit)
 	if limit == 0 {
 		return false
@@ -251,6 +254,7 @@
 	r := &l.state.rejections
 	before, scarce := r.limit, l.scarceRejections && r.rejectingFor(now) < rejectionMemory/2
 	r.state(f, l.picked, now)
+	t.hasRejectionLimits = t.hasRejectionLimits || r.limit > 0
 	event := RejectionEvent{Instance: l.Instance, Limit: r.limit, Changed: r.limit != before, Rejecting: f.Rejected && scarce}
 	if event.Rejecting || (r.limit > 0 && (event.Changed || r.version == 0)) {
 		t.updateVersion++
@@ -344,6 +348,7 @@
 		}
 		if !s.rejections.answered {
 			s.rejections.limit = max(0, record.Limit)
+			t.hasRejectionLimits = true
 		}
 		s.rejections.learn(record.RejectingMS, now)
 	}
