End the rejection limits of a service together

Cause: a router learns that an upstream no longer states a limit from that upstream's next response. With a part below one it sends to each of them only now and then.

Change: a response without a limit, from an upstream that stated one, ends the limits that others of its service stated before. One that still has a limit states it with its next response.

Also: the soak takes two, one and half a rejection for each process in turn, and its budget grows with the processes.

--- a/balance/rejections.go
+++ b/balance/rejections.go
@@ -90,6 +90,17 @@
 	return all
 }
 
+// endRejectionLimits ends the limits that instances stated before a time at which another
+// one no longer stated its own. An instance to which they still apply states its limit
+// again with its next response.
+func (s *serviceState) endRejectionLimits(statedBefore time.Time) {
+	for _, i := range s.instances {
+		if i.rejections.statedAt.Before(statedBefore) {
+			i.rejections.limit, i.rejections.version = 0, 0
+		}
+	}
+}
+
 // rejectionPart returns how many requests a router may let an instance reject within
 // rejectionWindow. limit is the instance's limit, at least one, routers the number of
 // routers that share it. rejecting says that the instance rejected a request a short while
@@ -256,6 +267,9 @@
 	r.state(f, l.picked, now)
 	t.hasRejectionLimits = t.hasRejectionLimits || r.limit > 0
 	event := RejectionEvent{Instance: l.Instance, Limit: r.limit, Changed: r.limit != before, Rejecting: f.Rejected && scarce}
+	if before > 0 && r.limit == 0 {
+		l.service.endRejectionLimits(l.picked)
+	}
 	if event.Rejecting || (r.limit > 0 && (event.Changed || r.version == 0)) {
 		t.updateVersion++
 		r.version = t.updateVersion
--- a/balance/rejections_test.go
+++ b/balance/rejections_test.go
@@ -139,6 +139,23 @@
 			mustPick(t, table, at(0))
 		}
 	})
+	t.Run("ends for the whole service", func(t *testing.T) {
+		table := rejectingTable(t, Settings{})
+		table.Announce(Instance{ID: "i-2", Service: "pool", Capacity: 1, Version: 2}, at(0))
+		for range 2 {
+			lease := mustPick(t, table, at(0))
+			lease.Observe(Feedback{Rejected: true, RejectionLimit: 2}, at(0))
+			lease.Done(Refused, at(0))
+		}
+		later := at(rejectionMemory)
+		ended := mustPick(t, table, later)
+		ended.Observe(Feedback{Accepted: true, Rate: RateFeedback{FromInstance: true}}, later)
+		for range 5 {
+			if _, err := table.Pick(Query{Service: "pool", Routers: 2, Tried: map[granitehoist.Upstream]bool{ended.ID: true}}, later); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
 	t.Run("holds for an instance of the service that has not responded yet", func(t *testing.T) {
 		table := rejectingTable(t, Settings{})
 		mustPick(t, table, at(0))
--- a/soak/brittle_test.go
+++ b/soak/brittle_test.go
@@ -22,9 +22,6 @@
 	// brittleDelay the time that each takes.
 	brittleCapacity = 4
 	brittleDelay    = 150 * time.Millisecond
-	// brittleLimit is the number of requests a second that a worker can reject for each
-	// process of the fleet.
-	brittleLimit = 2
 	// brittleDown is the time for which a worker is down after a crash.
 	brittleDown = time.Second
 	// brittleDuration is the time for which the workers run few requests.
@@ -35,6 +32,10 @@
 	processHeader = "Process"
 )
 
+// brittleLimits holds the numbers of requests a second that a worker can reject, for each
+// process of the fleet. Seeds use them in turn.
+var brittleLimits = []float64{2, 1, 0.5}
+
 // brittleService is the state of the workers of a fleet, which are brittle at times. It is
 // safe for concurrent use.
 type brittleService struct {
@@ -68,7 +69,7 @@
 func (b *brittleService) set(stated, scarce bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.stated, b.scarce, b.limit = stated, scarce, brittleLimit*len(b.fleet.processes)
+	b.stated, b.scarce = stated, scarce
 }
 
 // respond serves or rejects a request at a worker.
@@ -185,12 +186,13 @@
 	for seed := from; seed <= to; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			f := newFleetOf(t, binary, processCount(t), brittleBlock+seed%30, 5*largeBudget)
+			f := newFleetOf(t, binary, processCount(t), brittleBlock+seed%30, processCount(t)*largeBudget)
 			f.awaitReady(recoveryTimeout)
 			results := &outcomes{answers: map[string]int{}}
 			// The callers send three times what the workers run while they are brittle.
 			perProcess := max(2, 48/len(f.processes))
 			callers := f.startCallers(seed, perProcess, 30*time.Millisecond, results)
+			f.brittle.limit = int(brittleLimits[seed%len(brittleLimits)] * float64(len(f.processes)))
 			f.brittle.set(true, false)
 			time.Sleep(contactTime)
 			f.brittle.set(true, true)
@@ -202,7 +204,7 @@
 			time.Sleep(time.Second)
 			f.checkServedAfter(callers.end(), recovered)
 			f.check(results)
-			t.Logf("%d crashes, %d more under faults", f.brittle.crashes, f.brittle.others)
+			t.Logf("%d crashes, %d more under faults, at %d rejections a second", f.brittle.crashes, f.brittle.others, f.brittle.limit)
 			if f.brittle.crashes > maxBrittleCrashes {
 				t.Errorf("%d workers crashed, %d are allowed", f.brittle.crashes, maxBrittleCrashes)
 			}
--- a/soak/partition_test.go
+++ b/soak/partition_test.go
@@ -196,7 +196,7 @@
 	for seed := from; seed <= to; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			f := newFleetOf(t, binary, processCount(t), partitionBlock+seed%40, largeBudget)
+			f := newFleetOf(t, binary, processCount(t), partitionBlock+seed%40, processCount(t)*largeBudget)
 			f.awaitReady(recoveryTimeout)
 			results := &outcomes{answers: map[string]int{}}
 			callers := f.startCallers(seed, 3, 50*time.Millisecond, results)
