--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -40,7 +40,7 @@
 	for seed := from; seed <= to; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			runScenario(t, newFleet(t, binary, firstBlock+seed%100, smallBudget), seed, scenario{faultDuration: faultDuration})
+			runScenario(newFleet(t, binary, firstBlock+seed%100, smallBudget), seed, scenario{faultDuration: faultDuration})
 		})
 	}
 }
@@ -82,7 +82,7 @@
 const firstBlock = 80
 
 // runScenario runs callers and faults against a fleet and checks the responses.
-func runScenario(t *testing.T, f *fleet, seed int, s scenario) {
+func runScenario(f *fleet, seed int, s scenario) {
 	attack := newAttack(f)
 	f.awaitReady(recoveryTimeout)
 	results := &outcomes{answers: map[string]int{}}
--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -49,7 +49,7 @@
 				block := upgradeBlock + seed%60
 				f := newFleet(t, previous, block, largeBudget)
 				f.addWorker("i-limited", fmt.Sprintf("127.%d.%d.%d:0", loopbackOctet(), block, 100+workerCount), f.limitedAnswer)
-				runScenario(t, f, seed, scenario{faultDuration: upgradeDuration, work: func() { f.upgrade(previous, current) }})
+				runScenario(f, seed, scenario{faultDuration: upgradeDuration, work: func() { f.upgrade(previous, current) }})
 			})
 		}
 	}
