--- a/balance/choice.go
+++ b/balance/choice.go
@@ -87,7 +87,7 @@
 	}
 	lease := t.newLease(chosen, &q, owner, now)
 	if limit := chosen.rejections.limitOr(limits.rejections.limit); limit > 0 {
-		lease.rejectionLimited, lease.scarceRejections = true, isScarce(limit, limits.routers)
+		lease.use = rejectionUse{limited: true, scarce: isScarce(limit, limits.routers)}
 		chosen.rejections.track(lease)
 	}
 	lease.service = service
--- a/balance/feedback.go
+++ b/balance/feedback.go
@@ -37,7 +37,7 @@
 	if f.Backoff > 0 {
 		l.recordBackoff(f.Backoff, now)
 	}
-	if f.RejectionLimit > 0 || l.rejectionLimited || l.unconfirmed {
+	if f.RejectionLimit > 0 || l.use.limited {
 		l.observeRejections(f, now)
 	}
 	if f.Accepted && l.isProbe {
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -33,14 +33,8 @@
 	// isProbe reports that the attempt is a probe after a backoff (backoff.go) whose outcome
 	// is still unknown.
 	isProbe bool
-	// rejectionLimited reports that the instance had a rejection limit when Pick chose it,
-	// scarceRejections that the limit was scarce (isScarce).
-	rejectionLimited, scarceRejections bool
-	// unconfirmed reports that the request counts against this router's part of a rejection
-	// limit until the instance shows that it accepted it. heardAt is the first sign of life
-	// after the choice.
-	unconfirmed bool
-	heardAt     time.Time
+	// use is how the request counts against a rejection limit.
+	use rejectionUse
 	// pendingTokens counts the uncached prompt tokens; zero from the first event on.
 	pendingTokens granitehoist.Tokens
 	// picked is when the instance was chosen. firstEvent and lastEvent are when the first
--- a/balance/rejections.go
+++ b/balance/rejections.go
@@ -6,15 +6,13 @@
 import (
 	"math"
 	"time"
-
-	"granitehoist.example/granitehoist"
 )
 
 // An instance may state how many requests a second it can reject for lack of capacity; it
 // crashes if it has to reject more (Feedback.RejectionLimit). Each router keeps to its part
-// of this limit. A request counts against a
-// router's part from its choice until the instance has shown that it accepted it, and for
-// rejectionWindow if it was rejected. An instance whose part is used up is deferred.
+// of this limit. A request counts against the part from its choice until the instance has
+// shown that it accepted it, and for rejectionWindow if it was rejected. An instance whose
+// part is used up is deferred.
 //
 // Nothing bounds the requests that the instance accepts: a router whose requests are
 // accepted at once sends as many as before. While no instance of the service rejects any, a
@@ -164,9 +162,8 @@
 	return len(r.times) + len(r.unconfirmed)
 }
 
-// holdsBack reports whether a request must not be sent to the instance now, since it might
-// be rejected and the part of this router is used up. mayUse is false if a waiting request
-// takes precedence.
+// holdsBack reports whether a request must not be sent to the instance now: it might be
+// rejected, and this router's part is used up or a waiting request takes precedence.
 func (s *instanceState) holdsBack(c *constraints) bool {
 	if c.rejections.limit == 0 {
 		return false
@@ -198,19 +195,31 @@
 	return rejectionWindow - time.Duration(now.UnixNano()%int64(rejectionWindow))
 }
 
+// rejectionUse is how the request of a lease counts against its router's part of a rejection
+// limit.
+type rejectionUse struct {
+	// limited reports that the instance had a rejection limit when it was chosen, scarce
+	// that the limit was scarce (isScarce).
+	limited, scarce bool
+	// unconfirmed reports that the request counts because the instance has not shown yet
+	// that it accepted it. heardAt is the first sign of life after the choice.
+	unconfirmed bool
+	heardAt     time.Time
+}
+
 // track counts a request against this router's part of a limit.
 func (r *rejections) track(l *Lease) {
-	l.unconfirmed = true
+	l.use.unconfirmed = true
 	r.unconfirmed = append(r.unconfirmed, l)
 }
 
 // confirm ends the count of a request whose outcome is known, and reports whether it was
 // counted.
 func (r *rejections) confirm(l *Lease) bool {
-	if !l.unconfirmed {
+	if !l.use.unconfirmed {
 		return false
 	}
-	l.unconfirmed = false
+	l.use.unconfirmed = false
 	for i, other := range r.unconfirmed {
 		if other == l {
 			r.unconfirmed = append(r.unconfirmed[:i:i], r.unconfirmed[i+1:]...)
@@ -231,10 +240,10 @@
 	kept := r.unconfirmed[:0]
 	for _, l := range r.unconfirmed {
 		switch {
-		case l.heardAt.IsZero() && now.Sub(l.picked) >= hearingDelay:
-			l.heardAt = now
-		case !l.heardAt.IsZero() && now.Sub(l.heardAt) >= hearingDelay:
-			l.unconfirmed = false
+		case l.use.heardAt.IsZero() && now.Sub(l.picked) >= hearingDelay:
+			l.use.heardAt = now
+		case !l.use.heardAt.IsZero() && now.Sub(l.use.heardAt) >= hearingDelay:
+			l.use.unconfirmed = false
 			continue
 		}
 		kept = append(kept, l)
@@ -244,135 +253,3 @@
 	r.unconfirmed = kept
 	return confirmed
 }
-
-// RejectionEvent reports what this router learned from a response about the rejections of
-// an instance.
-type RejectionEvent struct {
-	Instance
-	// Limit is the number of requests a second that the instance can reject, zero if it
-	// states none. Changed reports that it stated another one before.
-	Limit   int
-	Changed bool
-	// Rejecting reports that the instance began to reject requests and that the other
-	// routers should know.
-	Rejecting bool
-}
-
-// observeRejections applies what a response says of the rejections of its instance.
-func (l *Lease) observeRejections(f Feedback, now time.Time) {
-	t := l.table
-	t.mu.Lock()
-	r := &l.state.rejections
-	before, scarce := r.limit, l.scarceRejections && r.rejectingFor(now) < rejectionMemory/2
-	r.state(f, l.picked, now)
-	t.hasRejectionLimits = t.hasRejectionLimits || r.limit > 0
-	event := RejectionEvent{Instance: l.Instance, Limit: r.limit, Changed: r.limit != before, Rejecting: f.Rejected && scarce}
-	if before > 0 && r.limit == 0 {
-		l.service.endRejectionLimits(l.picked)
-	}
-	if event.Rejecting || (r.limit > 0 && (event.Changed || r.version == 0)) {
-		t.updateVersion++
-		r.version = t.updateVersion
-	}
-	if r.settle(l, f, now) {
-		t.wakeWaiters()
-	}
-	t.mu.Unlock()
-	if (event.Changed || event.Rejecting) && t.settings.OnRejections != nil {
-		t.settings.OnRejections(event)
-	}
-}
-
-// state applies the limit that a response to a request sent at sent states. A response
-// without one ends the limit, unless the request was sent before the limit was stated.
-func (r *rejections) state(f Feedback, sent, now time.Time) {
-	r.answered = true
-	switch {
-	case f.RejectionLimit > 0:
-		r.limit, r.statedAt = f.RejectionLimit, now
-	case f.Rate.FromInstance && sent.After(r.statedAt):
-		r.limit, r.version = 0, 0
-	}
-}
-
-// settle applies the outcome of a request according to its response, and reports whether it
-// confirmed any request.
-func (r *rejections) settle(l *Lease, f Feedback, now time.Time) bool {
-	heard := r.hear(now)
-	if !f.Rejected {
-		return r.confirm(l) || heard
-	}
-	r.confirm(l)
-	r.reject(now)
-	return heard
-}
-
-// hearEvents confirms requests by an event of a stream. The caller holds the table's lock.
-func (l *Lease) hearEvents(now time.Time) {
-	r := &l.state.rejections
-	if len(r.unconfirmed) == 0 {
-		return
-	}
-	heard := r.hear(now)
-	if r.confirm(l) || heard {
-		l.table.wakeWaiters()
-	}
-}
-
-// endUnconfirmed ends the count of a request without a response. The instance may have
-// rejected it. The caller holds the table's lock.
-func (l *Lease) endUnconfirmed(now time.Time) {
-	if l.state.rejections.confirm(l) {
-		l.state.rejections.reject(now)
-	}
-}
-
-// RejectionRecord reports the rejections of an instance from one router to another. A
-// receiver ignores unknown fields and takes missing ones as zero.
-type RejectionRecord struct {
-	Upstream    granitehoist.Upstream `json:"upstream"`
-	StartedAtMS int64                 `json:"born,omitempty"`
-	// Limit is the number of requests a second that the instance can reject.
-	Limit int `json:"limit"`
-	// RejectingMS is the time in milliseconds for which the instance still counts as
-	// rejecting requests; zero if it does not.
-	RejectingMS float64 `json:"rejecting_ms,omitempty"`
-}
-
-// rejectionRecord returns the record of an instance at now.
-func (s *instanceState) rejectionRecord(now time.Time) RejectionRecord {
-	return RejectionRecord{
-		Upstream:    s.ID,
-		StartedAtMS: s.StartedAtMS,
-		Limit:       s.rejections.limit,
-		RejectingMS: inMilliseconds(s.rejections.rejectingFor(now)),
-	}
-}
-
-// mergeRejections applies the records of another router. Their limits count until the
-// instance responds to this router. Records of instances that are not in the table are
-// dropped: the limit of their service applies to them.
-func (t *Table) mergeRejections(records []RejectionRecord, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, record := range records {
-		s, found := t.instances[record.Upstream]
-		if !found || s.StartedAtMS != record.StartedAtMS {
-			continue
-		}
-		if !s.rejections.answered {
-			s.rejections.limit = max(0, record.Limit)
-			t.hasRejectionLimits = true
-		}
-		s.rejections.learn(record.RejectingMS, now)
-	}
-}
-
-// learn records that the instance counts as rejecting requests for some milliseconds, at
-// most rejectionMemory.
-func (r *rejections) learn(rejectingMS float64, now time.Time) {
-	left := min(max(0, rejectingMS), inMilliseconds(rejectionMemory))
-	if at := now.Add(time.Duration(left*float64(time.Millisecond)) - rejectionMemory); left > 0 && at.After(r.lastAt) {
-		r.lastAt = at
-	}
-}
--- a/exchange/down.go
+++ b/exchange/down.go
@@ -63,6 +63,7 @@
 	return p.isDown(ctx, upstream, address, suspectOpenTime)
 }
 
+// isDown is IsDown with a given time for which a new connection must stay open.
 func (p *Pool) isDown(ctx context.Context, upstream granitehoist.Upstream, address string, openTime time.Duration) bool {
 	direct := func(ctx context.Context) (net.Conn, error) { return p.DialDirect(ctx, upstream, address) }
 	if down, _ := closesWithin(ctx, direct, openTime); !down {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -71,7 +71,7 @@
 	now := a.forwarder.settings.Clock()
 	response, err := a.forwarder.settings.Pool.Do(ctx, a.upstreamRequest(lease, afterEvent, now), now)
 	if err != nil {
-		return attemptResult{err: a.withPathRetry(timer.attemptError(ctx, err)), unsent: isUnsent(err)}
+		return attemptResult{err: a.pathRefusal(timer.attemptError(ctx, err)), unsent: isUnsent(err)}
 	}
 	defer response.Close()
 	headAt := a.forwarder.settings.Clock()
@@ -103,9 +103,9 @@
 	return code == granitehoist.UpstreamRefused || code == granitehoist.UpstreamsUnreachable
 }
 
-// withPathRetry adds a Retry-After to the error of a router that reaches no upstream,
-// and returns other errors unchanged.
-func (a *activeRequest) withPathRetry(err error) error {
+// pathRefusal returns the refusal for the error of a router that reaches no upstream, and
+// other errors unchanged.
+func (a *activeRequest) pathRefusal(err error) error {
 	if granitehoist.CodeOf(err) != granitehoist.UpstreamsUnreachable {
 		return err
 	}
--- a/node/components.go
+++ b/node/components.go
@@ -78,15 +78,7 @@
 	})
 	c.detours = newDetours(n, c.peers)
 	c.path = newPathMonitor(n, c.table, c.detours)
-	c.pool = exchange.NewPool(exchange.Settings{
-		Clock:        n.clock,
-		Dialer:       n.config.UpstreamDialer,
-		Detour:       c.detours,
-		OnOpen:       n.counters.counter(metricConnections),
-		OnDial:       n.counters.countDial,
-		OnPathChange: c.path.onChange,
-		Meter:        c.linkMeter,
-	})
+	c.pool = newPool(n, c)
 	c.path.pool = c.pool
 	c.tunnels = newTunnels(n, c, tunnelAddress)
 	c.suspects = newSuspects(n, c.peers)
@@ -142,3 +134,17 @@
 		LinkMbps:    c.LinkMbps,
 	}
 }
+
+// newPool returns the connections to upstreams. The detours and the path monitor exist
+// already.
+func newPool(n *Node, c *components) *exchange.Pool {
+	return exchange.NewPool(exchange.Settings{
+		Clock:        n.clock,
+		Dialer:       n.config.UpstreamDialer,
+		Detour:       c.detours,
+		OnOpen:       n.counters.counter(metricConnections),
+		OnDial:       n.counters.countDial,
+		OnPathChange: c.path.onChange,
+		Meter:        c.linkMeter,
+	})
+}
--- a/node/path.go
+++ b/node/path.go
@@ -83,6 +83,7 @@
 			_ = m.pool.Probe(ctx, instance.ID, instance.Address)
 		})
 	}
+	// The search is for its effect: the next request finds the route.
 	dials.Go(func() { _, _ = m.detours.route(ctx) })
 	dials.Wait()
 }
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -54,6 +54,7 @@
 		return nil, ctx.Err()
 	}
 	if err != nil {
+		// The connection carried nothing.
 		_ = raw.Close()
 		return nil, err
 	}
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -89,6 +89,7 @@
 	caller, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		s.release()
+		// The connection carried nothing.
 		_ = upstream.Close()
 		// Only a server that does not speak HTTP/1.1 fails here.
 		w.WriteHeader(http.StatusInternalServerError)
@@ -291,8 +292,9 @@
 	return t.bytes
 }
 
-// close closes both connections. Either may be closed already.
+// close closes both connections.
 func (t *serverTunnel) close() {
+	// Either may be closed already.
 	_ = t.caller.Close()
 	_ = t.upstream.Close()
 }
