--- a/balance/rejections_simulation_test.go
+++ b/balance/rejections_simulation_test.go
@@ -322,9 +322,8 @@
 	r.failed += other.failed
 }
 
-// TestRejectionStrategies guards against upstreams that crash because they have to reject
-// too much, and against routers that spare them and serve less than others would. It logs
-// the results of routers that do not know of the limit for comparison.
+// TestRejectionStrategies guards against upstreams that crash because they have to reject too
+// much, and against routers that spare them and serve less than without the limit.
 func TestRejectionStrategies(t *testing.T) {
 	const seeds, maxCrashes = 2, 2 + rejectionUpstreams/10
 	// minServedBelowCapacity is the share of the requests that must be served if all fit.
--- a/node/partition_test.go
+++ b/node/partition_test.go
@@ -325,9 +325,8 @@
 	}
 }
 
-// TestPartitionIsNoCrash guards against requests that are recorded as crashing upstreams,
-// which all routers then hold back or refuse, because one router was partitioned while it
-// sent them.
+// TestPartitionIsNoCrash guards against requests that all routers take for crashing upstreams
+// because one router was partitioned while it sent them.
 func TestPartitionIsNoCrash(t *testing.T) {
 	t.Parallel()
 	const cuts = 4
--- a/node/rejectionlimit_test.go
+++ b/node/rejectionlimit_test.go
@@ -16,19 +16,19 @@
 )
 
 const (
-	// brittleCapacity is the number of requests that a brittle worker runs at once. It
+	// fragileCapacity is the number of requests that a fragile worker runs at once. It
 	// rejects all others.
-	brittleCapacity = 8
-	// brittleDelay is the time that a request runs.
-	brittleDelay = time.Second
-	// brittleRestart is the time from the crash of a brittle worker to the start of its
+	fragileCapacity = 8
+	// fragileDelay is the time that a request runs.
+	fragileDelay = time.Second
+	// fragileRestart is the time from the crash of a fragile worker to the start of its
 	// replacement.
-	brittleRestart = time.Second
+	fragileRestart = time.Second
 )
 
-// brittleService holds workers that crash if they have to reject more than limit requests
+// fragileService holds workers that crash if they have to reject more than limit requests
 // within a second. It is safe for concurrent use.
-type brittleService struct {
+type fragileService struct {
 	fleet *testFleet
 	limit int
 
@@ -39,9 +39,9 @@
 	served  int
 }
 
-// newBrittleService starts the workers.
-func (s *testFleet) newBrittleService(workers, limit int) *brittleService {
-	b := &brittleService{fleet: s, limit: limit}
+// newFragileService starts the workers.
+func (s *testFleet) newFragileService(workers, limit int) *fragileService {
+	b := &fragileService{fleet: s, limit: limit}
 	s.cleanup(b.end)
 	for range workers {
 		b.addWorker()
@@ -50,33 +50,33 @@
 }
 
 // end stops the replacement of crashed workers.
-func (b *brittleService) end() {
+func (b *fragileService) end() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ended = true
 }
 
 // addWorker starts and announces a worker.
-func (b *brittleService) addWorker() {
+func (b *fragileService) addWorker() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.ended {
 		return
 	}
-	w := &brittleWorker{service: b}
+	w := &fragileWorker{service: b}
 	b.fleet.startWorkerFunc(w.respond)
 }
 
 // counts returns the number of crashes and of served requests.
-func (b *brittleService) counts() (crashes, served int) {
+func (b *fragileService) counts() (crashes, served int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.crashes, b.served
 }
 
-// brittleWorker is the state of one worker. The lock of its service guards it.
-type brittleWorker struct {
-	service *brittleService
+// fragileWorker is the state of one worker. The lock of its service guards it.
+type fragileWorker struct {
+	service *fragileService
 	running int
 	crashed bool
 	// rejected holds the times of the rejections within the last second.
@@ -84,7 +84,7 @@
 }
 
 // respond serves or rejects a request, or crashes.
-func (w *brittleWorker) respond(standin.ReceivedRequest) standin.WorkerResponse {
+func (w *fragileWorker) respond(standin.ReceivedRequest) standin.WorkerResponse {
 	accepted, crashes := w.admit(time.Now())
 	switch {
 	case crashes:
@@ -92,7 +92,7 @@
 	case !accepted:
 		return standin.WorkerResponse{Status: http.StatusServiceUnavailable, NotRun: true, RejectionLimit: w.service.limit}
 	}
-	time.Sleep(brittleDelay)
+	time.Sleep(fragileDelay)
 	w.service.mu.Lock()
 	defer w.service.mu.Unlock()
 	w.running--
@@ -101,11 +101,11 @@
 }
 
 // admit reports whether the worker runs a request, and whether it crashes instead.
-func (w *brittleWorker) admit(now time.Time) (accepted, crashes bool) {
+func (w *fragileWorker) admit(now time.Time) (accepted, crashes bool) {
 	b := w.service
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if w.running < brittleCapacity && !w.crashed {
+	if w.running < fragileCapacity && !w.crashed {
 		w.running++
 		return true, false
 	}
@@ -118,12 +118,12 @@
 	}
 	w.crashed = true
 	b.crashes++
-	time.AfterFunc(brittleRestart, b.addWorker)
+	time.AfterFunc(fragileRestart, b.addWorker)
 	return false, true
 }
 
-// maxBrittleCrashes is the number of crashes that is tolerated among a number of workers.
-func maxBrittleCrashes(workers int) int { return 2 + workers/10 }
+// maxCrashesAmong is the number of crashes that is tolerated among a number of workers.
+func maxCrashesAmong(workers int) int { return 2 + workers/10 }
 
 // expectPromptRefusals expects all requests to be served or to be refused as not run soon
 // and with a Retry-After.
@@ -152,9 +152,9 @@
 			t.Parallel()
 			s := newTestFleet(t, routers)
 			s.configure(1, 1_000_000, "/a/")
-			service := s.newBrittleService(workers, limit)
+			service := s.newFragileService(workers, limit)
 			s.awaitFleet("/a/x")
-			perSecond := load * workers * brittleCapacity / brittleDelay.Seconds()
+			perSecond := load * workers * fragileCapacity / fragileDelay.Seconds()
 			pause := time.Duration(routers / perSecond * float64(time.Second))
 			all := s.sendLoad("/a/x", pause, lasts)
 			// A router that starts does not know yet what the workers can bear, and the
@@ -166,8 +166,8 @@
 			s.Eventually(s.members[routers].ready, stepTimeout).Should(Equal(http.StatusOK))
 			all = append(all, s.sendLoad("/a/x", pause, lasts/2)...)
 			crashes, served := service.counts()
-			s.Expect(crashes).To(BeNumerically("<=", maxBrittleCrashes(workers)), "crashes")
-			s.Expect(served).To(BeNumerically(">=", int(0.7*workers*brittleCapacity*1.5*lasts.Seconds())), "requests served")
+			s.Expect(crashes).To(BeNumerically("<=", maxCrashesAmong(workers)), "crashes")
+			s.Expect(served).To(BeNumerically(">=", int(0.7*workers*fragileCapacity*1.5*lasts.Seconds())), "requests served")
 			s.expectPromptRefusals(all)
 			after := s.sendLoadStatuses("/a/x", time.Duration(load*2*float64(pause)), 2*time.Second)
 			s.Expect(after).To(And(HaveLen(1), HaveKey(http.StatusOK)), "statuses below the capacity")
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -81,7 +81,7 @@
 	// prepaidTokens is the budget of the workspace.
 	prepaidTokens int
 	runCounts     *runCounts
-	brittle       *brittleService
+	rejecting     *rejectingService
 	store         *standin.Store
 	processes     []*process
 	workers       []*proxy
@@ -115,9 +115,9 @@
 		"backends":[{"name":"fragile","healthPath":"/healthz","runtime":{"capacity":64,"increment":%[1]d}},{"name":"pool","healthPath":"/healthz","runtime":{"capacity":64,"increment":%[1]d}}],
 		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 		"tenants":[{"name":"kiosk","apiKeys":["a-key"],"reserved":%[2]d}]}`, tokensPerEvent, prepaidTokens))
-	f.brittle = &brittleService{fleet: f, workers: make([]brittleWorker, workerCount)}
+	f.rejecting = &rejectingService{fleet: f, workers: make([]rejectingWorker, workerCount)}
 	for i := range workerCount {
-		respond := func(a standin.ReceivedRequest) standin.WorkerResponse { return f.brittle.respond(i, a) }
+		respond := func(a standin.ReceivedRequest) standin.WorkerResponse { return f.rejecting.respond(i, a) }
 		f.addWorker(fmt.Sprintf("i-%d", i), fmt.Sprintf("127.%d.%d.%d:0", loopbackOctet(), block, 100+i), respond)
 	}
 	for i := range processes {
--- a/soak/partition_test.go
+++ b/soak/partition_test.go
@@ -17,7 +17,7 @@
 
 const (
 	// processesVariable is the environment variable with the number of processes of a fleet
-	// in TestPartition and TestBrittle.
+	// in TestPartition and TestRejectionLimit.
 	processesVariable = "SOAK_PROCESSES"
 	// partitionBlock is the lowest third octet of the loopback addresses of TestPartition.
 	partitionBlock = 180
--- a/soak/brittle_test.go
+++ b/soak/rejectionlimit_test.go
@@ -16,43 +16,44 @@
 )
 
 const (
-	// brittleBlock is the lowest third octet of the loopback addresses of TestBrittle.
-	brittleBlock = 220
-	// brittleCapacity is the number of requests that a brittle worker runs at once,
-	// brittleDelay the time that each takes.
-	brittleCapacity = 4
-	brittleDelay    = 150 * time.Millisecond
-	// brittleDown is the time for which a worker is down after a crash.
-	brittleDown = time.Second
-	// brittleDuration is the time for which the workers run few requests.
-	brittleDuration = 6 * time.Second
-	// maxBrittleCrashes is the number of crashes tolerated among workerCount workers.
-	maxBrittleCrashes = 2 + workerCount/10
+	// rejectionBlock is the lowest third octet of the loopback addresses of
+	// TestRejectionLimit.
+	rejectionBlock = 220
+	// scarceCapacity is the number of requests that a worker with scarce capacity runs at once,
+	// scarceDelay the time that each takes.
+	scarceCapacity = 4
+	scarceDelay    = 150 * time.Millisecond
+	// crashDowntime is the time for which a worker is down after a crash.
+	crashDowntime = time.Second
+	// scarceDuration is the time for which the workers run few requests.
+	scarceDuration = 6 * time.Second
+	// maxRejectionCrashes is the number of crashes tolerated among workerCount workers.
+	maxRejectionCrashes = 2 + workerCount/10
 	// processHeader names the process to which a caller sent a request.
 	processHeader = "Process"
 )
 
-// brittleLimits holds the numbers of requests a second that a worker can reject, for each
+// rejectionLimits holds the numbers of requests a second that a worker can reject, for each
 // process of the fleet. Seeds use them in turn.
-var brittleLimits = []float64{2, 1, 0.5}
+var rejectionLimits = []float64{2, 1, 0.5}
 
-// brittleService is the state of the workers of a fleet, which are brittle at times. It is
-// safe for concurrent use.
-type brittleService struct {
+// rejectingService is the state of the workers of a fleet, which at times have scarce
+// capacity and state how much they can reject. It is safe for concurrent use.
+type rejectingService struct {
 	fleet *fleet
 
 	mu sync.Mutex
 	// stated says that all responses state the limit, scarce that the workers run only
-	// brittleCapacity requests.
+	// scarceCapacity requests.
 	stated, scarce bool
 	limit          int
-	workers        []brittleWorker
+	workers        []rejectingWorker
 	// crashes counts the crashes that processes in touch have caused, others the rest.
 	crashes, others int
 }
 
-// brittleWorker is the state of a worker.
-type brittleWorker struct {
+// rejectingWorker is the state of a worker.
+type rejectingWorker struct {
 	running  int
 	down     bool
 	rejected []rejection
@@ -66,20 +67,20 @@
 }
 
 // set changes the state of the workers.
-func (b *brittleService) set(stated, scarce bool) {
+func (b *rejectingService) set(stated, scarce bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.stated, b.scarce = stated, scarce
 }
 
 // respond serves or rejects a request at a worker.
-func (b *brittleService) respond(worker int, a standin.ReceivedRequest) standin.WorkerResponse {
+func (b *rejectingService) respond(worker int, a standin.ReceivedRequest) standin.WorkerResponse {
 	limit, accepted, scarce := b.admit(worker, a, time.Now())
 	switch {
 	case !accepted:
 		return standin.WorkerResponse{Status: http.StatusServiceUnavailable, NotRun: true, RejectionLimit: limit}
 	case scarce:
-		time.Sleep(brittleDelay)
+		time.Sleep(scarceDelay)
 	}
 	response := b.fleet.runCounts.respond(a)
 	response.RejectionLimit = limit
@@ -90,14 +91,14 @@
 }
 
 // admit reports whether a worker runs a request, and the limit that its response states.
-func (b *brittleService) admit(worker int, a standin.ReceivedRequest, now time.Time) (limit int, accepted, scarce bool) {
+func (b *rejectingService) admit(worker int, a standin.ReceivedRequest, now time.Time) (limit int, accepted, scarce bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.stated {
 		limit = b.limit
 	}
 	w := &b.workers[worker]
-	if !w.down && (!b.scarce || w.running < brittleCapacity) {
+	if !w.down && (!b.scarce || w.running < scarceCapacity) {
 		w.running++
 		return limit, true, b.scarce
 	}
@@ -111,8 +112,8 @@
 	return limit, false, false
 }
 
-// crash takes a worker down for brittleDown. The caller holds mu.
-func (b *brittleService) crash(worker int) {
+// crash takes a worker down for crashDowntime. The caller holds mu.
+func (b *rejectingService) crash(worker int) {
 	w := &b.workers[worker]
 	inTouch := 0
 	for _, r := range w.rejected {
@@ -128,7 +129,7 @@
 	w.down = true
 	go func() {
 		b.fleet.workers[worker].setMode(reset)
-		time.Sleep(brittleDown)
+		time.Sleep(crashDowntime)
 		b.fleet.workers[worker].setMode(forward)
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -178,35 +179,35 @@
 	}
 }
 
-// TestBrittle guards against workers that crash because processes let them reject too many
+// TestRejectionLimit guards against workers that crash because processes let them reject too many
 // requests, and against violations of the invariants of TestSoak.
-func TestBrittle(t *testing.T) {
+func TestRejectionLimit(t *testing.T) {
 	from, to := seedRange(t, 1, 2)
 	binary := buildProgram(t, "..")
 	for seed := from; seed <= to; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			f := newFleetOf(t, binary, processCount(t), brittleBlock+seed%30, processCount(t)*largeBudget)
+			f := newFleetOf(t, binary, processCount(t), rejectionBlock+seed%30, processCount(t)*largeBudget)
 			f.awaitReady(recoveryTimeout)
 			results := &outcomes{answers: map[string]int{}}
-			// The callers send three times what the workers run while they are brittle.
+			// The callers send three times what the workers run while their capacity is scarce.
 			perProcess := max(2, 48/len(f.processes))
 			callers := f.startCallers(seed, perProcess, 30*time.Millisecond, results)
-			f.brittle.limit = int(brittleLimits[seed%len(brittleLimits)] * float64(len(f.processes)))
-			f.brittle.set(true, false)
+			f.rejecting.limit = int(rejectionLimits[seed%len(rejectionLimits)] * float64(len(f.processes)))
+			f.rejecting.set(true, false)
 			time.Sleep(contactTime)
-			f.brittle.set(true, true)
-			f.disturb(rand.New(rand.NewPCG(uint64(seed), 400)), time.Now().Add(brittleDuration))
-			f.brittle.set(false, false)
+			f.rejecting.set(true, true)
+			f.disturb(rand.New(rand.NewPCG(uint64(seed), 400)), time.Now().Add(scarceDuration))
+			f.rejecting.set(false, false)
 			f.awaitReady(recoveryTimeout)
 			time.Sleep(contactTime)
 			recovered := time.Now()
 			time.Sleep(time.Second)
 			f.checkServedAfter(callers.end(), recovered)
 			f.check(results)
-			t.Logf("%d crashes, %d more under faults, at %d rejections a second", f.brittle.crashes, f.brittle.others, f.brittle.limit)
-			if f.brittle.crashes > maxBrittleCrashes {
-				t.Errorf("%d workers crashed, %d are allowed", f.brittle.crashes, maxBrittleCrashes)
+			t.Logf("%d crashes, %d more under faults, at %d rejections a second", f.rejecting.crashes, f.rejecting.others, f.rejecting.limit)
+			if f.rejecting.crashes > maxRejectionCrashes {
+				t.Errorf("%d workers crashed, %d are allowed", f.rejecting.crashes, maxRejectionCrashes)
 			}
 			f.logOnFailure()
 		})
