--- a/balance/backoff_simulation_test.go
+++ b/balance/backoff_simulation_test.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"strconv"
 	"testing"
@@ -105,7 +104,7 @@
 		s.now = s.now.Add(backoffStep)
 		s.advance()
 		s.resend()
-		for range s.poisson(perSecond * backoffStep.Seconds()) {
+		for range poisson(s.random, perSecond*backoffStep.Seconds()) {
 			s.send(&backoffRequest{router: s.random.IntN(routers), tried: map[granitehoist.Upstream]bool{}})
 		}
 		s.recordRecovery()
@@ -122,16 +121,6 @@
 
 func simulatedID(u int) granitehoist.Upstream { return granitehoist.Upstream(fmt.Sprint(u)) }
 
-// poisson draws the number of requests in one step.
-func (s *backoffSim) poisson(mean float64) int {
-	n, p, limit := 0, s.random.Float64(), math.Exp(-mean)
-	for p > limit {
-		n++
-		p *= s.random.Float64()
-	}
-	return n
-}
-
 // backoffRequest is a request that no upstream has accepted yet.
 type backoffRequest struct {
 	router int
--- a/node/detours.go
+++ b/node/detours.go
@@ -65,7 +65,7 @@
 // for concurrent use.
 type detours struct {
 	peers    *peers
-	client   tunnel.Client
+	client   *tunnel.Client
 	clock    granitehoist.Clock
 	log      *zap.Logger
 	counters *counters
@@ -91,7 +91,7 @@
 
 // newDetours returns detours without any route.
 func newDetours(n *Node, p *peers) *detours {
-	return &detours{peers: p, client: tunnel.Client{Dialer: exchange.NewDialer()}, clock: n.clock, log: n.log, counters: n.counters}
+	return &detours{peers: p, client: &tunnel.Client{}, clock: n.clock, log: n.log, counters: n.counters}
 }
 
 // DialUpstream implements exchange.Detour.
--- a/node/partition_test.go
+++ b/node/partition_test.go
@@ -213,16 +213,23 @@
 	}
 }
 
-// TestAllRoutersPartitioned guards against requests that are held although no router reaches
-// an upstream, and against refusals that outlast the partition.
-func TestAllRoutersPartitioned(t *testing.T) {
-	t.Parallel()
-	s := newTestFleet(t, 3)
+// newPartitionFleet starts a fleet with four workers that serve /a/.
+func newPartitionFleet(t *testing.T, nodes int) *testFleet {
+	t.Helper()
+	s := newTestFleet(t, nodes)
 	s.configure(1, 1_000_000, "/a/")
 	for range 4 {
 		s.startWorker(standin.WorkerResponse{Body: "answer"})
 	}
 	s.awaitFleet("/a/x")
+	return s
+}
+
+// TestAllRoutersPartitioned guards against requests that are held although no router reaches
+// an upstream, and against refusals that outlast the partition.
+func TestAllRoutersPartitioned(t *testing.T) {
+	t.Parallel()
+	s := newPartitionFleet(t, 3)
 	for _, m := range s.members {
 		m.partition.set(hanging)
 	}
@@ -248,12 +255,7 @@
 // partition and does not find a detour.
 func TestRouterStartsPartitioned(t *testing.T) {
 	t.Parallel()
-	s := newTestFleet(t, 3)
-	s.configure(1, 1_000_000, "/a/")
-	for range 4 {
-		s.startWorker(standin.WorkerResponse{Body: "answer"})
-	}
-	s.awaitFleet("/a/x")
+	s := newPartitionFleet(t, 3)
 	started := s.startPartitioned(resetting)
 	s.Eventually(started.ready, stepTimeout).Should(Equal(http.StatusOK))
 	s.Eventually(started.status("/a/x"), partitionSettleTime).Should(Equal(http.StatusOK))
@@ -356,12 +358,7 @@
 // because it does not know yet the only node with a path.
 func TestDetourThroughUnknownNode(t *testing.T) {
 	t.Parallel()
-	s := newTestFleet(t, 2)
-	s.configure(1, 1_000_000, "/a/")
-	for range 4 {
-		s.startWorker(standin.WorkerResponse{Body: "answer"})
-	}
-	s.awaitFleet("/a/x")
+	s := newPartitionFleet(t, 2)
 	// The node that joins is known to the second one only, since it lists the nodes before
 	// the first one has an entry.
 	hidden := s.keysUnder("boxes/")
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -11,18 +11,14 @@
 	"net/url"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/exchange"
 )
 
-// Dialer opens connections, like net.Dialer.
-type Dialer interface {
-	DialContext(ctx context.Context, network, address string) (net.Conn, error)
-}
-
 // Client opens tunnels at other routers. The zero value works. It is safe for concurrent
 // use.
 type Client struct {
-	// Dialer opens the connections to the other routers; nil means net.Dialer.
-	Dialer Dialer
+	// Dialer opens the connections to the other routers; nil means exchange.NewDialer.
+	Dialer exchange.Dialer
 }
 
 const (
@@ -41,7 +37,7 @@
 func (c *Client) Dial(ctx context.Context, address string, upstream granitehoist.Upstream) (net.Conn, error) {
 	dialer := c.Dialer
 	if dialer == nil {
-		dialer = &net.Dialer{}
+		dialer = exchange.NewDialer()
 	}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
