Test that a router without a path refuses at once and blames no upstream

Unit tests of two decisions that the tests of whole nodes covered only together: no further attempt follows, and the attempt says nothing of its instance. One comment is wrapped.

--- a/forward/classify.go
+++ b/forward/classify.go
@@ -79,8 +79,8 @@
 // Attempts that were misdirected, got a 5xx response, were relayed completely or got a
 // rejection of an invalid request have the same result whether or not the request ended.
 // Any other attempt is Inconclusive if the request ended, the response could not be written
-// to the caller or the router reaches no upstream. Otherwise it is Refused if the instance refused the request, and
-// Broken if not.
+// to the caller or the router reaches no upstream. Otherwise it is Refused if the instance
+// refused the request, and Broken if not.
 func instanceResult(r *attemptResult, ended bool) balance.Result {
 	switch {
 	case r.class == responseMisdirected:
--- a/forward/classify_test.go
+++ b/forward/classify_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/balance"
 	"granitehoist.example/granitehoist/catalog"
 )
 
@@ -52,6 +53,11 @@
 	})
 })
 
+var _ = ginkgo.It("An attempt of a router that reaches no upstream says nothing of its instance", func() {
+	result := attemptResult{err: granitehoist.Errorf(granitehoist.UpstreamsUnreachable, ""), unsent: true}
+	Expect(instanceResult(&result, false)).To(Equal(balance.Inconclusive))
+})
+
 var _ = ginkgo.DescribeTable("A connection may be reused after an idle time of",
 	func(r *catalog.Route, want time.Duration) { Expect(idleLimit(r)).To(Equal(want)) },
 	ginkgo.Entry("a minute for a safe request", safeRoute, time.Minute),
@@ -68,6 +74,7 @@
 	},
 	ginkgo.Entry("UpstreamLost if it was cancelled because it stalled", errStalled, granitehoist.Errorf(granitehoist.UpstreamCut, ""), granitehoist.UpstreamLost),
 	ginkgo.Entry("UpstreamRefused if it was not sent", errStalled, granitehoist.Errorf(granitehoist.UpstreamRefused, ""), granitehoist.UpstreamRefused),
+	ginkgo.Entry("UpstreamsUnreachable if the router reaches none", errStalled, granitehoist.Errorf(granitehoist.UpstreamsUnreachable, ""), granitehoist.UpstreamsUnreachable),
 	ginkgo.Entry("nil if it was complete", errStalled, nil, granitehoist.Served),
 	ginkgo.Entry("unchanged otherwise", errors.New("caller left"), granitehoist.Errorf(granitehoist.UpstreamCut, ""), granitehoist.UpstreamCut),
 )
