Stop the carrier of tunnels only once all streams go through it

Cause: the test gave the streams 0.3 s to begin. One that begins after the order to stop finds no router to go through, since the stopping one opens no tunnels, and is rightly refused at once.

Change: the test waits until the carrier has all twelve tunnels. As strict: all streams have to be complete, and they last twice as long.

--- a/node/partition_test.go
+++ b/node/partition_test.go
@@ -299,31 +299,33 @@
 // router which carries them stops in good order.
 func TestTunnelOutlivesStop(t *testing.T) {
 	t.Parallel()
+	const streams, streamEvents = 12, 20
 	s := newTestFleet(t, 2)
 	s.configure(1, 1_000_000, "/stream/")
 	for range 3 {
-		s.startWorker(standin.WorkerResponse{Events: 10, Gap: 100 * time.Millisecond})
+		s.startWorker(standin.WorkerResponse{Events: streamEvents, Gap: 100 * time.Millisecond})
 	}
 	s.awaitFleet("/stream/x")
 	m, carrier := s.members[0], s.members[1]
 	m.partition.set(resetting)
 	s.Eventually(m.status("/stream/x"), stepTimeout).Should(Equal(http.StatusOK))
 	s.Expect(carrier.metric("tunnels")).NotTo(Equal("0"))
-	var streams sync.WaitGroup
-	answers := make([]answer, 12)
+	var callers sync.WaitGroup
+	answers := make([]answer, streams)
 	for i := range answers {
-		streams.Go(func() {
+		callers.Go(func() {
 			got, err := m.ask("/stream/x", fmt.Sprintf("r-%d", i), "Token-Usage", "10,100")
 			s.Expect(err).NotTo(HaveOccurred())
 			answers[i] = got
 		})
 	}
-	time.Sleep(300 * time.Millisecond)
+	// A stream that begins later finds no router to go through.
+	s.Eventually(func() string { return carrier.metric("tunnels") }, stepTimeout).WithPolling(20 * time.Millisecond).Should(Equal(fmt.Sprint(streams)))
 	carrier.node.Stop()
-	streams.Wait()
+	callers.Wait()
 	for _, got := range answers {
 		s.Expect(got.status).To(Equal(http.StatusOK))
-		s.Expect(strings.Count(got.body, "id: ")).To(Equal(10))
+		s.Expect(strings.Count(got.body, "id: ")).To(Equal(streamEvents))
 	}
 }
 
