Go on to upstreams that have not failed without a detour

Callers got 503 with code 5006, up to 49 of 290 requests in two seconds, after four of six upstreams had crashed, although the other two ran.

Cause: after dials to four upstreams had failed in a row, a router without a detour dialed nothing, took this for the state of all upstreams, and ended the request at its first attempt. All routers see the same crash, so none offers a detour. Requests with an open connection to a running upstream went through, so that no dial ended the state until a probe of two random upstreams found one.

Change: only upstreams whose own dial failed are left out, and the request goes on to the next; eight upstreams are probed at a time in this state. A failed dial keeps its own code, so that it counts against the upstream.

--- a/exchange/dial.go
+++ b/exchange/dial.go
@@ -109,8 +109,9 @@
 }
 
 // dial opens a connection for a request. While the direct path is lost it takes a detour.
-// Its error has code UpstreamsUnreachable if no upstream is reached directly and there is no
-// detour, and UpstreamRefused if the upstream did not accept the connection.
+// Its error has code UpstreamsUnreachable if it did not dial, because several upstreams, this
+// one among them, failed in a row and there is no detour. It has code UpstreamRefused if the
+// upstream did not accept the connection.
 func (p *Pool) dial(ctx context.Context, upstream granitehoist.Upstream, address string) (*conn, error) {
 	started := p.settings.Clock()
 	raw, err := p.open(ctx, upstream, address)
@@ -135,10 +136,10 @@
 		return raw, cannotConnect(err)
 	}
 	switch {
-	case p.path.isHopeless():
-		return nil, granitehoist.Wrap(granitehoist.UpstreamsUnreachable, err, "")
 	case direct != nil:
 		return nil, cannotConnect(direct)
+	case p.path.isHopeless(upstream):
+		return nil, granitehoist.Wrap(granitehoist.UpstreamsUnreachable, err, "")
 	}
 	raw, err = p.DialDirect(ctx, upstream, address)
 	return raw, cannotConnect(err)
--- a/exchange/path.go
+++ b/exchange/path.go
@@ -20,8 +20,7 @@
 	// another router has reached one of them.
 	suspectAfter = 2
 	// isolatedAfter is the same for a router that has no detour: from there on it does not
-	// dial for requests, which would only wait for the next timeout. The number is larger
-	// since all upstreams of a small service may have failed.
+	// dial these upstreams for requests, which would only wait for the next timeout.
 	isolatedAfter = 4
 )
 
@@ -100,9 +99,10 @@
 	return p.state()
 }
 
-// isHopeless reports whether a direct dial for a request is not worth its time.
-func (p *directPath) isHopeless() bool {
+// isHopeless reports whether a direct dial of upstream for a request is not worth its time.
+// Upstreams that have not failed may be the only ones left after a crash of most.
+func (p *directPath) isHopeless(upstream granitehoist.Upstream) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.failed) >= isolatedAfter
+	return len(p.failed) >= isolatedAfter && p.failed[upstream]
 }
--- a/exchange/path_test.go
+++ b/exchange/path_test.go
@@ -160,6 +160,22 @@
 			t.Error("a request that was not sent may have run")
 		}
 	})
+	t.Run("is missing: dials an upstream that has not failed", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		p := NewPool(Settings{})
+		if err := dialUpstreams(p, "a", "b", "c", "d"); granitehoist.CodeOf(err) != granitehoist.UpstreamRefused || p.Path() != PathIsolated {
+			t.Fatalf("error %v, state %d", err, p.Path())
+		}
+		c, err := p.dial(context.Background(), "e", listener.Addr().String())
+		if err != nil || p.Path() != PathOpen {
+			t.Fatalf("error %v, state %d", err, p.Path())
+		}
+		discard(c)
+	})
 	t.Run("ends when a probe succeeds", func(t *testing.T) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
--- a/forward/active.go
+++ b/forward/active.go
@@ -237,7 +237,6 @@
 		route:       a.admission.route,
 		execution:   executionOf(result.err),
 		unsent:      result.unsent,
-		noPath:      granitehoist.CodeOf(result.err) == granitehoist.UpstreamsUnreachable,
 		badRequest:  result.class == responseBadRequest,
 		ended:       ctx.Err() != nil,
 		attempts:    a.progress.attempts,
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -28,8 +28,6 @@
 	// sent.
 	execution granitehoist.ExecutionStatus
 	unsent    bool
-	// noPath is set if this router reaches no upstream, directly or by a detour.
-	noPath bool
 	// badRequest is set if the upstream rejected the request as invalid.
 	badRequest bool
 	// ended is set if the caller disconnected or the request's timeout passed.
@@ -58,8 +56,8 @@
 // decideRetry decides whether another attempt may follow a failed one, whether it uses
 // the retry budget, and after which event its stream resumes.
 //
-//   - No attempt follows if the request has ended or is invalid, the router reaches no
-//     upstream, too little time is left, or maxAttempts were made.
+//   - No attempt follows if the request has ended or is invalid, too little time is left, or
+//     maxAttempts were made.
 //   - An attempt that did not run may be followed by another. One that may have run may
 //     be followed only if the request is repeatable, its route allows another run, and,
 //     once the caller has a part of a stream, the stream may be resumed.
@@ -70,7 +68,7 @@
 // Package balance never selects an instance that the request has tried.
 func decideRetry(in retryInput) retryDecision {
 	switch {
-	case in.ended, in.badRequest, in.noPath, in.attempts >= maxAttempts, in.timeLeft < minRetryTime:
+	case in.ended, in.badRequest, in.attempts >= maxAttempts, in.timeLeft < minRetryTime:
 		return retryDecision{}
 	case in.execution != granitehoist.NotRun && !in.mayRunAgain():
 		return retryDecision{}
--- a/node/path.go
+++ b/node/path.go
@@ -20,8 +20,11 @@
 	// pathProbeInterval is the time between two probes of the direct path while it is not
 	// open.
 	pathProbeInterval = 250 * time.Millisecond
-	// pathProbes is the number of upstreams probed at a time.
-	pathProbes = 2
+	// pathProbes is the number of upstreams probed at a time, isolatedPathProbes the number
+	// while the node is isolated: after a crash of most upstreams it has to find one of the
+	// others.
+	pathProbes         = 2
+	isolatedPathProbes = 8
 )
 
 // pathMonitor probes the direct path to the upstreams while it is not open, so that the
@@ -76,8 +79,12 @@
 
 // probe dials some upstreams and keeps a detour known.
 func (m *pathMonitor) probe(ctx context.Context) {
+	probes := pathProbes
+	if m.pool.Path() == exchange.PathIsolated {
+		probes = isolatedPathProbes
+	}
 	var dials sync.WaitGroup
-	for _, instance := range m.table.Sample(pathProbes) {
+	for _, instance := range m.table.Sample(probes) {
 		dials.Go(func() {
 			// The pool judges the path by the result.
 			_ = m.pool.Probe(ctx, instance.ID, instance.Address)
