Give refused dials a limit of their own

Cause: the four attempts of a request counted dials that were refused at once, and the first four upstreams that it selected were the four that had crashed. Ejection begins only with the second failure of each.

Evidence: the log lines of the refused requests show four refused dials within 4 to 6 ms and no attempt that was sent.

Change: a refused dial, or one not tried after others failed, counts towards a limit of eight by itself. It reaches no upstream and takes about a millisecond, so it costs neither time nor the retry budget. Dials that time out count as before.

--- a/forward/active.go
+++ b/forward/active.go
@@ -54,8 +54,9 @@
 	tried    map[granitehoist.Upstream]bool
 	attempts int
 	// runs is the number of attempts that ran or may have run. rejections is the number of
-	// those that the instance rejected.
-	runs, rejections int
+	// those that the instance rejected, refusedDials the number of those whose dial was
+	// refused or not tried.
+	runs, rejections, refusedDials int
 	// started is set once the response head was relayed, at firstByteAt.
 	started     bool
 	firstByteAt time.Time
@@ -215,11 +216,14 @@
 	return decision, result.err
 }
 
-// countRun counts an attempt that ran or may have run, or that the instance rejected.
+// countRun counts an attempt that ran or may have run, or that was rejected, either by the
+// instance or already when it was dialed.
 func (a *activeRequest) countRun(result *attemptResult) {
 	switch {
 	case result.class == responseRefused:
 		a.progress.rejections++
+	case result.refusedDial:
+		a.progress.refusedDials++
 	case executionOf(result.err) != granitehoist.NotRun:
 		a.progress.runs++
 	}
@@ -234,16 +238,17 @@
 	}
 	now := a.forwarder.settings.Clock()
 	decision := decideRetry(retryInput{
-		route:       a.admission.route,
-		execution:   executionOf(result.err),
-		unsent:      result.unsent,
-		badRequest:  result.class == responseBadRequest,
-		ended:       ctx.Err() != nil,
-		attempts:    a.progress.attempts,
-		runs:        a.progress.runs,
-		started:     a.progress.started,
-		lastEventID: a.progress.lastEventID,
-		timeLeft:    a.admission.deadline.Sub(now),
+		route:        a.admission.route,
+		execution:    executionOf(result.err),
+		unsent:       result.unsent,
+		badRequest:   result.class == responseBadRequest,
+		ended:        ctx.Err() != nil,
+		attempts:     a.progress.attempts,
+		runs:         a.progress.runs,
+		refusedDials: a.progress.refusedDials,
+		started:      a.progress.started,
+		lastEventID:  a.progress.lastEventID,
+		timeLeft:     a.admission.deadline.Sub(now),
 	})
 	if decision.allowed && decision.usesRetryBudget && !result.retryTaken {
 		decision.allowed = a.takeRetry()
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -24,8 +24,9 @@
 	// status is the HTTP status, zero if no response arrived.
 	status int
 	class  responseClass
-	// unsent is set if no byte was sent.
-	unsent bool
+	// unsent is set if no byte was sent, refusedDial if that is since the dial was refused
+	// or not tried.
+	unsent, refusedDial bool
 	// retryTaken is set if the stall timer took a retry from the retry budget.
 	retryTaken bool
 	// failure is a 5xx response of the instance, which is relayed if no other attempt
@@ -71,7 +72,7 @@
 	now := a.forwarder.settings.Clock()
 	response, err := a.forwarder.settings.Pool.Do(ctx, a.upstreamRequest(lease, afterEvent, now), now)
 	if err != nil {
-		return attemptResult{err: a.pathRefusal(timer.attemptError(ctx, err)), unsent: isUnsent(err)}
+		return attemptResult{err: a.pathRefusal(timer.attemptError(ctx, err)), unsent: isUnsent(err), refusedDial: isRefusedDial(err)}
 	}
 	defer response.Close()
 	headAt := a.forwarder.settings.Clock()
@@ -103,6 +104,15 @@
 	return code == granitehoist.UpstreamRefused || code == granitehoist.UpstreamsUnreachable
 }
 
+// isRefusedDial reports whether an error of exchange.Pool.Do means that the dial was refused,
+// or not tried because it would have been. A dial that timed out is not refused.
+func isRefusedDial(err error) bool {
+	if granitehoist.CodeOf(err) == granitehoist.UpstreamsUnreachable {
+		return true
+	}
+	return isUnsent(err) && exchange.DialResultOf(err) == exchange.DialRefused
+}
+
 // pathRefusal returns the refusal for the error of a router that reaches no upstream, and
 // other errors unchanged.
 func (a *activeRequest) pathRefusal(err error) error {
--- a/forward/nopath_test.go
+++ b/forward/nopath_test.go
@@ -60,3 +60,19 @@
 		Expect(status).To(Equal(http.StatusOK))
 	}
 })
+
+// Guards against requests that are refused because the few upstreams to which they were sent
+// first have just crashed, although others run.
+var _ = It("A request whose first dials are all refused is sent to the upstream that is left", func() {
+	for range 20 {
+		s := newFixture()
+		for _, name := range []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"} {
+			s.worker(desk, name, always(standin.WorkerResponse{Body: "answer"})).Crash()
+		}
+		s.worker(desk, "i-7", always(standin.WorkerResponse{Body: "answer"}))
+		sink := &fakeSink{}
+		_, err := s.forwarder.Serve(context.Background(), request("/safe/x"), sink)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(sink.status).To(Equal(http.StatusOK))
+	}
+})
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -15,8 +15,11 @@
 	// response can hardly arrive in less.
 	minRetryTime = 20 * time.Millisecond
 	// maxAttempts bounds the attempts of a request, including those that did not run,
-	// which the limit of the route does not count.
-	maxAttempts = 4
+	// which the limit of the route does not count. Refused dials have a limit of their own,
+	// since they take little time: after a crash of most upstreams the first few that a
+	// request selects may all be down.
+	maxAttempts     = 4
+	maxRefusedDials = 8
 )
 
 // retryInput is the input of decideRetry.
@@ -33,8 +36,8 @@
 	// ended is set if the caller disconnected or the request's timeout passed.
 	ended bool
 	// attempts is the number of attempts, runs the number of those that ran or may have
-	// run.
-	attempts, runs int
+	// run, refusedDials the number of those whose dial was refused or not tried.
+	attempts, runs, refusedDials int
 	// started is set if a part of a response was relayed, up to the event lastEventID.
 	started     bool
 	lastEventID int64
@@ -57,7 +60,7 @@
 // the retry budget, and after which event its stream resumes.
 //
 //   - No attempt follows if the request has ended or is invalid, too little time is left, or
-//     maxAttempts were made.
+//     maxAttempts or maxRefusedDials is reached.
 //   - An attempt that did not run may be followed by another. One that may have run may
 //     be followed only if the request is repeatable, its route allows another run, and,
 //     once the caller has a part of a stream, the stream may be resumed.
@@ -68,7 +71,7 @@
 // Package balance never selects an instance that the request has tried.
 func decideRetry(in retryInput) retryDecision {
 	switch {
-	case in.ended, in.badRequest, in.attempts >= maxAttempts, in.timeLeft < minRetryTime:
+	case in.ended, in.badRequest, in.usedUp(), in.timeLeft < minRetryTime:
 		return retryDecision{}
 	case in.execution != granitehoist.NotRun && !in.mayRunAgain():
 		return retryDecision{}
@@ -76,6 +79,11 @@
 	return retryDecision{allowed: true, usesRetryBudget: !in.unsent, afterEvent: in.lastEventID}
 }
 
+// usedUp reports whether the request has made all attempts that it may make.
+func (in *retryInput) usedUp() bool {
+	return in.attempts-in.refusedDials >= maxAttempts || in.refusedDials >= maxRefusedDials
+}
+
 // mayRunAgain reports whether a request that may have run may run again.
 func (in *retryInput) mayRunAgain() bool {
 	resumable := !in.started || in.route.Resume
