Pass the lead of a roll-out on when the leader loses the store

Operators saw no verdict, or only "serving", for as long as the store did not answer one router: a good release was not completed and a bad one not reverted before the deadline.

Cause: the leader is the first router in rank that answers calls of other routers, and only the leader writes. One that reaches its neighbours but not the store kept the lead and went on trying.

Change: reports and their answers say whether the sender's last access to the record failed; such routers are passed over as leaders and as hubs, up to three of them, so that an outage of the store does not make every router a hub. The leader reads the record each second, so that it learns of the loss before the verdict. Two routers may lead for a moment, as before: each write is a compare-and-swap. A program that does not know the field counts as one with the store, as before.

--- a/rollout/contacts.go
+++ b/rollout/contacts.go
@@ -24,6 +24,9 @@
 	silentRetryDelay = 400 * time.Millisecond
 	// hubCount is the number of routers that each router reports to.
 	hubCount = 3
+	// maxPassedOver is the number of routers without the store that are passed over for the
+	// next ones in rank, so that an outage of the store does not make every router a hub.
+	maxPassedOver = 3
 )
 
 // Member is a router of the fleet.
@@ -119,22 +122,42 @@
 	return failing && (known.gone || known.old || now.Sub(known.failingSince) >= silentAfter)
 }
 
-// leader returns the first router in rank that is not known to be silent; self if all
+// leader returns the first router in rank that is not known to be silent and that has not
+// lost the store, for which up to maxPassedOver routers are passed over. If there is none it
+// is the first that is not known to be silent.
+func (c *contacts) leader(ranked []Member, self granitehoist.Box, storeFailed map[granitehoist.Box]bool, now time.Time) granitehoist.Box {
+	passedOver := 0
+	for _, m := range ranked {
+		switch {
+		case m.Box != self && c.isSilent(m, now):
+		case storeFailed[m.Box] && passedOver < maxPassedOver:
+			passedOver++
+		default:
+			return m.Box
+		}
+	}
+	return c.firstAnswering(ranked, self, now)
+}
+
+// firstAnswering returns the first router in rank that is not known to be silent; self if all
 // others before it are.
-func (c *contacts) leader(ranked []Member, self granitehoist.Box, now time.Time) granitehoist.Box {
+func (c *contacts) firstAnswering(ranked []Member, self granitehoist.Box, now time.Time) granitehoist.Box {
 	for _, m := range ranked {
-		if m.Box == self || !c.isSilent(m, now) {
+		if m.Box != self && !c.isSilent(m, now) {
 			return m.Box
 		}
+		if m.Box == self {
+			break
+		}
 	}
 	return self
 }
 
-// hubs returns the routers to report to: those of the first hubCount in rank that answer,
-// without self, and those before them that may answer again.
-func (c *contacts) hubs(ranked []Member, self granitehoist.Box) []Member {
+// hubs returns the routers to report to, without self: the first hubCount in rank that answer
+// and may lead, and those before them, which may answer or reach the store again.
+func (c *contacts) hubs(ranked []Member, self granitehoist.Box, storeFailed map[granitehoist.Box]bool) []Member {
 	var chosen []Member
-	answering := 0
+	answering, passedOver := 0, 0
 	for _, m := range ranked {
 		if answering == hubCount {
 			break
@@ -142,7 +165,11 @@
 		if m.Box != self {
 			chosen = append(chosen, m)
 		}
-		if m.Box == self || c.of(m).failingSince.IsZero() {
+		switch {
+		case m.Box != self && !c.of(m).failingSince.IsZero():
+		case storeFailed[m.Box] && passedOver < maxPassedOver:
+			passedOver++
+		default:
 			answering++
 		}
 	}
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -31,6 +31,9 @@
 	storeTimeout = 2 * time.Second
 	// storeRetryDelay is the time between two accesses to the record.
 	storeRetryDelay = 300 * time.Millisecond
+	// storeCheckInterval is the time between two accesses of a leader that has nothing to
+	// write.
+	storeCheckInterval = time.Second
 )
 
 // Settings configures a Coordinator. All fields but Regions are required.
--- a/rollout/course.go
+++ b/rollout/course.go
@@ -36,10 +36,10 @@
 	answers int64
 	// recorded is the latest phase known to be in the store.
 	recorded Phase
-	// storeBusy says that a call to the store is in progress. storeAt is the earliest time
-	// of the next one. storeFailed says that the last one failed.
-	storeBusy, storeFailed bool
-	storeAt                time.Time
+	// storeBusy says that an access to the store is in progress. storeAt is the earliest time
+	// of the next one.
+	storeBusy bool
+	storeAt   time.Time
 }
 
 // newCourse returns the course of an order first seen at now.
--- a/rollout/hub.go
+++ b/rollout/hub.go
@@ -17,6 +17,9 @@
 	evidence map[granitehoist.Incarnation]Evidence
 	// latest holds the last report of each box.
 	latest map[granitehoist.Box]receivedReport
+	// storeFailed holds the routers whose last access to the record failed, by their own
+	// word.
+	storeFailed map[granitehoist.Box]bool
 }
 
 // receivedReport is a report without its evidence.
@@ -33,11 +36,24 @@
 		h.latest = map[granitehoist.Box]receivedReport{}
 	}
 	h.evidence[r.Incarnation] = r.Evidence
+	h.setStoreFailed(r.Box, r.StoreFailed)
 	if r.State != nil {
 		h.latest[r.Box] = receivedReport{state: *r.State, inFlight: r.InFlight, at: now}
 	}
 }
 
+// setStoreFailed records whether a router's last access to the record failed.
+func (h *hub) setStoreFailed(box granitehoist.Box, failed bool) {
+	if !failed {
+		delete(h.storeFailed, box)
+		return
+	}
+	if h.storeFailed == nil {
+		h.storeFailed = map[granitehoist.Box]bool{}
+	}
+	h.storeFailed[box] = true
+}
+
 // total returns the sum of a router's own evidence and that of the reports.
 func (h *hub) total(own Evidence) Evidence {
 	var sum Evidence
--- a/rollout/report.go
+++ b/rollout/report.go
@@ -19,6 +19,8 @@
 	Evidence Evidence `json:"evidence"`
 	// InFlight is the number of its attempts in progress at other releases than the target.
 	InFlight int `json:"in_flight,omitempty"`
+	// StoreFailed says that the sender's last access to the record in the store failed.
+	StoreFailed bool `json:"store_failed,omitempty"`
 }
 
 // ReportResult is the answer to a report.
@@ -26,4 +28,6 @@
 	// State is the state of the order as the receiver knows it. It is nil if the receiver
 	// does not know the order or its state.
 	State *State `json:"state,omitempty"`
+	// StoreFailed is ReportParams.StoreFailed of the receiver.
+	StoreFailed bool `json:"store_failed,omitempty"`
 }
--- a/rollout/round.go
+++ b/rollout/round.go
@@ -45,7 +45,7 @@
 		course.observe(own, self, now)
 		course.stopWithdrawn(self, now)
 	}
-	leads := c.contacts.leader(ranked, self, now) == self
+	leads := c.contacts.leader(ranked, self, course.hub.storeFailed, now) == self
 	switch {
 	case !course.known:
 		c.load(ctx, name, course, now)
@@ -55,7 +55,7 @@
 		c.load(ctx, name, course, now)
 	}
 	c.applyPlan(name, s, now)
-	receivers := c.contacts.hubs(ranked, self)
+	receivers := c.contacts.hubs(ranked, self, course.hub.storeFailed)
 	if leads && (course.state.Stage >= StageShifting || course.state.Stopped) {
 		receivers = append(receivers, course.hub.missing(ranked, maxReportAge(len(ranked)), now)...)
 	}
@@ -85,7 +85,11 @@
 // report returns this router's report. Shortly after a change of the stage it counts one
 // attempt in progress, for those admitted before.
 func (c *Coordinator) report(name granitehoist.Service, course *course, own Evidence, now time.Time) ReportParams {
-	r := ReportParams{Service: name, Order: course.order.Version, Box: c.settings.Self.Box, Incarnation: c.settings.Self.Peer.Incarnation, Evidence: own}
+	self := c.settings.Self
+	r := ReportParams{
+		Service: name, Order: course.order.Version, Box: self.Box, Incarnation: self.Peer.Incarnation,
+		Evidence: own, StoreFailed: course.hub.storeFailed[self.Box],
+	}
 	if course.known {
 		s := course.stateAt(now)
 		r.State = &s
@@ -120,6 +124,11 @@
 	course.adopt(next, now)
 	if next.Stage.phase() > course.recorded {
 		c.save(ctx, name, course, next, now)
+		return
+	}
+	// A leader that has lost the store should know it before the verdict.
+	if now.Sub(course.storeAt) >= storeCheckInterval {
+		c.load(ctx, name, course, now)
 	}
 }
 
@@ -156,12 +165,19 @@
 	now := c.settings.Clock()
 	// A router that does not answer is called again by a later round.
 	c.contacts.end(to, err, now)
-	if err != nil || reply.State == nil {
+	if err != nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.mergeState(r.Service, *reply.State, now)
+	s := c.services[r.Service]
+	if s == nil || s.course == nil || s.course.order.Version != r.Order {
+		return
+	}
+	s.course.hub.setStoreFailed(to.Box, reply.StoreFailed)
+	if reply.State != nil {
+		c.mergeState(r.Service, *reply.State, now)
+	}
 }
 
 // mergeState merges the state of another router. The caller holds mu.
@@ -198,11 +214,15 @@
 	if r.State != nil {
 		c.mergeState(r.Service, *r.State, now)
 	}
-	if s.course == nil || !s.course.known {
+	if s.course == nil {
 		return ReportResult{}, nil
 	}
-	state := s.course.stateAt(now)
-	return ReportResult{State: &state}, nil
+	result := ReportResult{StoreFailed: s.course.hub.storeFailed[c.settings.Self.Box]}
+	if s.course.known {
+		state := s.course.stateAt(now)
+		result.State = &state
+	}
+	return result, nil
 }
 
 // load reads the record of an order, on its own goroutine. The caller holds mu.
@@ -244,15 +264,15 @@
 
 // applyStored applies the outcome of an access to the record. The caller holds mu.
 func (c *Coordinator) applyStored(name granitehoist.Service, s *service, found stored, written bool, err error, now time.Time) {
-	course := s.course
+	course, self := s.course, c.settings.Self.Box
+	if err != nil && !course.hub.storeFailed[self] {
+		c.settings.Log.Warn(event.RolloutWriteFailed, append(course.fields(now), zap.Error(err))...)
+	}
+	course.hub.setStoreFailed(self, err != nil)
 	if err != nil {
-		if !course.storeFailed {
-			c.settings.Log.Warn(event.RolloutWriteFailed, append(course.fields(now), zap.Error(err))...)
-		}
-		course.storeFailed = true
 		return
 	}
-	course.storeFailed, course.known = false, true
+	course.known = true
 	record := found.record
 	if record.Order != course.order.Version {
 		course.state.Except = found.exceptFor(course.record(course.state, now))
