Leave the lead of a roll-out to routers that have watched it

Operators saw a good release completed after the deadline when the router that led was restarted, stopped and started again within the canary stage.

Cause: the first router in rank takes the lead back as soon as it answers. A new process has not watched the canary, so that it waits 0.15 of the order's time before the move, each time it starts; one that stops goes on leading until it ends. The other routers had watched the canary all along.

TestCoordinatorLeaderRestarts, with a leader that restarts four times at once: no verdict after 11 s.

Change: a router that started after the order and has watched it for less than 0.15 of its time, and one that stops, say that they are passive, as those without the store do. Passive routers are passed over as before; if all are, the first in rank leads, so that a restart of all routers goes as before.

Result: TestCoordinatorLeaderRestarts passes (10.0 s or less); the test of a lost store passes.

--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -44,6 +44,7 @@
 		Members:       c.peers.members,
 		Caller:        c.peers,
 		Regions:       countRegions(n.config.Regions),
+		Stopping:      n.stopping.Load,
 		Clock:         n.clock,
 		Log:           n.log,
 	})
--- a/rollout/contacts.go
+++ b/rollout/contacts.go
@@ -24,8 +24,8 @@
 	silentRetryDelay = 400 * time.Millisecond
 	// hubCount is the number of routers that each router reports to.
 	hubCount = 3
-	// maxPassedOver is the number of routers without the store that are passed over for the
-	// next ones in rank, so that an outage of the store does not make every router a hub.
+	// maxPassedOver is the number of passive routers that are passed over for the next ones
+	// in rank, so that an outage of the store does not make every router a hub.
 	maxPassedOver = 3
 )
 
@@ -122,40 +122,33 @@
 	return failing && (known.gone || known.old || now.Sub(known.failingSince) >= silentAfter)
 }
 
-// leader returns the first router in rank that is not known to be silent and that has not
-// lost the store, for which up to maxPassedOver routers are passed over. If there is none it
-// is the first that is not known to be silent.
-func (c *contacts) leader(ranked []Member, self granitehoist.Box, storeFailed map[granitehoist.Box]bool, now time.Time) granitehoist.Box {
+// leader returns the first router in rank that is neither known to be silent nor passive, for
+// which up to maxPassedOver passive routers are passed over. If there is none it is the first
+// that is not known to be silent; self if all others before it are.
+func (c *contacts) leader(ranked []Member, self granitehoist.Box, passive map[granitehoist.Box]bool, now time.Time) granitehoist.Box {
+	var first granitehoist.Box
 	passedOver := 0
 	for _, m := range ranked {
-		switch {
-		case m.Box != self && c.isSilent(m, now):
-		case storeFailed[m.Box] && passedOver < maxPassedOver:
-			passedOver++
-		default:
-			return m.Box
+		if m.Box != self && c.isSilent(m, now) {
+			continue
 		}
-	}
-	return c.firstAnswering(ranked, self, now)
-}
-
-// firstAnswering returns the first router in rank that is not known to be silent; self if all
-// others before it are.
-func (c *contacts) firstAnswering(ranked []Member, self granitehoist.Box, now time.Time) granitehoist.Box {
-	for _, m := range ranked {
-		if m.Box != self && !c.isSilent(m, now) {
+		if !passive[m.Box] {
 			return m.Box
 		}
-		if m.Box == self {
+		if first == "" {
+			first = m.Box
+		}
+		if passedOver++; passedOver > maxPassedOver {
 			break
 		}
 	}
-	return self
+	return cmp.Or(first, self)
 }
 
 // hubs returns the routers to report to, without self: the first hubCount in rank that answer
-// and may lead, and those before them, which may answer or reach the store again.
-func (c *contacts) hubs(ranked []Member, self granitehoist.Box, storeFailed map[granitehoist.Box]bool) []Member {
+// and are not passive, and those before them, which may answer or lead again. No more than
+// maxPassedOver passive routers are passed over.
+func (c *contacts) hubs(ranked []Member, self granitehoist.Box, passive map[granitehoist.Box]bool) []Member {
 	var chosen []Member
 	answering, passedOver := 0, 0
 	for _, m := range ranked {
@@ -167,7 +160,7 @@
 		}
 		switch {
 		case m.Box != self && !c.of(m).failingSince.IsZero():
-		case storeFailed[m.Box] && passedOver < maxPassedOver:
+		case passive[m.Box] && passedOver < maxPassedOver:
 			passedOver++
 		default:
 			answering++
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -36,7 +36,7 @@
 	storeCheckInterval = time.Second
 )
 
-// Settings configures a Coordinator. All fields but Regions are required.
+// Settings configures a Coordinator. All fields but Regions and Stopping are required.
 type Settings struct {
 	Terms Terms
 	// Self is this router's own entry.
@@ -56,8 +56,11 @@
 	Caller  granitehoist.Caller
 	// Regions is the number of regions of the fleet; zero means one.
 	Regions int
-	Clock   granitehoist.Clock
-	Log     *zap.Logger
+	// Stopping reports whether the router stops and leaves the lead to others; nil means
+	// that it does not.
+	Stopping func() bool
+	Clock    granitehoist.Clock
+	Log      *zap.Logger
 }
 
 // Coordinator carries out orders together with the other routers: it decides the plans of
@@ -85,6 +88,9 @@
 
 // New returns a coordinator without orders.
 func New(s Settings) *Coordinator {
+	if s.Stopping == nil {
+		s.Stopping = func() bool { return false }
+	}
 	return &Coordinator{
 		settings: s,
 		recorder: recorder{store: s.Store, statusKey: s.StatusKey, encodeStatus: s.EncodeStatus},
--- a/rollout/coordinator_test.go
+++ b/rollout/coordinator_test.go
@@ -28,13 +28,15 @@
 
 // testRouter is a coordinator in a fleet without sockets.
 type testRouter struct {
-	fleet       *coordinatorFleet
-	self        Member
-	gate        *Gate
-	coordinator *Coordinator
+	fleet *coordinatorFleet
+	self  Member
+	// stop ends the coordinator and the load.
+	stop func()
 
 	// mu guards the fields below.
-	mu sync.Mutex
+	mu          sync.Mutex
+	gate        *Gate
+	coordinator *Coordinator
 	// cut says that the router reaches neither the store nor other routers, storeless that
 	// the store does not answer it, old that its program does not serve reports, dead that
 	// its address refuses connections.
@@ -63,33 +65,61 @@
 	for i := range routers {
 		box := granitehoist.Box(fmt.Sprintf("box-%d", i))
 		r := &testRouter{fleet: f, self: Member{Box: box, Peer: granitehoist.Peer{Incarnation: granitehoist.Incarnation(box + "-a"), Address: string(box)}}}
-		r.gate = NewGate(Terms{Enabled: true, CanaryShare: 0.1, Rollback: DefaultRollback})
-		r.coordinator = New(Settings{
-			Terms: Terms{Enabled: true, CanaryShare: 0.1}, Self: r.self, Gate: r.gate, Store: routerStore{f.store, r},
-			StatusKey: testStatusKey, EncodeStatus: testEncodeStatus, Releases: testReleases,
-			OrdersVersion: func() granitehoist.Version { return 9 }, Members: f.members, Caller: r, Clock: time.Now, Log: zap.NewNop(),
-		})
+		r.create()
 		f.routers = append(f.routers, r)
 	}
 	f.duration = testDuration
 	if change != nil {
 		change(f)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
 	f.orderedAt = time.Now()
 	for _, r := range f.routers {
-		if r.old || r.dead {
-			continue
+		if !r.old && !r.dead {
+			r.start(Sighting{})
 		}
-		r.coordinator.Refresh()
-		r.coordinator.SetOrder(Order{Service: testService, Target: "v2", Duration: f.duration, Version: 1}, Sighting{})
-		go r.coordinator.Run(ctx)
-		go r.load(ctx)
 	}
 	return f
 }
 
+// create creates the gate and the coordinator of the router.
+func (r *testRouter) create() {
+	f := r.fleet
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gate = NewGate(Terms{Enabled: true, CanaryShare: 0.1, Rollback: DefaultRollback})
+	r.coordinator = New(Settings{
+		Terms: Terms{Enabled: true, CanaryShare: 0.1}, Self: r.self, Gate: r.gate, Store: routerStore{f.store, r},
+		StatusKey: testStatusKey, EncodeStatus: testEncodeStatus, Releases: testReleases,
+		OrdersVersion: func() granitehoist.Version { return 9 }, Members: f.members, Caller: r, Clock: time.Now, Log: zap.NewNop(),
+	})
+}
+
+// start runs the router, which learns of the order at once.
+func (r *testRouter) start(seen Sighting) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	r.fleet.t.Cleanup(cancel)
+	c, gate := r.parts()
+	c.Refresh()
+	c.SetOrder(Order{Service: testService, Target: "v2", Duration: r.fleet.duration, Version: 1}, seen)
+	go c.Run(ctx)
+	go r.load(ctx, gate)
+}
+
+// parts returns the coordinator and the gate.
+func (r *testRouter) parts() (*Coordinator, *Gate) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.coordinator, r.gate
+}
+
+// restart kills the router and starts it again at once.
+func (r *testRouter) restart() {
+	r.stop()
+	r.create()
+	r.start(Sighting{AtStart: true})
+}
+
 // testReleases returns ready instances of both releases.
 func testReleases(granitehoist.Service) []balance.ReleaseStatus {
 	return []balance.ReleaseStatus{{Release: "v1", Ready: 4, Oldest: 1}, {Release: "v2", Ready: 4, Oldest: 2}}
@@ -131,7 +161,8 @@
 	if err != nil {
 		return err
 	}
-	reply, err := receiver.coordinator.ServeReport(ctx, report)
+	c, _ := receiver.parts()
+	reply, err := c.ServeReport(ctx, report)
 	if err != nil {
 		return err
 	}
@@ -159,20 +190,20 @@
 }
 
 // load sends attempts until ctx ends.
-func (r *testRouter) load(ctx context.Context) {
+func (r *testRouter) load(ctx context.Context, gate *Gate) {
 	for ctx.Err() == nil {
 		time.Sleep(20 * time.Millisecond)
 		now := time.Now()
 		release := granitehoist.Release("v1")
-		if admission := r.gate.Admit(testService, false, now); len(admission.Rules) > 0 && admission.Rules[0].Only == "v2" {
+		if admission := gate.Admit(testService, false, now); len(admission.Rules) > 0 && admission.Rules[0].Only == "v2" {
 			release = "v2"
 		}
-		r.gate.Sent(testService, release, now)
+		gate.Sent(testService, release, now)
 		outcome := Good
 		if release == "v2" && r.fleet.bad {
 			outcome = Bad
 		}
-		r.gate.Ended(Sample{Service: testService, Route: "r", Release: release, Outcome: outcome, Head: 10 * time.Millisecond, Answered: true}, now)
+		gate.Ended(Sample{Service: testService, Route: "r", Release: release, Outcome: outcome, Head: 10 * time.Millisecond, Answered: true}, now)
 		r.mu.Lock()
 		r.attempts++
 		if release == "v2" {
@@ -248,14 +279,36 @@
 	f.expectStatus("v2 complete", fractionOf(f.duration, silentFraction))
 }
 
-// cutFromStore makes the store silent to the first routers in rank.
-func (f *coordinatorFleet) cutFromStore(count int) {
+// first returns the first routers in rank.
+func (f *coordinatorFleet) first(count int) []*testRouter {
+	var first []*testRouter
 	for _, m := range rank(testService, f.members())[:count] {
 		i := slices.IndexFunc(f.routers, func(r *testRouter) bool { return r.self == m })
-		f.routers[i].mu.Lock()
-		f.routers[i].storeless = true
-		f.routers[i].mu.Unlock()
+		first = append(first, f.routers[i])
+	}
+	return first
+}
+
+// cutFromStore makes the store silent to the first routers in rank.
+func (f *coordinatorFleet) cutFromStore(count int) {
+	for _, r := range f.first(count) {
+		r.mu.Lock()
+		r.storeless = true
+		r.mu.Unlock()
+	}
+}
+
+// TestCoordinatorLeaderRestarts guards against a verdict that comes too late because a leader
+// which has just started again watches the target anew, although others have watched it.
+func TestCoordinatorLeaderRestarts(t *testing.T) {
+	t.Parallel()
+	f := startCoordinators(t, 6, false, func(f *coordinatorFleet) { f.duration = 2 * testDuration })
+	leader := f.first(1)[0]
+	for _, at := range []float64{0.5, 0.59, 0.68, 0.77} {
+		time.Sleep(time.Until(f.orderedAt.Add(fractionOf(f.duration, at))))
+		leader.restart()
 	}
+	f.expectStatus("v2 complete", f.duration-time.Second)
 }
 
 // TestCoordinatorLeaderWithoutStore guards against a verdict that nobody writes because the
--- a/rollout/course.go
+++ b/rollout/course.go
@@ -23,6 +23,8 @@
 	known bool
 	// withdrawn says that the operators have deleted the order.
 	withdrawn bool
+	// late says that the order was there when this router started.
+	late bool
 	// beganAt is the latest time at which the order was written, earliestAt the earliest
 	// one, zero if unknown (State.AtMostMS).
 	beganAt, earliestAt time.Time
@@ -37,14 +39,14 @@
 	// recorded is the latest phase known to be in the store.
 	recorded Phase
 	// storeBusy says that an access to the store is in progress. storeAt is the earliest time
-	// of the next one.
-	storeBusy bool
-	storeAt   time.Time
+	// of the next one. storeFailed says that the last one failed.
+	storeBusy, storeFailed bool
+	storeAt                time.Time
 }
 
 // newCourse returns the course of an order first seen at now.
 func newCourse(o Order, seen Sighting, log *zap.Logger, now time.Time) *course {
-	c := &course{order: o, log: log, state: State{Order: o.Version}, known: !seen.AtStart, beganAt: now, stageAt: now}
+	c := &course{order: o, log: log, state: State{Order: o.Version}, known: !seen.AtStart, late: seen.AtStart, beganAt: now, stageAt: now}
 	if !seen.AtStart {
 		c.earliestAt = now.Add(-seen.Missed)
 	}
@@ -60,6 +62,20 @@
 	return now.Sub(c.beganAt)
 }
 
+// watched returns for how long this router has known that the target receives requests.
+func (c *course) watched(now time.Time) time.Duration {
+	if c.watchedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(c.watchedAt)
+}
+
+// isPassive reports whether another router should lead: this one has lost the store, stops,
+// or has started after the order and may not have seen enough of the target yet.
+func (c *course) isPassive(stopping bool, now time.Time) bool {
+	return stopping || c.storeFailed || c.late && c.watched(now) < minWatch(c.order.Duration)
+}
+
 // stateAt returns the state with the time since the order.
 func (c *course) stateAt(now time.Time) State {
 	s := c.state
--- a/rollout/hub.go
+++ b/rollout/hub.go
@@ -17,9 +17,8 @@
 	evidence map[granitehoist.Incarnation]Evidence
 	// latest holds the last report of each box.
 	latest map[granitehoist.Box]receivedReport
-	// storeFailed holds the routers whose last access to the record failed, by their own
-	// word.
-	storeFailed map[granitehoist.Box]bool
+	// passive holds the routers that should not lead, by their own word.
+	passive map[granitehoist.Box]bool
 }
 
 // receivedReport is a report without its evidence.
@@ -36,22 +35,22 @@
 		h.latest = map[granitehoist.Box]receivedReport{}
 	}
 	h.evidence[r.Incarnation] = r.Evidence
-	h.setStoreFailed(r.Box, r.StoreFailed)
+	h.setPassive(r.Box, r.Passive)
 	if r.State != nil {
 		h.latest[r.Box] = receivedReport{state: *r.State, inFlight: r.InFlight, at: now}
 	}
 }
 
-// setStoreFailed records whether a router's last access to the record failed.
-func (h *hub) setStoreFailed(box granitehoist.Box, failed bool) {
-	if !failed {
-		delete(h.storeFailed, box)
+// setPassive records whether a router should not lead.
+func (h *hub) setPassive(box granitehoist.Box, passive bool) {
+	if !passive {
+		delete(h.passive, box)
 		return
 	}
-	if h.storeFailed == nil {
-		h.storeFailed = map[granitehoist.Box]bool{}
+	if h.passive == nil {
+		h.passive = map[granitehoist.Box]bool{}
 	}
-	h.storeFailed[box] = true
+	h.passive[box] = true
 }
 
 // total returns the sum of a router's own evidence and that of the reports.
--- a/rollout/report.go
+++ b/rollout/report.go
@@ -19,8 +19,9 @@
 	Evidence Evidence `json:"evidence"`
 	// InFlight is the number of its attempts in progress at other releases than the target.
 	InFlight int `json:"in_flight,omitempty"`
-	// StoreFailed says that the sender's last access to the record in the store failed.
-	StoreFailed bool `json:"store_failed,omitempty"`
+	// Passive says that another router should lead: the sender has lost the store, has just
+	// started, or stops.
+	Passive bool `json:"passive,omitempty"`
 }
 
 // ReportResult is the answer to a report.
@@ -28,6 +29,6 @@
 	// State is the state of the order as the receiver knows it. It is nil if the receiver
 	// does not know the order or its state.
 	State *State `json:"state,omitempty"`
-	// StoreFailed is ReportParams.StoreFailed of the receiver.
-	StoreFailed bool `json:"store_failed,omitempty"`
+	// Passive is ReportParams.Passive of the receiver, and set if it does not know the order.
+	Passive bool `json:"passive,omitempty"`
 }
--- a/rollout/round.go
+++ b/rollout/round.go
@@ -39,13 +39,14 @@
 func (c *Coordinator) advance(ctx context.Context, name granitehoist.Service, s *service, ranked []Member, now time.Time) {
 	course, self := s.course, c.settings.Self.Box
 	own, _ := c.settings.Gate.Evidence(name, course.order.Version)
+	course.hub.setPassive(self, course.isPassive(c.settings.Stopping(), now))
 	report := c.report(name, course, own, now)
 	course.hub.latest = withReport(course.hub.latest, report, now)
 	if !s.releases.isOnly(course.order.Target) {
 		course.observe(own, self, now)
 		course.stopWithdrawn(self, now)
 	}
-	leads := c.contacts.leader(ranked, self, course.hub.storeFailed, now) == self
+	leads := c.contacts.leader(ranked, self, course.hub.passive, now) == self
 	switch {
 	case !course.known:
 		c.load(ctx, name, course, now)
@@ -55,7 +56,7 @@
 		c.load(ctx, name, course, now)
 	}
 	c.applyPlan(name, s, now)
-	receivers := c.contacts.hubs(ranked, self, course.hub.storeFailed)
+	receivers := c.contacts.hubs(ranked, self, course.hub.passive)
 	if leads && (course.state.Stage >= StageShifting || course.state.Stopped) {
 		receivers = append(receivers, course.hub.missing(ranked, maxReportAge(len(ranked)), now)...)
 	}
@@ -88,7 +89,7 @@
 	self := c.settings.Self
 	r := ReportParams{
 		Service: name, Order: course.order.Version, Box: self.Box, Incarnation: self.Peer.Incarnation,
-		Evidence: own, StoreFailed: course.hub.storeFailed[self.Box],
+		Evidence: own, Passive: course.hub.passive[self.Box],
 	}
 	if course.known {
 		s := course.stateAt(now)
@@ -140,12 +141,10 @@
 		Duration: course.order.Duration,
 		Elapsed:  course.elapsed(now),
 		InStep:   now.Sub(course.stageAt),
+		Watched:  course.watched(now),
 		InForce:  s.releases.isOnly(course.order.Target),
 		Answers:  course.answers,
 	}
-	if !course.watchedAt.IsZero() {
-		in.Watched = now.Sub(course.watchedAt)
-	}
 	in.Target, in.Others = c.readyInstances(name, course.order.Target)
 	in.Fleet = course.hub.progress(ranked, course.state, c.contacts.isGone, maxReportAge(len(ranked)), now)
 	return in
@@ -174,7 +173,7 @@
 	if s == nil || s.course == nil || s.course.order.Version != r.Order {
 		return
 	}
-	s.course.hub.setStoreFailed(to.Box, reply.StoreFailed)
+	s.course.hub.setPassive(to.Box, reply.Passive)
 	if reply.State != nil {
 		c.mergeState(r.Service, *reply.State, now)
 	}
@@ -208,16 +207,16 @@
 	now := c.settings.Clock()
 	s := c.services[r.Service]
 	if s == nil || s.course == nil || s.course.order.Version != r.Order {
-		return ReportResult{}, nil
+		return ReportResult{Passive: true}, nil
 	}
 	s.course.hub.add(r, now)
 	if r.State != nil {
 		c.mergeState(r.Service, *r.State, now)
 	}
 	if s.course == nil {
-		return ReportResult{}, nil
+		return ReportResult{Passive: true}, nil
 	}
-	result := ReportResult{StoreFailed: s.course.hub.storeFailed[c.settings.Self.Box]}
+	result := ReportResult{Passive: s.course.isPassive(c.settings.Stopping(), now)}
 	if s.course.known {
 		state := s.course.stateAt(now)
 		result.State = &state
@@ -264,15 +263,15 @@
 
 // applyStored applies the outcome of an access to the record. The caller holds mu.
 func (c *Coordinator) applyStored(name granitehoist.Service, s *service, found stored, written bool, err error, now time.Time) {
-	course, self := s.course, c.settings.Self.Box
-	if err != nil && !course.hub.storeFailed[self] {
-		c.settings.Log.Warn(event.RolloutWriteFailed, append(course.fields(now), zap.Error(err))...)
-	}
-	course.hub.setStoreFailed(self, err != nil)
+	course := s.course
 	if err != nil {
+		if !course.storeFailed {
+			c.settings.Log.Warn(event.RolloutWriteFailed, append(course.fields(now), zap.Error(err))...)
+		}
+		course.storeFailed = true
 		return
 	}
-	course.known = true
+	course.storeFailed, course.known = false, true
 	record := found.record
 	if record.Order != course.order.Version {
 		course.state.Except = found.exceptFor(course.record(course.state, now))
--- a/rollout/steps.go
+++ b/rollout/steps.go
@@ -136,11 +136,14 @@
 	return s
 }
 
+// minWatch returns for how long the leader of an order must have seen the canary stage.
+func minWatch(duration time.Duration) time.Duration { return fractionOf(duration, minWatchFraction) }
+
 // canaryEnds reports whether the target may get more than the canary share: late, from
 // enough answers, and with all routers reporting. If answers or reports are missing, time
 // decides, but half of the fleet has to report.
 func (in *Inputs) canaryEnds() bool {
-	if in.Target == 0 || !in.Fleet.quorum(in.Fleet.Reported) || in.Watched < fractionOf(in.Duration, minWatchFraction) {
+	if in.Target == 0 || !in.Fleet.quorum(in.Fleet.Reported) || in.Watched < minWatch(in.Duration) {
 		return false
 	}
 	enough := in.Answers >= minAnswers && in.Fleet.allReported()
--- a/soak/rollout_test.go
+++ b/soak/rollout_test.go
@@ -38,7 +38,7 @@
 	// Of the streams at a worker of the baseline every longStreamInterval-th has events
 	// longStreamGap apart.
 	longStreamInterval = 10
-	longStreamGap      = 400 * time.Millisecond
+	longStreamGap      = 200 * time.Millisecond
 	// The terms of the roll-outs.
 	canaryShare  = 0.1
 	canaryMargin = 50
