Notice that a disturbance of the baseline is over

A bad release was completed: 246 of 840 requests went to it, of which 166 failed, and callers got its 500s after the old upstreams had stopped.

Cause: the null rate of the test comes from the baseline's answers with a time constant of 3 s, times 1.5. After a disturbance that concerns both sides, here upstreams crashing under requests, it stays above one half for seconds, and for good if the move begins meanwhile, since weights fall only as newer answers of the baseline arrive. A target that fails every second request then counts as no worse.

The new spec: both sides fail nine of ten requests for 0.5, 2 or 4 s, then the target half of them, with the shares of a move.

Change: a second sequential test asks whether the baseline's rate of hits has fallen to a quarter; then the windows begin anew with the better answers.

--- a/rollout/detector.go
+++ b/rollout/detector.go
@@ -61,8 +61,9 @@
 	finding Finding
 	routes  map[string]*routeComparison
 	// all compares all routes together, each with the null rate of its own baseline.
-	all    [comparisons]sequential
-	excess excess
+	all      [comparisons]sequential
+	excess   excess
+	recovery recovery
 	// warmAt is when the target's slow answers begin to count. It is zero before its first
 	// answer: attempts that get none count at once.
 	warmAt time.Time
@@ -102,6 +103,7 @@
 			d.warmAt = now.Add(slowWarmUp)
 		}
 	}
+	d.recovery.observe(d.routes, baseline)
 	for c := range comparisons {
 		var sum likelihoods
 		for _, name := range names {
--- a/rollout/detector_test.go
+++ b/rollout/detector_test.go
@@ -4,6 +4,7 @@
 package rollout
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -241,6 +242,7 @@
 		},
 		ginkgo.Entry("when all instances turn slow", during(4*time.Second, 9*time.Second, func(a attempt) (Outcome, time.Duration) { return Good, 5 * healthyHead(a) })),
 		ginkgo.Entry("when all instances fail for a time", during(4*time.Second, 6*time.Second, func(a attempt) (Outcome, time.Duration) { return fails(a, 0.4), healthyHead(a) })),
+		ginkgo.Entry("when all instances fail before the move", moved(7*time.Second, during(4*time.Second, 7*time.Second, func(a attempt) (Outcome, time.Duration) { return fails(a, 0.9), healthyHead(a) }))),
 		ginkgo.Entry("beside a grey upstream of the baseline", traffic{routes: threeRoutes, answer: failureRates(0, 0.15)}),
 		ginkgo.Entry("if the target is a quarter slower", traffic{routes: threeRoutes, answer: onTarget(func(a attempt) (Outcome, time.Duration) { return Good, 5 * healthyHead(a) / 4 })}),
 		ginkgo.Entry("while caches of the target are cold", traffic{routes: threeRoutes, answer: onTarget(func(a attempt) (Outcome, time.Duration) {
@@ -317,6 +319,36 @@
 		expectFindings("bad after the move", t, turns, time.Second, 0.9)
 	})
 
+	ginkgo.It("finds a target that is bad soon after both sides were in trouble", func() {
+		const troubleEnds = 7 * time.Second
+		stages := func(at time.Duration) float64 {
+			switch {
+			case at < troubleEnds:
+				return 0.1
+			case at < troubleEnds+500*time.Millisecond:
+				return 0.25
+			case at < troubleEnds+time.Second:
+				return 0.5
+			}
+			return 1
+		}
+		for _, lasted := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 4 * time.Second} {
+			t := traffic{routes: threeRoutes, share: stages, answer: func(a attempt) (Outcome, time.Duration) {
+				switch {
+				case a.at >= troubleEnds-lasted && a.at < troubleEnds:
+					return fails(a, 0.9), healthyHead(a)
+				case a.target && a.at >= troubleEnds:
+					return fails(a, half), healthyHead(a)
+				}
+				return Good, healthyHead(a)
+			}}
+			t.perSecond = 60
+			expectFindings(fmt.Sprintf("bad after %s of trouble", lasted), t, troubleEnds, 3*time.Second, 0.9)
+			t.perSecond = 530
+			expectFindings(fmt.Sprintf("bad after %s of trouble", lasted), t, troubleEnds, time.Second, 0.9)
+		}
+	})
+
 	ginkgo.It("finds a target that fails a little more often before it has given the limit of bad answers", func() {
 		t := traffic{perSecond: 500, routes: threeRoutes, answer: failureRates(0.12, 0.01)}
 		for _, r := range runOrders(100, func(int) traffic { return t }) {
@@ -456,6 +488,12 @@
 	falseOrdersFew = 500
 )
 
+// moved returns traffic of which all requests go to the target from a time on.
+func moved(from time.Duration, t traffic) traffic {
+	t.share = moveAt(from)
+	return t
+}
+
 // moveAt returns a share of a tenth that is one from a time on.
 func moveAt(moves time.Duration) func(time.Duration) float64 {
 	return func(at time.Duration) float64 {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -36,6 +36,8 @@
 	eventsPerStream = 4
 	// graceS is the time in seconds from SIGTERM to SIGKILL in the settings.
 	graceS = 3
+	// processZone is the availability zone of the processes.
+	processZone = "hall"
 )
 
 // runCounts counts the executions of each request by its id.
@@ -158,7 +160,7 @@
 
 // addWorker starts a worker behind a proxy at address and announces the proxy's address.
 func (f *fleet) addWorker(id, address string, answer func(standin.ReceivedRequest) standin.WorkerResponse) {
-	f.announce(id, f.startWorker(id, address, answer), "")
+	f.announce(id, f.startWorker(id, address, answer), "", processZone)
 }
 
 // startWorker starts a worker behind a proxy at address.
@@ -176,12 +178,29 @@
 
 // announce announces the address of a worker's proxy. release is empty if the worker states
 // none.
-func (f *fleet) announce(id string, p *proxy, release granitehoist.Release) {
+func (f *fleet) announce(id string, p *proxy, release granitehoist.Release, zone string) {
+	f.put(platform.InstancesPrefix+id, instanceEntry(p, release, zone, "ready"))
+}
+
+// instanceEntry returns the entry of a worker in a phase.
+func instanceEntry(p *proxy, release granitehoist.Release, zone, phase string) string {
 	stated := ""
 	if release != "" {
 		stated = fmt.Sprintf(`,"revision":%q`, release)
 	}
-	f.put(platform.InstancesPrefix+id, fmt.Sprintf(`{"backend":"pool","address":%q,"zone":"hall","capacity":64,"phase":"ready"%s}`, p.address(), stated))
+	return fmt.Sprintf(`{"backend":"pool","address":%q,"zone":%q,"capacity":64,"phase":%q%s}`, p.address(), zone, phase, stated)
+}
+
+// replaceEntry replaces the value of a key, or deletes it if value is empty.
+func (f *fleet) replaceEntry(key, value string) {
+	ctx := context.Background()
+	entry, err := f.store.Get(ctx, key)
+	if err == nil {
+		_, err = f.store.CompareAndSwap(ctx, granitehoist.Change{Key: key, Value: []byte(value), Expect: entry.Version, Delete: value == ""})
+	}
+	if err != nil {
+		f.t.Errorf("replace %s: %v", key, err)
+	}
 }
 
 // startStore starts a front end of the store for the process at ip and returns its address.
--- a/soak/rollout_test.go
+++ b/soak/rollout_test.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"granitehoist.example/granitehoist"
-	"granitehoist.example/granitehoist/platform"
 	"granitehoist.example/granitehoist/rollout"
 	"granitehoist.example/granitehoist/standin"
 )
@@ -94,6 +93,10 @@
 	// phases holds the phases that operators read, phaseAt when they were first read.
 	phases  []string
 	phaseAt map[string]time.Time
+	// resting and left hold the workers that reject requests and those that have left, by
+	// their ids and numbers.
+	resting map[string]bool
+	left    map[int]bool
 	// interrupted holds the requests of processes in touch that ran at the baseline when it
 	// was stopped, unless the process had given them up.
 	interrupted []string
@@ -101,10 +104,10 @@
 
 // newReleasedService starts the workers of both releases and announces the baseline's.
 func newReleasedService(f *fleet, block int, defect targetDefect) *releasedService {
-	s := &releasedService{fleet: f, defect: defect, running: map[string]string{}, phaseAt: map[string]time.Time{}}
+	s := &releasedService{fleet: f, defect: defect, running: map[string]string{}, phaseAt: map[string]time.Time{}, resting: map[string]bool{}, left: map[int]bool{}}
 	for i := range baselineWorkers {
 		id := fmt.Sprintf("old-%d", i)
-		f.announce(id, f.startWorker(id, workerAddress(block, i), s.respondBaseline), baselineName)
+		f.announce(id, f.startWorker(id, workerAddress(block, i), s.respondBaseline), baselineName, zoneOf(i))
 	}
 	for i := range targetWorkers {
 		f.startWorker(fmt.Sprintf("new-%d", i), workerAddress(block, baselineWorkers+i), s.respondTarget)
@@ -124,6 +127,9 @@
 // respondBaseline answers at a worker of the baseline. Some of its streams take long.
 func (s *releasedService) respondBaseline(a standin.ReceivedRequest) standin.WorkerResponse {
 	s.arrive(a, baselineName, false)
+	if s.crashesUnder(a) || s.rests(a) {
+		return s.reject(a)
+	}
 	response := s.fleet.runCounts.respond(a)
 	if response.Events > 0 && a.Number%longStreamInterval == 0 {
 		response.Gap = longStreamGap
@@ -143,6 +149,9 @@
 func (s *releasedService) respondTarget(a standin.ReceivedRequest) standin.WorkerResponse {
 	bad := s.isBad(a)
 	s.arrive(a, targetName, bad)
+	if s.crashesUnder(a) || s.rests(a) {
+		return s.reject(a)
+	}
 	response := s.fleet.runCounts.respond(a)
 	if bad {
 		return standin.WorkerResponse{Status: http.StatusInternalServerError, Body: "failed"}
@@ -175,7 +184,8 @@
 	s.fleet.put(orderKey, fmt.Sprintf(`{"backend":"pool","targetVersion":%q,"durationS":%g}`, targetName, rolloutDuration.Seconds()))
 	time.Sleep(targetDelay)
 	for i := range targetWorkers {
-		s.fleet.announce(fmt.Sprintf("new-%d", i), s.fleet.workers[baselineWorkers+i], targetName)
+		worker := baselineWorkers + i
+		s.fleet.announce(s.fleet.workerIDs[worker], s.fleet.workers[worker], targetName, zoneOf(worker))
 	}
 }
 
@@ -225,13 +235,8 @@
 	}
 	time.Sleep(removalDelay)
 	for i := range baselineWorkers {
-		key := platform.InstancesPrefix + s.fleet.workerIDs[i]
-		entry, err := s.fleet.store.Get(context.Background(), key)
-		if err == nil {
-			_, err = s.fleet.store.CompareAndSwap(context.Background(), granitehoist.Change{Key: key, Expect: entry.Version, Delete: true})
-		}
-		if err != nil {
-			s.fleet.t.Errorf("remove %s: %v", key, err)
+		if !s.hasLeft(i) {
+			s.fleet.replaceEntry(s.entryKey(i), "")
 		}
 	}
 }
@@ -361,6 +366,7 @@
 		series := rand.New(rand.NewPCG(uint64(seed), uint64(600+i)))
 		tasks.Go(func() { f.disturb(series, until, killed, stopped, paused, partitioned, storeFault, storeFault) })
 	}
+	tasks.Go(func() { service.disturbWorkers(rand.New(rand.NewPCG(uint64(seed), 700)), until) })
 	if killAllAt >= 0 {
 		tasks.Go(func() { time.Sleep(killAllAt); f.killAll() })
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -200,12 +200,11 @@
 	}
 }
 
-// sendRequest sends one request and returns the status of the response, or 0 if it is
-// missing or incomplete.
-func (f *fleet) sendRequest(client *http.Client, p *process, kind, id string, results *outcomes) int {
-	request, err := http.NewRequest(http.MethodPost, "http://"+p.ip+":8227/"+kind+"/x", strings.NewReader("question"))
+// newRequest returns a request to a process.
+func newRequest(p *process, kind, id, body string) (*http.Request, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+p.ip+":8227/"+kind+"/x", strings.NewReader(body))
 	if err != nil {
-		return 0
+		return nil, err
 	}
 	// With GetBody net/http may send the request a second time.
 	request.GetBody = nil
@@ -217,6 +216,16 @@
 	} {
 		request.Header.Set(name, value)
 	}
+	return request, nil
+}
+
+// sendRequest sends one request and returns the status of the response, or 0 if it is
+// missing or incomplete.
+func (f *fleet) sendRequest(client *http.Client, p *process, kind, id string, results *outcomes) int {
+	request, err := newRequest(p, kind, id, "question")
+	if err != nil {
+		return 0
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		results.record(id, 0, 0, "")
