Count a crash of one instance as one failure of its release

Operators saw a good release reverted because a single one of its upstreams crashed; callers lost nothing. At the size to design for some upstream crashes every few minutes.

Cause: each attempt that a router could not send, or that the crash broke, counted as a bad answer of the release. The canary's share goes to few instances and several routers try the dead one before they eject it: three refused dials among 31 answers are a finding.

Change: such attempts have an outcome of their own and are counted by instance; the sum of all routers takes each instance as one failure, again after 3 s, five times at most. At the baseline they stay bad answers. Older programs go on sending them as bad answers, and ignore the new counts.

--- a/forward/rollouts.go
+++ b/forward/rollouts.go
@@ -63,11 +63,12 @@
 // ended.
 func (a *activeRequest) endAttempt(lease *balance.Lease, result *attemptResult, outcome balance.Result, sent, ended time.Time) {
 	sample := rollout.Sample{
-		Service: a.admission.service.Name,
-		Route:   string(a.admission.route.Name),
-		Release: lease.Release,
-		Outcome: sampleOutcome(outcome, result),
-		Head:    ended.Sub(sent),
+		Service:  a.admission.service.Name,
+		Route:    string(a.admission.route.Name),
+		Release:  lease.Release,
+		Upstream: lease.ID,
+		Outcome:  sampleOutcome(outcome, result),
+		Head:     ended.Sub(sent),
 	}
 	switch {
 	case lease.HasEvents():
@@ -87,7 +88,12 @@
 			return rollout.Inconclusive
 		}
 		return rollout.Good
-	case balance.Failed, balance.Broken:
+	case balance.Broken:
+		if result.crashed || result.unsent {
+			return rollout.Down
+		}
+		return rollout.Bad
+	case balance.Failed:
 		return rollout.Bad
 	case balance.Refused, balance.Misdirected, balance.Inconclusive:
 	}
--- a/forward/suspects.go
+++ b/forward/suspects.go
@@ -164,22 +164,30 @@
 			settings.Suspects.RecordSuccess(a.progress.suspectStatus.digest, now)
 			settings.Suspects.RecordSuccess(a.progress.suspectStatus.scopeDigest, now)
 		}
-	case a.instanceCrashed(ctx, lease, result.err) && a.computeDigests():
+	case a.instanceCrashed(ctx, lease, result.err):
 		result.crashed = true
-		observed := suspect.Observation{
-			Incarnation: suspect.IncarnationOf(lease.ID, lease.StartedAtMS),
-			Verdict:     a.progress.suspectStatus.verdict,
-			Early:       !lease.HasEvents(),
-			Sent:        lease.PickedAt(),
+		if a.computeDigests() {
+			a.recordCrash(lease)
 		}
-		now := settings.Clock()
-		verdict := settings.Suspects.RecordCrash(a.progress.suspectStatus.digest, observed, now)
-		observed.Verdict, observed.IsScope = a.progress.suspectStatus.scopeVerdict, true
-		scope := settings.Suspects.RecordCrash(a.progress.suspectStatus.scopeDigest, observed, now)
-		a.logSuspect(lease, verdict, scope)
 	}
 }
 
+// recordCrash records that the instance crashed during the request.
+func (a *activeRequest) recordCrash(lease *balance.Lease) {
+	settings := &a.forwarder.settings
+	observed := suspect.Observation{
+		Incarnation: suspect.IncarnationOf(lease.ID, lease.StartedAtMS),
+		Verdict:     a.progress.suspectStatus.verdict,
+		Early:       !lease.HasEvents(),
+		Sent:        lease.PickedAt(),
+	}
+	now := settings.Clock()
+	verdict := settings.Suspects.RecordCrash(a.progress.suspectStatus.digest, observed, now)
+	observed.Verdict, observed.IsScope = a.progress.suspectStatus.scopeVerdict, true
+	scope := settings.Suspects.RecordCrash(a.progress.suspectStatus.scopeDigest, observed, now)
+	a.logSuspect(lease, verdict, scope)
+}
+
 // instanceCrashed reports whether the instance of a failed attempt crashed: it closed the
 // connection, its address is down (exchange.Pool.IsDown), and it was not leaving. An
 // instance that drains or has withdrawn its entry stops as planned. instanceCrashed returns
--- a/node/rollout_test.go
+++ b/node/rollout_test.go
@@ -88,6 +88,7 @@
 	sent, lost int
 	lostTexts  []string
 	old        []*standin.Worker
+	targets    []*standin.Worker
 }
 
 // runningRouters limits the routers of trials that run at the same time, since the stages of
@@ -186,7 +187,7 @@
 	}
 	time.Sleep(appearAfter)
 	for range rolloutWorkers {
-		r.startRelease("v2")
+		r.targets = append(r.targets, r.startRelease("v2"))
 	}
 	time.Sleep(time.Until(r.orderedAt.Add(r.duration + time.Second)))
 	cancel()
@@ -222,6 +223,16 @@
 	}
 }
 
+// crashBusiestTarget crashes the worker of the target that received the most requests. Its
+// entry stays for a while, then another worker replaces it.
+func (r *rolloutTrial) crashBusiestTarget() {
+	busiest := slices.MaxFunc(r.targets, func(a, b *standin.Worker) int { return len(a.Requests()) - len(b.Requests()) })
+	busiest.Crash()
+	time.Sleep(time.Second)
+	r.deleteWorkerEntry(busiest)
+	r.startRelease("v2")
+}
+
 // failStore applies faults to the store front ends of routers, of all without indices.
 func (r *rolloutTrial) failStore(f standin.PlatformFaults, indices ...int) {
 	for i, m := range r.members {
@@ -494,6 +505,10 @@
 		{name: "an old worker is grey", baseline: greyBaseline, lossy: true},
 		{name: "the store is silent over the order", during: silence(-200*time.Millisecond, 4*time.Second)},
 		{name: "the store is silent over the move", during: silence(6*time.Second, 4*time.Second)},
+		{name: "a worker of the target crashes", lossy: true, during: func(r *rolloutTrial) {
+			time.Sleep(6 * time.Second)
+			r.crashBusiestTarget()
+		}},
 		{name: "the answers to writes are lost", during: func(r *rolloutTrial) {
 			time.Sleep(time.Until(r.orderedAt.Add(time.Second)))
 			r.store.Fail(standin.StoreFaults{LoseEvery: 1})
@@ -521,6 +536,12 @@
 		{name: "on one route", target: failing(func(q standin.ReceivedRequest, _ time.Duration) bool { return strings.HasPrefix(q.Target, "/b/") })},
 		{name: "five times slower", target: slowAnswer},
 		{name: "the store is silent over the verdict", target: failing(always), during: silence(1500*time.Millisecond, 4*time.Second)},
+		{name: "its workers refuse connections", during: func(r *rolloutTrial) {
+			time.Sleep(time.Second)
+			for _, w := range r.targets {
+				w.Crash()
+			}
+		}},
 		{name: "three of six routers are killed", target: failing(func(_ standin.ReceivedRequest, since time.Duration) bool { return since >= 4*time.Second }), lossy: true, during: func(r *rolloutTrial) {
 			time.Sleep(5 * time.Second)
 			r.kill(1, 3, 5)
--- a/rollout/detector.go
+++ b/rollout/detector.go
@@ -8,6 +8,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"granitehoist.example/granitehoist"
 )
 
 // comparison is a property of answers that is compared.
@@ -64,6 +66,10 @@
 	all      [comparisons]sequential
 	excess   excess
 	recovery recovery
+	// downtimes counts instances of the target that were down, and down their number, as
+	// further failures of the target on all routes.
+	downtimes downtimes
+	down      trials
 	// warmAt is when the target's slow answers begin to count. It is zero before its first
 	// answer: attempts that get none count at once.
 	warmAt time.Time
@@ -109,12 +115,26 @@
 		for _, name := range names {
 			sum.add(d.route(name).compare(c, baseline[c], d, now))
 		}
+		if c == failing {
+			sum.add(d.countDown(total.Down, baseline[c], now))
+		}
 		d.all[c].add(sum, c.ramp(), now)
 	}
 	d.finding = d.find(names)
 	return d.finding
 }
 
+// countDown counts the instances of the target that went down as failures, and returns their
+// log-likelihood ratios. all holds the baseline's answers on all routes.
+func (d *Detector) countDown(attempts map[granitehoist.Upstream]int64, all controls, now time.Time) likelihoods {
+	times := d.downtimes.observe(attempts, now)
+	latest := trials{answers: times, hits: times}
+	null := newNullRate(all, all, failing.minNullRate())
+	d.down.add(latest)
+	d.excess.add(latest, null)
+	return newLikelihoods(latest, null)
+}
+
 // find returns the finding of the route that is worse, or of all routes.
 func (d *Detector) find(names []string) Finding {
 	for c := range comparisons {
@@ -146,6 +166,7 @@
 // sum returns the counts of all routes.
 func (d *Detector) sum() *routeComparison {
 	all := &routeComparison{}
+	all.target[failing].add(d.down)
 	for _, r := range d.routes {
 		for c := range comparisons {
 			all.target[c].add(r.target[c])
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -7,6 +7,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"granitehoist.example/granitehoist"
 )
 
 // Evidence counts the answers of a target and its baseline by route. The counts of one
@@ -14,6 +16,9 @@
 // can be replaced by a newer one. The zero value is empty.
 type Evidence struct {
 	Routes map[string]RouteEvidence `json:"routes,omitempty"`
+	// Down counts the attempts of Outcome Down at the target, by instance, for up to
+	// maxDownInstances. Those at the baseline count as bad answers.
+	Down map[granitehoist.Upstream]int64 `json:"down,omitempty"`
 }
 
 // RouteEvidence counts the answers on one route.
@@ -40,6 +45,8 @@
 const (
 	// maxRoutes limits the number of routes that are counted separately.
 	maxRoutes = 64
+	// maxDownInstances limits the number of instances in Evidence.Down.
+	maxDownInstances = 64
 	// otherRoutes counts the answers on all further routes.
 	otherRoutes = "*"
 	// headUnit is the upper bound of the first bucket.
@@ -66,17 +73,36 @@
 	for name, route := range other.Routes {
 		e.change(name, func(r *RouteEvidence) { r.add(&route) })
 	}
+	for instance, n := range other.Down {
+		e.countDown(instance, n)
+	}
+}
+
+// countDown counts attempts at an instance of the target that was down.
+func (e *Evidence) countDown(instance granitehoist.Upstream, n int64) {
+	if e.Down == nil {
+		e.Down = map[granitehoist.Upstream]int64{}
+	}
+	if _, found := e.Down[instance]; found || len(e.Down) < maxDownInstances {
+		e.Down[instance] += n
+	}
 }
 
 // record counts the result of an attempt at the target or, if target is not set, at the
 // baseline.
 func (e *Evidence) record(s *Sample, target bool) {
+	if target && s.Outcome == Down {
+		e.countDown(s.Upstream, 1)
+	}
 	e.change(s.Route, func(r *RouteEvidence) {
 		if target {
 			r.Target.record(s)
 			return
 		}
 		r.Baseline.record(s)
+		if s.Outcome == Down {
+			r.Baseline.Bad++
+		}
 	})
 }
 
@@ -125,6 +151,7 @@
 		a.Bad++
 	case Inconclusive:
 		a.Unfinished = addCount(a.Unfinished, headBucket(s.Head), 1)
+	case Down:
 	}
 }
 
--- a/rollout/evidence_test.go
+++ b/rollout/evidence_test.go
@@ -11,6 +11,8 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"granitehoist.example/granitehoist"
 )
 
 // These specs guard against counts that are lost, counted twice or shared between routers.
@@ -43,6 +45,23 @@
 		Expect(two.Routes["a"].Target.Good).To(Equal(int64(1)))
 	})
 
+	ginkgo.It("counts attempts at instances that are down by instance at the target, and as bad answers at the baseline", func() {
+		var one, sum Evidence
+		for range 3 {
+			one.record(&Sample{Route: "a", Outcome: Down, Upstream: "i-1"}, true)
+			one.record(&Sample{Route: "a", Outcome: Down, Upstream: "i-2"}, false)
+		}
+		sum.Add(one)
+		sum.Add(one)
+		Expect(sum.Down).To(Equal(map[granitehoist.Upstream]int64{"i-1": 6}))
+		Expect(sum.Routes["a"].Target).To(Equal(Arm{Sent: 6}))
+		Expect(sum.Routes["a"].Baseline).To(Equal(Arm{Sent: 6, Bad: 6}))
+		for i := range 2 * maxDownInstances {
+			one.record(&Sample{Route: "a", Outcome: Down, Upstream: granitehoist.Upstream(fmt.Sprint(i))}, true)
+		}
+		Expect(one.Down).To(HaveLen(maxDownInstances))
+	})
+
 	ginkgo.It("keeps a limited number of routes", func() {
 		var e Evidence
 		for i := range 2 * maxRoutes {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -158,15 +158,18 @@
 	Good
 	// Bad: the instance failed, or its answer was broken or invalid.
 	Bad
+	// Down: the instance did not accept the connection, or it crashed.
+	Down
 )
 
 // Sample is the result of one attempt.
 type Sample struct {
 	Service granitehoist.Service
 	// Route is the name of the route.
-	Route   string
-	Release granitehoist.Release
-	Outcome Outcome
+	Route    string
+	Release  granitehoist.Release
+	Upstream granitehoist.Upstream
+	Outcome  Outcome
 	// Head is the time from sending to the head of the response, of a stream to its first
 	// event. If Answered is not set, it is the time until the attempt ended.
 	Head     time.Duration
