--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -81,6 +81,8 @@
 		time.Sleep(700 * time.Millisecond)
 		p.signal(syscall.SIGCONT)
 	case partitioned:
+		p.partitionMu.Lock()
+		defer p.partitionMu.Unlock()
 		f.partition(p, cutKind(1+random.IntN(cutKindCount)))
 		time.Sleep(time.Second)
 		f.partition(p, connected)
@@ -91,11 +93,14 @@
 	}
 }
 
-// stallWorker makes a worker silent for a second.
+// workerStall is how long a worker is silent. Requests sent to it reach it afterwards.
+const workerStall = time.Second
+
+// stallWorker makes a worker silent for a while.
 func (f *fleet) stallWorker(random *rand.Rand) {
 	w := f.workers[random.IntN(len(f.workers))]
 	w.setMode(stall)
-	time.Sleep(time.Second)
+	time.Sleep(workerStall)
 	w.setMode(forward)
 }
 
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -67,11 +67,13 @@
 	binary string
 	// restartMu serialises restarts of the process.
 	restartMu sync.Mutex
-	faults    faultHistory
-	mu        sync.Mutex
-	command   *exec.Cmd
-	exited    chan struct{}
-	log       bytes.Buffer
+	// partitionMu serialises partitions of the process.
+	partitionMu sync.Mutex
+	faults      faultHistory
+	mu          sync.Mutex
+	command     *exec.Cmd
+	exited      chan struct{}
+	log         bytes.Buffer
 }
 
 // fleet holds the store, the workers and the router processes of one seed.
--- a/soak/rollout_test.go
+++ b/soak/rollout_test.go
@@ -305,8 +305,8 @@
 	if !stopBy.IsZero() && last.After(stopBy) {
 		t.Errorf("a request was sent to the target %v after its %dth bad answer", last.Sub(stopBy)+rollbackTime, rollout.MaxBadAnswers)
 	}
-	if late := s.phaseAt[phaseReverted]; !late.IsZero() && last.After(late) {
-		t.Errorf("a request was sent to the target %v after the verdict", last.Sub(late))
+	if reverted := s.phaseAt[phaseReverted]; !reverted.IsZero() && last.After(reverted.Add(workerStall)) {
+		t.Errorf("a request reached the target %v after the verdict", last.Sub(reverted))
 	}
 }
 
