Keep the share of a target that fails often, whatever its baseline does

A bad release was completed, with some 280 bad answers, when it turned bad in the same seconds in which its baseline failed.

Cause: while both fail, the comparison finds the target no worse, and the move went on to give it all requests by the time that the baseline had recovered. From then on the baseline got none that would have shown the difference.

Change: neither the canary stage nor a step ends while the target fails three of ten of its requests or more.

--- a/node/rollout_test.go
+++ b/node/rollout_test.go
@@ -68,6 +68,16 @@
 	}
 }
 
+// failingAll returns an answerFunc that fails each request at the times selected by match.
+func failingAll(match func(since time.Duration) bool) answerFunc {
+	return func(r standin.ReceivedRequest, since time.Duration) (standin.WorkerResponse, bool) {
+		if !match(since) {
+			return goodAnswer(r, since)
+		}
+		return standin.WorkerResponse{Status: http.StatusInternalServerError, Body: "failed"}, true
+	}
+}
+
 // rolloutTrial plays one order with real routers and fake workers.
 type rolloutTrial struct {
 	*testFleet
@@ -536,6 +546,12 @@
 		{name: "on one route", target: failing(func(q standin.ReceivedRequest, _ time.Duration) bool { return strings.HasPrefix(q.Target, "/b/") })},
 		{name: "five times slower", target: slowAnswer},
 		{name: "the store is silent over the verdict", target: failing(always), during: silence(1500*time.Millisecond, 4*time.Second)},
+		{
+			name:     "from a disturbance of both releases on",
+			target:   failingAll(func(since time.Duration) bool { return since >= 6*time.Second }),
+			baseline: failingAll(func(since time.Duration) bool { return since >= 6*time.Second && since < 8500*time.Millisecond }),
+			lossy:    true,
+		},
 		{name: "its workers refuse connections", during: func(r *rolloutTrial) {
 			time.Sleep(time.Second)
 			for _, w := range r.targets {
--- a/rollout/detector.go
+++ b/rollout/detector.go
@@ -30,6 +30,8 @@
 	// minFailing and minSlow are the null rates up to which a release is not worse.
 	minFailing = 0.02
 	minSlow    = 0.05
+	// oftenRate is the rate of failures from which a target fails often.
+	oftenRate = 0.3
 )
 
 // ramp returns the shortest time in which the target is found to be worse.
@@ -70,6 +72,8 @@
 	// further failures of the target on all routes.
 	downtimes downtimes
 	down      trials
+	// lately holds the target's latest answers on all routes.
+	lately window
 	// warmAt is when the target's slow answers begin to count. It is zero before its first
 	// answer: attempts that get none count at once.
 	warmAt time.Time
@@ -98,10 +102,12 @@
 	}
 	names := slices.Sorted(maps.Keys(total.Routes))
 	var baseline [comparisons]controls
+	var target tally
 	for _, name := range names {
 		evidence := total.Routes[name]
 		r := d.route(name)
 		r.update(&evidence, now)
+		target.add(&r.latest)
 		for c := range comparisons {
 			baseline[c].add(r.controls(c))
 		}
@@ -109,6 +115,7 @@
 			d.warmAt = now.Add(slowWarmUp)
 		}
 	}
+	d.lately.update(&target, latelyWindow, minLatelyAnswers, now)
 	d.recovery.observe(d.routes, baseline)
 	for c := range comparisons {
 		var sum likelihoods
@@ -135,6 +142,13 @@
 	return newLikelihoods(latest, null)
 }
 
+// FailsOften reports whether the target has lately failed many requests, though perhaps no
+// more than its baseline. During a disturbance of both the comparison says little.
+func (d *Detector) FailsOften() bool {
+	failures := d.lately.failures()
+	return failures.answers >= minLatelyAnswers/2 && failures.hits >= oftenRate*failures.answers
+}
+
 // find returns the finding of the route that is worse, or of all routes.
 func (d *Detector) find(names []string) Finding {
 	for c := range comparisons {
--- a/rollout/detector_test.go
+++ b/rollout/detector_test.go
@@ -357,6 +357,27 @@
 		}
 	})
 
+	ginkgo.It("says that a target fails often, also beside a baseline that does, until it no longer does", func() {
+		const from, to = 3 * time.Second, 8 * time.Second
+		t := traffic{perSecond: 60, routes: threeRoutes, answer: func(a attempt) (Outcome, time.Duration) {
+			if a.at >= from && a.at < to {
+				return fails(a, 0.9), healthyHead(a)
+			}
+			return Good, healthyHead(a)
+		}}
+		var d Detector
+		t.play(1, func(sum Evidence, at time.Duration) bool {
+			Expect(d.Observe(sum, time.Unix(1000, 0).Add(at)).Bad).To(BeFalse())
+			switch {
+			case at < from || at >= to+3*time.Second:
+				Expect(d.FailsOften()).To(BeFalse(), "after %s", at)
+			case at >= from+2*time.Second && at < to:
+				Expect(d.FailsOften()).To(BeTrue(), "after %s", at)
+			}
+			return true
+		})
+	})
+
 	ginkgo.It("names the route, the counts and the rates, and keeps its finding", func() {
 		var d Detector
 		evidence := Evidence{Routes: map[string]RouteEvidence{
--- a/rollout/round.go
+++ b/rollout/round.go
@@ -144,6 +144,8 @@
 		Watched:  course.watched(now),
 		InForce:  s.releases.isOnly(course.order.Target),
 		Answers:  course.answers,
+
+		FailsOften: course.detector.FailsOften(),
 	}
 	in.Target, in.Others = c.readyInstances(name, course.order.Target)
 	in.Fleet = course.hub.progress(ranked, course.state, c.contacts.isGone, maxReportAge(len(ranked)), now)
--- a/rollout/steps.go
+++ b/rollout/steps.go
@@ -48,7 +48,9 @@
 	InForce bool
 	// Answers is the number of the target's answers known to this router.
 	Answers int64
-	Fleet   FleetProgress
+	// FailsOften is Detector.FailsOften.
+	FailsOften bool
+	Fleet      FleetProgress
 }
 
 // FleetProgress counts the routers of the fleet.
@@ -141,9 +143,10 @@
 
 // canaryEnds reports whether the target may get more than the canary share: late, from
 // enough answers, and with all routers reporting. If answers or reports are missing, time
-// decides, but half of the fleet has to report.
+// decides, but half of the fleet has to report. A target that fails often gets no more, even
+// if its baseline fails as well.
 func (in *Inputs) canaryEnds() bool {
-	if in.Target == 0 || !in.Fleet.quorum(in.Fleet.Reported) || in.Watched < minWatch(in.Duration) {
+	if in.Target == 0 || in.FailsOften || !in.Fleet.quorum(in.Fleet.Reported) || in.Watched < minWatch(in.Duration) {
 		return false
 	}
 	enough := in.Answers >= minAnswers && in.Fleet.allReported()
@@ -152,7 +155,7 @@
 
 // stepEnds reports whether a step of StageShifting may be followed by the next.
 func (in *Inputs) stepEnds() bool {
-	if in.Target == 0 || !in.Fleet.quorum(in.Fleet.Reported) || in.InStep < fractionOf(in.Duration, stepFraction) {
+	if in.Target == 0 || in.FailsOften || !in.Fleet.quorum(in.Fleet.Reported) || in.InStep < fractionOf(in.Duration, stepFraction) {
 		return false
 	}
 	return in.Fleet.allReported() || in.InStep >= fractionOf(in.Duration, stepWaitFraction)
--- a/rollout/steps_test.go
+++ b/rollout/steps_test.go
@@ -46,6 +46,8 @@
 		{"canary with few answers, late", StageCanary, late, func(in *Inputs) { in.Answers = 3 }, StageShifting},
 		{"canary with a report missing", StageCanary, due, func(in *Inputs) { in.Fleet.Reported = 5 }, StageCanary},
 		{"canary with a report missing, late", StageCanary, late, func(in *Inputs) { in.Fleet.Reported = 5 }, StageShifting},
+		{"canary that fails often, though the baseline does too, late", StageCanary, late, func(in *Inputs) { in.FailsOften = true }, StageCanary},
+		{"step that fails often, though the baseline does too", StageShifting, late, func(in *Inputs) { in.State.Step, in.FailsOften = 1, true }, StageShifting},
 		{"canary after a restart", StageCanary, late, func(in *Inputs) { in.Watched = time.Second }, StageCanary},
 		{"canary without half of the fleet", StageCanary, late, func(in *Inputs) { in.Fleet.Reported = 2 }, StageCanary},
 		{"canary without instances", StageCanary, late, func(in *Inputs) { in.Target = 0 }, StageCanary},
--- a/rollout/window.go
+++ b/rollout/window.go
@@ -14,6 +14,10 @@
 	// that a baseline without requests stays as it was last.
 	longWindow  = 3 * time.Second
 	shortWindow = 300 * time.Millisecond
+	// latelyWindow is the time constant of the target's latest answers, and minLatelyAnswers
+	// the number of them below which older ones keep their weight.
+	latelyWindow     = time.Second
+	minLatelyAnswers = 10
 	// minLongAnswers and minShortAnswers are the numbers of answers in the windows below
 	// which older ones keep their weight.
 	minLongAnswers  = 30
