--- a/soak/doc.go
+++ b/soak/doc.go
@@ -16,5 +16,8 @@
 //
 //	SOAK_SEEDS=1-50 go test -timeout 30m ./soak
 //
+// SOAK_PROCESSES sets the number of processes of a fleet, and SOAK_UPGRADE_FROM a commit
+// whose program runs beside the current one, where a test says so.
+//
 // For a seed that fails, the test prints the logs of its processes.
 package soak
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -91,6 +91,8 @@
 	workerIDs []string
 	// withRollouts makes the processes carry out roll-outs.
 	withRollouts bool
+	// otherBinary, unless empty, is the program of every second process.
+	otherBinary string
 }
 
 // loopbackOctet returns the second octet of this run's loopback addresses. It depends on the
@@ -237,7 +239,11 @@
 	storeProxy, err := newProxy(ip+":8223", f.startStore(ip, links))
 	f.must(err)
 	f.t.Cleanup(storeProxy.close)
-	p := &process{ip: ip, store: storeProxy, links: links, binary: f.binary, settings: filepath.Join(f.t.TempDir(), "settings.json")}
+	binary := f.binary
+	if f.otherBinary != "" && len(f.processes)%2 == 1 {
+		binary = f.otherBinary
+	}
+	p := &process{ip: ip, store: storeProxy, links: links, binary: binary, settings: filepath.Join(f.t.TempDir(), "settings.json")}
 	f.writeSettings(p, true)
 	f.processes = append(f.processes, p)
 	f.start(p)
--- a/soak/rollout_test.go
+++ b/soak/rollout_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -325,16 +326,20 @@
 
 // TestRollout guards against a good release that is not promoted in time, a bad one that is
 // promoted or gets too many requests, requests cut by the end of a roll-out, and violations
-// of the invariants of TestSoak, under faults of processes, the store and workers.
+// of the invariants of TestSoak, under faults of processes, the store and workers. If
+// upgradeFromVariable is set, every second process runs the program of that commit.
 func TestRollout(t *testing.T) {
 	from, to := seedRange(t, 1, 2)
-	binary := buildProgram(t, "..")
+	binary, other := buildProgram(t, ".."), ""
+	if commit := os.Getenv(upgradeFromVariable); commit != "" {
+		other = buildCommit(t, commit)
+	}
 	for seed := from; seed <= to; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			block := rolloutBlock + seed%60
 			f := newStore(t, binary, processCount(t)*largeBudget)
-			f.withRollouts = true
+			f.withRollouts, f.otherBinary = true, other
 			service := newReleasedService(f, block, targetDefect(seed%4))
 			f.addProcesses(processCount(t), block)
 			f.awaitReady(recoveryTimeout)
