--- a/rollout/downtimes.go
+++ b/rollout/downtimes.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// downtimeGap is the time without failed attempts after which an instance that is down
-	// counts again, and also the interval at which one that stays down does.
+	// downtimeGap is the time after which an instance that is still down, or down again,
+	// counts once more.
 	downtimeGap = 3 * time.Second
 	// maxDowntimes is how often one instance counts.
 	maxDowntimes = 5
@@ -41,7 +41,7 @@
 		grew := n > known.attempts
 		known.attempts = n
 		if grew {
-			if known.isNew(now) {
+			if known.counts(now) {
 				times++
 				known.times++
 				known.countedAt = now
@@ -55,7 +55,7 @@
 	return times
 }
 
-// isNew reports whether a failed attempt at now begins a new downtime.
-func (d *downtime) isNew(now time.Time) bool {
+// counts reports whether a failed attempt at now counts.
+func (d *downtime) counts(now time.Time) bool {
 	return d.times == 0 || d.times < maxDowntimes && now.Sub(d.countedAt) >= downtimeGap
 }
--- a/rollout/round.go
+++ b/rollout/round.go
@@ -137,14 +137,13 @@
 func (c *Coordinator) inputs(name granitehoist.Service, s *service, ranked []Member, now time.Time) Inputs {
 	course := s.course
 	in := Inputs{
-		State:    course.state,
-		Duration: course.order.Duration,
-		Elapsed:  course.elapsed(now),
-		InStep:   now.Sub(course.stageAt),
-		Watched:  course.watched(now),
-		InForce:  s.releases.isOnly(course.order.Target),
-		Answers:  course.answers,
-
+		State:      course.state,
+		Duration:   course.order.Duration,
+		Elapsed:    course.elapsed(now),
+		InStep:     now.Sub(course.stageAt),
+		Watched:    course.watched(now),
+		InForce:    s.releases.isOnly(course.order.Target),
+		Answers:    course.answers,
 		FailsOften: course.detector.FailsOften(),
 	}
 	in.Target, in.Others = c.readyInstances(name, course.order.Target)
