Spread the stop of a bad release in a large fleet at once

At the size to design for a bad release got requests for some 5 to 9 s after its 50th bad answer, by calculation; 5 s are allowed and 2 s aimed at.

Cause: a router looks at the evidence only when it sends its own report, every 4 ms times the number of routers, and others learn of a stop by the answer to their next report.

Change: rounds are at most 0.4 s apart, whatever the time between reports. Of a stop the first three routers in rank tell a third of the fleet each, until it answers that it knows. Fleets of up to 100 routers report as before.

--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -22,6 +22,9 @@
 	// reportIntervalPerRouter times the number of routers is the time between two reports
 	// of a router in a large fleet, so that a hub takes at most 250 reports per second.
 	reportIntervalPerRouter = 4 * time.Millisecond
+	// maxRoundInterval is the maximum time between two rounds of a router, whose reports may
+	// be further apart: a hub compares the target with the baseline in each.
+	maxRoundInterval = 400 * time.Millisecond
 	// holdInterval is the time between two checks of the copy of the orders while a release
 	// is held.
 	holdInterval = 50 * time.Millisecond
--- a/rollout/coordinator_test.go
+++ b/rollout/coordinator_test.go
@@ -52,8 +52,8 @@
 	store     *standin.Store
 	routers   []*testRouter
 	orderedAt time.Time
-	// duration is that of the order.
-	duration time.Duration
+	// duration is that of the order, interval the time between two attempts of a router.
+	duration, interval time.Duration
 	// bad says that the target fails each request.
 	bad bool
 }
@@ -68,7 +68,7 @@
 		r.create()
 		f.routers = append(f.routers, r)
 	}
-	f.duration = testDuration
+	f.duration, f.interval = testDuration, 20*time.Millisecond
 	if change != nil {
 		change(f)
 	}
@@ -192,7 +192,7 @@
 // load sends attempts until ctx ends.
 func (r *testRouter) load(ctx context.Context, gate *Gate) {
 	for ctx.Err() == nil {
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(r.fleet.interval)
 		now := time.Now()
 		release := granitehoist.Release("v1")
 		if admission := gate.Admit(testService, false, now); len(admission.Rules) > 0 && admission.Rules[0].Only == "v2" {
@@ -366,6 +366,32 @@
 	}
 }
 
+// TestCoordinatorStopSpreads guards against routers of a large fleet that learn late that the
+// target is bad, since each reports only now and then.
+func TestCoordinatorStopSpreads(t *testing.T) {
+	t.Parallel()
+	const routers, within = 400, 2 * time.Second
+	f := startCoordinators(t, routers, true, func(f *coordinatorFleet) {
+		f.duration, f.interval = 2*testDuration, 200*time.Millisecond
+	})
+	f.expectStatus("v2 reverted", f.duration/2)
+	var atTarget []time.Time
+	for _, r := range f.routers {
+		r.mu.Lock()
+		atTarget = append(atTarget, r.atTarget...)
+		r.mu.Unlock()
+	}
+	if len(atTarget) < MaxBadAnswers {
+		return
+	}
+	slices.SortFunc(atTarget, time.Time.Compare)
+	late := atTarget[len(atTarget)-1].Sub(atTarget[MaxBadAnswers-1])
+	t.Logf("%d attempts, the last %v after the %dth bad answer", len(atTarget), late, MaxBadAnswers)
+	if late > within {
+		t.Errorf("the last attempt was later than %v", within)
+	}
+}
+
 // TestCoordinatorNoOrder guards against calls of routers without an order.
 func TestCoordinatorNoOrder(t *testing.T) {
 	f := &coordinatorFleet{t: t, store: standin.NewStore(standin.StoreSettings{})}
--- a/rollout/course.go
+++ b/rollout/course.go
@@ -31,9 +31,11 @@
 	// watchedAt is when this router learned that the target receives requests, stageAt when
 	// it learned of the current stage and step.
 	watchedAt, stageAt time.Time
-	hub                hub
-	detector           Detector
-	finding            Finding
+	// reportAt is the earliest time of this router's next report.
+	reportAt time.Time
+	hub      hub
+	detector Detector
+	finding  Finding
 	// answers is the number of the target's answers known to this router.
 	answers int64
 	// recorded is the latest phase known to be in the store.
--- a/rollout/hub.go
+++ b/rollout/hub.go
@@ -17,8 +17,9 @@
 	evidence map[granitehoist.Incarnation]Evidence
 	// latest holds the last report of each box.
 	latest map[granitehoist.Box]receivedReport
-	// passive holds the routers that should not lead, by their own word.
-	passive map[granitehoist.Box]bool
+	// passive holds the routers that should not lead, and stopped those that send nothing to
+	// the target, by their own word.
+	passive, stopped map[granitehoist.Box]bool
 }
 
 // receivedReport is a report without its evidence.
@@ -37,6 +38,7 @@
 	h.evidence[r.Incarnation] = r.Evidence
 	h.setPassive(r.Box, r.Passive)
 	if r.State != nil {
+		h.setStopped(r.Box, r.State.Stopped)
 		h.latest[r.Box] = receivedReport{state: *r.State, inFlight: r.InFlight, at: now}
 	}
 }
@@ -53,6 +55,31 @@
 	h.passive[box] = true
 }
 
+// setStopped records whether a router sends nothing to the target. A stop is never taken back,
+// except by a router that has started anew.
+func (h *hub) setStopped(box granitehoist.Box, stopped bool) {
+	if h.stopped == nil {
+		h.stopped = map[granitehoist.Box]bool{}
+	}
+	h.stopped[box] = stopped
+}
+
+// unaware returns the routers that this one tells of a stop at once, since they may not know
+// of it: the first hubCount in rank share the fleet. It returns none for the others.
+func (h *hub) unaware(ranked []Member, self granitehoist.Box) []Member {
+	position := slices.IndexFunc(ranked, func(m Member) bool { return m.Box == self })
+	if position >= hubCount {
+		return nil
+	}
+	var members []Member
+	for i, m := range ranked {
+		if i%hubCount == position && !h.stopped[m.Box] {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
 // total returns the sum of a router's own evidence and that of the reports.
 func (h *hub) total(own Evidence) Evidence {
 	var sum Evidence
--- a/rollout/round.go
+++ b/rollout/round.go
@@ -27,7 +27,7 @@
 		switch {
 		case s.course != nil && !s.course.isOver():
 			c.advance(ctx, name, s, rank(name, members), now)
-			delay = max(minReportInterval, time.Duration(len(members))*reportIntervalPerRouter)
+			delay = min(maxRoundInterval, reportInterval(len(members)))
 		case len(s.releases.held) > 0 && delay == 0:
 			delay = holdInterval
 		}
@@ -56,9 +56,16 @@
 		c.load(ctx, name, course, now)
 	}
 	c.applyPlan(name, s, now)
-	receivers := c.contacts.hubs(ranked, self, course.hub.passive)
-	if leads && (course.state.Stage >= StageShifting || course.state.Stopped) {
-		receivers = append(receivers, course.hub.missing(ranked, maxReportAge(len(ranked)), now)...)
+	var receivers []Member
+	if !now.Before(course.reportAt) {
+		course.reportAt = now.Add(reportInterval(len(ranked)))
+		receivers = c.contacts.hubs(ranked, self, course.hub.passive)
+		if leads && (course.state.Stage >= StageShifting || course.state.Stopped) {
+			receivers = append(receivers, course.hub.missing(ranked, maxReportAge(len(ranked)), now)...)
+		}
+	}
+	if course.state.Stopped {
+		receivers = append(receivers, course.hub.unaware(ranked, self)...)
 	}
 	for _, m := range receivers {
 		if m.Box != self && c.contacts.begin(m, now) {
@@ -67,6 +74,11 @@
 	}
 }
 
+// reportInterval returns the time between two reports of a router.
+func reportInterval(routers int) time.Duration {
+	return max(minReportInterval, time.Duration(routers)*reportIntervalPerRouter)
+}
+
 // withReport returns the reports with that of this router.
 func withReport(latest map[granitehoist.Box]receivedReport, r ReportParams, now time.Time) map[granitehoist.Box]receivedReport {
 	if r.State == nil {
@@ -176,6 +188,7 @@
 	}
 	s.course.hub.setPassive(to.Box, reply.Passive)
 	if reply.State != nil {
+		s.course.hub.setStopped(to.Box, reply.State.Stopped)
 		c.mergeState(r.Service, *reply.State, now)
 	}
 }
