--- a/soak/rollout_test.go
+++ b/soak/rollout_test.go
@@ -94,12 +94,12 @@
 	// phases holds the phases that operators read, phaseAt when they were first read.
 	phases  []string
 	phaseAt map[string]time.Time
-	// resting and left hold the workers that reject requests and those that have left, by
-	// their ids and numbers.
+	// resting holds the ids of the workers that reject requests, left the numbers of those
+	// that have left.
 	resting map[string]bool
 	left    map[int]bool
 	// interrupted holds the requests of processes in touch that ran at the baseline when it
-	// was stopped, unless the process had given them up.
+	// was stopped. A process may have given some of them up before.
 	interrupted []string
 }
 
