--- a/node/rollout_test.go
+++ b/node/rollout_test.go
@@ -197,7 +197,10 @@
 	}
 	time.Sleep(appearAfter)
 	for range rolloutWorkers {
-		r.targets = append(r.targets, r.startRelease("v2"))
+		w := r.startRelease("v2")
+		r.mu.Lock()
+		r.targets = append(r.targets, w)
+		r.mu.Unlock()
 	}
 	time.Sleep(time.Until(r.orderedAt.Add(r.duration + time.Second)))
 	cancel()
@@ -236,13 +239,20 @@
 // crashBusiestTarget crashes the worker of the target that received the most requests. Its
 // entry stays for a while, then another worker replaces it.
 func (r *rolloutTrial) crashBusiestTarget() {
-	busiest := slices.MaxFunc(r.targets, func(a, b *standin.Worker) int { return len(a.Requests()) - len(b.Requests()) })
+	busiest := slices.MaxFunc(r.startedTargets(), func(a, b *standin.Worker) int { return len(a.Requests()) - len(b.Requests()) })
 	busiest.Crash()
 	time.Sleep(time.Second)
 	r.deleteWorkerEntry(busiest)
 	r.startRelease("v2")
 }
 
+// startedTargets returns the workers of the target that have started.
+func (r *rolloutTrial) startedTargets() []*standin.Worker {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.targets)
+}
+
 // failStore applies faults to the store front ends of routers, of all without indices.
 func (r *rolloutTrial) failStore(f standin.PlatformFaults, indices ...int) {
 	for i, m := range r.members {
@@ -554,7 +564,7 @@
 		},
 		{name: "its workers refuse connections", during: func(r *rolloutTrial) {
 			time.Sleep(time.Second)
-			for _, w := range r.targets {
+			for _, w := range r.startedTargets() {
 				w.Crash()
 			}
 		}},
