Revert an order that was withdrawn while no router ran

Operators saw the status "serving" for good when they withdrew an order and all routers were killed before the verdict: no order was left that a new router would have looked for.

Change: once a router has read the orders, the first in rank reads the record of each service that has none. A record without a verdict is taken for an order that was withdrawn.

--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -70,7 +70,10 @@
 			r.applyOrder(service, e, missed)
 		}
 	}
-	r.read = true
+	if !r.read {
+		r.read = true
+		r.coordinator.OrdersRead()
+	}
 }
 
 func (r *rollouts) applyOrder(service granitehoist.Service, e granitehoist.Entry, missed time.Duration) {
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -75,9 +75,11 @@
 	// wake wakes Run. It has a capacity of one.
 	wake chan struct{}
 
-	// mu guards services and what it holds.
+	// mu guards the fields below it and what they hold.
 	mu       sync.Mutex
 	services map[granitehoist.Service]*service
+	// ordersRead says that the router has read the orders.
+	ordersRead bool
 }
 
 // service is the state of one service.
@@ -87,6 +89,9 @@
 	course *course
 	// planned says that the gate has a plan.
 	planned bool
+	// searched says that the record has been searched for an order that was withdrawn while
+	// no router ran.
+	searched bool
 }
 
 // New returns a coordinator without orders.
@@ -155,6 +160,15 @@
 	return last.exceptFor(Record{State: State{Order: o.Version}, Target: o.Target})
 }
 
+// OrdersRead notes that the router has read the orders for the first time. Services without
+// one may have a record of an order that was withdrawn while no router ran.
+func (c *Coordinator) OrdersRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ordersRead = true
+	c.wakeUp()
+}
+
 // Withdraw handles the deletion of a service's order: without a verdict the target is
 // reverted.
 func (c *Coordinator) Withdraw(name granitehoist.Service, version granitehoist.Version) {
--- a/rollout/coordinator_test.go
+++ b/rollout/coordinator_test.go
@@ -392,6 +392,29 @@
 	}
 }
 
+// TestCoordinatorWithdrawnMeanwhile guards against a status that stays without a verdict when
+// the order was withdrawn while no router ran.
+func TestCoordinatorWithdrawnMeanwhile(t *testing.T) {
+	t.Parallel()
+	f := startCoordinators(t, 6, false, func(f *coordinatorFleet) { f.duration = 2 * testDuration })
+	f.expectStatus("v2 serving", testDuration)
+	for _, r := range f.routers {
+		r.stop()
+	}
+	for _, r := range f.routers {
+		r.create()
+		c, _ := r.parts()
+		c.Announce(testService, "v1", 1)
+		c.Announce(testService, "v2", 2)
+		c.Refresh()
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		go c.Run(ctx)
+		c.OrdersRead()
+	}
+	f.expectStatus("v2 reverted", testDuration)
+}
+
 // TestCoordinatorNoOrder guards against calls of routers without an order.
 func TestCoordinatorNoOrder(t *testing.T) {
 	f := &coordinatorFleet{t: t, store: standin.NewStore(standin.StoreSettings{})}
--- a/rollout/round.go
+++ b/rollout/round.go
@@ -24,6 +24,7 @@
 		if len(s.releases.held) > 0 {
 			c.refresh(name, s, now)
 		}
+		c.searchWithdrawn(ctx, name, s, members)
 		switch {
 		case s.course != nil && !s.course.isOver():
 			c.advance(ctx, name, s, rank(name, members), now)
