--- a/rollout/recovery.go
+++ b/rollout/recovery.go
@@ -10,7 +10,7 @@
 	// the end of a disturbance looks for.
 	recoveredShare = 0.25
 	// recoveryThreshold is the log-likelihood ratio at which a disturbance counts as over. A
-	// baseline in its usual state reaches it once in some 20,000 answers.
+	// baseline in its usual state reaches it at most once in some 20,000 answers.
 	recoveryThreshold = 10
 )
 
--- a/soak/rollout_test.go
+++ b/soak/rollout_test.go
@@ -324,10 +324,9 @@
 	restarts.Wait()
 }
 
-// TestRollout guards against a good release that is not promoted in time, a bad one that is
-// promoted or gets too many requests, requests cut by the end of a roll-out, and violations
-// of the invariants of TestSoak, under faults of processes, the store and workers. If
-// upgradeFromVariable is set, every second process runs the program of that commit.
+// TestRollout guards against late or wrong verdicts on a release, bad releases that get too
+// many requests, and requests that end with the baseline, under faults. If upgradeFromVariable
+// is set, every second process runs the program of that commit.
 func TestRollout(t *testing.T) {
 	from, to := seedRange(t, 1, 2)
 	binary, other := buildProgram(t, ".."), ""
