--- a/rollout/coordinator_test.go
+++ b/rollout/coordinator_test.go
@@ -374,7 +374,7 @@
 // target is bad, since each reports only now and then. It does not run beside other tests,
 // which its many routers would slow down.
 func TestCoordinatorStopSpreads(t *testing.T) {
-	const routers, within = 400, DefaultRollback
+	const routers, within = 400, 2 * time.Second
 	f := startCoordinators(t, routers, true, func(f *coordinatorFleet) {
 		f.duration, f.interval = 2*testDuration, 200*time.Millisecond
 	})
