Clear rounds of crashes that come with a failure which rolls over the upstreams

What callers saw: all requests of a popular kind refused for ten minutes (503) after upstreams had lost power one after the other, or all at once beside a busy router.

Cause: a loss of power was recognised only if one router saw four crashes within 50 ms. With 16 crashes over 240 and 500 ms (traced with one processor) or reports that come late, runs at upstreams that were still up made a second round, which suffices with six early crashes. Class: a threshold on the time of events that a busy router observes late.

Change: a round after the first is also cleared if three crashes or more that no suspect explains became known within a second of it. Crashes in a suspect's own later rounds count for nobody, so that several crashing requests don't clear each other; neither do crashes that the request may have caused itself in its first round.

--- a/suspect/block.go
+++ b/suspect/block.go
@@ -25,25 +25,34 @@
 	return min(maxScopeBlockDuration, initialScopeBlockDuration<<doublings)
 }
 
-// clearMassFailureRounds does nothing unless a mass failure is in progress. Then it clears
-// the highest round of each entry whose highest round was reached within massFailureWindow:
-// that round began with the mass failure, before the table recognised the mass failure. First
-// rounds stay, because a request that is not yet suspect may crash every upstream that runs
-// it. The caller holds mu.
-func (t *Table) clearMassFailureRounds(now time.Time) {
-	if !t.crashes.inMassFailure(now) {
-		return
-	}
-	for _, e := range t.entries {
-		before := e.round()
-		if before < 2 || now.Sub(e.roundAt) > massFailureWindow {
+// clearUnrelatedRounds clears the highest round of each entry if it began in a mass failure or
+// in a rolling failure, which caused its crashes. First rounds stay, because a request that is
+// not yet suspect may crash every upstream that runs it. The caller holds mu.
+func (t *Table) clearUnrelatedRounds(now time.Time) {
+	inMassFailure := t.crashes.inMassFailure(now)
+	for e := range t.raised {
+		round, age := e.round(), now.Sub(e.roundAt)
+		if round < 2 || age > rollingFailureWindow {
+			delete(t.raised, e)
 			continue
 		}
-		e.clearRound(before)
-		if !e.sufficient(e.isScope) {
-			e.refusedUntil = time.Time{}
+		if inMassFailure && age <= massFailureWindow || t.crashes.inRollingFailure(e) {
+			t.clearRound(e, round)
+		}
+	}
+}
+
+// clearRound clears a round of an entry, the highest one. The caller holds mu.
+func (t *Table) clearRound(e *entry, round int) {
+	for _, c := range e.crashes {
+		if c.Round == round {
+			t.crashes.setAttributed(c.Incarnation, false)
 		}
-		t.updateSuspectCount(before, e.round())
-		t.markObserved(e)
 	}
+	e.evidence.clearRound(round)
+	if !e.sufficient(e.isScope) {
+		e.refusedUntil = time.Time{}
+	}
+	t.updateSuspectCount(round, e.round())
+	t.markObserved(e)
 }
--- a/suspect/doc.go
+++ b/suspect/doc.go
@@ -12,8 +12,9 @@
 //
 // Crashes are counted in rounds. A suspect request is held for SettleTime after each round
 // and refused after several. A Scope, which is all requests of a workspace on a route, is
-// refused after more rounds. A mass failure, in which many upstreams crash at once, starts
-// no round beyond the first (recentcrashes.go, block.go).
+// refused after more rounds. A mass failure, in which many upstreams crash at once, and a
+// rolling failure, in which they crash one after the other, start no round beyond the first
+// (recentcrashes.go, block.go).
 //
 // A Table owns its entries and its secret. It is safe for concurrent use, does no I/O and
 // takes the current time as an argument. Two packages use it: forward in granitehoist-edge,
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -99,9 +99,17 @@
 	return round, crashes
 }
 
+// index returns the index of the crash of an incarnation, and -1 if there is none.
+func (e *evidence) index(incarnation Incarnation) int {
+	return slices.IndexFunc(e.crashes, func(c Crash) bool { return c.Incarnation == incarnation })
+}
+
+// has reports whether the evidence has a crash of an incarnation.
+func (e *evidence) has(incarnation Incarnation) bool { return e.index(incarnation) >= 0 }
+
 // add merges a crash into the evidence and reports whether the evidence changed.
 func (e *evidence) add(c Crash) bool {
-	i := slices.IndexFunc(e.crashes, func(known Crash) bool { return known.Incarnation == c.Incarnation })
+	i := e.index(c.Incarnation)
 	if i < 0 {
 		e.crashes = append(e.crashes, c)
 		e.trim()
--- a/suspect/recentcrashes.go
+++ b/suspect/recentcrashes.go
@@ -18,6 +18,14 @@
 	// The crashes of a simulated loss of power were known within 6 ms, in one process.
 	massFailureWindow  = 50 * time.Millisecond
 	massFailureCrashes = 4
+	// rollingFailureCrashes is the number of unattributed crashes that have to become known
+	// within rollingFailureWindow of a round for a rolling failure: a mass failure whose
+	// crashes are spread over time, or are learned of late.
+	rollingFailureWindow  = time.Second
+	rollingFailureCrashes = 3
+	// maxFirstRound is the longest time for which a request that crashes upstreams may crash
+	// more of them in its first round, by runs that began before its first crash was known.
+	maxFirstRound = time.Second
 )
 
 // recentCrashes holds the upstream incarnations that crashed recently, under any request.
@@ -32,6 +40,9 @@
 	// observed the crash, and zero if it only received a report. Reports may be late, so
 	// that only observedAt is used as the time of the crash.
 	knownAt, observedAt time.Time
+	// attributed says that a suspect request ran on the incarnation and crashed it in a round
+	// after the first.
+	attributed bool
 }
 
 // record adds a crash. observed says that this router observed it itself.
@@ -64,6 +75,42 @@
 	return crashes >= massFailureCrashes
 }
 
+// setAttributed sets whether the crash of a known incarnation is attributed to a suspect
+// request. It does nothing if the incarnation is unknown.
+func (c *recentCrashes) setAttributed(incarnation Incarnation, attributed bool) {
+	crash, known := c.byIncarnation[incarnation]
+	if !known {
+		return
+	}
+	crash.attributed = attributed
+	c.byIncarnation[incarnation] = crash
+}
+
+// inRollingFailure reports whether at least rollingFailureCrashes crashes became known within
+// rollingFailureWindow of the highest round of e, besides those that the request of e or
+// another suspect explains.
+func (c *recentCrashes) inRollingFailure(e *entry) bool {
+	crashes := 0
+	for incarnation, crash := range c.byIncarnation {
+		if crash.attributed || crash.knownAt.Sub(e.roundAt).Abs() > rollingFailureWindow || e.explains(incarnation, crash.knownAt) {
+			continue
+		}
+		crashes++
+		if crashes >= rollingFailureCrashes {
+			return true
+		}
+	}
+	return false
+}
+
+// explains reports whether the request of e may have caused the crash of an incarnation that
+// became known at a time. In the hold of the first round it may have caused more crashes than
+// the evidence has room for. Later, only runs of the first round crash further upstreams.
+func (e *entry) explains(incarnation Incarnation, knownAt time.Time) bool {
+	since := knownAt.Sub(e.suspectAt)
+	return since >= 0 && (since <= SettleTime || since <= maxFirstRound && e.has(incarnation))
+}
+
 // knownBefore reports whether the crash of an incarnation was known before t.
 func (c *recentCrashes) knownBefore(incarnation Incarnation, t time.Time) bool {
 	crash, known := c.byIncarnation[incarnation]
--- a/suspect/simulation_test.go
+++ b/suspect/simulation_test.go
@@ -4,6 +4,7 @@
 package suspect_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -53,8 +54,16 @@
 	crashingCallers int
 	// popular adds an innocent request that is sent frequently.
 	popular bool
-	// rackFailsAt is when a third of the upstreams crashes; zero for never.
+	// rackFailsAt is when the upstreams of a rack begin to crash; zero for never. A rack is
+	// a third of the upstreams, or all of them if allFail is set.
 	rackFailsAt time.Duration
+	allFail     bool
+	// rackFailsOver is the time over which the crashes of a rack spread evenly; zero for all
+	// at once.
+	rackFailsOver time.Duration
+	// maxReportDelay is the longest time that a report from router to router takes; zero
+	// means defaultMaxReportDelay.
+	maxReportDelay time.Duration
 }
 
 const (
@@ -71,6 +80,9 @@
 	restartDelay = 5 * time.Second
 	// popularInterval is the time between popular requests.
 	popularInterval = 50 * time.Millisecond
+	// minReportDelay and defaultMaxReportDelay bound the time that a report takes.
+	minReportDelay        = 2 * time.Millisecond
+	defaultMaxReportDelay = 60 * time.Millisecond
 )
 
 // result holds the counts of a simulation.
@@ -341,19 +353,25 @@
 		if other == router {
 			continue
 		}
-		sim.schedule(sim.randomDuration(2*time.Millisecond, 60*time.Millisecond), func() {
+		sim.schedule(sim.randomDuration(minReportDelay, cmp.Or(sim.scenario.maxReportDelay, defaultMaxReportDelay)), func() {
 			sim.tables[other].Merge(records, sim.time())
 			sim.recordPropagation()
 		})
 	}
 }
 
-// failRack crashes a third of the upstreams at once.
+// failRack crashes the upstreams of a rack.
 func (sim *simulation) failRack() {
-	for _, u := range sim.upstreams[:len(sim.upstreams)/3] {
-		if !u.down {
-			sim.crashUpstream(u)
-		}
+	rack := sim.upstreams
+	if !sim.scenario.allFail {
+		rack = rack[:len(rack)/3]
+	}
+	for i, u := range rack {
+		sim.schedule(sim.scenario.rackFailsOver*time.Duration(i)/time.Duration(len(rack)), func() {
+			if !u.down {
+				sim.crashUpstream(u)
+			}
+		})
 	}
 }
 
@@ -420,6 +438,27 @@
 	}
 }
 
+// TestPopularRequestSurvivesSlowPowerLoss guards against refusing a popular request because
+// upstreams crashed one after the other, or because the routers learned of the crashes late.
+func TestPopularRequestSurvivesSlowPowerLoss(t *testing.T) {
+	const seeds = 20
+	for _, over := range []time.Duration{0, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 3 * time.Second} {
+		for _, delay := range []time.Duration{defaultMaxReportDelay, 400 * time.Millisecond} {
+			for _, all := range []bool{false, true} {
+				t.Run(fmt.Sprintf("crashes over %v, reports within %v, all %t", over, delay, all), func(t *testing.T) {
+					s := scenario{
+						routers: 6, upstreams: 16, popular: true, rackFailsAt: 10 * time.Second,
+						allFail: all, rackFailsOver: over, maxReportDelay: delay,
+					}
+					if got := maximum(simulateSeeds(s, currentPolicy, seeds), refusedInnocents); got > 0 {
+						t.Errorf("%d requests were refused", got)
+					}
+				})
+			}
+		}
+	}
+}
+
 // BenchmarkPolicies logs for each scenario and policy the crashed upstreams (median,
 // maximum), the refused innocent requests (maximum), the interrupted runs (median) and the
 // propagation time in ms (median, maximum).
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -55,6 +55,9 @@
 	mu      sync.Mutex
 	entries map[Digest]*entry
 	crashes recentCrashes
+	// raised holds the entries whose highest round is above one and rose in the last
+	// rollingFailureWindow, and some whose round has not been checked since.
+	raised map[*entry]struct{}
 	// version counts the changes by observations of this router.
 	version uint64
 }
@@ -70,6 +73,8 @@
 	// roundAt is when this entry's highest round last rose: the time at which this table
 	// learned of the crash, whether observed here or reported by another router.
 	roundAt time.Time
+	// suspectAt is when the request last became suspect: its highest round rose from zero.
+	suspectAt time.Time
 	// refusedUntil is when the block expires; zero if the evidence does not suffice for a
 	// refusal.
 	refusedUntil time.Time
@@ -86,7 +91,7 @@
 	if s.OnObserved == nil {
 		s.OnObserved = func() {}
 	}
-	return &Table{settings: s, entries: map[Digest]*entry{}}
+	return &Table{settings: s, entries: map[Digest]*entry{}, raised: map[*entry]struct{}{}}
 }
 
 // HasSuspects reports whether there is evidence that is not cleared against any request or
@@ -188,8 +193,14 @@
 		return false
 	}
 	e.changedAt = now
-	if e.round() > before {
+	if round := e.round(); round > before {
 		e.roundAt = now
+		if before == 0 {
+			e.suspectAt = now
+		}
+		if round >= 2 {
+			t.raised[e] = struct{}{}
+		}
 	}
 	switch {
 	case !e.sufficient(e.isScope):
@@ -197,8 +208,13 @@
 	case !wasSufficient, e.round() > before:
 		e.refusedUntil = now.Add(t.blockDuration(e))
 	}
+	for _, c := range e.crashes {
+		if c.unclearedRound() >= 2 {
+			t.crashes.setAttributed(c.Incarnation, true)
+		}
+	}
 	t.updateSuspectCount(before, e.round())
-	t.clearMassFailureRounds(now)
+	t.clearUnrelatedRounds(now)
 	return true
 }
 
@@ -217,6 +233,7 @@
 func (t *Table) remove(e *entry) {
 	t.updateSuspectCount(e.round(), 0)
 	delete(t.entries, e.digest)
+	delete(t.raised, e)
 }
 
 // Counts returns the number of entries with evidence that is not cleared, and the number of
