Require three early rounds to refuse a request

Cause: two rounds sufficed if they held six early crashes. The first round of a loss of power holds eight, so that one further run at an upstream which had crashed unseen behind a proxy that still accepts connections, 1.4 s before in a trace, refused a popular request.

Change: three early rounds, or five of any kind; a number of crashes in one round is one event.

--- a/suspect/block.go
+++ b/suspect/block.go
@@ -23,7 +23,7 @@
 	if !e.isScope {
 		return t.settings.BlockDuration
 	}
-	early, _ := e.earlyRound()
+	early := e.earlyRound()
 	doublings := min(max(0, early-scopeEarlyRoundsToRefuse), 3)
 	return min(maxScopeBlockDuration, initialScopeBlockDuration<<doublings)
 }
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -63,7 +63,7 @@
 }
 
 // maxCrashes is the maximum number of crashes kept for one request. It exceeds
-// earlyCrashesToRefuse, so that the early crashes that suffice for a refusal can be kept.
+// roundsToRefuse, so that one crash of each round that a refusal needs can be kept.
 const maxCrashes = 8
 
 // unclearedCrashes returns the number of crashes that are not cleared.
@@ -86,17 +86,15 @@
 	return highest
 }
 
-// earlyRound returns the highest early round that is not cleared, and the number of early
-// crashes that are not cleared.
-func (e *evidence) earlyRound() (round, crashes int) {
+// earlyRound returns the highest early round that is not cleared, and zero if there is none.
+func (e *evidence) earlyRound() int {
+	highest := 0
 	for _, c := range e.crashes {
-		if c.EarlyRound == 0 || c.Cleared {
-			continue
+		if !c.Cleared {
+			highest = max(highest, c.EarlyRound)
 		}
-		round = max(round, c.EarlyRound)
-		crashes++
 	}
-	return round, crashes
+	return highest
 }
 
 // index returns the index of the crash of an incarnation, and -1 if there is none.
@@ -173,10 +171,6 @@
 	// than earlyRoundsToRefuse, since late crashes are more often unrelated to the request.
 	// Three rounds would have refused 0 to 67 of those requests.
 	roundsToRefuse = 5
-	// earlyCrashesToRefuse is the number of early crashes from which earlyRoundsToRefuse-1
-	// rounds suffice. A request that arrives at many routers at once crashes many upstreams
-	// in each round.
-	earlyCrashesToRefuse = 2 * earlyRoundsToRefuse
 	// scopeEarlyRoundsToRefuse is the number of early rounds from which a scope is refused.
 	// It is higher than earlyRoundsToRefuse, since a scope also covers unrelated requests.
 	// With four callers, eight upstreams crash until then.
@@ -186,9 +180,9 @@
 // sufficient reports whether the evidence suffices to refuse the request, or the scope if
 // isScope is set.
 func (e *evidence) sufficient(isScope bool) bool {
-	early, crashes := e.earlyRound()
+	early := e.earlyRound()
 	if isScope {
 		return early >= scopeEarlyRoundsToRefuse
 	}
-	return early >= earlyRoundsToRefuse || e.round() >= roundsToRefuse || (early == earlyRoundsToRefuse-1 && crashes >= earlyCrashesToRefuse)
+	return early >= earlyRoundsToRefuse || e.round() >= roundsToRefuse
 }
--- a/suspect/verdict.go
+++ b/suspect/verdict.go
@@ -45,7 +45,7 @@
 // verdict summarises the evidence at the given time.
 func (e *entry) verdict(now time.Time) Verdict {
 	v := Verdict{Round: e.round(), Crashes: e.unclearedCrashes()}
-	v.EarlyRound, _ = e.earlyRound()
+	v.EarlyRound = e.earlyRound()
 	if v.Round > 0 {
 		v.Hold = max(0, SettleTime-now.Sub(e.roundAt))
 	}
