Count no old crash as a recent one, and clear one round at a time

Cause: a report repeats all crashes of a record, and those that the table had forgotten after five seconds counted as new ones of a rolling failure; each clearing then made the next lower round the highest and cleared it too.

Change: a crash that the evidence already holds is not recorded anew; after one round is cleared the entry is looked at again when its round rises. Merge looks for unrelated rounds once it has added all records, not between them.

Both new tests fail without the change.

--- a/suspect/block.go
+++ b/suspect/block.go
@@ -40,6 +40,7 @@
 		}
 		if inMassFailure && age <= massFailureWindow || t.crashes.inRollingFailure(e) {
 			t.clearRound(e, round)
+			return true
 		}
 		return false
 	})
--- a/suspect/record.go
+++ b/suspect/record.go
@@ -110,6 +110,7 @@
 			t.add(e, crashes, now)
 		}
 	}
+	t.clearUnrelatedRounds(now)
 }
 
 // validCrashes returns the valid ones among the first maxCrashes crashes.
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -122,6 +122,7 @@
 	changed := isNew && t.add(e, []Crash{o.toCrash(t.crashes.inMassFailure(now))}, now)
 	if changed {
 		t.markObserved(e)
+		t.clearUnrelatedRounds(now)
 	}
 	verdict := e.verdict(now)
 	t.mu.Unlock()
@@ -204,12 +205,16 @@
 }
 
 // add merges crashes into an entry and reports whether the entry changed. A new round
-// restarts the block of a refused request. The caller holds mu.
+// restarts the block of a refused request. The caller holds mu, and calls
+// clearUnrelatedRounds once it has added all crashes that it knows of.
 func (t *Table) add(e *entry, crashes []Crash, now time.Time) bool {
 	before, wasSufficient := e.round(), e.sufficient(e.isScope)
 	changed := false
 	for _, c := range crashes {
-		t.crashes.record(c.Incarnation, false, now)
+		// A repeated report of an old crash does not make it a recent one.
+		if !e.has(c.Incarnation) {
+			t.crashes.record(c.Incarnation, false, now)
+		}
 		changed = e.evidence.add(c) || changed
 	}
 	if !changed {
@@ -237,7 +242,6 @@
 		}
 	}
 	t.updateSuspectCount(before, e.round())
-	t.clearUnrelatedRounds(now)
 	return true
 }
 
--- a/suspect/table_test.go
+++ b/suspect/table_test.go
@@ -156,6 +156,36 @@
 		Expect(table.RecordCrash(crashing, earlyCrash(testIncarnation(6), known), at(2)).Refused).To(BeTrue())
 	})
 
+	It("keeps its rounds when a report repeats old crashes under another request", func() {
+		for _, l := range testIncarnations(10, 13) {
+			table.RecordCrash(testDigest(1), earlyCrash(l, suspect.Verdict{}), start)
+		}
+		old, _ := table.ObservedAfter(0)
+		now := start.Add(time.Minute)
+		table.Sweep(now)
+		crashing := func(n int) {
+			now = now.Add(2 * suspect.SettleTime)
+			table.RecordCrash(testDigest(0), earlyCrash(testIncarnation(n), table.Lookup(testDigest(0), now)), now)
+		}
+		crashing(1)
+		crashing(2)
+		table.Merge(old, now)
+		table.RecordCrash(testDigest(2), earlyCrash(testIncarnation(20), suspect.Verdict{}), now)
+		Expect(table.Lookup(testDigest(0), now).Round).To(Equal(2))
+	})
+
+	It("loses one round in a rolling failure, and not the earlier ones", func() {
+		at := func(round int) time.Time { return start.Add(time.Duration(round) * 2 * time.Second) }
+		for round := range 4 {
+			table.RecordCrash(crashing, earlyCrash(testIncarnation(round), lookup(at(round).Sub(start))), at(round))
+		}
+		for n := range 6 {
+			now := at(3).Add(time.Duration(n+1) * 100 * time.Millisecond)
+			table.RecordCrash(testDigest(1), earlyCrash(testIncarnation(10+n), suspect.Verdict{}), now)
+		}
+		Expect(lookup(at(3).Sub(start)).Round).To(Equal(3))
+	})
+
 	It("is cleared by one success and starts at round one with the next crash", func() {
 		crashInRounds(table, crashing, testIncarnations(1, 3)...)
 		table.RecordSuccess(crashing, start)
