Test streams at old upstreams whichever release the canary picks

Cause: TestRolloutStream sent one stream 6.5 s after the order and took for granted that an old upstream got it.

Change: both releases answer the long streams alike, and one begins at each of six routers. All have to end whole, one at least has to run at an old upstream, and completion may not come before the last ends, as before.

--- a/node/rolloutorders_test.go
+++ b/node/rolloutorders_test.go
@@ -6,8 +6,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -142,30 +145,47 @@
 	})
 }
 
-// TestRolloutStream guards against a stream that is cut by a completion: it runs at an old
-// upstream when all requests have moved.
+// TestRolloutStream guards against streams that are cut by a completion: they run at old
+// upstreams when all requests have moved. One begins at each router, since the canary may get
+// some of them.
 func TestRolloutStream(t *testing.T) {
 	t.Parallel()
-	const id, events, gap = "long", 20, 150 * time.Millisecond
+	const idPrefix, events, gap = "long-", 20, 150 * time.Millisecond
 	r := newRolloutTrial(t, rolloutRouters)
-	r.baseline = func(q standin.ReceivedRequest, since time.Duration) (standin.WorkerResponse, bool) {
-		if q.ID == id {
+	long := func(q standin.ReceivedRequest, since time.Duration) (standin.WorkerResponse, bool) {
+		if strings.HasPrefix(string(q.ID), idPrefix) {
 			return standin.WorkerResponse{Events: events, Gap: gap}, false
 		}
 		return goodAnswer(q, since)
 	}
-	var got answer
-	var err error
+	var atOld atomic.Int32
+	r.target = long
+	r.baseline = func(q standin.ReceivedRequest, since time.Duration) (standin.WorkerResponse, bool) {
+		if strings.HasPrefix(string(q.ID), idPrefix) {
+			atOld.Add(1)
+		}
+		return long(q, since)
+	}
+	var got [rolloutRouters]answer
+	var errs [rolloutRouters]error
 	var endedAt time.Time
 	r.during = func(r *rolloutTrial) {
 		time.Sleep(time.Until(r.orderedAt.Add(6500 * time.Millisecond)))
-		got, err = r.members[0].ask("/stream/x", id)
+		var streams sync.WaitGroup
+		for i, m := range r.members {
+			streams.Go(func() { got[i], errs[i] = m.ask("/stream/x", fmt.Sprint(idPrefix, i)) })
+		}
+		streams.Wait()
 		endedAt = time.Now()
 	}
 	r.play()
 	r.expectComplete()
-	r.Expect(err).NotTo(HaveOccurred())
-	r.Expect(got.status).To(Equal(http.StatusOK))
-	r.Expect(strings.Count(got.body, "data:")).To(Equal(events))
+	t.Logf("%d of %d streams began at old upstreams", atOld.Load(), rolloutRouters)
+	r.Expect(atOld.Load()).To(BeNumerically(">", 0))
+	for i := range got {
+		r.Expect(errs[i]).NotTo(HaveOccurred())
+		r.Expect(got[i].status).To(Equal(http.StatusOK))
+		r.Expect(strings.Count(got[i].body, "data:")).To(Equal(events))
+	}
 	r.Expect(r.phaseAt[rollout.Complete]).To(BeTemporally(">=", endedAt.Add(-gap)), "complete while a stream runs at an old upstream")
 }
