Report failures of a target in the next round

What callers saw: requests to a bad release for up to 2.2 s after its 50th bad answer in a large fleet (2 s is the goal).

Cause: the reports of 400 routers are 1.6 s apart, so that the hubs know of a failure up to 1.6 s late; rounds (0.4 s) and calls come on top.

Change: a router whose requests failed at the target since its last report sends the next one in its next round. Failures end with the stop, so that these reports are few.

--- a/rollout/course.go
+++ b/rollout/course.go
@@ -31,11 +31,13 @@
 	// watchedAt is when this router learned that the target receives requests, stageAt when
 	// it learned of the current stage and step.
 	watchedAt, stageAt time.Time
-	// reportAt is the earliest time of this router's next report.
-	reportAt time.Time
-	hub      hub
-	detector Detector
-	finding  Finding
+	// reportAt is the time of this router's next report, unless the target fails before.
+	// reportedFailures is the number of its failures in the last report.
+	reportAt         time.Time
+	reportedFailures int64
+	hub              hub
+	detector         Detector
+	finding          Finding
 	// answers is the number of the target's answers known to this router.
 	answers int64
 	// recorded is the latest phase known to be in the store.
@@ -64,6 +66,18 @@
 	return now.Sub(c.beganAt)
 }
 
+// reportDue reports whether this router reports in a round, and notes the report. Failures of
+// the target are reported in the next round, since the others go on sending to it until a hub
+// knows of them. own is this router's evidence.
+func (c *course) reportDue(own Evidence, now time.Time) bool {
+	failures := own.targetFailures()
+	if now.Before(c.reportAt) && failures <= c.reportedFailures {
+		return false
+	}
+	c.reportedFailures = failures
+	return true
+}
+
 // watched returns for how long this router has known that the target receives requests.
 func (c *course) watched(now time.Time) time.Duration {
 	if c.watchedAt.IsZero() {
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -88,6 +88,19 @@
 	}
 }
 
+// targetFailures returns the number of bad answers of the target and of attempts at its
+// instances that were down.
+func (e *Evidence) targetFailures() int64 {
+	var failures int64
+	for _, route := range e.Routes {
+		failures += route.Target.Bad
+	}
+	for _, n := range e.Down {
+		failures += n
+	}
+	return failures
+}
+
 // record counts the result of an attempt at the target or, if target is not set, at the
 // baseline.
 func (e *Evidence) record(s *Sample, target bool) {
--- a/rollout/round.go
+++ b/rollout/round.go
@@ -58,7 +58,7 @@
 	}
 	c.applyPlan(name, s, now)
 	var receivers []Member
-	if !now.Before(course.reportAt) {
+	if course.reportDue(own, now) {
 		course.reportAt = now.Add(reportInterval(len(ranked)))
 		receivers = c.contacts.hubs(ranked, self, course.hub.passive)
 		if leads && (course.state.Stage >= StageShifting || course.state.Stopped) {
