Record no crash that the evidence has no room for, and push every observed one

A report may hold old crashes that this router dropped from its evidence, which counted as recent ones; and a crash observed between the two reads of a push belonged to the version reached without being in the message.

Change: only a crash that enters the evidence is recorded from a report, as the pushes name the others; the list of crashes is read after the records.

Measured: the tests of package suspect pass; no test of the race between the reads.

--- a/node/suspects.go
+++ b/node/suspects.go
@@ -144,8 +144,9 @@
 
 // observedAfter returns this node's observations after a version of its table.
 func (s *suspects) observedAfter(version uint64) (suspectUpdate, bool, uint64) {
-	crashed := s.table.CrashesObservedAfter(version)
 	records, reached := s.table.ObservedAfter(version)
+	// Read last, so that it has all crashes up to the version reached.
+	crashed := s.table.CrashesObservedAfter(version)
 	return suspectUpdate{Records: records, Crashed: crashed}, len(records)+len(crashed) > 0, reached
 }
 
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -211,11 +211,15 @@
 	before, wasSufficient := e.round(), e.sufficient(e.isScope)
 	changed := false
 	for _, c := range crashes {
+		known := e.has(c.Incarnation)
+		if !e.evidence.add(c) {
+			continue
+		}
+		changed = true
 		// A repeated report of an old crash does not make it a recent one.
-		if !e.has(c.Incarnation) {
+		if !known {
 			t.crashes.record(c.Incarnation, false, now)
 		}
-		changed = e.evidence.add(c) || changed
 	}
 	if !changed {
 		return false
