Replace an order in the test once every router has received it

Cause: TestRolloutOrders expects each router to log that a newer order replaced an older one, and wrote the newer one as soon as one router had begun the canary. A router that reads both orders at once knows the newer one only and logs received: shown by two orders written one after the other, where both routers did so.

--- a/node/rolloutorders_test.go
+++ b/node/rolloutorders_test.go
@@ -106,6 +106,8 @@
 		r.order("v2", time.Minute)
 		r.startRelease("v2")
 		r.Eventually(r.currentStatus).Should(Equal("v2 serving"))
+		// A router that learns of two orders at once knows the newer one only.
+		r.expectOrderLogged("received")
 		r.order("v3", time.Minute)
 		r.startRelease("v3")
 		r.Eventually(r.currentStatus).Should(Equal("v3 serving"))
