--- a/node/rolloutorders_test.go
+++ b/node/rolloutorders_test.go
@@ -147,9 +147,8 @@
 	})
 }
 
-// TestRolloutStream guards against streams that are cut by a completion: they run at old
-// upstreams when all requests have moved. One begins at each router, since the canary may get
-// some of them.
+// TestRolloutStream guards against a completion that cuts streams at old upstreams. One begins
+// at each router, since the canary may get some of them.
 func TestRolloutStream(t *testing.T) {
 	t.Parallel()
 	const idPrefix, events, gap = "long-", 20, 150 * time.Millisecond
--- a/node/sharedcrashes_test.go
+++ b/node/sharedcrashes_test.go
@@ -14,9 +14,8 @@
 	"granitehoist.example/granitehoist/suspect"
 )
 
-// TestCrashKnownElsewhereIsNoEvidence guards against charging a popular request with a crash
-// that another router observed before the request was sent, but that the evidence of the
-// request had no room for: after a mass failure the request would be refused.
+// TestCrashKnownElsewhereIsNoEvidence guards against evidence from an upstream which another
+// router knew to be down, but did not report since the evidence has room for eight crashes.
 func TestCrashKnownElsewhereIsNoEvidence(t *testing.T) {
 	const upstreams = 40
 	g := NewWithT(t)
--- a/suspect/block.go
+++ b/suspect/block.go
@@ -46,6 +46,14 @@
 	})
 }
 
+// explains reports whether the request of e may have caused the crash of an incarnation that
+// became known at a time. In the hold of the first round it may have caused more crashes than
+// the evidence has room for. Later, only runs of the first round crash further upstreams.
+func (e *entry) explains(incarnation Incarnation, knownAt time.Time) bool {
+	since := knownAt.Sub(e.suspectAt)
+	return since >= 0 && (since <= SettleTime || since <= maxFirstRound && e.has(incarnation))
+}
+
 // clearRound clears a round of an entry, the highest one. The caller holds mu.
 func (t *Table) clearRound(e *entry, round int) {
 	for _, c := range e.crashes {
--- a/suspect/recentcrashes.go
+++ b/suspect/recentcrashes.go
@@ -138,14 +138,6 @@
 	return false
 }
 
-// explains reports whether the request of e may have caused the crash of an incarnation that
-// became known at a time. In the hold of the first round it may have caused more crashes than
-// the evidence has room for. Later, only runs of the first round crash further upstreams.
-func (e *entry) explains(incarnation Incarnation, knownAt time.Time) bool {
-	since := knownAt.Sub(e.suspectAt)
-	return since >= 0 && (since <= SettleTime || since <= maxFirstRound && e.has(incarnation))
-}
-
 // isKnown reports whether the crash of an incarnation is known.
 func (c *recentCrashes) isKnown(incarnation Incarnation) bool {
 	_, known := c.byIncarnation[incarnation]
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -56,8 +56,8 @@
 	mu      sync.Mutex
 	entries map[Digest]*entry
 	crashes recentCrashes
-	// raised holds the entries whose highest round is above one and rose in the last
-	// rollingFailureWindow, and some whose round has not been checked since.
+	// raised holds the entries whose highest round rose above one in the last
+	// rollingFailureWindow, and older ones until clearUnrelatedRounds removes them.
 	raised []*entry
 	// version counts the changes by observations of this router.
 	version uint64
