--- a/forward/log.go
+++ b/forward/log.go
@@ -35,6 +35,9 @@
 	if a.admission.maxCost > 0 {
 		fields = append(fields, a.budgetFields()...)
 	}
+	if a.request.LastEventID > 0 {
+		fields = append(fields, zap.String("resumes", string(a.request.Resumes)), zap.Int64("resumed_after", a.request.LastEventID))
+	}
 	if a.progress.deferredFor > 0 {
 		fields = append(fields, zap.Duration("permit_wait", a.progress.deferredFor))
 	}
@@ -100,7 +103,7 @@
 }
 
 // logAttempt logs an attempt. took is its duration, from before the request was sent.
-// "entry" is the version of the instance's entry, "home" whether the instance owns the
+// "release" is the version of the instance's software, "entry" that of its entry, "home" whether the instance owns the
 // prefix of the prompt, "pause" the longest gap between events, and "after" the last event
 // that the caller has. "crosses" and "why" are logged if the instance is in another zone or
 // region, "crashed" if the upstream crashed during the attempt, "ejected" if it was ejected
@@ -110,6 +113,7 @@
 		zap.String("request", string(a.request.ID)),
 		zap.Int("attempt", a.progress.attempts),
 		zap.String("upstream", string(l.ID)),
+		zap.String("release", string(l.Release)),
 		zap.Uint64("entry", uint64(l.Version)),
 		zap.Bool("home", l.PrefixOwner),
 		zap.Int("load", l.Load),
--- a/forward/request.go
+++ b/forward/request.go
@@ -41,6 +41,9 @@
 	// LastEventID is the id of the last event of the stream that the caller has; zero if
 	// it has none.
 	LastEventID int64
+	// Resumes is the id of the request that brought the caller the first event of the
+	// stream; empty if the caller states none.
+	Resumes granitehoist.RequestID
 }
 
 // Cost is the maximum cost of a request, in tokens.
--- a/node/instancecopy.go
+++ b/node/instancecopy.go
@@ -101,6 +101,7 @@
 		zap.String("upstream", string(instance.ID)),
 		zap.String("service", string(instance.Service)),
 		zap.String("address", instance.Address),
+		zap.String("release", string(instance.Release)),
 		zap.Bool("draining", instance.Draining),
 		zap.Duration("cold", instance.ColdFor),
 		zap.Uint64("version", uint64(instance.Version)))
