--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -274,6 +274,13 @@
 	}
 }
 
+// knows returns a function that reports whether the node has logged a worker.
+func (m *member) knows(w *standin.Worker) func() bool {
+	return func() bool {
+		return m.logs.FilterMessage(event.Upstream).FilterField(zap.String("upstream", w.Instance())).Len() > 0
+	}
+}
+
 // knowsRemoved returns a function that reports whether the node has logged that a worker
 // was removed.
 func (m *member) knowsRemoved(w *standin.Worker) func() bool {
--- /dev/null
+++ b/node/resumedstream_test.go
@@ -0,0 +1,188 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+package node_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/platform"
+	"granitehoist.example/granitehoist/standin"
+)
+
+const (
+	// streamEvents is the number of events of a whole stream, brokenAfter the number of
+	// those that an upstream sends before it breaks the stream off.
+	streamEvents, brokenAfter = 6, 3
+	// streamsAtReleases is the number of streams of a test with two releases. By chance all
+	// would stay at their release in one of 2^24 runs.
+	streamsAtReleases = 24
+	// promptRefusal is the longest time to refuse a stream that cannot be resumed.
+	promptRefusal = 500 * time.Millisecond
+)
+
+// releaseWorkers are workers of a service by their release.
+type releaseWorkers map[granitehoist.Release][]*standin.Worker
+
+// startReleases starts workers of each release, which respond as the function says.
+func (s *testFleet) startReleases(perRelease int, respond func(standin.ReceivedRequest) standin.WorkerResponse, releases ...granitehoist.Release) releaseWorkers {
+	workers := releaseWorkers{}
+	for _, release := range releases {
+		for i := range perRelease {
+			w, err := standin.NewWorker(fmt.Sprintf("%s-%d", release, i), respond)
+			s.Expect(err).NotTo(HaveOccurred())
+			s.cleanup(w.Close)
+			s.announceRelease(w, release, "ready")
+			workers[release] = append(workers[release], w)
+		}
+	}
+	return workers
+}
+
+func (s *testFleet) announceRelease(w *standin.Worker, release granitehoist.Release, phase string) {
+	s.put(platform.InstancesPrefix+w.Instance(), fmt.Appendf(nil, `{"backend":"pool","address":%q,"zone":"hall","capacity":64,"phase":%q,"revision":%q}`, w.Address(), phase, release))
+}
+
+// breakOnce breaks each stream off on its way and completes it when it is resumed.
+func breakOnce(r standin.ReceivedRequest) standin.WorkerResponse {
+	return standin.WorkerResponse{Events: streamEvents, Cut: standin.Cut{Set: r.After == 0, After: brokenAfter}}
+}
+
+// sendSlowly completes each stream, with a gap before each event.
+func sendSlowly(standin.ReceivedRequest) standin.WorkerResponse {
+	return standin.WorkerResponse{Events: streamEvents, Gap: 20 * time.Millisecond}
+}
+
+// mixedStreams returns the streams that were sent to workers of two releases or more, by
+// the request that began them.
+func (w releaseWorkers) mixedStreams() []string {
+	began := map[string]granitehoist.Release{}
+	var mixed []string
+	for release, workers := range w {
+		for _, worker := range workers {
+			for _, r := range worker.Requests() {
+				root := r.ID
+				if resumes := r.Header.Get("Resumes"); resumes != "" {
+					root = resumes
+				}
+				if other, found := began[root]; found && other != release {
+					mixed = append(mixed, fmt.Sprintf("%s (%s, %s)", root, other, release))
+				}
+				began[root] = release
+			}
+		}
+	}
+	return mixed
+}
+
+// requests returns the number of requests that the workers of a release got.
+func (w releaseWorkers) requests(release granitehoist.Release) int {
+	count := 0
+	for _, worker := range w[release] {
+		count += len(worker.Requests())
+	}
+	return count
+}
+
+// beginOf returns the release whose workers got the request with an id.
+func (w releaseWorkers) beginOf(id string) granitehoist.Release {
+	for release, workers := range w {
+		for _, worker := range workers {
+			for _, r := range worker.Requests() {
+				if r.ID == id {
+					return release
+				}
+			}
+		}
+	}
+	return ""
+}
+
+// beginStream sends a request and leaves after some events of its stream.
+func (m *member) beginStream(id string, events int) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+m.config.CallerAddress+"/stream/x", strings.NewReader("question"))
+	m.Expect(err).NotTo(HaveOccurred())
+	request.Host = "h.example"
+	for name, value := range map[string]string{"Attempt-Id": id, "Authorization": "Token a-key", "Deadline-Ms": "4000"} {
+		request.Header.Set(name, value)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: stepTimeout}
+	response, err := client.Do(request)
+	m.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	m.Expect(response.StatusCode).To(Equal(http.StatusOK))
+	lines := bufio.NewScanner(response.Body)
+	for got := 0; got < events && lines.Scan(); {
+		if lines.Text() == "" {
+			got++
+		}
+	}
+	m.Expect(lines.Err()).NotTo(HaveOccurred())
+}
+
+// resume takes a stream up after an event and returns the answer and how long it took.
+func (m *member) resume(id, root string, after int) (answer, time.Duration) {
+	started := time.Now()
+	got, err := m.ask("/stream/x", id, "Resumes", root, "Last-Event-Id", strconv.Itoa(after))
+	if err != nil {
+		m.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	}
+	return got, time.Since(started)
+}
+
+// newReleaseFleet starts nodes that know workers of releases v1 and v2, two of each.
+func newReleaseFleet(t *testing.T, nodes int, respond func(standin.ReceivedRequest) standin.WorkerResponse) (*testFleet, releaseWorkers) {
+	t.Helper()
+	s := newTestFleet(t, nodes)
+	s.configure(1, 1_000_000, "/stream/", "/a/")
+	workers := s.startReleases(2, respond, "v1", "v2")
+	s.awaitFleet("")
+	for _, m := range s.members {
+		for _, list := range workers {
+			for _, w := range list {
+				s.Eventually(m.knows(w), stepTimeout).Should(BeTrue())
+			}
+		}
+	}
+	return s, workers
+}
+
+// TestStreamStaysAtItsRelease guards against streams that hold events of two releases of an
+// upstream's software, within an answer or over the requests of a caller.
+func TestStreamStaysAtItsRelease(t *testing.T) {
+	t.Parallel()
+	t.Run("within an answer", func(t *testing.T) {
+		t.Parallel()
+		s, workers := newReleaseFleet(t, 1, breakOnce)
+		for i := range streamsAtReleases {
+			got, err := s.members[0].ask("/stream/x", fmt.Sprintf("q-%d", i))
+			s.Expect(err).NotTo(HaveOccurred())
+			s.Expect(strings.Count(got.body, "id: ")).To(Equal(streamEvents))
+		}
+		s.Expect(workers.mixedStreams()).To(BeEmpty())
+	})
+	t.Run("over the requests of a caller at all routers", func(t *testing.T) {
+		t.Parallel()
+		s, workers := newReleaseFleet(t, 3, sendSlowly)
+		for i := range streamsAtReleases {
+			root := fmt.Sprintf("q-%d", i)
+			s.members[i%3].beginStream(root, 2)
+			got, _ := s.members[(i+1)%3].resume(root+"-again", root, 2)
+			s.Expect(got.status).To(Equal(http.StatusOK))
+			s.Expect(strings.Count(got.body, "id: ")).To(Equal(streamEvents - 2))
+			got, _ = s.members[(i+2)%3].resume(root+"-last", root, 4)
+			s.Expect(got.status).To(Equal(http.StatusOK))
+		}
+		s.Expect(workers.mixedStreams()).To(BeEmpty())
+	})
+}
