Let a stream go on only at the release that began it

Cause: no choice of an instance knew which release began a stream. Within an answer a broken stream went to the cheapest instance; a router that a caller came back to knew nothing of the stream, and nobody read Resumes.

Change: the first relayed event fixes the release of a request's stream (balance.Query.Release). The router records it by workspace and request, and while a service has several registered releases sends the record to three other routers. A release may begin streams once it is registered in the store, so that a single registration tells the origin of every stream of the service, also after a restart of all routers. A stream whose release is unknown or has no upstream is refused at once with code 4005.

TestStartGate reads three sources where it read two, since a starting router now also reads the registrations; it still asserts that the gate is closed before the last.

--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -18,7 +18,7 @@
 	//   - it is draining or leaving;
 	//   - the request was already sent to it;
 	//   - its zone is evacuated, or its region is not allowed for the request;
-	//   - its release is not admitted (ReleaseRule);
+	//   - its release is not admitted (ReleaseRule), or began another stream (Query.Release);
 	//   - it is cold and this router's quota for it is used up;
 	//   - it is overloaded and an instance of the service is rate-limited;
 	//   - its announcement was removed removedGrace ago or earlier.
@@ -51,6 +51,7 @@
 	evacuated      map[granitehoist.AvailabilityZone]bool
 	allowedRegions []AllowedRegions
 	releases       ReleaseRule
+	release        *granitehoist.Release
 	regions        map[granitehoist.AvailabilityZone]granitehoist.Region
 	cold           coldShare
 	// firstInQueue reports that no waiting request takes precedence over this request
@@ -70,7 +71,7 @@
 // holds mu.
 func (t *Table) constraints(service *serviceState, q *Query, now time.Time) *constraints {
 	c := &constraints{
-		now: now, tried: q.Tried, evacuated: t.evacuated, allowedRegions: q.AllowedRegions, regions: t.settings.Regions, releases: q.Releases,
+		now: now, tried: q.Tried, evacuated: t.evacuated, allowedRegions: q.AllowedRegions, regions: t.settings.Regions, releases: q.Releases, release: q.Release,
 		cold:         coldShare{perSecond: coldRateShare(q.ColdRequestRate, q.Routers), random: t.random},
 		firstInQueue: service.isFirstInQueue(q),
 		hasLimited:   service.hasLimited(),
@@ -92,7 +93,7 @@
 		return excluded
 	case len(c.allowedRegions) > 0 && !allowedByAll(c.allowedRegions, c.regions[s.Zone]):
 		return excluded
-	case !c.releases.admits(s.Release):
+	case !c.releases.admits(s.Release), c.release != nil && s.Release != *c.release:
 		return excluded
 	case s.isCold(now) && !s.admitsWhileCold(c.cold, now):
 		return excluded
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -35,6 +35,9 @@
 	RoundTrips int
 	// Releases restricts the instances by their release.
 	Releases ReleaseRule
+	// Release, unless nil, is the only release that may run the attempt, since the stream
+	// began there.
+	Release *granitehoist.Release
 	// Pin, unless zero, selects the instance by rendezvous hashing instead of by cost:
 	// all routers with the same instances select the same one for the same number.
 	Pin uint64
--- a/balance/releases.go
+++ b/balance/releases.go
@@ -31,6 +31,14 @@
 	return len(r.Except) == 0 || !slices.Contains(r.Except, release)
 }
 
+// Excluding returns the rule with further releases that are not admitted.
+func (r ReleaseRule) Excluding(releases []granitehoist.Release) ReleaseRule {
+	if len(releases) > 0 {
+		r.Except = slices.Concat(r.Except, releases)
+	}
+	return r
+}
+
 // focus returns the Focus candidates of each region with the highest hash of their IDs, in
 // the order of states; states itself if Focus is not positive.
 func (r *ReleaseRule) focus(states []*instanceState, regions map[granitehoist.AvailabilityZone]granitehoist.Region) []*instanceState {
@@ -88,6 +96,17 @@
 	return statuses
 }
 
+// Serves reports whether a release of a service has an announced instance that is neither
+// draining nor leaving.
+func (t *Table) Serves(service granitehoist.Service, release granitehoist.Release) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state, found := t.services[service]
+	return found && slices.ContainsFunc(state.instances, func(s *instanceState) bool {
+		return s.Release == release && !s.isLeaving()
+	})
+}
+
 // add counts an instance of the release.
 func (r *ReleaseStatus) add(s *instanceState) {
 	r.InFlight += s.inFlight
--- a/codes.go
+++ b/codes.go
@@ -46,6 +46,7 @@
 	Overloaded        Code = 4002
 	Draining          Code = 4003
 	CrashesUpstreams  Code = 4004
+	NotResumable      Code = 4005
 	UpstreamRefused   Code = 5001
 	UpstreamLost      Code = 5002
 	UpstreamCut       Code = 5003
@@ -147,6 +148,7 @@
 	{Overloaded, "overloaded", NotRun, http.StatusTooManyRequests, AdviceRetryLater, "the upstreams have no room before the deadline"},
 	{Draining, "draining", NotRun, http.StatusServiceUnavailable, AdviceRetryNow, "this router is stopping"},
 	{CrashesUpstreams, "crashes_upstreams", NotRun, http.StatusServiceUnavailable, AdviceFix, "upstreams crashed each time they ran this request"},
+	{NotResumable, "not_resumable", NotRun, http.StatusServiceUnavailable, AdviceFix, "no upstream can go on with this stream"},
 	{UpstreamRefused, "upstream_refused", NotRun, http.StatusBadGateway, AdviceRetryLater, "the upstreams refused the request"},
 	{UpstreamLost, "upstream_lost", MayHaveRun, http.StatusBadGateway, AdviceCheck, "the upstream gave no answer"},
 	{UpstreamCut, "upstream_cut", MayHaveRun, http.StatusBadGateway, AdviceCheck, "the answer of the upstream ended early"},
--- a/forward/active.go
+++ b/forward/active.go
@@ -12,6 +12,7 @@
 	"granitehoist.example/granitehoist/balance"
 	"granitehoist.example/granitehoist/catalog"
 	"granitehoist.example/granitehoist/escrow"
+	"granitehoist.example/granitehoist/origin"
 )
 
 // activeRequest is the state of one request that a Forwarder serves. Only the goroutine
@@ -60,6 +61,10 @@
 	// started is set once the response head was relayed, at firstByteAt.
 	started     bool
 	firstByteAt time.Time
+	// origin is where the stream began; nil until the caller has an event of it.
+	// originRecorded is set once this request has recorded it.
+	origin         *origin.Origin
+	originRecorded bool
 	// events is the number of events relayed. lastEventID is the id of the last event
 	// that the caller has, which may stem from an earlier request.
 	events      int64
@@ -93,6 +98,9 @@
 	if err := a.checkRegions(); err != nil {
 		return err
 	}
+	if err := a.findOrigin(ctx); err != nil {
+		return err
+	}
 	if err := a.reserve(ctx); err != nil {
 		return err
 	}
@@ -186,6 +194,9 @@
 		if refused := a.checkRegions(); refused != nil {
 			return nil, refused
 		}
+		if _, deferred := balance.DeferralOf(err); !deferred && a.progress.origin != nil {
+			return nil, a.originGoneError(err)
+		}
 		return nil, withRetryAfter(err)
 	}
 	return lease, nil
@@ -274,6 +285,9 @@
 		Pin:             a.pin(),
 		Priority:        a.admission.priority,
 	}
+	if a.progress.origin != nil {
+		query.Release = &a.progress.origin.Release
+	}
 	if a.request.MaxCost == nil {
 		return query
 	}
--- a/forward/deferred.go
+++ b/forward/deferred.go
@@ -53,7 +53,8 @@
 	})
 }
 
-// pickOrWait selects the instance for the next attempt. If all are backing off or at a
+// pickOrWait selects the instance for the next attempt. It waits for the registration of a
+// release if no other has instances (pickRegistered). If all are backing off or at a
 // rate limit, it waits for one, for at most deferredWait. It returns an error with code
 // Overloaded and a Retry-After if
 //   - too many requests are waiting already,
@@ -64,7 +65,7 @@
 	query := a.query()
 	query.MaxWait = a.deferredWait()
 	started := settings.Clock()
-	lease, err := a.pickAdmitted(&query, started)
+	lease, err := a.pickRegistered(ctx, &query)
 	if _, deferred := balance.DeferralOf(err); !deferred {
 		return lease, err
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -53,6 +53,9 @@
 	Routers func() int
 	// Rollouts decides which releases attempts may use; nil admits all.
 	Rollouts Rollouts
+	// Origins knows which release began a stream; nil means that it knows the streams of
+	// this Forwarder only.
+	Origins Origins
 	// Clock returns the current time; nil means time.Now.
 	Clock granitehoist.Clock
 	// Deadlines cancels requests whose deadline on Clock has passed; nil relies on timers
@@ -114,6 +117,9 @@
 	if s.Clock == nil {
 		s.Clock = time.Now
 	}
+	if s.Origins == nil {
+		s.Origins = &localOrigins{clock: s.Clock}
+	}
 	if s.Deadlines == nil {
 		s.Deadlines = &boottime.Deadlines{}
 	}
--- a/forward/log.go
+++ b/forward/log.go
@@ -38,6 +38,9 @@
 	if a.request.LastEventID > 0 {
 		fields = append(fields, zap.String("resumes", string(a.request.Resumes)), zap.Int64("resumed_after", a.request.LastEventID))
 	}
+	if a.progress.origin != nil {
+		fields = append(fields, zap.String("release", string(a.progress.origin.Release)))
+	}
 	if a.progress.deferredFor > 0 {
 		fields = append(fields, zap.Duration("permit_wait", a.progress.deferredFor))
 	}
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -54,6 +54,11 @@
 	instancesDeferred
 	// refusedByInstance: the instances to which the request was sent did not run it.
 	refusedByInstance
+	// originUnknown: it is not known which release began the stream that the caller takes
+	// up.
+	originUnknown
+	// originGone: no instance of the release that began the stream accepts requests.
+	originGone
 	// upstreamsUnreachable: this router has no path to the upstreams.
 	upstreamsUnreachable
 )
@@ -123,6 +128,8 @@
 	noInstance:           {code: granitehoist.NoUpstream, retryAfter: noInstanceRetry},
 	instancesDeferred:    {code: granitehoist.Overloaded, retryAfter: deferredRetry, capToTimeLeft: true},
 	upstreamsUnreachable: {code: granitehoist.UpstreamsUnreachable, retryAfter: unreachablePathRetry, capToTimeLeft: true},
+	originUnknown:        {code: granitehoist.NotResumable},
+	originGone:           {code: granitehoist.NotResumable},
 	refusedByInstance:    {code: granitehoist.UpstreamRefused, retryAfter: instanceRefusedRetry},
 }
 
--- a/forward/rollouts.go
+++ b/forward/rollouts.go
@@ -42,10 +42,13 @@
 	settings := &a.forwarder.settings
 	// The configuration may have changed while the request waited.
 	query.AllowedRegions = a.allowedRegions()
-	admission := settings.Rollouts.Admit(query.Service, a.progress.attempts > 0, now)
+	// A stream that is resumed gets no canary, like a retry.
+	isRetry := a.progress.attempts > 0 || a.progress.origin != nil
+	admission := settings.Rollouts.Admit(query.Service, isRetry, now)
+	unregistered := a.unregisteredReleases()
 	canary := admission.Canary
 	for i, rule := range admission.Rules {
-		query.Releases = rule
+		query.Releases = rule.Excluding(unregistered)
 		lease, err := settings.Table.Pick(*query, now)
 		if canary && (err != nil || i > 0) {
 			settings.Rollouts.Refund(query.Service, now)
@@ -55,7 +58,7 @@
 			return lease, err
 		}
 	}
-	query.Releases = balance.ReleaseRule{}
+	query.Releases = balance.ReleaseRule{Except: unregistered}
 	return settings.Table.Pick(*query, now)
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -30,7 +30,7 @@
 		if len(events) > 0 {
 			lease.Events(len(events), a.forwarder.settings.Clock())
 			timer.restart()
-			if err := a.relayEvents(response, events); err != nil {
+			if err := a.relayEvents(response, lease, events); err != nil {
 				return err
 			}
 		}
@@ -46,7 +46,7 @@
 
 // relayEvents relays the events that the caller does not have yet. The ids of events must
 // be consecutive.
-func (a *activeRequest) relayEvents(response *exchange.Response, events []eventstream.Event) error {
+func (a *activeRequest) relayEvents(response *exchange.Response, lease *balance.Lease, events []eventstream.Event) error {
 	last := &a.progress.lastEventID
 	for _, event := range events {
 		if event.HasID && event.ID <= *last {
@@ -55,6 +55,7 @@
 		if event.HasID && event.ID != *last+1 {
 			return granitehoist.Errorf(granitehoist.UpstreamBadAnswer, "event %d follows %d", event.ID, *last)
 		}
+		a.recordOrigin(lease)
 		if err := a.relayHead(response.Status, response.Header); err != nil {
 			return err
 		}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -60,6 +60,9 @@
 	PeerBad           Name = "peer_bad"
 	SuspectBad        Name = "suspect_bad"
 	SuspectKeepFailed Name = "suspect_keep_failed"
+	Release           Name = "release"
+	ReleaseFailed     Name = "release_failed"
+	OriginDropped     Name = "origin_dropped"
 	BudgetGrant       Name = "budget_grant"
 	BudgetLoan        Name = "budget_loan"
 	BudgetRepaid      Name = "budget_repaid"
@@ -81,7 +84,7 @@
 		Start, Stop, Stopped, Reload, ReloadFailed, ServeFailed, ReturnFailed, LeaveFailed, LogDropped, Resumed,
 		Request, Attempt, Suspect,
 		ConfigInForce, ConfigBad, ZoneEvacuated, ZoneRestored, Upstream, UpstreamGone, UpstreamBad, UpstreamLimit, UpstreamLeaving, UpstreamBackoff, RejectionLimit, PathLost, PathRegained, DetourFailed, StoreLost, StoreRegained, HistoryGone,
-		CopyFromNeighbour, RelayLost, Shedding, PeerBad, SuspectBad, SuspectKeepFailed, BudgetGrant, BudgetLoan, BudgetRepaid, BudgetSyncFailed,
+		CopyFromNeighbour, RelayLost, Shedding, PeerBad, SuspectBad, SuspectKeepFailed, Release, ReleaseFailed, OriginDropped, BudgetGrant, BudgetLoan, BudgetRepaid, BudgetSyncFailed,
 		RolloutOrder, RolloutStage, RolloutFinding, RolloutVerdict, RolloutWriteFailed,
 	}
 }
--- a/layout_test.go
+++ b/layout_test.go
@@ -49,6 +49,7 @@
 	Entry(nil, "escrow"),
 	Entry(nil, "balance"),
 	Entry(nil, "exchange"),
+	Entry(nil, "origin"),
 	Entry(nil, "follow"),
 	Entry(nil, "platform"),
 	Entry(nil, "fleet"),
--- a/node/components.go
+++ b/node/components.go
@@ -43,6 +43,8 @@
 	detours *detours
 	path    *pathMonitor
 	tunnels *tunnels
+	// origins keeps where streams began.
+	origins *origins
 	// rollouts moves services to other releases of their upstreams.
 	rollouts *rollouts
 }
@@ -82,6 +84,7 @@
 	c.path.pool = c.pool
 	c.tunnels = newTunnels(n, c, tunnelAddress)
 	c.suspects = newSuspects(n, c.peers)
+	c.origins = newOrigins(n, c)
 	c.signals.connect(c.table, c.peers)
 	c.limits.connect(c.table, c.peers)
 	c.ledger = escrow.NewLedger(escrow.LedgerSettings{Incarnation: n.incarnation, Role: c.peers.role})
@@ -95,6 +98,7 @@
 		Codec:         n.adapter.Codec,
 		Suspects:      c.suspects.table,
 		SuspectsReady: c.suspects.gate.opened,
+		Origins:       c.origins,
 		Rollouts:      c.rollouts.forwarder(),
 		Retry:         n.config.RetryBudget,
 		Routers:       c.peers.routers,
--- a/node/doc.go
+++ b/node/doc.go
@@ -16,6 +16,8 @@
 //   - peers holds the neighbours, from the list in the store and from their greetings.
 //   - suspects exchanges evidence against requests that crash upstreams; the evidence
 //     itself is in a suspect.Table.
+//   - origins keeps where streams began, with records at several nodes; releaseRegistry
+//     registers releases in the store, so that streams may begin there.
 //   - upstreamSignals shares what upstreams say of themselves: rate limits, that they
 //     leave, and requests to back off.
 //   - detours knows the neighbours that open tunnels to upstreams, as of their responses in
--- a/node/golden_test.go
+++ b/node/golden_test.go
@@ -61,6 +61,10 @@
 	{"reach", decodeAs[reachResult]},
 	{"rollout-report", decodeAs[rollout.ReportParams]},
 	{"rollout-reply", decodeAs[rollout.ReportResult]},
+	{"origins-hold", decodeAs[holdParams]},
+	{"origins-find-question", decodeAs[findParams]},
+	{"origins-find", decodeAs[findResult]},
+	{"releases", decodeAs[releasesResult]},
 	{"rollout-record", decodeAs[rollout.Record]},
 }
 
--- a/node/instancecopy.go
+++ b/node/instancecopy.go
@@ -51,13 +51,14 @@
 	table    *balance.Table
 	pool     *exchange.Pool
 	rollouts *rollouts
+	releases *releaseRegistry
 	clock    granitehoist.Clock
 	log      *zap.Logger
 	follower *follow.Follower
 }
 
 func newInstanceCopy(n *Node) *instanceCopy {
-	c := &instanceCopy{adapter: &n.adapter, table: n.components.table, pool: n.components.pool, rollouts: n.components.rollouts, clock: n.clock, log: n.log}
+	c := &instanceCopy{adapter: &n.adapter, table: n.components.table, pool: n.components.pool, rollouts: n.components.rollouts, releases: n.components.origins.registry, clock: n.clock, log: n.log}
 	c.follower = n.newFollower(follow.Settings{Prefix: n.adapter.InstancesPrefix, OnChange: c.applyEntries, Equivalent: c.isRepeated})
 	return c
 }
@@ -93,6 +94,7 @@
 // announce adds an instance to the table, which keeps the newer of two announcements.
 func (c *instanceCopy) announce(instance balance.Instance) {
 	c.rollouts.announce(instance)
+	c.releases.announce(instance)
 	before, known := c.table.Announce(instance, c.clock())
 	if known && !shouldLogInstance(before, instance) {
 		return
--- a/node/resumedstream_test.go
+++ b/node/resumedstream_test.go
@@ -186,3 +186,159 @@
 		s.Expect(workers.mixedStreams()).To(BeEmpty())
 	})
 }
+
+// beginAt begins streams at a node until one began at the release, and returns its id.
+func (w releaseWorkers) beginAt(m *member, release granitehoist.Release, prefix string) string {
+	for i := range streamsAtReleases {
+		id := fmt.Sprintf("%s-%d", prefix, i)
+		m.beginStream(id, 2)
+		if w.beginOf(id) == release {
+			return id
+		}
+	}
+	m.Expect(release).To(BeEmpty(), "no stream began at the release")
+	return ""
+}
+
+// expectResumed takes a stream up after its second event and expects the others.
+func (m *member) expectResumed(root string) {
+	got, _ := m.resume(root+"-again", root, 2)
+	m.Expect(got.status).To(Equal(http.StatusOK), got.body)
+	m.Expect(strings.Count(got.body, "id: ")).To(Equal(streamEvents - 2))
+}
+
+// expectNotResumed takes a stream up after its second event and expects a prompt refusal.
+func (m *member) expectNotResumed(root string) {
+	got, took := m.resume(root+"-again", root, 2)
+	m.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	m.Expect(got.body).To(ContainSubstring(fmt.Sprintf(`"code":%d`, granitehoist.NotResumable)))
+	m.Expect(got.header.Get("Retry-After")).To(BeEmpty())
+	m.Expect(took).To(BeNumerically("<", promptRefusal))
+}
+
+// TestResumedStreamFindsItsRelease guards against streams that are lost, or that go on at
+// another release, if the router that began them or the store is away.
+func TestResumedStreamFindsItsRelease(t *testing.T) {
+	t.Parallel()
+	t.Run("after its router has ended", func(t *testing.T) {
+		t.Parallel()
+		s, workers := newReleaseFleet(t, 4, sendSlowly)
+		root := workers.beginAt(s.members[0], "v1", "q")
+		s.members[0].node.Stop()
+		s.members[1].expectResumed(root)
+		s.Expect(workers.mixedStreams()).To(BeEmpty())
+	})
+	t.Run("at a router that has just started", func(t *testing.T) {
+		t.Parallel()
+		s, workers := newReleaseFleet(t, 3, sendSlowly)
+		root := workers.beginAt(s.members[0], "v2", "q")
+		s.members[0].node.Stop()
+		started := s.start()
+		s.Eventually(started.ready, stepTimeout).Should(Equal(http.StatusOK))
+		started.expectResumed(root)
+		s.Expect(workers.mixedStreams()).To(BeEmpty())
+	})
+	t.Run("while the store is silent", func(t *testing.T) {
+		t.Parallel()
+		s, workers := newReleaseFleet(t, 3, sendSlowly)
+		for _, m := range s.members {
+			m.store.Fail(standin.PlatformFaults{Hang: true})
+		}
+		root := workers.beginAt(s.members[0], "v1", "q")
+		s.members[1].expectResumed(root)
+		s.members[0].node.Stop()
+		s.members[2].expectResumed(root)
+		s.Expect(workers.mixedStreams()).To(BeEmpty())
+	})
+	t.Run("with one worker of the release left", func(t *testing.T) {
+		t.Parallel()
+		s, workers := newReleaseFleet(t, 2, sendSlowly)
+		root := workers.beginAt(s.members[0], "v1", "q")
+		s.announceRelease(workers["v1"][0], "v1", "draining")
+		s.Eventually(s.members[1].knowsDraining(workers["v1"][0]), stepTimeout).Should(BeTrue())
+		s.members[1].expectResumed(root)
+		s.Expect(workers.mixedStreams()).To(BeEmpty())
+	})
+	t.Run("after all routers of a service with one release have restarted", func(t *testing.T) {
+		t.Parallel()
+		s := newTestFleet(t, 2)
+		s.configure(1, 1_000_000, "/stream/", "/a/")
+		workers := s.startReleases(2, sendSlowly, "v1")
+		s.awaitFleet("/a/x")
+		root := workers.beginAt(s.members[0], "v1", "q")
+		for _, m := range s.members {
+			m.node.Stop()
+		}
+		started := s.start()
+		s.Eventually(started.ready, stepTimeout).Should(Equal(http.StatusOK))
+		started.expectResumed(root)
+	})
+}
+
+// TestStreamIsNotResumedElsewhere guards against streams that go on at another release
+// since no upstream of theirs is left or since their release is unknown, and against
+// callers who wait for such a refusal.
+func TestStreamIsNotResumedElsewhere(t *testing.T) {
+	t.Parallel()
+	t.Run("with no worker of the release left", func(t *testing.T) {
+		t.Parallel()
+		s, workers := newReleaseFleet(t, 2, sendSlowly)
+		root := workers.beginAt(s.members[0], "v1", "q")
+		for _, w := range workers["v1"] {
+			s.announceRelease(w, "v1", "draining")
+			for _, m := range s.members {
+				s.Eventually(m.knowsDraining(w), stepTimeout).Should(BeTrue())
+			}
+		}
+		before := workers.requests("v2")
+		s.members[0].expectNotResumed(root)
+		s.members[1].expectNotResumed(root)
+		s.Expect(workers.requests("v2")).To(Equal(before))
+	})
+	t.Run("after all routers of a service with two releases have restarted", func(t *testing.T) {
+		t.Parallel()
+		s, workers := newReleaseFleet(t, 2, sendSlowly)
+		root := workers.beginAt(s.members[0], "v1", "q")
+		for _, m := range s.members {
+			m.node.Stop()
+		}
+		started := s.start()
+		s.Eventually(started.ready, stepTimeout).Should(Equal(http.StatusOK))
+		started.expectNotResumed(root)
+	})
+	t.Run("at a router without the store and without neighbours", func(t *testing.T) {
+		t.Parallel()
+		s, _ := newReleaseFleet(t, 1, sendSlowly)
+		s.members[0].store.Fail(standin.PlatformFaults{Hang: true})
+		s.members[0].expectNotResumed("q-unknown")
+	})
+	t.Run("if the caller names no request", func(t *testing.T) {
+		t.Parallel()
+		s, _ := newReleaseFleet(t, 1, sendSlowly)
+		s.members[0].expectNotResumed("")
+	})
+}
+
+// TestUnregisteredReleaseBeginsNoStream guards against streams of a release that other
+// routers can't know of, since it is not registered in the store.
+func TestUnregisteredReleaseBeginsNoStream(t *testing.T) {
+	t.Parallel()
+	s := newTestFleet(t, 1)
+	s.configure(1, 1_000_000, "/stream/", "/a/")
+	workers := s.startReleases(1, sendSlowly, "v1")
+	m := s.members[0]
+	s.Eventually(m.status("/stream/x"), stepTimeout).Should(Equal(http.StatusOK))
+	m.store.Fail(standin.PlatformFaults{RefuseWrites: true})
+	added := s.startReleases(1, sendSlowly, "v2")
+	s.Eventually(m.knows(added["v2"][0]), stepTimeout).Should(BeTrue())
+	for i := range streamsAtReleases {
+		m.beginStream(fmt.Sprintf("q-%d", i), 1)
+	}
+	s.Expect(added.requests("v2")).To(BeZero())
+	s.Expect(workers.requests("v1")).To(BeNumerically(">=", streamsAtReleases))
+	m.store.Fail(standin.PlatformFaults{})
+	s.Eventually(func() int {
+		m.beginStream("later", 1)
+		return added.requests("v2")
+	}, stepTimeout).ShouldNot(BeZero())
+}
--- a/node/startgate_test.go
+++ b/node/startgate_test.go
@@ -16,12 +16,14 @@
 	t.Run("open at the first start of the fleet", func(t *testing.T) {
 		expect(t, newStartGate(evidenceSources(true)), true)
 	})
-	t.Run("open after both sources are read", func(t *testing.T) {
+	t.Run("open after all three sources are read", func(t *testing.T) {
 		g := newStartGate(evidenceSources(false))
 		expect(t, g, false)
 		g.sourceRead()
 		expect(t, g, false)
 		g.sourceRead()
+		expect(t, g, false)
+		g.sourceRead()
 		expect(t, g, true)
 	})
 	t.Run("open after the timeout, whatever is read later", func(t *testing.T) {
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -106,14 +106,15 @@
 	return s
 }
 
-// evidenceSources returns the number of sources of evidence that a starting node reads. One
-// is the store or the relays. The other is the neighbours, which also have the evidence
-// that does not suffice for a refusal yet. There is none at the first start of the fleet.
+// evidenceSources returns the number of sources that a starting node reads before it
+// serves. Two are of evidence: the store or the relays, and the neighbours, which also have
+// the evidence that does not suffice for a refusal yet. One is the registrations of
+// releases. There is none at the first start of the fleet.
 func evidenceSources(bootstrap bool) int32 {
 	if bootstrap {
 		return 0
 	}
-	return 2
+	return 3
 }
 
 // runStartGate reads the evidence of neighbours as soon as they are known, and opens the
