--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -36,6 +36,8 @@
 type PlatformFaults struct {
 	// Refuse, unless zero, is the status of the response to every call.
 	Refuse int
+	// RefuseWrites rejects conditional writes with status 503.
+	RefuseWrites bool
 	// Hang leaves every call without a response.
 	Hang bool
 	// HistoryFrom is the oldest version from which a watch can continue. A watch from an
@@ -65,6 +67,9 @@
 	case faults.Hang:
 		<-r.Context().Done()
 		return
+	case faults.RefuseWrites && r.URL.Path == "/kv-txn":
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	case faults.Refuse != 0:
 		w.WriteHeader(faults.Refuse)
 		return
--- a/standin/workerresponse.go
+++ b/standin/workerresponse.go
@@ -22,6 +22,8 @@
 	Body   string
 	// Events, unless zero, makes the response a stream of that many events.
 	Events int
+	// Label is added to the data of each event, after a space.
+	Label string
 	// Gap is the delay before each event, Delay the delay before the head.
 	Gap, Delay time.Duration
 	// Cut truncates the response.
@@ -178,6 +180,9 @@
 			return false
 		}
 		event := StreamEvent(request.ID, n)
+		if response.Label != "" {
+			event = strings.TrimSuffix(event, "\n\n") + " " + response.Label + "\n\n"
+		}
 		if response.Cut.Set && n > response.Cut.After {
 			if response.Cut.MidEvent {
 				// The connection closes next, so an error is ignored.
