--- a/forward/suspects.go
+++ b/forward/suspects.go
@@ -32,6 +32,8 @@
 	// is the verdict on them.
 	scopeDigest  suspect.Digest
 	scopeVerdict suspect.Verdict
+	// parts holds the digests of the parts of the prompt that other requests may share.
+	parts []suspect.Digest
 }
 
 // isSuspect reports whether there are crash records of the request or its scope.
@@ -132,6 +134,7 @@
 	digest, ok := a.forwarder.settings.Suspects.Digest(&key)
 	a.progress.suspectStatus.digest = digest
 	scope := suspect.Scope{Workspace: key.Workspace, Route: string(a.admission.route.Name)}
+	a.progress.suspectStatus.parts = a.forwarder.settings.Suspects.PartDigests(a.admission.service.Name, a.request.PrefixParts)
 	a.progress.suspectStatus.scopeDigest, _ = a.forwarder.settings.Suspects.ScopeDigest(scope)
 	return ok
 }
@@ -205,6 +208,7 @@
 	a.forwarder.settings.Log.Warn(event.Suspect,
 		zap.String("request", string(a.request.ID)),
 		zap.Stringer("digest", a.progress.suspectStatus.digest),
+		zap.Stringers("parts", a.progress.suspectStatus.parts),
 		zap.String("upstream", string(lease.ID)),
 		zap.Int("round", v.Round),
 		zap.Int("early", v.EarlyRound),
