--- a/node/crashload_test.go
+++ b/node/crashload_test.go
@@ -102,7 +102,10 @@
 
 // answer answers a request, or crashes the upstream under it.
 func (l *crashLoad) answer(slot *upstreamSlot, a standin.ReceivedRequest) standin.WorkerResponse {
-	if !strings.Contains(a.Target, poison) {
+	if !strings.Contains(a.Target, poison) && !strings.Contains(a.Header.Get("Prefix-Hash"), poison) {
+		if strings.HasPrefix(a.Target, "/stream/") {
+			return standin.WorkerResponse{Events: 4, Gap: 15 * time.Millisecond}
+		}
 		return standin.WorkerResponse{Body: "answer", Delay: 5 * time.Millisecond}
 	}
 	l.mu.Lock()
@@ -143,14 +146,18 @@
 
 // lateArrivals returns how many poison requests reached an upstream more than 3 s after
 // the third crash, and the number of crashes.
-func (l *crashLoad) lateArrivals() (late, crashes int) {
+func (l *crashLoad) lateArrivals() (late, crashes int) { return l.arrivalsAfterCrash(3) }
+
+// arrivalsAfterCrash returns how many poison requests reached an upstream more than 3 s
+// after the n-th crash, and the number of crashes.
+func (l *crashLoad) arrivalsAfterCrash(n int) (late, crashes int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.crashes) < 3 {
+	if len(l.crashes) < n {
 		return 0, len(l.crashes)
 	}
 	for _, at := range l.arrivals {
-		if at.Sub(l.crashes[2]) > 3*time.Second {
+		if at.Sub(l.crashes[n-1]) > 3*time.Second {
 			late++
 		}
 	}
