Refuse the part of prompts that crashes upstreams, and nothing wider

Cause: evidence was kept for whole requests, of which no two were alike, and for scopes, which sound requests of the same workspace and route clear or which refuse them too.

Change: a crash is recorded under each part of the prompt as well. A success clears its parts; a part without one is refused after three early rounds (six if it has succeeded before), for prompts with all parts that its crashes have in common but for those that have succeeded since. A crash under a prompt with a suspect part is no evidence against the scope. The records go to the other routers and, once they refuse, to the store.

--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -48,6 +48,12 @@
 		Expect(text).To(ContainSubstring("upstreams crashed in 5 rounds under requests of its workspace on its route, whatever their bodies; all of these are refused for another 4.500 s"))
 	})
 
+	It("reports the part of prompts that is refused", func() {
+		text := render(`  7.5 edge-1 ts=2026-01-01T00:00:07Z level=info event=request request=r-1 code=4004 fate="not run" service= workspace=kiosk attempts=0 events=0 config=8 first=0 took=0.001 route=r part=0badc0de part_round=3 part_left=599.5
+`, "part")
+		Expect(text).To(ContainSubstring("upstreams crashed in 3 rounds under requests whose prompts have the part with digest 0badc0de; requests with it are refused for another 599.500 s"))
+	})
+
 	It("reports the upstream rate limits for which a request waited", func() {
 		text := render(`  7.1 edge-1 ts=2026-01-01T00:00:07Z level=info event=attempt request=r-1 attempt=1 upstream=i-1 entry=4 status=503 after=0 took=0.01 limit=1.6
   7.5 edge-1 ts=2026-01-01T00:00:07Z level=info event=request request=r-1 code=4002 fate="not run" service=pool workspace=kiosk attempts=1 events=0 config=8 first=0 took=0.2 route=r permit_wait=0.16
--- a/explain/facts.go
+++ b/explain/facts.go
@@ -93,13 +93,16 @@
 	}
 }
 
-// addCrashEvidence adds how many upstreams crashed while this request, or others of its
-// workspace on its route, may have been running there, and for how long requests are
-// refused because of that.
+// addCrashEvidence adds how many upstreams crashed while this request, others of its
+// workspace on its route, or others with a part of its prompt may have been running there,
+// and for how long requests are refused because of that.
 func (t *Timeline) addCrashEvidence(l *Line) {
 	if left := l.Number("scope_left"); left > 0 {
 		t.add(l, "  upstreams crashed in %s rounds under requests of its workspace on its route, whatever their bodies; all of these are refused for another %s", l.Get("scope_round"), seconds(left))
 	}
+	if left := l.Number("part_left"); left > 0 {
+		t.add(l, "  upstreams crashed in %s rounds under requests whose prompts have the part with digest %s; requests with it are refused for another %s", l.Get("part_round"), l.Get("part"), seconds(left))
+	}
 	if l.Get("digest") == "" {
 		return
 	}
--- a/forward/log.go
+++ b/forward/log.go
@@ -47,6 +47,9 @@
 	if scope := a.progress.suspectStatus.scopeVerdict; scope.Refused {
 		fields = append(fields, zap.Int("scope_round", scope.Round), zap.Duration("scope_left", scope.BlockRemaining))
 	}
+	if part := a.progress.suspectStatus.partsVerdict; part.Strongest.Refused {
+		fields = append(fields, zap.Stringer("part", part.Part), zap.Int("part_round", part.Strongest.Round), zap.Duration("part_left", part.Strongest.BlockRemaining))
+	}
 	if a.progress.suspectStatus.verdict.Round > 0 {
 		fields = append(fields, a.suspectFields()...)
 	}
--- a/forward/origins.go
+++ b/forward/origins.go
@@ -92,6 +92,8 @@
 		}
 		if service := a.forwarder.settings.Catalog.Get().Service(name); service != nil {
 			a.admission.service = service
+			// The digests of the parts depend on the service.
+			a.progress.suspectStatus = suspectStatus{}
 			return true
 		}
 	}
--- a/forward/suspects.go
+++ b/forward/suspects.go
@@ -32,22 +32,31 @@
 	// is the verdict on them.
 	scopeDigest  suspect.Digest
 	scopeVerdict suspect.Verdict
-	// parts holds the digests of the parts of the prompt that other requests may share.
-	parts []suspect.Digest
+	// parts holds the digests of the parts of the prompt that other requests may share, and
+	// partsVerdict is the verdict on them.
+	parts        []suspect.Digest
+	partsVerdict suspect.PartsVerdict
 }
 
-// isSuspect reports whether there are crash records of the request or its scope.
-func (s *suspectStatus) isSuspect() bool { return s.verdict.Round > 0 || s.scopeVerdict.Round > 0 }
+// isSuspect reports whether the request is held after crashes: for its own records or those
+// of its scope or of a part of its prompt.
+func (s *suspectStatus) isSuspect() bool {
+	return s.verdict.Round > 0 || s.scopeVerdict.Round > 0 || s.partsVerdict.Strongest.Round > 0
+}
 
 // hold returns how long the request must still be delayed (suspect.Verdict.Hold).
 func (s *suspectStatus) hold() time.Duration { return s.longerHoldVerdict().Hold }
 
-// longerHoldVerdict returns the verdict with the longer hold, on the request or its scope.
+// longerHoldVerdict returns the verdict with the longest hold, on the request, its scope or a
+// part of its prompt.
 func (s *suspectStatus) longerHoldVerdict() suspect.Verdict {
-	if s.scopeVerdict.Hold > s.verdict.Hold {
-		return s.scopeVerdict
+	longest := s.verdict
+	for _, v := range []suspect.Verdict{s.scopeVerdict, s.partsVerdict.Strongest} {
+		if v.Hold > longest.Hold {
+			longest = v
+		}
 	}
-	return s.verdict
+	return longest
 }
 
 // checkSuspect looks up the crash records of the request. The error has code
@@ -56,16 +65,20 @@
 func (a *activeRequest) checkSuspect() error {
 	table := a.forwarder.settings.Suspects
 	if !table.HasSuspects() || !a.computeDigests() {
-		a.progress.suspectStatus.verdict, a.progress.suspectStatus.scopeVerdict = suspect.Verdict{}, suspect.Verdict{}
+		s := &a.progress.suspectStatus
+		s.verdict, s.scopeVerdict, s.partsVerdict = suspect.Verdict{}, suspect.Verdict{}, suspect.PartsVerdict{}
 		return nil
 	}
 	now := a.forwarder.settings.Clock()
 	s := &a.progress.suspectStatus
 	s.verdict = table.Lookup(s.digest, now)
 	s.scopeVerdict = table.Lookup(s.scopeDigest, now)
+	s.partsVerdict = table.LookupParts(s.parts, now)
 	switch {
 	case s.verdict.Refused:
 		return s.verdict.Refusal()
+	case s.partsVerdict.Strongest.Refused:
+		return s.partsVerdict.Strongest.Refusal()
 	case s.scopeVerdict.Refused:
 		return s.scopeVerdict.Refusal()
 	}
@@ -149,6 +162,8 @@
 	switch {
 	case s.verdict.Round > 0:
 		return s.digest.Hash()
+	case s.partsVerdict.Strongest.Round > 0:
+		return s.partsVerdict.Part.Hash()
 	case s.scopeVerdict.Round > 0:
 		return s.scopeDigest.Hash()
 	}
@@ -162,10 +177,14 @@
 	settings := &a.forwarder.settings
 	switch {
 	case result.err == nil && result.status < http.StatusMultipleChoices:
+		settings.Suspects.RecordProven(a.admission.service.Name, a.request.PrefixParts, settings.Clock())
 		if settings.Suspects.HasSuspects() && a.computeDigests() {
 			now := settings.Clock()
 			settings.Suspects.RecordSuccess(a.progress.suspectStatus.digest, now)
 			settings.Suspects.RecordSuccess(a.progress.suspectStatus.scopeDigest, now)
+			for _, part := range a.progress.suspectStatus.parts {
+				settings.Suspects.RecordSuccess(part, now)
+			}
 		}
 	case a.instanceCrashed(ctx, lease, result.err):
 		result.crashed = true
@@ -175,7 +194,9 @@
 	}
 }
 
-// recordCrash records that the instance crashed during the request.
+// recordCrash records that the instance crashed during the request. If a part of its prompt
+// was suspect already, the crash is no evidence against the scope, which covers requests
+// without that part.
 func (a *activeRequest) recordCrash(lease *balance.Lease) {
 	settings := &a.forwarder.settings
 	observed := suspect.Observation{
@@ -186,11 +207,28 @@
 	}
 	now := settings.Clock()
 	verdict := settings.Suspects.RecordCrash(a.progress.suspectStatus.digest, observed, now)
-	observed.Verdict, observed.IsScope = a.progress.suspectStatus.scopeVerdict, true
-	scope := settings.Suspects.RecordCrash(a.progress.suspectStatus.scopeDigest, observed, now)
+	a.recordPartCrashes(observed, now)
+	scope := a.progress.suspectStatus.scopeVerdict
+	if !a.progress.suspectStatus.partsVerdict.IsSuspect() {
+		observed.Verdict, observed.Kind = scope, suspect.KindScope
+		scope = settings.Suspects.RecordCrash(a.progress.suspectStatus.scopeDigest, observed, now)
+	}
 	a.logSuspect(lease, verdict, scope)
 }
 
+// recordPartCrashes records a crash under the parts of the prompt.
+func (a *activeRequest) recordPartCrashes(observed suspect.Observation, now time.Time) {
+	settings, s := &a.forwarder.settings, &a.progress.suspectStatus
+	observed.Kind, observed.With = suspect.KindPart, s.parts
+	for i, part := range s.parts {
+		observed.Verdict = suspect.Verdict{}
+		if len(s.partsVerdict.Parts) > 0 {
+			observed.Verdict = s.partsVerdict.Parts[i]
+		}
+		settings.Suspects.RecordCrash(part, observed, now)
+	}
+}
+
 // instanceCrashed reports whether the instance of a failed attempt crashed: it closed the
 // connection, its address is down (exchange.Pool.IsDown), and it was not leaving. An
 // instance that drains or has withdrawn its entry stops as planned. instanceCrashed returns
--- a/forward/suspects_test.go
+++ b/forward/suspects_test.go
@@ -146,6 +146,30 @@
 		Expect(s.budgets.reserved).To(BeZero())
 	})
 
+	It("is refused for a part of its prompt, and requests without the part are not", func() {
+		c := newCrashingService(s, model, crashBeforeStream, answer)
+		prompted := func(path string, parts ...string) error {
+			r := request(path)
+			r.Target, r.PrefixParts = path, parts
+			_, err := s.forwarder.Serve(context.Background(), r, &fakeSink{})
+			return err
+		}
+		for n := range 3 {
+			before := c.crashCount()
+			Expect(prompted(fmt.Sprintf("/stream/%s-%d", crashPath, n), "common", fmt.Sprint("other-", n), "crashing")).NotTo(Succeed())
+			c.replace(before)
+		}
+		before := c.crashCount()
+		Expect(granitehoist.CodeOf(prompted("/stream/"+crashPath, "common", "crashing"))).To(Equal(granitehoist.CrashesUpstreams))
+		Expect(c.crashCount()).To(Equal(before))
+		for n := range 3 {
+			Expect(prompted("/stream/x", "common", fmt.Sprint("other-", n))).To(Succeed())
+		}
+		for _, r := range table.Uncleared() {
+			Expect(r.Scope && len(r.Crashes) > 1).To(BeFalse(), "a scope is accused of crashes under a suspect part")
+		}
+	})
+
 	It("is reported as possibly run if its first attempt may have run", func() {
 		c := newCrashingService(s, desk, crash, answer)
 		for range 2 {
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -109,6 +109,19 @@
 	return startFleet(g, t.Cleanup, nodes)
 }
 
+// newListedFleet starts a fleet whose nodes start one after the other, each once the one
+// before is listed in the store. They know each other sooner than those of newTestFleet,
+// which have to read the list again.
+func newListedFleet(t *testing.T, nodes int) *testFleet {
+	t.Helper()
+	s := newTestFleet(t, 0)
+	for i := range nodes {
+		s.members = append(s.members, s.start())
+		s.Eventually(func() []string { return s.keysUnder("boxes/") }, stepTimeout).Should(HaveLen(i + 1))
+	}
+	return s
+}
+
 // startFleet starts a fleet. It registers its clean-up with the given function.
 func startFleet(g Gomega, atEnd func(func()), nodes int) *testFleet {
 	s := &testFleet{Gomega: g, store: standin.NewStore(standin.StoreSettings{}), cleanup: atEnd}
--- a/node/golden_test.go
+++ b/node/golden_test.go
@@ -47,6 +47,7 @@
 	{"repay-question", decodeAs[escrow.RepayParams]},
 	{"suspects", decodeAs[suspectUpdate]},
 	{"suspects-scope", decodeAs[suspectUpdate]},
+	{"suspects-part", decodeAs[suspectUpdate]},
 	{"suspects-crashed", decodeAs[suspectUpdate]},
 	{"suspect-refused", decodeAs[suspect.Record]},
 	{"suspect-secret", decodeAs[suspect.Secret]},
--- a/node/resumedstream_test.go
+++ b/node/resumedstream_test.go
@@ -143,7 +143,7 @@
 // newReleaseFleet starts nodes that know workers of releases v1 and v2, two of each.
 func newReleaseFleet(t *testing.T, nodes int, respond func(standin.ReceivedRequest) standin.WorkerResponse) (*testFleet, releaseWorkers) {
 	t.Helper()
-	s := newTestFleet(t, nodes)
+	s := newListedFleet(t, nodes)
 	s.configure(1, 1_000_000, "/stream/", "/a/")
 	workers := s.startReleases(2, respond, "v1", "v2")
 	s.awaitFleet("")
--- a/suspect/block.go
+++ b/suspect/block.go
@@ -20,7 +20,7 @@
 // blockDuration returns how long the request or scope of an entry with sufficient evidence
 // is refused.
 func (t *Table) blockDuration(e *entry) time.Duration {
-	if !e.isScope {
+	if e.kind != KindScope {
 		return t.settings.BlockDuration
 	}
 	early := e.earlyRound()
@@ -62,7 +62,7 @@
 		}
 	}
 	e.evidence.clearRound(round)
-	if !e.sufficient(e.isScope) {
+	if !e.sufficient(e.subject) {
 		e.refusedUntil = time.Time{}
 	}
 	t.updateSuspectCount(round, e.round())
--- a/suspect/digest.go
+++ b/suspect/digest.go
@@ -43,18 +43,6 @@
 	Route     string
 }
 
-// Part identifies a part of the prompts of a service that requests may share.
-type Part struct {
-	Service granitehoist.Service
-	ID      string
-}
-
-// requestKey returns the fields whose digest identifies the part. They differ from those of
-// any request or scope because only Host and Body are set.
-func (p Part) requestKey() *RequestKey {
-	return &RequestKey{Host: string(p.Service), Body: []byte(p.ID)}
-}
-
 // requestKey returns the fields whose digest identifies the scope. They differ from the
 // fields of any request because Method is empty.
 func (s Scope) requestKey() *RequestKey { return &RequestKey{Target: s.Route, Workspace: s.Workspace} }
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -39,6 +39,16 @@
 	// Cleared says that the crash is attributed to another cause, since the request
 	// succeeded later or many upstreams crashed at once.
 	Cleared bool `json:"cleared,omitempty"`
+	// With holds the digests of the parts of the prompt, sorted, if the evidence is against
+	// one of them: the crash is evidence against all of them together. Of several requests
+	// that ran on the upstream it holds the parts that all of them have.
+	With []Digest `json:"with,omitempty"`
+}
+
+// equal reports whether two crashes are equal.
+func (c Crash) equal(other Crash) bool {
+	return c.Incarnation == other.Incarnation && c.Round == other.Round && c.EarlyRound == other.EarlyRound &&
+		c.Cleared == other.Cleared && slices.Equal(c.With, other.With)
 }
 
 // unclearedRound returns the round of the crash, and zero if it is cleared.
@@ -111,15 +121,16 @@
 	if i < 0 {
 		e.crashes = append(e.crashes, c)
 		e.trim()
-		return slices.Contains(e.crashes, c)
+		return slices.ContainsFunc(e.crashes, c.equal)
 	}
 	merged := Crash{
 		Incarnation: c.Incarnation,
 		Round:       max(c.Round, e.crashes[i].Round),
 		EarlyRound:  max(c.EarlyRound, e.crashes[i].EarlyRound),
 		Cleared:     c.Cleared || e.crashes[i].Cleared,
+		With:        intersection(c.With, e.crashes[i].With),
 	}
-	if merged == e.crashes[i] {
+	if merged.equal(e.crashes[i]) {
 		return false
 	}
 	e.crashes[i] = merged
@@ -175,14 +186,26 @@
 	// It is higher than earlyRoundsToRefuse, since a scope also covers unrelated requests.
 	// With four callers, eight upstreams crash until then.
 	scopeEarlyRoundsToRefuse = 5
+	// partEarlyRoundsToRefuse and partRoundsToRefuse are the numbers of rounds from which
+	// requests with a part are refused that no request is known to have succeeded with.
+	partEarlyRoundsToRefuse = 3
+	partRoundsToRefuse      = 6
+	// provenEarlyRoundsToRefuse is the number of early rounds for a part that requests have
+	// succeeded with. Such a part is common, so that failures of power meet it again and
+	// again.
+	provenEarlyRoundsToRefuse = 6
 )
 
-// sufficient reports whether the evidence suffices to refuse the request, or the scope if
-// isScope is set.
-func (e *evidence) sufficient(isScope bool) bool {
+// sufficient reports whether the evidence suffices to refuse what it is against.
+func (e *evidence) sufficient(s subject) bool {
 	early := e.earlyRound()
-	if isScope {
+	switch {
+	case s.kind == KindScope:
 		return early >= scopeEarlyRoundsToRefuse
+	case s.kind == KindPart && s.proven:
+		return early >= provenEarlyRoundsToRefuse
+	case s.kind == KindPart:
+		return early >= partEarlyRoundsToRefuse || e.round() >= partRoundsToRefuse
 	}
 	return early >= earlyRoundsToRefuse || e.round() >= roundsToRefuse
 }
--- a/suspect/observation.go
+++ b/suspect/observation.go
@@ -3,7 +3,10 @@
 
 package suspect
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Observation describes a crash under a request as this router observed it.
 type Observation struct {
@@ -15,8 +18,10 @@
 	Early bool
 	// Sent is when the request was sent.
 	Sent time.Time
-	// IsScope says that the digest identifies a scope.
-	IsScope bool
+	// Kind is what the digest identifies.
+	Kind Kind
+	// With holds the digests of all parts of the prompt if Kind is KindPart.
+	With []Digest
 }
 
 // toCrash returns the observed crash with its rounds. The crash belongs to the rounds of the
@@ -31,5 +36,8 @@
 	if o.Early {
 		c.EarlyRound = max(1, o.Verdict.EarlyRound+next)
 	}
+	if len(o.With) > 0 {
+		c.With = slices.SortedFunc(slices.Values(o.With), Digest.compare)
+	}
 	return c
 }
--- a/suspect/record.go
+++ b/suspect/record.go
@@ -12,17 +12,32 @@
 	"github.com/rotisserie/eris"
 )
 
-// Record is the evidence against one request or scope, as routers send it to each other
+// Record is the evidence against one request, scope or part, as routers send it to each other
 // and store it.
 type Record struct {
 	Digest  Digest  `json:"digest"`
 	Crashes []Crash `json:"crashes"`
-	// Scope says that the digest identifies a scope instead of a request.
+	// Scope says that the digest identifies a scope instead of a request, Part that it
+	// identifies a part of prompts.
 	Scope bool `json:"scope,omitempty"`
+	Part  bool `json:"part,omitempty"`
+	// Proven says that requests with the part have succeeded.
+	Proven bool `json:"proven,omitempty"`
+}
+
+// subject returns what the record is about.
+func (r Record) subject() subject {
+	switch {
+	case r.Scope:
+		return subject{kind: KindScope}
+	case r.Part:
+		return subject{kind: KindPart, proven: r.Proven}
+	}
+	return subject{}
 }
 
 // Sufficient reports whether the evidence suffices to refuse the request or scope.
-func (r Record) Sufficient() bool { return (&evidence{crashes: r.Crashes}).sufficient(r.Scope) }
+func (r Record) Sufficient() bool { return (&evidence{crashes: r.Crashes}).sufficient(r.subject()) }
 
 // IsCleared reports whether all crashes are cleared and would suffice for a refusal if they
 // were not.
@@ -34,11 +49,11 @@
 	for i := range before.crashes {
 		before.crashes[i].Cleared = false
 	}
-	return before.sufficient(r.Scope)
+	return before.sufficient(r.subject())
 }
 
 // MaxRecords is the maximum number of records in one message. A record takes about 150
-// bytes.
+// bytes, that of a part 35 bytes more for each crash and part of the prompt.
 const MaxRecords = 64
 
 // MarshalText implements encoding.TextMarshaler.
@@ -55,7 +70,10 @@
 }
 
 func (e *entry) record() Record {
-	return Record{Digest: e.digest, Crashes: append([]Crash(nil), e.crashes...), Scope: e.isScope}
+	return Record{
+		Digest: e.digest, Crashes: append([]Crash(nil), e.crashes...),
+		Scope: e.kind == KindScope, Part: e.kind == KindPart, Proven: e.proven,
+	}
 }
 
 // ObservedAfter returns the records that this router changed by its own observations after
@@ -96,7 +114,7 @@
 // Merge adds records received from another router or the store. It ignores
 //
 //   - records beyond MaxRecords, and crashes of a record beyond maxCrashes;
-//   - crashes without an incarnation;
+//   - crashes without an incarnation, or with more than MaxParts parts;
 //   - crashes with a round below 1;
 //   - crashes with an early round that is negative or above the round.
 func (t *Table) Merge(received []Record, now time.Time) {
@@ -106,7 +124,7 @@
 		crashes := validCrashes(r.Crashes)
 		if len(crashes) > 0 {
 			e := t.entryOf(r.Digest, now)
-			e.isScope = e.isScope || r.Scope
+			e.merge(r.subject())
 			t.add(e, crashes, now)
 		}
 	}
@@ -117,7 +135,7 @@
 func validCrashes(crashes []Crash) []Crash {
 	var valid []Crash
 	for _, c := range crashes[:min(len(crashes), maxCrashes)] {
-		if c.Incarnation != "" && c.Round >= 1 && c.EarlyRound >= 0 && c.EarlyRound <= c.Round {
+		if c.Incarnation != "" && len(c.With) <= MaxParts && c.Round >= 1 && c.EarlyRound >= 0 && c.EarlyRound <= c.Round {
 			valid = append(valid, c)
 		}
 	}
--- a/suspect/secret.go
+++ b/suspect/secret.go
@@ -6,11 +6,8 @@
 import (
 	"encoding/hex"
 	"io"
-	"slices"
 
 	"github.com/rotisserie/eris"
-
-	"granitehoist.example/granitehoist"
 )
 
 // secretBytes is the length of a Secret in bytes.
@@ -63,20 +60,3 @@
 
 // ScopeDigest returns the digest of a scope, and false while no secret is set.
 func (t *Table) ScopeDigest(s Scope) (Digest, bool) { return t.Digest(s.requestKey()) }
-
-// MaxParts is the number of parts of a prompt that are considered. Further ones are left
-// out.
-const MaxParts = 16
-
-// PartDigests returns the digests of the parts of a prompt, the first MaxParts of them
-// without repetitions, and nil while no secret is set.
-func (t *Table) PartDigests(s granitehoist.Service, ids []string) []Digest {
-	var digests []Digest
-	for _, id := range ids[:min(len(ids), MaxParts)] {
-		digest, ok := t.Digest(Part{Service: s, ID: id}.requestKey())
-		if ok && !slices.Contains(digests, digest) {
-			digests = append(digests, digest)
-		}
-	}
-	return digests
-}
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -56,6 +56,10 @@
 	mu      sync.Mutex
 	entries map[Digest]*entry
 	crashes recentCrashes
+	// proven holds when a request last succeeded with a part of prompts. provenDigests holds
+	// the same by digest, as of the last look-up.
+	proven        recentTimes[Part]
+	provenDigests recentTimes[Digest]
 	// raised holds the entries whose highest round rose above one in the last
 	// rollingFailureWindow, and older ones until clearUnrelatedRounds removes them.
 	raised []*entry
@@ -63,12 +67,11 @@
 	version uint64
 }
 
-// entry is the evidence against one request or scope. The lock of its table guards it.
+// entry is the evidence against one request, scope or part. The lock of its table guards it.
 type entry struct {
 	evidence
+	subject
 	digest Digest
-	// isScope says that the digest identifies a scope.
-	isScope bool
 	// changedAt is when the evidence last changed in this table.
 	changedAt time.Time
 	// roundAt is when this entry's highest round last rose: the time at which this table
@@ -116,7 +119,8 @@
 func (t *Table) RecordCrash(d Digest, o Observation, now time.Time) Verdict {
 	t.mu.Lock()
 	e := t.entryOf(d, now)
-	e.isScope = e.isScope || o.IsScope
+	_, proven := t.provenDigests.get(d)
+	e.merge(subject{kind: o.Kind, proven: proven})
 	isNew := !t.crashes.knownBefore(o.Incarnation, o.Sent)
 	isFirst := t.recordObservedCrash(o.Incarnation, now)
 	changed := isNew && t.add(e, []Crash{o.toCrash(t.crashes.inMassFailure(now))}, now)
@@ -170,6 +174,7 @@
 	if found {
 		before := e.round()
 		changed = e.clear()
+		e.merge(subject{proven: e.kind == KindPart})
 		e.refusedUntil = time.Time{}
 		t.updateSuspectCount(before, 0)
 	}
@@ -208,7 +213,7 @@
 // restarts the block of a refused request. The caller holds mu, and calls
 // clearUnrelatedRounds once it has added all crashes that it knows of.
 func (t *Table) add(e *entry, crashes []Crash, now time.Time) bool {
-	before, wasSufficient := e.round(), e.sufficient(e.isScope)
+	before, wasSufficient := e.round(), e.sufficient(e.subject)
 	changed := false
 	for _, c := range crashes {
 		known := e.has(c.Incarnation)
@@ -235,7 +240,7 @@
 		}
 	}
 	switch {
-	case !e.sufficient(e.isScope):
+	case !e.sufficient(e.subject):
 		e.refusedUntil = time.Time{}
 	case !wasSufficient, e.round() > before:
 		e.refusedUntil = now.Add(t.blockDuration(e))
