Count no starting neighbour as one that has the evidence of crashes

A router that starts sends nothing before a neighbour has told it the evidence against requests that crash upstreams. Responses say whether their sender is starting (an older program doesn't, and counts as before); such a one suffices only after 0.15 s, since after a restart of all routers there is no other. Test: TestHasEvidence.

--- a/node/golden_test.go
+++ b/node/golden_test.go
@@ -48,6 +48,7 @@
 	{"suspects", decodeAs[suspectUpdate]},
 	{"suspects-scope", decodeAs[suspectUpdate]},
 	{"suspects-part", decodeAs[suspectUpdate]},
+	{"suspects-starting", decodeAs[suspectUpdate]},
 	{"suspects-crashed", decodeAs[suspectUpdate]},
 	{"suspect-refused", decodeAs[suspect.Record]},
 	{"suspect-secret", decodeAs[suspect.Secret]},
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -46,6 +46,9 @@
 	// starting node.
 	pullInterval = time.Second
 	pullPeriod   = 2 * listInterval
+	// startingWait is how long a starting node looks for a neighbour that does not start
+	// too. After a restart of all nodes there is none.
+	startingWait = 150 * time.Millisecond
 	// startPollInterval is the interval at which a starting node checks whether it knows
 	// its neighbours.
 	startPollInterval = 10 * time.Millisecond
@@ -63,6 +66,9 @@
 	// Secret is the key with which all nodes compute the digests of requests. It is set
 	// only in responses to methodPullSuspects, and nil if the sender does not have it.
 	Secret *suspect.Secret `json:"secret,omitempty"`
+	// Starting is set in responses to methodPullSuspects by a node that waits for evidence
+	// itself.
+	Starting bool `json:"starting,omitempty"`
 }
 
 // suspects exchanges evidence against requests that crash upstreams with the other nodes
@@ -122,8 +128,9 @@
 func (s *suspects) runStartGate(ctx context.Context) {
 	timer := time.AfterFunc(maxEvidenceWait, s.gate.open)
 	defer timer.Stop()
+	started := s.clock()
 	for !s.gate.isOpen() && ctx.Err() == nil {
-		if s.peers.view().complete && s.pullAtStart(ctx) {
+		if s.peers.view().complete && s.pullAtStart(ctx, s.clock().Sub(started)) {
 			s.gate.sourceRead()
 			break
 		}
@@ -135,12 +142,22 @@
 	}
 }
 
-// pullAtStart pulls from some neighbours, and reports whether one of them responded or
-// there are none. It pulls from several, since neighbours that have just started have no
-// evidence.
-func (s *suspects) pullAtStart(ctx context.Context) bool {
+// pullAtStart pulls from some neighbours, and reports whether that suffices or there are
+// none. age is the time since this node's start. It pulls from several, since some may be
+// down.
+func (s *suspects) pullAtStart(ctx context.Context, age time.Duration) bool {
 	neighbours := s.peers.nextNeighbours(maxPullPeers)
-	return len(neighbours) == 0 || s.pull(ctx, neighbours) > 0
+	if len(neighbours) == 0 {
+		return true
+	}
+	responded, starting := s.pull(ctx, neighbours)
+	return hasEvidence(responded, starting, age)
+}
+
+// hasEvidence decides whether the responses of neighbours suffice for a node that started a
+// time ago: one from a node that does not start itself, or any after startingWait.
+func hasEvidence(responded, starting int, age time.Duration) bool {
+	return responded > starting || (responded > 0 && age >= startingWait)
 }
 
 // observedAfter returns this node's observations after a version of its table.
@@ -236,32 +253,38 @@
 	}
 }
 
-// pull fetches the evidence of neighbours, and returns how many of them responded.
-func (s *suspects) pull(ctx context.Context, neighbours []peerEntry) int {
+// pull fetches the evidence of neighbours, and returns how many of them responded and how
+// many of these are starting.
+func (s *suspects) pull(ctx context.Context, neighbours []peerEntry) (responded, starting int) {
 	var calls sync.WaitGroup
-	var responded atomic.Int32
+	var respondedCount, startingCount atomic.Int32
 	for _, other := range neighbours {
 		calls.Go(func() {
-			if s.pullFrom(ctx, other.peer()) == nil {
-				responded.Add(1)
+			isStarting, err := s.pullFrom(ctx, other.peer())
+			if err != nil {
+				return
+			}
+			respondedCount.Add(1)
+			if isStarting {
+				startingCount.Add(1)
 			}
 		})
 	}
 	calls.Wait()
-	return int(responded.Load())
+	return int(respondedCount.Load()), int(startingCount.Load())
 }
 
-// pullFrom fetches the evidence of one neighbour. Its error is that of the call, which a
-// later round retries.
-func (s *suspects) pullFrom(ctx context.Context, to granitehoist.Peer) error {
+// pullFrom fetches the evidence of one neighbour, and reports whether the neighbour is
+// starting. Its error is that of the call, which a later round retries.
+func (s *suspects) pullFrom(ctx context.Context, to granitehoist.Peer) (starting bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
 	var reply suspectUpdate
 	if err := s.peers.Call(ctx, to, methodPullSuspects, suspectUpdate{}, &reply); err != nil {
-		return err
+		return false, err
 	}
 	s.merge(reply)
-	return nil
+	return reply.Starting, nil
 }
 
 // merge adds the evidence that a neighbour sent.
@@ -284,7 +307,7 @@
 
 // servePull serves a neighbour's pull.
 func (s *suspects) servePull(_ context.Context, _ suspectUpdate) (suspectUpdate, error) {
-	return suspectUpdate{Records: s.table.Uncleared(), Secret: s.table.Secret()}, nil
+	return suspectUpdate{Records: s.table.Uncleared(), Secret: s.table.Secret(), Starting: !s.gate.isOpen()}, nil
 }
 
 // logStoreFailed logs that the evidence could not be read from the store or written to
--- a/node/suspects_test.go
+++ b/node/suspects_test.go
@@ -36,3 +36,27 @@
 		})
 	}
 }
+
+// TestHasEvidence guards against a starting node that takes the empty evidence of nodes that
+// start too for all there is, and against one that waits for others after a restart of all.
+func TestHasEvidence(t *testing.T) {
+	cases := []struct {
+		name                string
+		responded, starting int
+		age                 time.Duration
+		want                bool
+	}{
+		{"without a response", 0, 0, time.Hour, false},
+		{"by a node that knows", 1, 0, 0, true},
+		{"by a node that knows beside others that start", 3, 2, 0, true},
+		{"not by nodes that start", 3, 3, startingWait - 1, false},
+		{"by nodes that start, after the wait", 1, 1, startingWait, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := hasEvidence(c.responded, c.starting, c.age); got != c.want {
+				t.Errorf("%v, not %v", got, c.want)
+			}
+		})
+	}
+}
--- a/node/suspectstore.go
+++ b/node/suspectstore.go
@@ -91,8 +91,10 @@
 // whether it succeeded. try is the number of the attempt, from 1.
 func (s *suspects) load(ctx context.Context, try int) bool {
 	relays := s.peers.view().relayEntries()
-	if len(relays) > 0 && s.pull(ctx, relays) > 0 && s.table.Secret() != nil {
-		return true
+	if len(relays) > 0 {
+		if responded, _ := s.pull(ctx, relays); responded > 0 && s.table.Secret() != nil {
+			return true
+		}
 	}
 	if len(relays) > 0 && try <= maxRelayLoads {
 		return false
