Let unexplained crashes clear no part that has more of its own

Cause: requests with the part ran at routers that were killed or paused and told nobody, so that three crashes in a second seemed to be a rolling failure, which cleared the part's third round; the cleared crashes then counted as unexplained themselves, and so on. A part without any success explains the crashes that it has by itself now, cleared or not, and a failure has to have more than these. The line suspect has the early rounds of the parts.

--- a/forward/suspects.go
+++ b/forward/suspects.go
@@ -207,17 +207,19 @@
 	}
 	now := settings.Clock()
 	verdict := settings.Suspects.RecordCrash(a.progress.suspectStatus.digest, observed, now)
-	a.recordPartCrashes(observed, now)
+	partRounds := a.recordPartCrashes(observed, now)
 	scope := a.progress.suspectStatus.scopeVerdict
 	if !a.progress.suspectStatus.partsVerdict.IsSuspect() {
 		observed.Verdict, observed.Kind = scope, suspect.KindScope
 		scope = settings.Suspects.RecordCrash(a.progress.suspectStatus.scopeDigest, observed, now)
 	}
-	a.logSuspect(lease, verdict, scope)
+	a.logSuspect(lease, verdict, scope, partRounds)
 }
 
-// recordPartCrashes records a crash under the parts of the prompt.
-func (a *activeRequest) recordPartCrashes(observed suspect.Observation, now time.Time) {
+// recordPartCrashes records a crash under the parts of the prompt, and returns the early
+// round of each.
+func (a *activeRequest) recordPartCrashes(observed suspect.Observation, now time.Time) []int {
+	var rounds []int
 	settings, s := &a.forwarder.settings, &a.progress.suspectStatus
 	observed.Kind, observed.With = suspect.KindPart, s.parts
 	for i, part := range s.parts {
@@ -225,8 +227,9 @@
 		if len(s.partsVerdict.Parts) > 0 {
 			observed.Verdict = s.partsVerdict.Parts[i]
 		}
-		settings.Suspects.RecordCrash(part, observed, now)
+		rounds = append(rounds, settings.Suspects.RecordCrash(part, observed, now).EarlyRound)
 	}
+	return rounds
 }
 
 // instanceCrashed reports whether the instance of a failed attempt crashed: it closed the
@@ -242,11 +245,12 @@
 }
 
 // logSuspect logs that an instance crashed during the request.
-func (a *activeRequest) logSuspect(lease *balance.Lease, v, scope suspect.Verdict) {
+func (a *activeRequest) logSuspect(lease *balance.Lease, v, scope suspect.Verdict, partRounds []int) {
 	a.forwarder.settings.Log.Warn(event.Suspect,
 		zap.String("request", string(a.request.ID)),
 		zap.Stringer("digest", a.progress.suspectStatus.digest),
 		zap.Stringers("parts", a.progress.suspectStatus.parts),
+		zap.Ints("part_early", partRounds),
 		zap.String("upstream", string(lease.ID)),
 		zap.Int("round", v.Round),
 		zap.Int("early", v.EarlyRound),
--- a/suspect/block.go
+++ b/suspect/block.go
@@ -32,13 +32,12 @@
 // in a rolling failure, which caused its crashes. First rounds stay, because a request that is
 // not yet suspect may crash every upstream that runs it. The caller holds mu.
 func (t *Table) clearUnrelatedRounds(now time.Time) {
-	inMassFailure := t.crashes.inMassFailure(now)
 	t.raised = slices.DeleteFunc(t.raised, func(e *entry) bool {
 		round, age := e.round(), now.Sub(e.roundAt)
 		if round < 2 || age > rollingFailureWindow {
 			return true
 		}
-		if inMassFailure && age <= massFailureWindow || t.crashes.inRollingFailure(e) {
+		if age <= massFailureWindow && t.crashes.inMassFailure(e, now) || t.crashes.inRollingFailure(e) {
 			t.clearRound(e, round)
 			return true
 		}
@@ -54,6 +53,13 @@
 	return since >= 0 && (since <= SettleTime || since <= maxFirstRound && e.has(incarnation))
 }
 
+// ownsCrash reports whether the crash of an incarnation is explained by the evidence alone,
+// cleared or not: that against a part with which no request has succeeded. Common requests
+// and parts run on every upstream that a failure of power meets.
+func (e *entry) ownsCrash(incarnation Incarnation) bool {
+	return e.kind == KindPart && !e.proven && e.has(incarnation)
+}
+
 // clearRound clears a round of an entry, the highest one. The caller holds mu.
 func (t *Table) clearRound(e *entry, round int) {
 	for _, c := range e.crashes {
--- a/suspect/parts_test.go
+++ b/suspect/parts_test.go
@@ -163,6 +163,26 @@
 		}
 		Expect(t.refuses("x")).To(BeTrue())
 	})
+	It("stays refused when fewer crashes that nothing explains become known than it has", func() {
+		for range 4 {
+			t.now = t.now.Add(200*time.Millisecond - time.Second)
+			t.crash("ax", true)
+		}
+		for unrelated := range 3 {
+			t.RecordDown(testIncarnation(100+unrelated), t.now)
+		}
+		t.Merge(nil, t.now)
+		Expect(t.refuses("ax")).To(BeTrue())
+	})
+	It("is not refused for losses of power that it has a small part in", func() {
+		for loss := range 8 {
+			for n := range 4 {
+				t.RecordDown(testIncarnation(100+10*loss+n), t.now.Add(time.Second-20*time.Millisecond))
+			}
+			t.crash("ax", true)
+			Expect(t.refuses("ax")).To(BeFalse())
+		}
+	})
 	It("of another service is another part", func() {
 		for range 4 {
 			t.crash("x", true)
--- a/suspect/recentcrashes.go
+++ b/suspect/recentcrashes.go
@@ -99,11 +99,12 @@
 }
 
 // inMassFailure reports whether this router observed the crashes of at least
-// massFailureCrashes upstreams in the last massFailureWindow.
-func (c *recentCrashes) inMassFailure(now time.Time) bool {
+// massFailureCrashes upstreams in the last massFailureWindow, besides those that e explains by
+// itself.
+func (c *recentCrashes) inMassFailure(e *entry, now time.Time) bool {
 	crashes := 0
-	for _, crash := range c.byIncarnation {
-		if !crash.observedAt.IsZero() && now.Sub(crash.observedAt) <= massFailureWindow {
+	for incarnation, crash := range c.byIncarnation {
+		if !crash.observedAt.IsZero() && now.Sub(crash.observedAt) <= massFailureWindow && !e.ownsCrash(incarnation) {
 			crashes++
 		}
 	}
@@ -123,19 +124,21 @@
 
 // inRollingFailure reports whether at least rollingFailureCrashes crashes became known within
 // rollingFailureWindow of the highest round of e, besides those that the request of e or
-// another suspect explains.
+// another suspect explains, and more than e explains by itself. Runs at a router that was
+// killed or paused leave crashes that nothing explains.
 func (c *recentCrashes) inRollingFailure(e *entry) bool {
-	crashes := 0
+	unexplained, own := 0, 0
 	for incarnation, crash := range c.byIncarnation {
-		if crash.attributed || crash.knownAt.Sub(e.roundAt).Abs() > rollingFailureWindow || e.explains(incarnation, crash.knownAt) {
-			continue
-		}
-		crashes++
-		if crashes >= rollingFailureCrashes {
-			return true
+		switch {
+		case crash.knownAt.Sub(e.roundAt).Abs() > rollingFailureWindow:
+		case e.ownsCrash(incarnation):
+			own++
+		case crash.attributed, e.explains(incarnation, crash.knownAt):
+		default:
+			unexplained++
 		}
 	}
-	return false
+	return unexplained >= rollingFailureCrashes && unexplained > own
 }
 
 // isKnown reports whether the crash of an incarnation is known.
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -123,7 +123,7 @@
 	e.merge(subject{kind: o.Kind, proven: proven})
 	isNew := !t.crashes.knownBefore(o.Incarnation, o.Sent)
 	isFirst := t.recordObservedCrash(o.Incarnation, now)
-	changed := isNew && t.add(e, []Crash{o.toCrash(t.crashes.inMassFailure(now))}, now)
+	changed := isNew && t.add(e, []Crash{o.toCrash(t.crashes.inMassFailure(e, now))}, now)
 	if changed {
 		t.markObserved(e)
 		t.clearUnrelatedRounds(now)
