--- a/doc.go
+++ b/doc.go
@@ -13,7 +13,7 @@
 //
 // The command granitehoist-edge is the edge router. Begin reading at node, which assembles
 // the parts, then follow a request through forward (its path), catalog (the current
-// configuration), escrow (prepaid tokens), balance (choice of an upstream) and exchange
+// configuration), escrow (prepaid tokens), origin (which release began a stream), balance (choice of an upstream) and exchange
 // (connections to upstreams). Package platform translates the platform's protocol and makes
 // no decisions.
 //
--- a/node/origins.go
+++ b/node/origins.go
@@ -225,18 +225,55 @@
 // stream: those of this node's region, where callers come back, unless it has too few, by
 // rendezvous hashing.
 func (v fleetView) holders(s origin.Stream, limit int) []peerEntry {
+	candidates := v.near()
+	if len(candidates) < v.originReplicas() {
+		candidates = v.others
+	}
+	streamHash := xxhash.Sum64String(string(s.Workspace) + "\x00" + string(s.Request))
+	// ranked holds the first candidates so far, in order.
+	ranked := make([]rankedHolder, 0, limit+1)
+	for _, candidate := range candidates {
+		holder := rankedHolder{entry: candidate, score: mixHashes(streamHash, boxHash(candidate.Box))}
+		i, _ := slices.BinarySearchFunc(ranked, holder, func(a, b rankedHolder) int { return cmp.Compare(b.score, a.score) })
+		if i < limit {
+			ranked = slices.Insert(ranked, i, holder)
+			ranked = ranked[:min(limit, len(ranked))]
+		}
+	}
+	holders := make([]peerEntry, len(ranked))
+	for i, holder := range ranked {
+		holders[i] = holder.entry
+	}
+	return holders
+}
+
+// rankedHolder is a candidate of fleetView.holders.
+type rankedHolder struct {
+	entry peerEntry
+	score uint64
+}
+
+// near returns the other nodes of this node's region.
+func (v fleetView) near() []peerEntry {
+	if len(v.regions) == 0 {
+		return v.others
+	}
 	var near []peerEntry
 	for _, other := range v.others {
 		if !v.isFar(other) {
 			near = append(near, other)
 		}
 	}
-	if len(near) < v.originReplicas() {
-		near = slices.Clone(v.others)
-	}
-	suffix := "\x00" + string(s.Workspace) + "\x00" + string(s.Request)
-	slices.SortFunc(near, func(a, b peerEntry) int {
-		return cmp.Compare(xxhash.Sum64String(string(a.Box)+suffix), xxhash.Sum64String(string(b.Box)+suffix))
-	})
-	return near[:min(limit, len(near))]
+	return near
+}
+
+// mixHashes combines two hashes so that the order of the results for different b depends on
+// all bits of a: the finalizer of MurmurHash3.
+func mixHashes(a, b uint64) uint64 {
+	h := a ^ b
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
 }
