Let unexplained crashes clear no request that has more of its own

The loop is that of parts: with routers restarting, runs whose router is gone leave crashes that nothing explains, three of these within a second clear a round, and the cleared crashes count as unexplained next. A request that has not succeeded since its first crash explains its crashes by itself; one that has, which runs on every upstream that a failure of power meets, is treated as before. TestUnexplainedCrashesClearNoRequest fails without it.

--- a/suspect/block.go
+++ b/suspect/block.go
@@ -54,10 +54,10 @@
 }
 
 // ownsCrash reports whether the crash of an incarnation is explained by the evidence alone,
-// cleared or not: that against a part with which no request has succeeded. Common requests
-// and parts run on every upstream that a failure of power meets.
+// cleared or not: that against a request or part without any success. Common requests and
+// parts, which succeed elsewhere, run on every upstream that a failure of power meets.
 func (e *entry) ownsCrash(incarnation Incarnation) bool {
-	return e.kind == KindPart && !e.proven && e.has(incarnation)
+	return e.kind != KindScope && !e.proven && e.has(incarnation)
 }
 
 // clearRound clears a round of an entry, the highest one. The caller holds mu.
--- a/suspect/record.go
+++ b/suspect/record.go
@@ -21,7 +21,7 @@
 	// identifies a part of prompts.
 	Scope bool `json:"scope,omitempty"`
 	Part  bool `json:"part,omitempty"`
-	// Proven says that requests with the part have succeeded.
+	// Proven says that the request, or requests with the part, have succeeded.
 	Proven bool `json:"proven,omitempty"`
 }
 
@@ -33,7 +33,7 @@
 	case r.Part:
 		return subject{kind: KindPart, proven: r.Proven}
 	}
-	return subject{}
+	return subject{proven: r.Proven}
 }
 
 // Sufficient reports whether the evidence suffices to refuse the request or scope.
--- a/suspect/subject.go
+++ b/suspect/subject.go
@@ -19,8 +19,8 @@
 // subject is what evidence is against. The zero value is a request.
 type subject struct {
 	kind Kind
-	// proven says that requests with the part have succeeded. It is set for parts only and
-	// never unset.
+	// proven says that the request, or a request with the part, has succeeded: a part at any
+	// time, a request since its first crash. It is not set for scopes, and never unset.
 	proven bool
 }
 
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -174,7 +174,7 @@
 	if found {
 		before := e.round()
 		changed = e.clear()
-		e.merge(subject{proven: e.kind == KindPart})
+		e.merge(subject{proven: e.kind != KindScope})
 		e.refusedUntil = time.Time{}
 		t.updateSuspectCount(before, 0)
 	}
--- a/suspect/table_test.go
+++ b/suspect/table_test.go
@@ -420,3 +420,21 @@
 		table.RecordCrash(testDigest(n), earlyCrash(testIncarnation(1), suspect.Verdict{}), start)
 	}
 }
+
+// TestUnexplainedCrashesClearNoRequest guards against a request that crashes one upstream
+// after the other and is cleared again and again, since runs at routers that were killed
+// leave crashes that nothing explains.
+func TestUnexplainedCrashesClearNoRequest(t *testing.T) {
+	table, now := suspect.New(suspect.Settings{}), start
+	for n := range 3 {
+		now = now.Add(200 * time.Millisecond)
+		table.RecordCrash(testDigest(0), suspect.Observation{Incarnation: testIncarnation(n), Verdict: table.Lookup(testDigest(0), now), Early: true, Sent: now}, now)
+	}
+	for n := range 3 {
+		table.RecordDown(testIncarnation(100+n), now)
+	}
+	table.Merge(nil, now)
+	if !table.Lookup(testDigest(0), now).Refused {
+		t.Error("the request is not refused")
+	}
+}
