--- a/doc.go
+++ b/doc.go
@@ -13,9 +13,9 @@
 //
 // The command granitehoist-edge is the edge router. Begin reading at node, which assembles
 // the parts, then follow a request through forward (its path), catalog (the current
-// configuration), escrow (prepaid tokens), origin (which release began a stream), balance (choice of an upstream) and exchange
-// (connections to upstreams). Package platform translates the platform's protocol and makes
-// no decisions.
+// configuration), escrow (prepaid tokens), origin (which release began a stream), balance
+// (choice of an upstream) and exchange (connections to upstreams). Package platform
+// translates the platform's protocol and makes no decisions.
 //
 // The command granitehoist runs the partners' router, which has its own interface for
 // callers, and the tools. Its packages are below partner: router (the daemon), gate (the
--- a/forward/doc.go
+++ b/forward/doc.go
@@ -28,7 +28,8 @@
 //   - retry.go: whether another attempt follows, and which error the caller gets.
 //   - settle.go: how many tokens a request is charged.
 //
-// suspects.go records which requests crash instances; package suspect decides when such a
+// origins.go keeps a stream at the release that began it, with the records of package
+// origin. suspects.go records which requests crash instances; package suspect decides when such a
 // request is refused. Package balance selects the instance of an attempt, package escrow
 // grants the tokens of a workspace, and package internal/retrybudget limits the retries,
 // with the settings in retrybudget.go.
--- a/forward/log.go
+++ b/forward/log.go
@@ -109,8 +109,8 @@
 }
 
 // logAttempt logs an attempt. took is its duration, from before the request was sent.
-// "release" is the version of the instance's software, "entry" that of its entry, "home" whether the instance owns the
-// prefix of the prompt, "pause" the longest gap between events, and "after" the last event
+// "release" is the version of the instance's software, "entry" that of its entry, "home"
+// whether the instance owns the prefix of the prompt, "pause" the longest gap between events, and "after" the last event
 // that the caller has. "crosses" and "why" are logged if the instance is in another zone or
 // region, "crashed" if the upstream crashed during the attempt, "ejected" if it was ejected
 // and no other could be chosen.
