--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -308,6 +308,25 @@
 	restarts.Wait()
 }
 
+// runUnderFaults replaces the releases while processes, workers and the store fail, and some
+// processes are killed together.
+func (s *releaseSeries) runUnderFaults(seed, block int) {
+	var work sync.WaitGroup
+	work.Go(func() { s.run(block) })
+	until := time.Now().Add(streamsDuration)
+	for i := range 2 {
+		work.Go(func() {
+			s.fleet.disturb(rand.New(rand.NewPCG(uint64(seed), uint64(100+i))), until, killed, stopped, paused, storeFault)
+		})
+	}
+	work.Go(func() {
+		random := rand.New(rand.NewPCG(uint64(seed), 200))
+		time.Sleep(time.Duration(random.IntN(int(streamsDuration / 2))))
+		s.fleet.killTogether(random, 1+random.IntN(len(s.fleet.processes)))
+	})
+	work.Wait()
+}
+
 // newStreamFleet starts processes, the first release and a configuration whose budget
 // suffices.
 func newStreamFleet(t *testing.T, binary string, block int) (*fleet, *releaseSeries) {
@@ -333,7 +352,7 @@
 			time.Sleep(listTime)
 			results := &streamOutcomes{}
 			stop := make(chan struct{})
-			var callers, work sync.WaitGroup
+			var callers sync.WaitGroup
 			for i := range streamCallerCount {
 				random := rand.New(rand.NewPCG(uint64(seed), uint64(i)))
 				caller := &streamCaller{
@@ -342,19 +361,7 @@
 				}
 				callers.Go(func() { caller.run(stop) })
 			}
-			work.Go(func() { series.run(block) })
-			until := time.Now().Add(streamsDuration)
-			for i := range 2 {
-				work.Go(func() {
-					f.disturb(rand.New(rand.NewPCG(uint64(seed), uint64(100+i))), until, killed, stopped, paused, storeFault)
-				})
-			}
-			work.Go(func() {
-				random := rand.New(rand.NewPCG(uint64(seed), 200))
-				time.Sleep(time.Duration(random.IntN(int(streamsDuration / 2))))
-				f.killTogether(random, 1+random.IntN(len(f.processes)))
-			})
-			work.Wait()
+			series.runUnderFaults(seed, block)
 			f.awaitReady(recoveryTimeout)
 			close(stop)
 			callers.Wait()
