--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -72,11 +72,22 @@
 	}
 }
 
+// start starts the workers of all releases, which are announced later.
+func (s *releaseSeries) start(block int) {
+	for n := 1; n <= streamReleases; n++ {
+		release := releaseNumber(n)
+		for i := range workersPerRelease {
+			s.fleet.startWorker(fmt.Sprintf("%s-%d", release, i), workerAddress(block, workersPerRelease*n+i), respondAt(release))
+		}
+	}
+}
+
 // add announces the workers of a release.
-func (s *releaseSeries) add(release granitehoist.Release, block, first int) {
-	for i := range workersPerRelease {
-		id := fmt.Sprintf("%s-%d", release, i)
-		s.fleet.announce(id, s.fleet.startWorker(id, workerAddress(block, first+i), respondAt(release)), release, processZone)
+func (s *releaseSeries) add(release granitehoist.Release) {
+	for i, id := range s.fleet.workerIDs {
+		if strings.HasPrefix(id, string(release)+"-") {
+			s.fleet.announce(id, s.fleet.workers[i], release, processZone)
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,10 +115,10 @@
 }
 
 // run replaces one release by the next until the last one serves.
-func (s *releaseSeries) run(block int) {
+func (s *releaseSeries) run() {
 	for n := 2; n <= streamReleases; n++ {
 		time.Sleep(releaseInterval)
-		s.add(releaseNumber(n), block, workersPerRelease*n)
+		s.add(releaseNumber(n))
 		time.Sleep(releaseInterval / 3)
 		if n > 2 {
 			s.drain(releaseNumber(n - 2))
@@ -310,9 +321,9 @@
 
 // runUnderFaults replaces the releases while processes, workers and the store fail, and some
 // processes are killed together.
-func (s *releaseSeries) runUnderFaults(seed, block int) {
+func (s *releaseSeries) runUnderFaults(seed int) {
 	var work sync.WaitGroup
-	work.Go(func() { s.run(block) })
+	work.Go(s.run)
 	until := time.Now().Add(streamsDuration)
 	for i := range 2 {
 		work.Go(func() {
@@ -332,7 +343,8 @@
 func newStreamFleet(t *testing.T, binary string, block int) (*fleet, *releaseSeries) {
 	f := newStore(t, binary, largeBudget*100)
 	s := &releaseSeries{fleet: f, serving: map[granitehoist.Release]int{}}
-	s.add(releaseNumber(1), block, workersPerRelease)
+	s.start(block)
+	s.add(releaseNumber(1))
 	f.addProcesses(processCount(t), block)
 	return f, s
 }
@@ -361,7 +373,7 @@
 				}
 				callers.Go(func() { caller.run(stop) })
 			}
-			series.runUnderFaults(seed, block)
+			series.runUnderFaults(seed)
 			f.awaitReady(recoveryTimeout)
 			close(stop)
 			callers.Wait()
