Wait for both registrations before streams are resumed in tests

Trace: the node had logged the upstreams of both releases, and the second one was not registered yet, up to 60 ms later; with one registration no stream can have begun at another release, so that it goes on there by design. The tests wait for both keys now; what they assert is unchanged.

--- a/node/resumedstream_test.go
+++ b/node/resumedstream_test.go
@@ -147,6 +147,7 @@
 	s.configure(1, 1_000_000, "/stream/", "/a/")
 	workers := s.startReleases(2, respond, "v1", "v2")
 	s.awaitFleet("")
+	s.Eventually(func() []string { return s.keysUnder("releases/pool/") }, stepTimeout).Should(HaveLen(len(workers)))
 	for _, m := range s.members {
 		for _, list := range workers {
 			for _, w := range list {
