Pass the time to the decisions on origins, and test two crashing parts

Cause: replicates and only read a clock of their own, against the rule that the time is an argument of what decides; and no test had two crashing parts at once, or one in the first place of a prompt. Change: the callers pass the time; two specs. Measured: the specs pass without a change of suspect, the tests of streams pass under the race detector (one run). No behaviour changes.

--- a/node/origins.go
+++ b/node/origins.go
@@ -99,17 +99,18 @@
 
 // Record implements forward.Origins.
 func (o *origins) Record(r origin.Record) {
-	if !o.table.Add(r, o.clock()) {
+	now := o.clock()
+	if !o.table.Add(r, now) {
 		o.log.Warn(event.OriginDropped, zap.Int("records", 1))
 	}
-	if o.replicates(r.Service) {
+	if o.replicates(r.Service, now) {
 		o.replicate(r)
 	}
 }
 
 // replicates reports whether the records of a service are sent to other nodes.
-func (o *origins) replicates(s granitehoist.Service) bool {
-	return o.registry.known.IsMixed(s) || o.storeAge(o.clock()) > silentStoreAge
+func (o *origins) replicates(s granitehoist.Service, now time.Time) bool {
+	return o.registry.known.IsMixed(s) || o.storeAge(now) > silentStoreAge
 }
 
 // replicate sends a record to the holders of its stream.
@@ -154,7 +155,7 @@
 
 // onlyOrigin returns the only registered release of a service.
 func (o *origins) onlyOrigin(ctx context.Context, s granitehoist.Service) findResult {
-	release, found := o.registry.only(ctx, s)
+	release, found := o.registry.only(ctx, s, o.clock())
 	return findResult{Found: found, Origin: origin.Origin{Service: s, Release: release}}
 }
 
@@ -191,7 +192,7 @@
 		o.table.Sweep(now)
 		var started []granitehoist.Service
 		for service := range o.registry.known.Registered() {
-			replicates := o.replicates(service)
+			replicates := o.replicates(service, now)
 			if replicates && !replicated[service] {
 				started = append(started, service)
 			}
--- a/node/releaseregistry.go
+++ b/node/releaseregistry.go
@@ -223,12 +223,11 @@
 }
 
 // only returns the release of a service if it is the only registered one, as read from the
-// store after the call. Calls at the same time share reads.
-func (r *releaseRegistry) only(ctx context.Context, s granitehoist.Service) (granitehoist.Release, bool) {
-	called := r.clock()
+// store from now on. Calls at the same time share reads.
+func (r *releaseRegistry) only(ctx context.Context, s granitehoist.Service, now time.Time) (granitehoist.Release, bool) {
 	r.readMu.Lock()
 	defer r.readMu.Unlock()
-	if r.lastRead[s].Before(called) {
+	if r.lastRead[s].Before(now) {
 		started := r.clock()
 		entries, _, err := r.store.List(ctx, releaseKey(s, ""))
 		if err != nil {
--- a/suspect/parts_test.go
+++ b/suspect/parts_test.go
@@ -114,6 +114,30 @@
 		Expect(t.refuses("x")).To(BeTrue())
 		Expect(t.refuses("ab")).To(BeFalse())
 	})
+	It("is refused beside another one that crashes upstreams at the same time", func() {
+		for n := range 8 {
+			t.now = t.now.Add(200*time.Millisecond - time.Second)
+			for _, part := range []string{"x", "y"} {
+				if prompt := "a" + part; !t.refuses(prompt) {
+					Expect(n).To(BeNumerically("<", 5), prompt)
+					t.crash(prompt, true)
+					t.now = t.now.Add(-time.Second)
+				}
+			}
+			t.now = t.now.Add(time.Second)
+			t.succeed("a")
+		}
+		Expect(t.refuses("ax")).To(BeTrue())
+		Expect(t.refuses("ay")).To(BeTrue())
+		Expect(t.refuses("a")).To(BeFalse())
+	})
+	It("in the first place is refused like any other", func() {
+		for _, prompt := range []string{"xab", "xac", "xd"} {
+			t.crash(prompt, true)
+		}
+		Expect(t.refuses("xe")).To(BeTrue())
+		Expect(t.refuses("abc")).To(BeFalse())
+	})
 	It("comes free by a success", func() {
 		for range 4 {
 			t.crash("x", true)
