Count what is read from upstreams, and the size of the heap

Cause: routers are ended at their memory limit beside an upstream that sends bytes that are no response. Neither logs nor metrics told what held the memory: the head of a response, its body, bodies of callers, or garbage of many requests. Change: the metrics heap_bytes and upstream_read_bytes, by the part of a response.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -6,16 +6,17 @@
 import (
 	"bufio"
 	"bytes"
-	"net"
 	"net/http"
 	"strconv"
 	"syscall"
 	"time"
+
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 // conn is a connection to an upstream. It serves one request at a time.
 type conn struct {
-	net.Conn
+	*readlimit.Conn
 	reader  *bufio.Reader
 	address string
 	// idlePeriod is the time during which the idle connection may be reused. Pool.mu
@@ -63,11 +64,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	syscallConn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := syscallConn.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/exchange/dial.go
+++ b/exchange/dial.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 // Dialer opens connections, like net.Dialer. Implementations must be safe for concurrent
@@ -118,7 +119,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), address: address, connectTime: p.settings.Clock().Sub(started)}, nil
+	limited := readlimit.NewConn(raw, p.settings.OnRead)
+	return &conn{Conn: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), address: address, connectTime: p.settings.Clock().Sub(started)}, nil
 }
 
 // open connects to an upstream directly or through the detour.
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -10,6 +10,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/linkmeter"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 // Settings configure a Pool. The zero value works.
@@ -31,6 +32,9 @@
 	OnOpen       func()
 	OnDial       func(DialResult)
 	OnPathChange func()
+	// OnRead, if set, is called with the part of a response and the number of bytes of each
+	// read from an upstream. It must be safe for concurrent use.
+	OnRead func(readlimit.Part, int)
 }
 
 const (
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 const (
@@ -49,6 +50,7 @@
 // responses, and stale ones if their bodies can be read to the end.
 func (c *conn) readResponse(r Request) (*http.Response, error) {
 	sawStale := false
+	c.Begin(readlimit.Head)
 	for range maxResponsesRead {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
@@ -58,6 +60,7 @@
 		case interim:
 			continue
 		case matched:
+			c.Begin(readlimit.Body)
 			return response, nil
 		case stale:
 			sawStale = true
--- a/node/components.go
+++ b/node/components.go
@@ -14,6 +14,7 @@
 	"granitehoist.example/granitehoist/forward"
 	"granitehoist.example/granitehoist/internal/boottime"
 	"granitehoist.example/granitehoist/internal/linkmeter"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 // components holds the parts of a node that serve requests. They are set once, by
@@ -162,5 +163,6 @@
 		OnDial:       n.counters.countDial,
 		OnPathChange: c.path.onChange,
 		Meter:        c.linkMeter,
+		OnRead:       n.counters.readCounter(readlimit.Head, readlimit.Body),
 	})
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/http"
+	runtimemetrics "runtime/metrics"
 	"sort"
 	"strings"
 	"time"
@@ -16,6 +17,7 @@
 	"granitehoist.example/granitehoist/escrow"
 	"granitehoist.example/granitehoist/exchange"
 	"granitehoist.example/granitehoist/forward"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 // Names of the metrics. Some keep an older word for compatibility.
@@ -55,6 +57,8 @@
 	metricCrossings           = "crossings"
 	metricCrossedBytes        = "crossed_bytes"
 	metricCrossedTokens       = "crossed_tokens"
+	metricHeapBytes           = "heap_bytes"
+	metricUpstreamReadBytes   = "upstream_read_bytes"
 )
 
 // MetricNames returns the name of each metric that a node serves, without labels.
@@ -62,7 +66,7 @@
 	return []string{
 		metricActiveRequests, metricRouters, metricConfigVersion, metricConfigAge, metricInstancesAge, metricBudgetFree, metricBudgetSpent, metricStoreRemaining,
 		metricRequests, metricAttempts, metricRefusals, metricDuration, metricFirstByte, metricConnections, metricDials, metricRejections, metricPathLost, metricDetours, metricTunnels, metricTunnelBytes, metricSuspects, metricSuspectsRefused, metricUpstreamsEjected, metricUpstreamsLeaving, metricUpstreamsBackingOff, metricAvoidedChoices, metricUpstreamLimit, metricPermits, metricRolloutShare, metricRolloutAnswers, metricStoreCalls, metricLogLinesDropped,
-		metricCrossings, metricCrossedBytes, metricCrossedTokens,
+		metricCrossings, metricCrossedBytes, metricCrossedTokens, metricHeapBytes, metricUpstreamReadBytes,
 	}
 }
 
@@ -102,6 +106,20 @@
 	}
 }
 
+// readCounter returns a function that counts the bytes read from upstreams in some parts of
+// their responses.
+func (c *counters) readCounter(parts ...readlimit.Part) func(readlimit.Part, int) {
+	byPart := map[readlimit.Part]metrics.Counter{}
+	for _, part := range parts {
+		byPart[part] = metrics.GetOrRegisterCounter(fmt.Sprintf("%s{part=%q}", metricUpstreamReadBytes, part), c.registry)
+	}
+	return func(part readlimit.Part, n int) {
+		if counter, found := byPart[part]; found {
+			counter.Inc(int64(n))
+		}
+	}
+}
+
 // countStoreCall counts a call to the store.
 func (c *counters) countStoreCall(call, prefix, result string) {
 	c.count(1, metricStoreCalls, "call=%q,prefix=%q,result=%q", call, prefix, result)
@@ -189,6 +207,7 @@
 	}
 	lines = append(lines, n.upstreamLines(now)...)
 	lines = append(lines, n.pathLines()...)
+	lines = append(lines, fmt.Sprintf("%s %d", metricHeapBytes, heapBytes()))
 	lines = append(lines, n.components.rollouts.metricLines()...)
 	for _, limit := range n.components.table.Limits(now) {
 		lines = append(lines, fmt.Sprintf("%s{upstream=%q} %g", metricUpstreamLimit, limit.Upstream, float64(limit.Rate)))
@@ -199,6 +218,18 @@
 	return append(lines, n.configLines()...)
 }
 
+// heapBytes returns the size in bytes of the objects on the heap, live ones and those that
+// the garbage collector has not freed yet.
+func heapBytes() uint64 {
+	sample := []runtimemetrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	runtimemetrics.Read(sample)
+	if sample[0].Value.Kind() != runtimemetrics.KindUint64 {
+		// The Go release doesn't know the name.
+		return 0
+	}
+	return sample[0].Value.Uint64()
+}
+
 // upstreamLines returns the numbers of upstreams that are ejected, leaving or backing off
 // at now, and the counts of selections that passed over an upstream.
 func (n *Node) upstreamLines(now time.Time) []string {
