--- a/balance/backoff.go
+++ b/balance/backoff.go
@@ -74,6 +74,6 @@
 		l.state.backoff.Accepted(l.picked, l.concurrency())
 	case Refused:
 		l.state.backoff.Rejected()
-	case Broken, Inconclusive, Misdirected:
+	case Broken, Excessive, Inconclusive, Misdirected:
 	}
 }
--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -38,6 +38,9 @@
 	Refused
 	// Broken means that no usable response arrived.
 	Broken
+	// Excessive means that the response exceeded a bound that no sound response exceeds,
+	// for example that its header did not end.
+	Excessive
 	// Inconclusive gives no information about the instance, for example because the caller
 	// disconnected.
 	Inconclusive
@@ -71,6 +74,7 @@
 //   - Refused ejects for a short time and does not count as a failure.
 //   - Broken raises the failure rate. The second one without a success in between ejects,
 //     and each further one ejects for twice as long, up to maxEjection.
+//   - Excessive counts as Broken and ejects for maxEjection at once, since it is never chance.
 //   - Misdirected ejects for maxEjection: the removal of the old announcement will arrive
 //     within that time.
 //   - Inconclusive changes nothing.
@@ -91,6 +95,10 @@
 		if h.failuresInRow >= ejectAfterFailures {
 			h.ejectedUntil = now.Add(ejectionAfter(h.failuresInRow, ejection))
 		}
+	case Excessive:
+		h.failuresInRow++
+		h.failureRate += (1 - h.failureRate) * failureWeight
+		h.ejectedUntil = now.Add(maxEjection)
 	case Misdirected:
 		h.ejectedUntil = now.Add(maxEjection)
 	case Inconclusive:
--- a/balance/ejection_test.go
+++ b/balance/ejection_test.go
@@ -28,6 +28,7 @@
 		Entry("broken once: no ejection", health{}, Broken, 1, 0.2, time.Time{}),
 		Entry("broken twice in a row: ejected", health{1, 0.2, time.Time{}}, Broken, 2, 0.36, testTime.Add(ejection)),
 		Entry("broken again: twice as long", health{2, 0, time.Time{}}, Broken, 3, 0.2, testTime.Add(2*ejection)),
+		Entry("excessive: the longest ejection at once", health{}, Excessive, 1, 0.2, testTime.Add(maxEjection)),
 		Entry("moved: the longest ejection, no failure", health{}, Misdirected, 0, 0.0, testTime.Add(maxEjection)),
 		Entry("unclear: nothing changes", health{1, 0.5, earlier}, Inconclusive, 1, 0.5, earlier),
 	)
--- a/cmd/granitehoist/router.go
+++ b/cmd/granitehoist/router.go
@@ -70,11 +70,13 @@
 	// storeIdleTime is how long an idle connection is kept open. It exceeds the interval of
 	// every periodic call.
 	storeIdleTime = time.Minute
+	// storeHeaderBytes bounds the header of a response of the store.
+	storeHeaderBytes = 32 << 10
 )
 
 // newStoreClient returns the HTTP client shared by the store and the list of boxes.
 func newStoreClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: storeIdleConns, IdleConnTimeout: storeIdleTime}}
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: storeIdleConns, IdleConnTimeout: storeIdleTime, MaxResponseHeaderBytes: storeHeaderBytes}}
 }
 
 // newStore returns a client of the platform's store.
--- a/codes.go
+++ b/codes.go
@@ -60,6 +60,7 @@
 	Internal             Code = 6004
 	NotReady             Code = 6005
 	RouterLive           Code = 6006
+	RouterFull           Code = 6007
 	NotAuthorised        Code = 7001
 	DocumentBad          Code = 7002
 	DocumentConflict     Code = 7003
@@ -161,6 +162,7 @@
 	{Internal, "internal", MayHaveRun, http.StatusInternalServerError, AdviceCheck, "the router failed"},
 	{NotReady, "not_ready", NotRun, http.StatusServiceUnavailable, AdviceRetryLater, "the router has not read its documents yet"},
 	{RouterLive, "router_live", NotRun, http.StatusConflict, AdviceRetryLater, "the router is in the list of live routers"},
+	{RouterFull, "router_full", NotRun, http.StatusServiceUnavailable, AdviceRetryNow, "this router has no memory left for the request"},
 	{NotAuthorised, "not_authorised", NotRun, http.StatusForbidden, AdviceFix, "the document is not signed by its partner"},
 	{DocumentBad, "document_bad", NotRun, http.StatusUnprocessableEntity, AdviceFix, "the document has faults"},
 	{DocumentConflict, "document_conflict", NotRun, http.StatusConflict, AdviceFix, "the document was changed meanwhile"},
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -44,7 +44,7 @@
 // write sends the head and the body of the request and records its progress in w.
 func (c *conn) write(r Request, w *writeProgress) error {
 	var head bytes.Buffer
-	head.Grow(headBufferBytes + len(r.Body))
+	head.Grow(headBufferBytes + min(len(r.Body), finalChunkBytes))
 	head.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if err := r.Header.Write(&head); err != nil {
 		return err
@@ -53,8 +53,15 @@
 		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	head.Write(r.Body)
-	return w.send(c, head.Bytes())
+	if len(r.Body) <= finalChunkBytes {
+		head.Write(r.Body)
+		return w.send(c, head.Bytes())
+	}
+	// A long body is not copied.
+	if _, err := c.Write(head.Bytes()); err != nil {
+		return err
+	}
+	return w.send(c, r.Body)
 }
 
 // healthy reports whether an idle connection is open and has no unread bytes, which would
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 // Request is an HTTP request to one upstream.
@@ -41,20 +42,31 @@
 	// was reused.
 	ConnectTime time.Duration
 	// Framed is false if the end of the connection delimits the body.
-	Framed   bool
+	Framed bool
+	// Length is the announced length of the body, negative if there is none.
+	Length   int64
+	conn     *conn
 	body     io.Reader
+	read     int64
 	complete bool
 	end      func(complete bool)
 }
 
 // Read reads the body. It returns io.EOF at the end of the body, and another error if the
-// body is truncated or malformed.
+// body is truncated or malformed, or exceeds a bound (*readlimit.Error).
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	r.read += int64(n)
 	if errors.Is(err, io.EOF) {
 		r.complete = true
 	}
-	return n, err
+	return n, r.conn.bodyError(err, r.read)
+}
+
+// Limit begins another part of the body, which the limits bound. received is the number of
+// its bytes that the caller has read already. Until then the body is bounded in its rate only.
+func (r *Response) Limit(l readlimit.Limits, received int64) {
+	r.conn.Begin(l, received+int64(r.conn.reader.Buffered()))
 }
 
 // Close ends the exchange. It returns the connection to the pool if it can be reused, and
@@ -65,7 +77,7 @@
 // Do sends a request and returns the response after its head was read. Errors are of type
 // *granitehoist.Error, with code UpstreamRefused or UpstreamsUnreachable if nothing was sent,
 // and UpstreamLost, UpstreamBadAnswer or AnswerCrossed if the upstream may have run the
-// request. When ctx ends
+// request. An error wraps a *readlimit.Error if the head exceeds a bound. When ctx ends
 // the connection is closed, also while the body is read. now is the current time on
 // Settings.Clock.
 func (p *Pool) Do(ctx context.Context, r Request, now time.Time) (*Response, error) {
@@ -82,6 +94,7 @@
 		// reading from a failed connection fails as well.
 		stop()
 		discard(c)
+		c.End()
 		return nil, err
 	}
 	framed := isFramed(response)
@@ -89,6 +102,8 @@
 		Status: response.StatusCode,
 		Header: response.Header,
 		Framed: framed,
+		Length: response.ContentLength,
+		conn:   c,
 
 		ConnectTime: c.takeConnectTime(),
 		body:        response.Body,
@@ -108,6 +123,7 @@
 // finish returns the connection of an ended exchange to the pool, or closes it if it must
 // not be reused.
 func (p *Pool) finish(c *conn, header http.Header, o outcome) {
+	c.End()
 	if o.closeReason() != noReason {
 		discard(c)
 		return
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -32,6 +32,9 @@
 	OnOpen       func()
 	OnDial       func(DialResult)
 	OnPathChange func()
+	// ReadMemory is the memory that the heads of responses share with other reads; nil has
+	// no limit.
+	ReadMemory *readlimit.Memory
 	// OnRead, if set, is called with the part of a response and the number of bytes of each
 	// read from an upstream. It must be safe for concurrent use.
 	OnRead func(readlimit.Part, int)
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -7,6 +7,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
+	"time"
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/readlimit"
@@ -17,8 +19,22 @@
 	// responses may precede its own.
 	maxResponsesRead = 8
 	// maxDrainBytes bounds the body of a stale response that is read in order to reach the
-	// next response.
+	// next response, maxDrainTime the time for it.
 	maxDrainBytes = 1 << 20
+	maxDrainTime  = time.Second
+	// maxHeadBytes bounds the heads of the responses to one request, interim ones included.
+	maxHeadBytes = 32 << 10
+	// MaxPartTime bounds the time from the first to the last byte of a head or an event,
+	// which an upstream writes at once. It is longer than the time after which the kernel
+	// closes a connection whose peer does not respond.
+	MaxPartTime = 3500 * time.Millisecond
+)
+
+// The limits of the parts of responses.
+var (
+	headLimits  = readlimit.Limits{Part: readlimit.Head, MaxBytes: maxHeadBytes, MaxTime: MaxPartTime, Kept: true}
+	drainLimits = readlimit.Limits{Part: readlimit.Body, MaxBytes: maxDrainBytes, MaxTime: maxDrainTime}
+	bodyLimits  = readlimit.Limits{Part: readlimit.Body, Trickle: true}
 )
 
 // responseKind is the relation of a response to the current request.
@@ -50,26 +66,66 @@
 // responses, and stale ones if their bodies can be read to the end.
 func (c *conn) readResponse(r Request) (*http.Response, error) {
 	sawStale := false
-	c.Begin(readlimit.Head)
+	c.beginPart(headLimits)
 	for range maxResponsesRead {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, classifyReadError(err, sawStale)
+			return nil, classifyReadError(c.Cause(err), sawStale)
 		}
 		switch classifyResponse(response.StatusCode, response.Header, r.Matches) {
 		case interim:
+			c.Pause(int64(c.reader.Buffered()))
 			continue
 		case matched:
-			c.Begin(readlimit.Body)
+			c.beginPart(bodyLimits)
 			return response, nil
 		case stale:
 			sawStale = true
 		}
+		c.beginPart(drainLimits)
 		if response.Close || !drain(response) {
-			break
+			return nil, c.staleError()
 		}
+		c.beginPart(headLimits)
+	}
+	return nil, classifyReadError(&readlimit.Error{Part: readlimit.Head, Bound: readlimit.Responses}, sawStale)
+}
+
+// errStaleResponse means that a response to an earlier request could not be skipped.
+var errStaleResponse = errors.New("exchange: a stale response can't be read to its end")
+
+// staleError returns the error for a stale response that could not be skipped. Only one without
+// an end exceeds a bound: a slow one may be sound.
+func (c *conn) staleError() error {
+	cause := errStaleResponse
+	if exceeded := readlimit.Of(c.Cause(errStaleResponse)); exceeded != nil && exceeded.Bound == readlimit.Bytes {
+		cause = exceeded
 	}
-	return nil, granitehoist.Errorf(granitehoist.AnswerCrossed, "")
+	return granitehoist.Wrap(granitehoist.AnswerCrossed, cause, "")
+}
+
+// beginPart begins a part of a response, to which the buffered bytes belong.
+func (c *conn) beginPart(l readlimit.Limits) { c.Begin(l, int64(c.reader.Buffered())) }
+
+// excessiveFraming holds the errors of net/http for chunk sizes and trailers that are too long,
+// besides http.ErrLineTooLong. They have no variables.
+var excessiveFraming = []string{
+	"http chunk length too large",
+	"chunked encoding contains too much non-data",
+	"http: suspiciously long trailer after chunked body",
+}
+
+// bodyError returns the error of a read of a body: a *readlimit.Error if the body exceeded a
+// bound of its connection, or its framing one of net/http. read is the number of bytes of the
+// body that were read.
+func (c *conn) bodyError(err error, read int64) error {
+	if err == nil || errors.Is(err, io.EOF) {
+		return err
+	}
+	if errors.Is(err, http.ErrLineTooLong) || slices.Contains(excessiveFraming, err.Error()) {
+		return &readlimit.Error{Part: readlimit.Body, Bound: readlimit.Framing, Read: read}
+	}
+	return c.Cause(err)
 }
 
 // drain reads the body of a skipped response and reports whether it reached the end
@@ -82,7 +138,7 @@
 // classifyReadError returns the error for a response that could not be read. The request
 // may have run in each case. The code is AnswerCrossed if a stale response arrived first,
 // UpstreamLost if the connection ended, failed, or was closed because the context ended,
-// and UpstreamBadAnswer if the bytes received are not an HTTP response.
+// and UpstreamBadAnswer if the bytes received are not an HTTP response or exceed a bound.
 func classifyReadError(err error, sawStale bool) error {
 	// Connection errors implement the Timeout method of net.Error, net.ErrClosed included.
 	var network interface{ Timeout() bool }
@@ -94,5 +150,23 @@
 	case errors.As(err, &network):
 		return granitehoist.Wrap(granitehoist.UpstreamLost, err, "the connection broke")
 	}
-	return granitehoist.Wrap(granitehoist.UpstreamBadAnswer, err, "")
+	return granitehoist.Wrap(granitehoist.UpstreamBadAnswer, &parseError{err}, "")
 }
+
+// maxParseErrorBytes bounds the text of a parseError.
+const maxParseErrorBytes = 256
+
+// parseError is an error of a parser, whose text may quote all that was received.
+type parseError struct{ cause error }
+
+// Error implements error.
+func (e *parseError) Error() string {
+	text := e.cause.Error()
+	if len(text) > maxParseErrorBytes {
+		text = text[:maxParseErrorBytes] + "..."
+	}
+	return text
+}
+
+// Unwrap returns the error of the parser.
+func (e *parseError) Unwrap() error { return e.cause }
--- a/exchange/response_test.go
+++ b/exchange/response_test.go
@@ -10,11 +10,13 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 var _ = Describe("A response", func() {
@@ -45,6 +47,12 @@
 		Entry("a lost upstream if the connection failed", &net.OpError{Op: "read", Err: os.ErrDeadlineExceeded}, false, granitehoist.UpstreamLost),
 		Entry("a lost upstream if the router closed the connection", &net.OpError{Op: "read", Err: net.ErrClosed}, false, granitehoist.UpstreamLost),
 		Entry("a bad answer if the bytes are not HTTP", errors.New("malformed HTTP response"), false, granitehoist.UpstreamBadAnswer),
+		Entry("a bad answer if a bound is exceeded", &readlimit.Error{Part: readlimit.Head, Bound: readlimit.Bytes}, false, granitehoist.UpstreamBadAnswer),
 		Entry("a crossed answer after a stale response", io.EOF, true, granitehoist.AnswerCrossed),
 	)
+
+	It("that can't be read is quoted in part only", func() {
+		err := classifyReadError(errors.New(strings.Repeat("x", 1<<20)), false)
+		Expect(len(err.Error())).To(BeNumerically("<", 1000))
+	})
 })
--- a/fleet/call.go
+++ b/fleet/call.go
@@ -8,9 +8,6 @@
 	"errors"
 	"io"
 	"log"
-	"net"
-
-	"github.com/sourcegraph/jsonrpc2"
 
 	"granitehoist.example/granitehoist"
 )
@@ -35,11 +32,6 @@
 // caller.
 var discardLog = log.New(io.Discard, "", 0)
 
-// newStream returns a stream of JSON messages on conn, each prefixed by its length.
-func newStream(conn net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
-}
-
 // closeQuietly closes a connection or listener that is no longer used.
 func closeQuietly(c io.Closer) {
 	// Calls in progress have failed or are abandoned, so that the error is irrelevant.
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -32,6 +32,8 @@
 	// Timeout is the maximum duration of a call including the connection setup; zero means
 	// defaultCallTimeout. An earlier deadline of the call's context takes precedence.
 	Timeout time.Duration
+	// Reads bounds what is read from other routers.
+	Reads ReadSettings
 }
 
 // defaultCallTimeout is the default of ClientSettings.Timeout. It exceeds the time for which
@@ -85,7 +87,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "fleet: connect to %s", address)
 	}
-	conn = jsonrpc2.NewConn(context.Background(), newStream(raw), rejectCalls{}, jsonrpc2.SetLogger(discardLog))
+	conn = jsonrpc2.NewConn(context.Background(), newStream(raw, c.settings.Reads), rejectCalls{}, jsonrpc2.SetLogger(discardLog))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other, ok := c.conns[address]; ok {
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -35,6 +35,7 @@
 	self      granitehoist.Incarnation
 	methods   map[string]HandlerFunc
 	greetings map[string]HandlerFunc
+	reads     ReadSettings
 
 	// mu guards the fields below except connWaiters.
 	mu       sync.Mutex
@@ -56,6 +57,8 @@
 	// incarnation at an address. Their responses must name the incarnation. A method must
 	// not be in both Methods and Greetings.
 	Greetings map[string]HandlerFunc
+	// Reads bounds what is read from callers.
+	Reads ReadSettings
 }
 
 // NewServer returns a server that is not serving yet. It panics if Self is missing in the
@@ -64,7 +67,7 @@
 	if s.Self == "" {
 		panic("fleet: ServerSettings.Self is missing")
 	}
-	return &Server{self: s.Self, methods: s.Methods, greetings: s.Greetings, conns: map[*jsonrpc2.Conn]struct{}{}}
+	return &Server{self: s.Self, methods: s.Methods, greetings: s.Greetings, reads: s.Reads, conns: map[*jsonrpc2.Conn]struct{}{}}
 }
 
 // Serve accepts connections from a listener until Close is called, and then returns nil. If
@@ -106,7 +109,7 @@
 		return
 	}
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
-	c := jsonrpc2.NewConn(context.Background(), newStream(conn), handler, jsonrpc2.SetLogger(discardLog))
+	c := jsonrpc2.NewConn(context.Background(), newStream(conn, s.reads), handler, jsonrpc2.SetLogger(discardLog))
 	s.conns[c] = struct{}{}
 	s.connWaiters.Go(func() {
 		<-c.DisconnectNotify()
--- a/forward/active.go
+++ b/forward/active.go
@@ -215,18 +215,29 @@
 	a.recordOutcome(ctx, lease, &result)
 	a.countRun(&result)
 	decision := a.nextAttempt(ctx, &result)
-	if result.failure != nil && !decision.allowed {
-		result.err = a.relayBuffered(*result.failure)
+	if result.failure != nil {
+		if !decision.allowed {
+			result.err = a.relayBuffered(*result.failure)
+		}
+		result.failure.release()
 	}
 	ended := settings.Clock()
 	outcome := instanceResult(&result, ctx.Err() != nil)
 	lease.Done(outcome, ended)
+	a.reportExceeded(lease, &result)
 	a.endAttempt(lease, &result, outcome, sent, ended)
 	a.reportCrossing(lease, a.progress.relayedBytes-relayedBefore)
 	a.logAttempt(lease, &result, ended.Sub(sent))
 	return decision, result.err
 }
 
+// reportExceeded reports a response that exceeded a bound.
+func (a *activeRequest) reportExceeded(lease *balance.Lease, result *attemptResult) {
+	if exceeded := result.exceeded(); exceeded != nil {
+		a.forwarder.settings.OnExceeded(lease.ID, exceeded)
+	}
+}
+
 // countRun counts an attempt that ran or may have run, or that was rejected, either by the
 // instance or already when it was dialed.
 func (a *activeRequest) countRun(result *attemptResult) {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -13,6 +13,7 @@
 	"granitehoist.example/granitehoist/balance"
 	"granitehoist.example/granitehoist/catalog"
 	"granitehoist.example/granitehoist/exchange"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 // attemptResult is the outcome of an attempt.
@@ -34,13 +35,22 @@
 	failure *bufferedResponse
 	// feedback is what the response states about the instance.
 	feedback balance.Feedback
+	// drainError is set if the body of a refusal exceeded a bound.
+	drainError *readlimit.Error
 	// crashed is set if the instance crashed while it may have been running the request.
 	crashed bool
 }
 
-// maxRefusalBytes bounds the body of a refusal that is read so that its connection can be
-// reused.
-const maxRefusalBytes = 64 << 10
+const (
+	// maxRefusalBytes bounds the body of a refusal that is read so that its connection can
+	// be reused.
+	maxRefusalBytes = 64 << 10
+	// maxRefusalTime bounds the time for it, during which the request waits.
+	maxRefusalTime = 200 * time.Millisecond
+)
+
+// refusalLimits are the limits of the body of a refusal.
+var refusalLimits = readlimit.Limits{Part: readlimit.Body, MaxBytes: maxRefusalBytes, MaxTime: maxRefusalTime}
 
 // An upstream may close an idle connection while a request is being sent on it. The router
 // then does not know whether the request ran, so that a request which must run at most
@@ -87,10 +97,9 @@
 	result.err = result.class.error(response.Status, head.RetryAfter)
 	switch result.class {
 	case responseRefused, responseMisdirected, responseBadRequest:
-		// After a read error, response.Close closes the connection.
-		_, _ = io.Copy(io.Discard, io.LimitReader(response, maxRefusalBytes))
+		result.drainError = drainRefusal(response)
 	case responseFailed:
-		result.bufferFailure(response)
+		result.bufferFailure(response, a.forwarder.settings.ReadMemory)
 	case responseUsable:
 		result.err = timer.attemptError(ctx, a.relayResponse(response, lease, timer))
 	case responseMissing, responseNotResumed, responseInvalid:
@@ -124,10 +133,22 @@
 	return refused
 }
 
+// drainRefusal reads the body of a refusal. It returns an error if the body has no end within
+// maxRefusalBytes. Any error leaves the connection unusable, so that response.Close closes it;
+// a slow body is no fault of the upstream, since the limit of time is short.
+func drainRefusal(response *exchange.Response) *readlimit.Error {
+	response.Limit(refusalLimits, 0)
+	_, err := io.Copy(io.Discard, response)
+	if exceeded := readlimit.Of(err); exceeded != nil && exceeded.Bound == readlimit.Bytes {
+		return exceeded
+	}
+	return nil
+}
+
 // bufferFailure reads a 5xx response of the instance, which is relayed only if no other
-// attempt follows.
-func (r *attemptResult) bufferFailure(response *exchange.Response) {
-	buffered, err := readBuffered(response)
+// attempt follows. The caller must release r.failure.
+func (r *attemptResult) bufferFailure(response *exchange.Response, memory *readlimit.Memory) {
+	buffered, err := readBuffered(response, memory)
 	if err != nil {
 		r.err = err
 		return
@@ -135,6 +156,14 @@
 	r.failure = &buffered
 }
 
+// exceeded returns the bound that the response exceeded, nil if it exceeded none.
+func (r *attemptResult) exceeded() *readlimit.Error {
+	if r.drainError != nil {
+		return r.drainError
+	}
+	return readlimit.Of(r.err)
+}
+
 // stallLimits returns the stall limits of the next attempt.
 func (a *activeRequest) stallLimits() stallLimits {
 	prompt := granitehoist.Tokens(0)
--- a/forward/classify.go
+++ b/forward/classify.go
@@ -73,16 +73,30 @@
 	return nil
 }
 
+// largeResponseBytes is the size from which a response counts as one of those that fill the
+// memory of all reads.
+const largeResponseBytes = 1 << 20
+
 // instanceResult returns the result of an attempt that is reported to the balancer. ended
 // is set if the caller disconnected or the request's timeout passed.
 //
+// A response that exceeded a bound of its own is Excessive whether or not the request ended.
+// If the memory of all reads was short, a response is Broken if it is one of those that filled
+// it, and Inconclusive if not.
 // Attempts that were misdirected, got a 5xx response, were relayed completely or got a
 // rejection of an invalid request have the same result whether or not the request ended.
 // Any other attempt is Inconclusive if the request ended, the response could not be written
 // to the caller or the router reaches no upstream. Otherwise it is Refused if the instance
 // refused the request, and Broken if not.
 func instanceResult(r *attemptResult, ended bool) balance.Result {
+	exceeded := r.exceeded()
 	switch {
+	case exceeded != nil && exceeded.FaultOfPeer():
+		return balance.Excessive
+	case exceeded != nil && exceeded.Read >= largeResponseBytes:
+		return balance.Broken
+	case exceeded != nil:
+		return balance.Inconclusive
 	case r.class == responseMisdirected:
 		return balance.Misdirected
 	case r.class == responseFailed:
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -16,6 +16,7 @@
 	"granitehoist.example/granitehoist/escrow"
 	"granitehoist.example/granitehoist/exchange"
 	"granitehoist.example/granitehoist/internal/boottime"
+	"granitehoist.example/granitehoist/internal/readlimit"
 	"granitehoist.example/granitehoist/suspect"
 )
 
@@ -69,6 +70,11 @@
 	// OnCrossing, if set, receives the traffic of each attempt that left the router's zone
 	// when the attempt ends, from the same goroutine.
 	OnCrossing func(CrossedTraffic)
+	// ReadMemory is the memory that the bodies of responses share; nil has no limit.
+	ReadMemory *readlimit.Memory
+	// OnExceeded, if set, is called with each response that exceeded a bound and its
+	// instance, by the goroutine that called Serve.
+	OnExceeded func(granitehoist.Upstream, *readlimit.Error)
 }
 
 // Report is the result of a request, for metrics.
@@ -129,6 +135,9 @@
 	if s.OnEnd == nil {
 		s.OnEnd = func(Report) {}
 	}
+	if s.OnExceeded == nil {
+		s.OnExceeded = func(granitehoist.Upstream, *readlimit.Error) {}
+	}
 	return &Forwarder{settings: s, retryBudgets: newRetryBudgets(s.Retry, s.Routers)}
 }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -4,13 +4,13 @@
 package forward
 
 import (
-	"io"
 	"net/http"
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/balance"
 	"granitehoist.example/granitehoist/catalog"
 	"granitehoist.example/granitehoist/exchange"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 // maxBufferedBytes bounds the body of a response that is buffered before it is relayed.
@@ -21,19 +21,33 @@
 	status int
 	header http.Header
 	body   []byte
+	// buffer holds body until release.
+	buffer *readlimit.Buffer
 }
 
-// readBuffered reads a response to its end. The error has code UpstreamCut if the body
-// was truncated, and UpstreamBadAnswer if it is longer than maxBufferedBytes.
-func readBuffered(response *exchange.Response) (bufferedResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
-	switch {
-	case err != nil:
-		return bufferedResponse{}, granitehoist.Wrap(granitehoist.UpstreamCut, err, "")
-	case len(body) > maxBufferedBytes:
-		return bufferedResponse{}, granitehoist.Errorf(granitehoist.UpstreamBadAnswer, "the response body exceeds %d bytes", maxBufferedBytes)
+// release frees the memory of the body, which can't be used any more.
+func (b *bufferedResponse) release() { b.buffer.Release() }
+
+// readBuffered reads a response to its end, into memory shared with other reads. The caller
+// must release the result. The error has code UpstreamCut if the body was truncated, and
+// UpstreamBadAnswer if it exceeds a bound.
+func readBuffered(response *exchange.Response, memory *readlimit.Memory) (bufferedResponse, error) {
+	buffer := &readlimit.Buffer{Part: readlimit.Body, MaxBytes: maxBufferedBytes, Memory: memory}
+	body, err := buffer.ReadAll(response, response.Length)
+	if err != nil {
+		buffer.Release()
+		return bufferedResponse{}, readError(err)
+	}
+	return bufferedResponse{status: response.Status, header: response.Header, body: body, buffer: buffer}, nil
+}
+
+// readError returns the error of an attempt whose body could not be read: UpstreamBadAnswer
+// if it exceeds a bound, UpstreamCut otherwise.
+func readError(err error) error {
+	if readlimit.Of(err) != nil {
+		return granitehoist.Wrap(granitehoist.UpstreamBadAnswer, err, "")
 	}
-	return bufferedResponse{status: response.Status, header: response.Header, body: body}, nil
+	return granitehoist.Wrap(granitehoist.UpstreamCut, err, "")
 }
 
 // relayResponse relays a usable response: a stream event by event, any other response
@@ -42,10 +56,11 @@
 	if a.admission.route.Kind == catalog.Stream && response.Status < http.StatusMultipleChoices {
 		return a.relayStream(response, lease, timer)
 	}
-	buffered, err := readBuffered(response)
+	buffered, err := readBuffered(response, a.forwarder.settings.ReadMemory)
 	if err != nil {
 		return err
 	}
+	defer buffered.release()
 	return a.relayBuffered(buffered)
 }
 
--- a/forward/rollouts.go
+++ b/forward/rollouts.go
@@ -96,7 +96,7 @@
 			return rollout.Down
 		}
 		return rollout.Bad
-	case balance.Failed:
+	case balance.Failed, balance.Excessive:
 		return rollout.Bad
 	case balance.Refused, balance.Misdirected, balance.Inconclusive:
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -13,20 +13,13 @@
 	"granitehoist.example/granitehoist/internal/eventstream"
 )
 
-// streamBufferBytes is the size of the read buffer of a stream.
-const streamBufferBytes = 4096
-
 // relayStream relays each event as soon as it is complete. It relays the head only with
 // the first event, so that another instance can serve the request until then.
 func (a *activeRequest) relayStream(response *exchange.Response, lease *balance.Lease, timer *stallTimer) error {
-	var splitter eventstream.Splitter
-	buffer := make([]byte, streamBufferBytes)
+	reader := newStreamReader(response, a.forwarder.settings.ReadMemory, maxStreamEvents(a.request.MaxCost))
+	defer reader.release()
 	for {
-		n, readErr := response.Read(buffer)
-		events, err := splitter.Add(buffer[:n])
-		if err != nil {
-			return granitehoist.Wrap(granitehoist.UpstreamBadAnswer, err, "")
-		}
+		events, readErr := reader.next()
 		if len(events) > 0 {
 			lease.Events(len(events), a.forwarder.settings.Clock())
 			timer.restart()
@@ -36,10 +29,10 @@
 		}
 		switch {
 		case readErr == nil:
-		case !errors.Is(readErr, io.EOF):
-			return granitehoist.Wrap(granitehoist.UpstreamCut, readErr, "")
+		case errors.Is(readErr, io.EOF):
+			return a.endStream(response, reader.incomplete())
 		default:
-			return a.endStream(response, splitter.Incomplete())
+			return readError(readErr)
 		}
 	}
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -65,6 +65,7 @@
 	Release           Name = "release"
 	ReleaseFailed     Name = "release_failed"
 	OriginDropped     Name = "origin_dropped"
+	ReadLimitExceeded Name = "read_limit_exceeded"
 	BudgetGrant       Name = "budget_grant"
 	BudgetLoan        Name = "budget_loan"
 	BudgetRepaid      Name = "budget_repaid"
@@ -86,7 +87,7 @@
 		Start, Stop, Stopped, Reload, ReloadFailed, ServeFailed, ReturnFailed, LeaveFailed, LogDropped, Resumed,
 		Request, Attempt, Suspect,
 		ConfigInForce, ConfigBad, ZoneEvacuated, ZoneRestored, Upstream, UpstreamGone, UpstreamBad, UpstreamLimit, UpstreamLeaving, UpstreamBackoff, RejectionLimit, PathLost, PathRegained, DetourFailed, StoreLost, StoreRegained, HistoryGone,
-		StoreRestored, CopyRejected, CopyFromNeighbour, RelayLost, Shedding, PeerBad, SuspectBad, SuspectKeepFailed, Release, ReleaseFailed, OriginDropped, BudgetGrant, BudgetLoan, BudgetRepaid, BudgetSyncFailed,
+		StoreRestored, CopyRejected, CopyFromNeighbour, RelayLost, Shedding, PeerBad, SuspectBad, SuspectKeepFailed, Release, ReleaseFailed, OriginDropped, ReadLimitExceeded, BudgetGrant, BudgetLoan, BudgetRepaid, BudgetSyncFailed,
 		RolloutOrder, RolloutStage, RolloutFinding, RolloutVerdict, RolloutWriteFailed,
 	}
 }
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -19,10 +19,15 @@
 // Splitter splits the bytes of a stream into events. The zero value is ready to use. It
 // is not safe for concurrent use.
 type Splitter struct {
-	// incomplete holds the bytes after the last complete event.
+	// incomplete holds the bytes after the last complete event, of which the first scanned
+	// ones contain no end of an event.
 	incomplete []byte
+	scanned    int
 }
 
+// endLength is the length of the longest end of an event.
+const endLength = len("\r\n\r\n")
+
 // MaxEventBytes limits the buffered bytes of an incomplete event.
 const MaxEventBytes = 1 << 20
 
@@ -47,18 +52,20 @@
 	s.incomplete = append(s.incomplete, chunk...)
 	var events []Event
 	remaining := s.incomplete
-	for {
-		end := endOfEvent(remaining)
+	for from := s.scanned; ; from = 0 {
+		end := endOfEvent(remaining[from:])
 		if end < 0 {
 			break
 		}
-		events = append(events, parse(remaining[:end]))
-		remaining = remaining[end:]
+		events = append(events, parse(remaining[:from+end]))
+		remaining = remaining[from+end:]
 	}
 	if len(remaining) > MaxEventBytes {
 		return nil, ErrTooLong
 	}
 	s.incomplete = remaining
+	// An end may have begun in the last bytes.
+	s.scanned = max(0, len(remaining)-endLength+1)
 	return events, nil
 }
 
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -36,6 +36,37 @@
 	})
 }
 
+// TestPiecesGiveTheSameEvents guards against ends of events that are missed if they arrive in
+// several chunks.
+func TestPiecesGiveTheSameEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.SliceOf(rapid.SampledFrom([]byte("\n\r\n\nx"))).Draw(t, "text")
+		var whole, pieces eventstream.Splitter
+		want, err := whole.Add(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		count := 0
+		for remaining := text; len(remaining) > 0; {
+			n := rapid.IntRange(1, min(3, len(remaining))).Draw(t, "piece")
+			events, err := pieces.Add(remaining[:n])
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, event := range events {
+				if count >= len(want) || !bytes.Equal(event.Raw, want[count].Raw) {
+					t.Fatalf("event %d of %q is %q", count, text, event.Raw)
+				}
+				count++
+			}
+			remaining = remaining[n:]
+		}
+		if count != len(want) {
+			t.Fatalf("%d events of %q, want %d", count, text, len(want))
+		}
+	})
+}
+
 // TestIDs checks that only the id field sets the id of an event.
 func TestIDs(t *testing.T) {
 	var splitter eventstream.Splitter
--- a/node/adapter.go
+++ b/node/adapter.go
@@ -10,6 +10,7 @@
 	"granitehoist.example/granitehoist/balance"
 	"granitehoist.example/granitehoist/catalog"
 	"granitehoist.example/granitehoist/forward"
+	"granitehoist.example/granitehoist/internal/readlimit"
 	"granitehoist.example/granitehoist/rollout"
 )
 
@@ -48,7 +49,21 @@
 	// InstanceID returns the instance that a key under InstancesPrefix belongs to.
 	InstanceID func(key string) granitehoist.Upstream
 	Codec      forward.Codec
-	// NewFrontend returns the handler of callers' requests. Its last argument reports
-	// whether a response should ask the caller to reconnect.
-	NewFrontend func(*forward.Forwarder, *catalog.Current, granitehoist.Clock, func() bool) http.Handler
+	// NewFrontend returns the handler of callers' requests.
+	NewFrontend func(FrontendSettings) http.Handler
+}
+
+// FrontendSettings is what the handler of callers' requests uses of a node.
+type FrontendSettings struct {
+	// Forwarder sends the requests to upstreams.
+	Forwarder *forward.Forwarder
+	// Catalog provides the limits of the configuration in force.
+	Catalog *catalog.Current
+	Clock   granitehoist.Clock
+	// Draining reports whether a response should ask the caller to reconnect.
+	Draining func() bool
+	// ReadMemory is the memory that the bodies of requests share.
+	ReadMemory *readlimit.Memory
+	// OnExceeded is called with each caller's address whose request exceeded a bound.
+	OnExceeded func(caller string, e *readlimit.Error)
 }
--- a/node/components.go
+++ b/node/components.go
@@ -80,6 +80,7 @@
 		bootstrap: n.config.Bootstrap,
 		regions:   n.config.Regions,
 		table:     c.table,
+		reads:     n.neighbourReads(),
 	})
 	c.detours = newDetours(n, c.peers)
 	c.path = newPathMonitor(n, c.table, c.detours)
@@ -112,6 +113,8 @@
 		Log:           n.log,
 		OnEnd:         n.counters.countRequest,
 		OnCrossing:    n.counters.countCrossing,
+		ReadMemory:    &n.readMemory.upstreams,
+		OnExceeded:    n.upstreamExceeded,
 	})
 	return c
 }
@@ -163,6 +166,7 @@
 		OnDial:       n.counters.countDial,
 		OnPathChange: c.path.onChange,
 		Meter:        c.linkMeter,
-		OnRead:       n.counters.readCounter(readlimit.Head, readlimit.Body),
+		ReadMemory:   &n.readMemory.upstreams,
+		OnRead:       n.counters.readCounter(readlimit.Head, readlimit.Body, readlimit.Event),
 	})
 }
--- a/node/countedstore.go
+++ b/node/countedstore.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 // countedStore wraps a store, counts its calls by method, key prefix and result, and notes
@@ -17,8 +18,10 @@
 type countedStore struct {
 	granitehoist.Store
 	count func(call, prefix, result string)
-	clock granitehoist.Clock
-	eras  storeEras
+	// onExceeded is called with each response that exceeded a bound.
+	onExceeded func(call string, e *readlimit.Error)
+	clock      granitehoist.Clock
+	eras       storeEras
 }
 
 // keyPrefix returns a key up to its first slash, that slash included, and the whole key if
@@ -56,6 +59,9 @@
 		result = "unknown"
 	}
 	s.count(call, prefix, result)
+	if exceeded := readlimit.Of(err); exceeded != nil && s.onExceeded != nil {
+		s.onExceeded(call, exceeded)
+	}
 }
 
 // Get implements granitehoist.Store.
--- a/node/detours.go
+++ b/node/detours.go
@@ -16,6 +16,7 @@
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/exchange"
 	"granitehoist.example/granitehoist/internal/event"
+	"granitehoist.example/granitehoist/internal/readlimit"
 	"granitehoist.example/granitehoist/tunnel"
 )
 
@@ -69,6 +70,8 @@
 	clock    granitehoist.Clock
 	log      *zap.Logger
 	counters *counters
+	// onExceeded is called with each neighbour whose response exceeded a bound.
+	onExceeded func(box string, e *readlimit.Error)
 
 	// mu guards the fields below it.
 	mu     sync.Mutex
@@ -91,7 +94,7 @@
 
 // newDetours returns detours without any route.
 func newDetours(n *Node, p *peers) *detours {
-	return &detours{peers: p, client: &tunnel.Client{}, clock: n.clock, log: n.log, counters: n.counters}
+	return &detours{peers: p, client: &tunnel.Client{}, clock: n.clock, log: n.log, counters: n.counters, onExceeded: n.exceededBy(neighbourPeer)}
 }
 
 // DialUpstream implements exchange.Detour.
@@ -106,6 +109,9 @@
 		if err == nil || isUpstreamError(err) || ctx.Err() != nil {
 			return c, err
 		}
+		if exceeded := readlimit.Of(err); exceeded != nil {
+			d.onExceeded(string(route.box), exceeded)
+		}
 		d.remove(route, err)
 	}
 	return nil, exchange.ErrNoDetour
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -59,6 +59,8 @@
 	metricCrossedTokens       = "crossed_tokens"
 	metricHeapBytes           = "heap_bytes"
 	metricUpstreamReadBytes   = "upstream_read_bytes"
+	metricReadMemory          = "read_memory_bytes"
+	metricReadLimitsExceeded  = "read_limits_exceeded"
 )
 
 // MetricNames returns the name of each metric that a node serves, without labels.
@@ -66,7 +68,7 @@
 	return []string{
 		metricActiveRequests, metricRouters, metricConfigVersion, metricConfigAge, metricInstancesAge, metricBudgetFree, metricBudgetSpent, metricStoreRemaining,
 		metricRequests, metricAttempts, metricRefusals, metricDuration, metricFirstByte, metricConnections, metricDials, metricRejections, metricPathLost, metricDetours, metricTunnels, metricTunnelBytes, metricSuspects, metricSuspectsRefused, metricUpstreamsEjected, metricUpstreamsLeaving, metricUpstreamsBackingOff, metricAvoidedChoices, metricUpstreamLimit, metricPermits, metricRolloutShare, metricRolloutAnswers, metricStoreCalls, metricLogLinesDropped,
-		metricCrossings, metricCrossedBytes, metricCrossedTokens, metricHeapBytes, metricUpstreamReadBytes,
+		metricCrossings, metricCrossedBytes, metricCrossedTokens, metricHeapBytes, metricUpstreamReadBytes, metricReadMemory, metricReadLimitsExceeded,
 	}
 }
 
@@ -208,6 +210,9 @@
 	lines = append(lines, n.upstreamLines(now)...)
 	lines = append(lines, n.pathLines()...)
 	lines = append(lines, fmt.Sprintf("%s %d", metricHeapBytes, heapBytes()))
+	for kind, used := range n.readMemory.used() {
+		lines = append(lines, fmt.Sprintf("%s{from=%q} %d", metricReadMemory, kind, used))
+	}
 	lines = append(lines, n.components.rollouts.metricLines()...)
 	for _, limit := range n.components.table.Limits(now) {
 		lines = append(lines, fmt.Sprintf("%s{upstream=%q} %g", metricUpstreamLimit, limit.Upstream, float64(limit.Rate)))
--- a/node/node.go
+++ b/node/node.go
@@ -29,6 +29,7 @@
 	clock       granitehoist.Clock
 	incarnation granitehoist.Incarnation
 	counters    *counters
+	readMemory  readMemory
 
 	components *components
 	configs    *configCopy
@@ -65,8 +66,9 @@
 		counters:    newCounters(),
 	}
 	n.live.Store(newLiveSettings(c))
+	n.readMemory.resize(c.MemoryLimit)
 	n.prober.Interval = follow.ProbeInterval(c.ContactTime)
-	store := &countedStore{Store: a.Store, count: n.counters.countStoreCall, clock: n.clock}
+	store := &countedStore{Store: a.Store, count: n.counters.countStoreCall, onExceeded: n.exceededBy(storePeer), clock: n.clock}
 	n.adapter.Store = store
 	current := &catalog.Current{}
 	n.components = newComponents(n, selfEntry(c, n.incarnation, open.peers.Addr().String()), open.tunnelAddress(), current)
--- a/node/peers.go
+++ b/node/peers.go
@@ -35,6 +35,8 @@
 	bootstrap bool
 	// regions is Config.Regions.
 	regions map[granitehoist.AvailabilityZone]granitehoist.Region
+	// reads bounds what is read from the neighbours.
+	reads fleet.ReadSettings
 }
 
 // peers holds the entries of a node's neighbours and calls them. The entries come from
@@ -78,7 +80,7 @@
 	if s.table == nil {
 		s.table = balance.New(balance.Settings{})
 	}
-	return &peers{settings: s, client: fleet.NewClient(fleet.ClientSettings{}), startedAt: s.clock(), listWake: make(chan struct{}, 1)}
+	return &peers{settings: s, client: fleet.NewClient(fleet.ClientSettings{Reads: s.reads}), startedAt: s.clock(), listWake: make(chan struct{}, 1)}
 }
 
 // view returns the current view of the fleet.
--- a/node/reload.go
+++ b/node/reload.go
@@ -28,6 +28,7 @@
 		return nil, err
 	}
 	n.live.Store(newLiveSettings(c))
+	n.readMemory.resize(c.MemoryLimit)
 	return needRestart(n.config, c), nil
 }
 
--- a/node/servers.go
+++ b/node/servers.go
@@ -124,7 +124,7 @@
 func newServers(n *Node, l listeners) *servers {
 	s := &servers{peers: l.peers, calls: newCallServer(n)}
 	s.callers = httpserver.New(httpserver.Settings{
-		Handler:       n.adapter.NewFrontend(n.components.forwarder, n.configs.catalog, n.clock, n.asksCallersToReconnect),
+		Handler:       n.adapter.NewFrontend(n.frontendSettings()),
 		HeaderTimeout: headerTimeout,
 		IdleTimeout:   idleTimeout,
 		HeaderBytes:   headerBytes,
@@ -133,6 +133,7 @@
 	s.ready = httpserver.New(httpserver.Settings{
 		Handler:       http.HandlerFunc(n.serveReady),
 		HeaderTimeout: headerTimeout,
+		HeaderBytes:   headerBytes,
 		OnError:       n.serveErrorLogger(readyServer),
 	}, l.ready)
 	if l.tunnels != nil {
@@ -148,12 +149,25 @@
 		s.metrics = httpserver.New(httpserver.Settings{
 			Handler:       http.HandlerFunc(n.serveMetrics),
 			HeaderTimeout: headerTimeout,
+			HeaderBytes:   headerBytes,
 			OnError:       n.serveErrorLogger(metricsServer),
 		}, l.metrics)
 	}
 	return s
 }
 
+// frontendSettings returns what the handler of callers' requests uses of the node.
+func (n *Node) frontendSettings() FrontendSettings {
+	return FrontendSettings{
+		Forwarder:  n.components.forwarder,
+		Catalog:    n.configs.catalog,
+		Clock:      n.clock,
+		Draining:   n.asksCallersToReconnect,
+		ReadMemory: &n.readMemory.callers,
+		OnExceeded: n.exceededBy(callerPeer),
+	}
+}
+
 // closeHTTP closes the HTTP servers, and with them the connections of callers whose
 // requests are still in progress.
 func (s *servers) closeHTTP() {
@@ -186,6 +200,7 @@
 	return fleet.NewServer(fleet.ServerSettings{
 		Self:    n.incarnation,
 		Methods: methods,
+		Reads:   n.neighbourReads(),
 		Greetings: map[string]fleet.HandlerFunc{
 			methodGreet: fleet.Handle(n.components.peers.serveGreet),
 		},
--- a/node/servers_test.go
+++ b/node/servers_test.go
@@ -12,8 +12,6 @@
 
 	"go.uber.org/zap/zapcore"
 
-	"granitehoist.example/granitehoist"
-	"granitehoist.example/granitehoist/catalog"
 	"granitehoist.example/granitehoist/forward"
 	"granitehoist.example/granitehoist/internal/logsink"
 	"granitehoist.example/granitehoist/standin"
@@ -68,7 +66,7 @@
 }
 
 // panickingFrontend is an Adapter.NewFrontend whose handler panics.
-func panickingFrontend(*forward.Forwarder, *catalog.Current, granitehoist.Clock, func() bool) http.Handler {
+func panickingFrontend(FrontendSettings) http.Handler {
 	return http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("no such route") })
 }
 
--- a/partner/boxlist/boxlist.go
+++ b/partner/boxlist/boxlist.go
@@ -13,6 +13,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/defaults"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 // Path is the URL path of the platform's list of boxes.
@@ -29,8 +30,13 @@
 // so that a poll ends before the next poll is due.
 const defaultTimeout = 2 * time.Second
 
-// idleConnTimeout is the time after which an unused connection is closed.
-const idleConnTimeout = time.Minute
+const (
+	// idleConnTimeout is the time after which an unused connection is closed.
+	idleConnTimeout = time.Minute
+	// maxHeaderBytes and maxListBytes bound the header and the body of a response.
+	maxHeaderBytes = 32 << 10
+	maxListBytes   = 8 << 20
+)
 
 // Settings configure a Client.
 type Settings struct {
@@ -55,7 +61,8 @@
 	}
 	defaults.Set(&s.Timeout, defaultTimeout)
 	if s.Client == nil {
-		s.Client = &http.Client{Transport: &http.Transport{IdleConnTimeout: idleConnTimeout}}
+		transport := &http.Transport{IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeaderBytes}
+		s.Client = &http.Client{Transport: &readlimit.Transport{Base: transport, MaxBytes: maxListBytes}}
 	}
 	return &Client{settings: s}
 }
--- a/partner/gate/gate.go
+++ b/partner/gate/gate.go
@@ -10,14 +10,17 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/exchange"
+	"granitehoist.example/granitehoist/internal/readlimit"
 	"granitehoist.example/granitehoist/internal/retrybudget"
 	"granitehoist.example/granitehoist/suspect"
 )
 
 // Gate is the HTTP handler for callers. It is safe for concurrent use.
 type Gate struct {
-	settings Settings
-	mux      *http.ServeMux
+	// bodyMemory is shared by the bodies of requests.
+	bodyMemory *readlimit.Memory
+	settings   Settings
+	mux        *http.ServeMux
 	// attempts counts the attempts of this incarnation. Each attempt's id contains its number.
 	attempts atomic.Uint64
 	unready  atomic.Bool
@@ -42,6 +45,7 @@
 		settings:   s,
 		mux:        http.NewServeMux(),
 		retries:    newRetryBudget(),
+		bodyMemory: readlimit.NewMemory(bodyMemory),
 		crashTable: suspect.New(suspect.Settings{}),
 		prober:     exchange.NewPool(exchange.Settings{}),
 	}
--- a/partner/gate/read.go
+++ b/partner/gate/read.go
@@ -5,13 +5,13 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"net/textproto"
 	"strings"
 	"time"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/readlimit"
 	"granitehoist.example/granitehoist/partner/config"
 	"granitehoist.example/granitehoist/partner/route"
 	"granitehoist.example/granitehoist/partner/upstream"
@@ -19,6 +19,7 @@
 
 func (g *Gate) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	req, err := g.begin(w, r)
+	defer req.body.Release()
 	if err == nil {
 		err = g.readCompletion(w, r, req)
 	}
@@ -27,6 +28,7 @@
 
 func (g *Gate) servePlain(w http.ResponseWriter, r *http.Request) {
 	req, err := g.begin(w, r)
+	defer req.body.Release()
 	if err == nil {
 		err = g.readPlain(w, r, req)
 	}
@@ -37,6 +39,7 @@
 // is never nil, so that an error can be sent to the caller.
 func (g *Gate) begin(w http.ResponseWriter, r *http.Request) (*request, error) {
 	req := &request{input: callerRequest{id: g.requestID(r), hasID: r.Header.Get(HeaderRequest) != "", startedAt: g.settings.Clock()}}
+	req.body = readlimit.Buffer{Part: readlimit.RequestBody, MaxBytes: g.settings.Limits.BodyBytes, Memory: g.bodyMemory}
 	req.sink = &sink{w: w, id: req.input.id, onChunk: func() { g.recordChunk(req) }}
 	if err := g.availability().refusal(); err != nil {
 		return req, err
@@ -69,7 +72,7 @@
 
 // readCompletion reads a request to a model.
 func (g *Gate) readCompletion(w http.ResponseWriter, r *http.Request, req *request) error {
-	body, err := g.readBody(w, r)
+	body, err := g.readBody(w, r, req)
 	if err != nil {
 		return err
 	}
@@ -124,7 +127,7 @@
 	if !ok || offer.Kind != config.KindPlain {
 		return granitehoist.Errorf(granitehoist.UnknownService, "service %q", name)
 	}
-	body, err := g.readBody(w, r)
+	body, err := g.readBody(w, r, req)
 	if err != nil {
 		return err
 	}
@@ -183,15 +186,28 @@
 	return path
 }
 
+const (
+	// bodyMemory bounds the bodies of all requests in progress together, in bytes.
+	bodyMemory = 256 << 20
+	// routerFullRetry is short, since another router can serve the request at once.
+	routerFullRetry = 50 * time.Millisecond
+)
+
 // readBody reads the body of a request within the size limit and the read deadline set by
 // ServeHTTP. It clears the deadline only after the whole body was read: net/http reads the
 // rest of the body before it responds, and would wait for a slow caller without limit.
-func (g *Gate) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.settings.Limits.BodyBytes))
+func (g *Gate) readBody(w http.ResponseWriter, r *http.Request, req *request) ([]byte, error) {
+	limit := g.settings.Limits.BodyBytes
+	body, err := req.body.ReadAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	exceeded := readlimit.Of(err)
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, granitehoist.Errorf(granitehoist.BodyTooLarge, "the limit is %d bytes", tooLarge.Limit)
+	case errors.As(err, &tooLarge), exceeded != nil && exceeded.FaultOfPeer():
+		return nil, granitehoist.Errorf(granitehoist.BodyTooLarge, "the limit is %d bytes", limit)
+	case exceeded != nil:
+		full := granitehoist.Wrap(granitehoist.RouterFull, err, "")
+		full.RetryAfter = routerFullRetry
+		return nil, full
 	case err != nil:
 		return nil, granitehoist.Wrap(granitehoist.SlowCaller, err, "")
 	}
--- a/partner/gate/request.go
+++ b/partner/gate/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/readlimit"
 	"granitehoist.example/granitehoist/partner/config"
 	"granitehoist.example/granitehoist/partner/report"
 )
@@ -21,6 +22,8 @@
 	// crashes is the crash history of the request before its latest attempt.
 	crashes crashHistory
 	sink    *sink
+	// body holds the body as received.
+	body readlimit.Buffer
 }
 
 // callerRequest is the request as the caller sent it.
--- a/partner/upstream/engine.go
+++ b/partner/upstream/engine.go
@@ -6,8 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 
@@ -111,18 +109,14 @@
 	return granitehoist.Errorf(granitehoist.UpstreamBadAnswer, "status %d", r.StatusCode)
 }
 
-// errTooLarge is the cause of the error for a body larger than maxBodySize.
-var errTooLarge = errors.New("upstream: response body too large")
-
 // forwardBody forwards a response that is not a stream. It forwards nothing unless the
 // response is complete and belongs to the attempt.
 func (e *Engine) forwardBody(r *http.Response, c granitehoist.Call, sink granitehoist.Sink) (granitehoist.Usage, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodySize+1))
+	buffer := e.sender.newBuffer()
+	defer buffer.Release()
+	body, err := buffer.ReadAll(r.Body, r.ContentLength)
 	if err != nil {
-		return granitehoist.Usage{}, granitehoist.Wrap(granitehoist.UpstreamCut, err, "")
-	}
-	if len(body) > maxBodySize {
-		return granitehoist.Usage{}, granitehoist.Wrap(granitehoist.UpstreamBadAnswer, errTooLarge, "")
+		return granitehoist.Usage{}, bodyError(err)
 	}
 	var response engineResponse
 	if err := json.Unmarshal(body, &response); err != nil {
--- a/partner/upstream/engineattempts.go
+++ b/partner/upstream/engineattempts.go
@@ -37,7 +37,7 @@
 		return granitehoist.Usage{}, false
 	}
 	var record AttemptRecord
-	response, err := sling.New().Client(e.sender.pooled).Do(request.WithContext(ctx), &record, nil)
+	response, err := sling.New().Client(e.sender.lookups).Do(request.WithContext(ctx), &record, nil)
 	switch {
 	case err != nil || response == nil:
 		return granitehoist.Usage{}, false
@@ -68,7 +68,7 @@
 		return nil, eris.Wrap(err, "upstream: build request to list attempts")
 	}
 	var list AttemptList
-	response, err := sling.New().Client(e.sender.pooled).Do(request.WithContext(ctx), &list, nil)
+	response, err := sling.New().Client(e.sender.lookups).Do(request.WithContext(ctx), &list, nil)
 	if err != nil {
 		return nil, eris.Wrap(err, "upstream: list attempts")
 	}
--- a/partner/upstream/enginestream.go
+++ b/partner/upstream/enginestream.go
@@ -14,6 +14,7 @@
 	"strconv"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 var (
@@ -82,7 +83,7 @@
 	for {
 		line, err := readLine(reader)
 		if err != nil {
-			return granitehoist.Wrap(granitehoist.UpstreamCut, errors.Join(errStreamInterrupted, err), "")
+			return streamReadError(err)
 		}
 		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), dataField)
 		if !ok {
@@ -115,6 +116,15 @@
 	}
 }
 
+// streamReadError returns the error of a stream that could not be read further. It may be
+// resumed unless it exceeded a bound.
+func streamReadError(err error) error {
+	if readlimit.Of(err) != nil {
+		return bodyError(err)
+	}
+	return granitehoist.Wrap(granitehoist.UpstreamCut, errors.Join(errStreamInterrupted, err), "")
+}
+
 // encodeEvent returns data as one server-sent event.
 func encodeEvent(data []byte) []byte {
 	out := make([]byte, 0, len(data)+len("data: \n\n"))
@@ -131,7 +141,7 @@
 		part, err := r.ReadSlice('\n')
 		line = append(line, part...)
 		if len(line) > maxEventSize {
-			return nil, errors.New("upstream: event too large")
+			return nil, &readlimit.Error{Part: readlimit.Event, Bound: readlimit.Bytes, Read: int64(len(line))}
 		}
 		if err == nil {
 			return line, nil
--- a/partner/upstream/plain.go
+++ b/partner/upstream/plain.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"granitehoist.example/granitehoist"
@@ -31,12 +30,11 @@
 		return granitehoist.Usage{}, err
 	}
 	defer end()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodySize+1))
+	buffer := p.sender.newBuffer()
+	defer buffer.Release()
+	body, err := buffer.ReadAll(response.Body, response.ContentLength)
 	if err != nil {
-		return granitehoist.Usage{}, granitehoist.Wrap(granitehoist.UpstreamCut, err, "")
-	}
-	if len(body) > maxBodySize {
-		return granitehoist.Usage{}, granitehoist.Errorf(granitehoist.UpstreamBadAnswer, "the response body is too large")
+		return granitehoist.Usage{}, bodyError(err)
 	}
 	header := EndToEndHeader(response.Header, HeaderAttempt)
 	if length := response.Header.Get("Content-Length"); length != "" {
--- a/partner/upstream/transport.go
+++ b/partner/upstream/transport.go
@@ -19,6 +19,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/exchange"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 // HeaderAttempt is the header with the attempt id, in requests and responses.
@@ -32,6 +33,13 @@
 	// maxBodySize is the largest buffered response body in bytes. It bounds the memory of
 	// one request.
 	maxBodySize = 32 << 20
+	// maxHeaderSize bounds the header of a response in bytes, maxStreamSize the whole body,
+	// also of a stream, and maxLookupSize that of a response to Engine.Stop or Engine.List.
+	maxHeaderSize = 32 << 10
+	maxStreamSize = 64 << 20
+	maxLookupSize = 8 << 20
+	// bodyMemory bounds the buffered response bodies of one protocol together.
+	bodyMemory = 256 << 20
 	// maxIdlePerUpstream is twice config.DefaultConcurrency, so that a burst finds idle
 	// connections.
 	maxIdlePerUpstream = 64
@@ -45,24 +53,52 @@
 	// pooled reuses connections. singleUse dials one for each call, since the standard
 	// library may resend a request that failed on a reused connection.
 	pooled, singleUse *http.Client
+	// lookups sends the calls of Engine.Stop and Engine.List.
+	lookups *http.Client
+	// memory is shared by the bodies that are buffered.
+	memory *readlimit.Memory
 }
 
 // newSender returns a sender that doesn't follow redirects or request compression.
 func newSender() *sender {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	newClient := func(disableKeepAlives bool) *http.Client {
+	newTransport := func(disableKeepAlives bool) *http.Transport {
+		return &http.Transport{
+			DialContext:            dialer.DialContext,
+			MaxIdleConnsPerHost:    maxIdlePerUpstream,
+			IdleConnTimeout:        idleTimeout,
+			DisableKeepAlives:      disableKeepAlives,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeaderSize,
+		}
+	}
+	newClient := func(transport *http.Transport, maxBytes int64) *http.Client {
 		return &http.Client{
-			Transport: &http.Transport{
-				DialContext:         dialer.DialContext,
-				MaxIdleConnsPerHost: maxIdlePerUpstream,
-				IdleConnTimeout:     idleTimeout,
-				DisableKeepAlives:   disableKeepAlives,
-				DisableCompression:  true,
-			},
+			Transport:     &readlimit.Transport{Base: transport, MaxBytes: maxBytes},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
 	}
-	return &sender{pooled: newClient(false), singleUse: newClient(true)}
+	pooled := newTransport(false)
+	return &sender{
+		pooled:    newClient(pooled, maxStreamSize),
+		singleUse: newClient(newTransport(true), maxStreamSize),
+		lookups:   newClient(pooled, maxLookupSize),
+		memory:    readlimit.NewMemory(bodyMemory),
+	}
+}
+
+// newBuffer returns a buffer for the body of a response.
+func (s *sender) newBuffer() *readlimit.Buffer {
+	return &readlimit.Buffer{Part: readlimit.Body, MaxBytes: maxBodySize, Memory: s.memory}
+}
+
+// bodyError returns the error of a call whose body could not be read: UpstreamBadAnswer if it
+// exceeds a bound, UpstreamCut otherwise.
+func bodyError(err error) error {
+	if readlimit.Of(err) != nil {
+		return granitehoist.Wrap(granitehoist.UpstreamBadAnswer, err, "the response body is too large")
+	}
+	return granitehoist.Wrap(granitehoist.UpstreamCut, err, "")
 }
 
 // send sends a call once and returns the response. The error has code UpstreamRefused if
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -41,6 +41,13 @@
 	return h.active == 0 && (h.endedAt.IsZero() || now.Sub(h.endedAt) >= contactTime)
 }
 
+// undisturbedSince reports whether no fault was active at a time or after it.
+func (h *faultHistory) undisturbedSince(at time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.active == 0 && h.endedAt.Before(at)
+}
+
 // inTouch reports whether the process at ip had no fault within contactTime before now.
 func (f *fleet) inTouch(ip string, now time.Time) bool {
 	for _, p := range f.processes {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -94,6 +94,9 @@
 	// lossWindow is how old the copies are, at most, from which the store returns; zero means
 	// the default of the program. Processes of otherBinary don't know the setting.
 	lossWindow time.Duration
+	// memoryLimit is the memory limit of the processes in bytes; zero means that their
+	// settings state none.
+	memoryLimit int64
 	// otherBinary, unless empty, is the program of every second process.
 	otherBinary string
 }
@@ -129,15 +132,20 @@
 func newStore(t *testing.T, binary string, prepaidTokens int) *fleet {
 	t.Helper()
 	f := &fleet{t: t, binary: binary, prepaidTokens: prepaidTokens, runCounts: &runCounts{runs: map[string]int{}}, store: standin.NewStore(standin.StoreSettings{})}
-	f.put(platform.ConfigKey, fmt.Sprintf(`{"revision":1,"routes":[
+	f.put(platform.ConfigKey, f.configuration(1))
+	return f
+}
+
+// configuration returns a revision of the configuration.
+func (f *fleet) configuration(revision int) string {
+	return fmt.Sprintf(`{"revision":%[3]d,"routes":[
 		{"name":"safe","hostname":"h.example","pathPrefix":"/safe/","type":"safe","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":2},
 		{"name":"once","hostname":"h.example","pathPrefix":"/once/","type":"unsafe","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":1},
 		{"name":"stream","hostname":"h.example","pathPrefix":"/stream/","type":"streaming","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":2,"streamResume":true},
 		{"name":"fragile","hostname":"h.example","pathPrefix":"/fragile/","type":"unsafe","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"fragile","maxAttempts":1}],
 		"backends":[{"name":"fragile","healthPath":"/healthz","runtime":{"capacity":64,"increment":%[1]d}},{"name":"pool","healthPath":"/healthz","runtime":{"capacity":64,"increment":%[1]d}}],
-		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-		"tenants":[{"name":"kiosk","apiKeys":["a-key"],"reserved":%[2]d}]}`, tokensPerEvent, prepaidTokens))
-	return f
+		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+		"tenants":[{"name":"kiosk","apiKeys":["a-key"],"reserved":%[2]d}]}`, tokensPerEvent, f.prepaidTokens, revision)
 }
 
 // workerAddress returns the address of worker number i of a block, without a port.
@@ -272,9 +280,13 @@
 		rolloutTerms = fmt.Sprintf(`,"canaryShare":%g,"canaryMargin":%d,"rollbackMs":%d`, canaryShare, canaryMargin, rollbackTime.Milliseconds())
 		invariants = `"invariants":["retry","rollout"],`
 	}
+	limits := ""
+	if f.memoryLimit > 0 {
+		limits = fmt.Sprintf(`"limits":{"memoryMb":%d},`, f.memoryLimit>>20)
+	}
 	settings := fmt.Sprintf(`{"nodeName":"edge-%[1]s","ipAddress":%[1]q,"zone":"hall","listenAddrs":{"frontend":"%[1]s:8227","ready":"%[1]s:8220"},
 		"internalPortRange":[7340,7355],"bootstrap":%[2]t,"bounds":{"gracePeriodS":%[3]d,"drainMs":500,"retryBudgetRatio":0.2,"retryWindowS":10,"budgetSlack":50%[5]s},
-		%[6]s"platform":{"address":%[4]q}}`, p.ip, bootstrap, graceS, p.store.address(), rolloutTerms, invariants)
+		%[6]s%[7]s"platform":{"address":%[4]q}}`, p.ip, bootstrap, graceS, p.store.address(), rolloutTerms, invariants, limits)
 	if err := os.WriteFile(p.settings, []byte(settings), 0o600); err != nil {
 		f.t.Error(err)
 	}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 )
 
 // Worker is a fake of a worker of the platform. It serves HTTP/1.1 over TCP and injects the
@@ -25,6 +26,8 @@
 	conns    map[net.Conn]struct{}
 	opened   int
 	done     sync.WaitGroup
+	// endlessBytes counts the bytes of endless responses.
+	endlessBytes atomic.Int64
 }
 
 // ReceivedRequest is a request as received by a Worker.
--- a/standin/workerresponse.go
+++ b/standin/workerresponse.go
@@ -30,6 +30,10 @@
 	Cut Cut
 	// Hang sends nothing and waits for the router to close the connection.
 	Hang bool
+	// Endless, unless empty, replaces the response by one with a part that has no end.
+	// EndlessPause is the time between its bytes; zero sends them at once.
+	Endless      EndlessPart
+	EndlessPause time.Duration
 	// ExtraBefore and ExtraAfter are bytes sent before and after the response, which
 	// are not part of the response.
 	ExtraBefore, ExtraAfter string
@@ -80,6 +84,10 @@
 	if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != w.instance {
 		response = WorkerResponse{Status: http.StatusMisdirectedRequest, NoSeal: true}
 	}
+	if response.Endless != "" {
+		w.writeEndless(conn, request, response)
+		return false
+	}
 	if _, err := io.WriteString(conn, response.ExtraBefore); err != nil {
 		return false
 	}
@@ -206,7 +214,7 @@
 // writeChunk sends text as one chunk, or unchanged if the response is unframed.
 func (w *Worker) writeChunk(conn net.Conn, response WorkerResponse, text string) error {
 	if !response.Unframed {
-		text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+		text = chunk(text)
 	}
 	_, err := io.Copy(conn, strings.NewReader(text))
 	return err
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -12,6 +12,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/exchange"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 // Client opens tunnels at other routers. The zero value works. It is safe for concurrent
@@ -28,8 +29,12 @@
 	connectTarget = "upstream"
 )
 
-// readBufferBytes is the size of the read buffer of a tunnel.
-const readBufferBytes = 2048
+const (
+	// readBufferBytes is the size of the read buffer of a tunnel.
+	readBufferBytes = 2048
+	// maxHeadBytes bounds the head of the response to a CONNECT request.
+	maxHeadBytes = 8 << 10
+)
 
 // Dial opens a connection to an upstream through the router whose Server listens at
 // address. It ends with ctx, which no longer matters afterwards. Its errors are those of
@@ -57,7 +62,8 @@
 	return newConn(raw, reader), nil
 }
 
-// connect sends the CONNECT request and reads the head of its response.
+// connect sends the CONNECT request and reads the head of its response. The error is a
+// *readlimit.Error if the head exceeds a bound.
 func connect(raw net.Conn, upstream granitehoist.Upstream) (*bufio.Reader, error) {
 	request := &http.Request{
 		Method: http.MethodConnect,
@@ -68,10 +74,13 @@
 	if err := request.Write(raw); err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReaderSize(raw, readBufferBytes)
+	limited := readlimit.NewConn(raw, readlimit.ConnSettings{})
+	limited.Begin(readlimit.Limits{Part: readlimit.Head, MaxBytes: maxHeadBytes}, 0)
+	reader := bufio.NewReaderSize(limited, readBufferBytes)
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
-		return nil, err
+		return nil, limited.Cause(err)
 	}
+	limited.End()
 	return reader, errorOf(response.StatusCode)
 }
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -19,6 +19,7 @@
 	"pgregory.net/rapid"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/readlimit"
 	"granitehoist.example/granitehoist/tunnel"
 )
 
@@ -291,3 +292,46 @@
 		}
 	}
 }
+
+// TestEndlessHead guards against routers that run out of memory beside another router whose
+// response to a CONNECT request has no end.
+func TestEndlessHead(t *testing.T) {
+	for _, response := range []struct{ name, begin, repeat string }{
+		{"line", "", "x"},
+		{"fields", "HTTP/1.1 200 OK\r\n", "Field: value\r\n"},
+	} {
+		t.Run(response.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = listener.Close() }()
+			sent := make(chan int, 1)
+			go func() {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				total, err := c.Write([]byte(response.begin))
+				block := bytes.Repeat([]byte(response.repeat), 1000)
+				for err == nil {
+					var n int
+					n, err = c.Write(block)
+					total += n
+				}
+				sent <- total
+			}()
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			var client tunnel.Client
+			_, err = client.Dial(ctx, listener.Addr().String(), "i-1/a b")
+			if readlimit.Of(err) == nil {
+				t.Fatalf("got %v", err)
+			}
+			// The sockets hold some megabytes.
+			if total := <-sent; total > 32<<20 {
+				t.Fatalf("%d bytes were taken", total)
+			}
+		})
+	}
+}
