Hold the rest of a request back in the test of early responses

Cause: a spec expects that a connection isn't reused if its response preceded the end of the request, but its worker reads the rest at once. If the router runs a moment later, all 32 MB have arrived, the request is complete and reuse is right. Seen once in some 50 runs of the suite beside load. Change: the stand-in worker waits before it reads the rest, so that the request can't be complete. The assertions are the same. Its responses also take a Content-Type, for the specs that follow.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -230,7 +230,7 @@
 
 		It("do not use a connection whose last response preceded the end of its request", func() {
 			w := s.worker(desk, "i-1", func(a standin.ReceivedRequest) standin.WorkerResponse {
-				return standin.WorkerResponse{Body: "early", Early: a.Number == 1}
+				return standin.WorkerResponse{Body: "early", Early: a.Number == 1, EarlyPause: 500 * time.Millisecond}
 			})
 			r := request("/patient/x")
 			r.Body = []byte(strings.Repeat("long", 8<<20))
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Worker is a fake of a worker of the platform. It serves HTTP/1.1 over TCP and injects the
@@ -148,6 +149,7 @@
 			return
 		}
 		if response.Early {
+			time.Sleep(response.EarlyPause)
 			// A truncated body makes the next ReadRequest fail.
 			_, _ = io.Copy(io.Discard, request.Body)
 		}
--- a/standin/workerresponse.go
+++ b/standin/workerresponse.go
@@ -20,6 +20,9 @@
 	// Status is the HTTP status; zero means 200.
 	Status int
 	Body   string
+	// ContentType is the Content-Type of a body; empty omits it. Streams are
+	// text/event-stream.
+	ContentType string
 	// Events, unless zero, makes the response a stream of that many events.
 	Events int
 	// Label is added to the data of each event, after a space.
@@ -39,8 +42,10 @@
 	ExtraBefore, ExtraAfter string
 	// Unframed omits the length; closing the connection ends the response.
 	Unframed bool
-	// Early responds before the request body has been read.
-	Early bool
+	// Early responds before the request body has been read, and reads the rest of it after
+	// EarlyPause.
+	Early      bool
+	EarlyPause time.Duration
 	// NotRun marks the response as a response to a request that did not run.
 	NotRun bool
 	// WrongID sends the id of another request.
@@ -150,6 +155,9 @@
 	if !response.NoSeal && !response.NotRun {
 		fmt.Fprintf(&head, "Response-Seal: %s.%s\r\n", w.instance, id)
 	}
+	if response.ContentType != "" {
+		fmt.Fprintf(&head, "Content-Type: %s\r\n", response.ContentType)
+	}
 	for _, limit := range response.RateLimit {
 		fmt.Fprintf(&head, "Server-Limit: %s\r\n", limit)
 	}
