Charge all output unless only counted events were relayed

Seen: a workspace with 60,000 prepaid tokens receives 175,000 on a route whose answers come whole; 60,000 on a streaming route. Cause: a service whose events are counted was charged by events, also for answers that have none. The class: bytes that reach a caller other than as counted events were free, so on every kind of route, for streams that are answered whole, failures with a body and answers broken off. Change: one path settles all answers. An event with an id in a stream is counted; any other byte that is relayed makes the whole reserved output due, and is noted before it is written. A response on a streaming route with another type than text/event-stream is relayed whole. The soak's workers answer streams whole and fail with bodies, and its callers count those tokens. Why it works: the reservation covers the most that the upstream may generate, so that nothing beyond it is owed, and what can't be counted is charged to that bound.

--- a/forward/active.go
+++ b/forward/active.go
@@ -65,9 +65,11 @@
 	// originRecorded is set once this request has recorded it.
 	origin         *origin.Origin
 	originRecorded bool
-	// events is the number of events relayed. lastEventID is the id of the last event
+	// events is the number of counted events relayed, and uncounted is set if any other part
+	// of a body was relayed, whole or not (settlement). lastEventID is the id of the last event
 	// that the caller has, which may stem from an earlier request.
 	events      int64
+	uncounted   bool
 	lastEventID int64
 	// relayedBytes counts the bytes of response bodies that were relayed.
 	relayedBytes int64
@@ -144,6 +146,7 @@
 		cost:           *a.request.MaxCost,
 		tokensPerEvent: a.admission.service.TokensPerEvent,
 		events:         a.progress.events,
+		uncounted:      a.progress.uncounted,
 		runs:           a.progress.runs,
 		complete:       err == nil,
 	}.charge()
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -4,6 +4,7 @@
 package forward
 
 import (
+	"mime"
 	"net/http"
 
 	"granitehoist.example/granitehoist"
@@ -50,10 +51,25 @@
 	return granitehoist.Wrap(granitehoist.UpstreamCut, err, "")
 }
 
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+// mayBeEventStream reports whether a response with header h may be a stream of events. A
+// response without a type may be one.
+func mayBeEventStream(h http.Header) bool {
+	stated := h.Get("Content-Type")
+	if stated == "" {
+		return true
+	}
+	// An invalid type gives an empty one.
+	mediaType, _, _ := mime.ParseMediaType(stated)
+	return mediaType == eventStreamType
+}
+
 // relayResponse relays a usable response: a stream event by event, any other response
 // once it was read completely.
 func (a *activeRequest) relayResponse(response *exchange.Response, lease *balance.Lease, timer *stallTimer) error {
-	if a.admission.route.Kind == catalog.Stream && response.Status < http.StatusMultipleChoices {
+	if a.admission.route.Kind == catalog.Stream && response.Status < http.StatusMultipleChoices && mayBeEventStream(response.Header) {
 		return a.relayStream(response, lease, timer)
 	}
 	buffered, err := readBuffered(response, a.forwarder.settings.ReadMemory)
@@ -69,7 +85,14 @@
 	if err := a.relayHead(buffered.status, buffered.header); err != nil {
 		return err
 	}
-	return a.relayBody(buffered.body)
+	return a.relayUncounted(buffered.body)
+}
+
+// relayUncounted relays a part of the body that is no counted event. The caller may have any
+// of it, also after an error. Its error has code CallerGone.
+func (a *activeRequest) relayUncounted(part []byte) error {
+	a.progress.uncounted = a.progress.uncounted || len(part) > 0
+	return a.relayBody(part)
 }
 
 // relayHead relays the head of a response unless the caller has one already. Its error
--- a/forward/settle.go
+++ b/forward/settle.go
@@ -12,8 +12,10 @@
 	// tokensPerEvent is the maximum number of tokens per event of the service's streams;
 	// zero if events are not counted.
 	tokensPerEvent granitehoist.Tokens
-	// events is the number of events relayed by all attempts together.
+	// events is the number of counted events (isCounted) relayed by all attempts together.
 	events int64
+	// uncounted is set if bytes were relayed that are no counted events.
+	uncounted bool
 	// runs is the number of attempts that ran or may have run.
 	runs int
 	// complete is set if the response was relayed to its end.
@@ -27,7 +29,8 @@
 //   - the prompt, once for all attempts, and
 //   - the output: tokensPerEvent for each relayed event, and for one more if the response
 //     is incomplete, since an event may have been in transit. It is limited to the reserved
-//     output, and is the whole reserved output if events are not counted.
+//     output, and is the whole reserved output if the service's events are not counted or
+//     anything else was relayed: a whole response, the body of a failure, other bytes.
 func (s settlement) charge() granitehoist.Tokens {
 	if s.runs == 0 {
 		return 0
@@ -37,7 +40,7 @@
 		events++
 	}
 	output := s.cost.Output
-	if s.tokensPerEvent > 0 {
+	if s.tokensPerEvent > 0 && !s.uncounted {
 		output = min(output, granitehoist.Tokens(events)*s.tokensPerEvent)
 	}
 	return s.cost.Prompt + output
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -52,10 +52,9 @@
 		if err := a.relayHead(response.Status, response.Header); err != nil {
 			return err
 		}
-		if err := a.relayBody(event.Raw); err != nil {
+		if err := a.relayEvent(event); err != nil {
 			return err
 		}
-		a.progress.events++
 		if event.HasID {
 			*last = event.ID
 		}
@@ -63,6 +62,22 @@
 	return nil
 }
 
+// relayEvent relays one event. Its error has code CallerGone.
+func (a *activeRequest) relayEvent(event eventstream.Event) error {
+	if !isCounted(event) {
+		return a.relayUncounted(event.Raw)
+	}
+	if err := a.relayBody(event.Raw); err != nil {
+		return err
+	}
+	a.progress.events++
+	return nil
+}
+
+// isCounted reports whether an event carries no more than the tokens of one event of the
+// service. Only events with an id are steps of a model's stream.
+func isCounted(event eventstream.Event) bool { return event.HasID }
+
 // endStream relays the bytes after the last event. If the end of the connection delimits
 // the body, these bytes are a truncated event: endStream then relays nothing and returns
 // an error with code UpstreamCut.
@@ -73,5 +88,5 @@
 	if err := a.relayHead(response.Status, response.Header); err != nil {
 		return err
 	}
-	return a.relayBody(remaining)
+	return a.relayUncounted(remaining)
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -34,6 +35,8 @@
 	promptTokens    = 100
 	tokensPerEvent  = 5
 	eventsPerStream = 4
+	// wholeTokens is the number of tokens of a whole response of varied workers.
+	wholeTokens = 150
 	// graceS is the time in seconds from SIGTERM to SIGKILL in the settings.
 	graceS = 3
 	// processZone is the availability zone of the processes.
@@ -42,6 +45,9 @@
 
 // runCounts counts the executions of each request by its id.
 type runCounts struct {
+	// varied makes some streams be answered whole, and some requests fail with a body.
+	varied bool
+
 	mu   sync.Mutex
 	runs map[string]int
 }
@@ -50,12 +56,35 @@
 	c.mu.Lock()
 	c.runs[a.ID]++
 	c.mu.Unlock()
-	if a.Header.Get("Kind") == "stream" {
+	if a.Header.Get("Kind") == "stream" && !c.answersWhole(a.ID) {
 		return standin.WorkerResponse{Events: eventsPerStream, Gap: 15 * time.Millisecond}
 	}
-	return standin.WorkerResponse{Body: "run of " + a.ID, Delay: 10 * time.Millisecond}
+	if c.fails(a.ID) {
+		return standin.WorkerResponse{Status: http.StatusInternalServerError, Body: failureBody(a.ID)}
+	}
+	return standin.WorkerResponse{Body: wholeBody(a.ID), ContentType: "text/plain", Delay: 10 * time.Millisecond}
+}
+
+// outputTokens returns the maximum number of tokens that a request may get, which a whole
+// response brings.
+func (c *runCounts) outputTokens(kind, id string) int {
+	if c.varied && (kind != "stream" || c.answersWhole(id)) {
+		return wholeTokens
+	}
+	return eventsPerStream * tokensPerEvent
 }
 
+// answersWhole reports whether a request that is a stream is answered whole instead.
+func (c *runCounts) answersWhole(id string) bool { return c.varied && strings.HasSuffix(id, "3") }
+
+// fails reports whether a request gets a failure with a body.
+func (c *runCounts) fails(id string) bool { return c.varied && strings.HasSuffix(id, "77") }
+
+// wholeBody and failureBody return the bodies of whole responses and of failures, which bring
+// the caller all tokens that the request may get.
+func wholeBody(id string) string   { return "run of " + id }
+func failureBody(id string) string { return "failed run of " + id }
+
 // process is a router process, which may be restarted.
 type process struct {
 	ip       string
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -40,7 +40,9 @@
 	for seed := from; seed <= to; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			runScenario(newFleet(t, binary, firstBlock+seed%100, smallBudget), seed, scenario{faultDuration: faultDuration})
+			f := newFleet(t, binary, firstBlock+seed%100, smallBudget)
+			f.runCounts.varied = true
+			runScenario(f, seed, scenario{faultDuration: faultDuration})
 		})
 	}
 }
@@ -226,6 +228,8 @@
 	if err != nil {
 		return 0
 	}
+	output := f.runCounts.outputTokens(kind, id)
+	request.Header.Set("Token-Usage", fmt.Sprintf("%d,%d", promptTokens, output))
 	response, err := client.Do(request)
 	if err != nil {
 		results.record(id, 0, 0, "")
@@ -240,24 +244,29 @@
 		status = 0
 	}
 	wrong := ""
-	wantBody := "run of " + id
+	wantBody := wholeBody(id)
 	switch {
 	case status != http.StatusOK:
-	case kind == "stream" && eventCount != eventsPerStream:
+	case kind == "stream" && !f.runCounts.answersWhole(id) && eventCount != eventsPerStream:
 		wrong = fmt.Sprintf("%s has %d events", id, eventCount)
-	case kind != "stream" && string(body) != wantBody:
+	case (kind != "stream" || f.runCounts.answersWhole(id)) && string(body) != wantBody:
 		wrong = fmt.Sprintf("%s got %q", id, body)
 	}
-	results.record(id, status, eventCount, wrong)
+	tokens := eventCount * tokensPerEvent
+	if strings.Contains(string(body), "run of ") {
+		tokens = output
+	}
+	results.record(id, status, tokens, wrong)
 	return status
 }
 
-func (o *outcomes) record(id string, status, eventCount int, wrong string) {
+// record records the status of a response and the tokens of its body.
+func (o *outcomes) record(id string, status, tokens int, wrong string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.answers[id] = status
-	if status == http.StatusOK || eventCount > 0 {
-		o.tokens += promptTokens + eventCount*tokensPerEvent
+	if status == http.StatusOK || tokens > 0 {
+		o.tokens += promptTokens + tokens
 	}
 	if status == http.StatusOK {
 		o.served++
