Bound compressed records together, and requests to the readiness server

Measured: TestUnpackBounds fails on the code before (16 records of 20 MB are unpacked at once) and passes now; its case of one record above the maximum passes on both. The tests of pack, httpserver, follow, escrow and partner pass but for the known TestWithheldRequestIsNotGranted.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -18,6 +18,9 @@
 	Handler http.Handler
 	// HeaderTimeout limits the reading of a request's header; zero sets no limit.
 	HeaderTimeout time.Duration
+	// RequestTimeout limits the reading of a whole request, with a body that Handler does
+	// not read; zero sets no limit.
+	RequestTimeout time.Duration
 	// IdleTimeout limits how long a connection stays open without a request; zero sets
 	// no limit.
 	IdleTimeout time.Duration
@@ -46,6 +49,7 @@
 	server := &http.Server{
 		Handler:           s.Handler,
 		ReadHeaderTimeout: s.HeaderTimeout,
+		ReadTimeout:       s.RequestTimeout,
 		IdleTimeout:       s.IdleTimeout,
 		MaxHeaderBytes:    s.HeaderBytes,
 	}
--- a/internal/pack/pack_test.go
+++ b/internal/pack/pack_test.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"granitehoist.example/granitehoist/internal/pack"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 // stepTimeout bounds each wait of a test.
@@ -71,6 +74,62 @@
 	})
 })
 
+// TestUnpackBounds guards against routers that run out of memory beside another router or a
+// store with records that are far larger than their compressed form.
+func TestUnpackBounds(t *testing.T) {
+	t.Run("a record above the maximum", func(t *testing.T) {
+		packed, err := pack.Pack(strings.Repeat("x", 64<<20))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var text string
+		if err := pack.Unpack(packed, &text); err == nil {
+			t.Fatalf("%d bytes became %d", len(packed), len(text))
+		}
+	})
+	t.Run("many large records at once", func(t *testing.T) {
+		packed, err := pack.Pack(strings.Repeat("x", 20<<20))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var unpacking sync.WaitGroup
+		var unpacked, refused atomic.Int64
+		for range 16 {
+			unpacking.Go(func() {
+				var text string
+				switch err := pack.Unpack(packed, &text); {
+				case err == nil:
+					unpacked.Add(1)
+				case readlimit.Of(err) != nil:
+					refused.Add(1)
+				default:
+					t.Error(err)
+				}
+			})
+		}
+		unpacking.Wait()
+		if unpacked.Load() == 0 || refused.Load() == 0 {
+			t.Fatalf("%d records were unpacked, %d refused", unpacked.Load(), refused.Load())
+		}
+	})
+	t.Run("many small records at once", func(t *testing.T) {
+		var unpacking sync.WaitGroup
+		for i := range 200 {
+			unpacking.Go(func() {
+				packed, err := pack.Pack(sample(i))
+				var r record
+				if err == nil {
+					err = pack.Unpack(packed, &r)
+				}
+				if err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		unpacking.Wait()
+	})
+}
+
 func truncated() []byte {
 	packed, _ := pack.Pack(sample(100))
 	return packed[:len(packed)/2]
--- a/node/servers.go
+++ b/node/servers.go
@@ -131,10 +131,11 @@
 		OnError:       n.serveErrorLogger(callersServer),
 	}, n.components.linkMeter.Listener(l.callers))
 	s.ready = httpserver.New(httpserver.Settings{
-		Handler:       http.HandlerFunc(n.serveReady),
-		HeaderTimeout: headerTimeout,
-		HeaderBytes:   headerBytes,
-		OnError:       n.serveErrorLogger(readyServer),
+		Handler:        http.HandlerFunc(n.serveReady),
+		RequestTimeout: headerTimeout,
+		IdleTimeout:    idleTimeout,
+		HeaderBytes:    headerBytes,
+		OnError:        n.serveErrorLogger(readyServer),
 	}, l.ready)
 	if l.tunnels != nil {
 		s.tunnels = httpserver.New(httpserver.Settings{
@@ -147,10 +148,11 @@
 	}
 	if l.metrics != nil {
 		s.metrics = httpserver.New(httpserver.Settings{
-			Handler:       http.HandlerFunc(n.serveMetrics),
-			HeaderTimeout: headerTimeout,
-			HeaderBytes:   headerBytes,
-			OnError:       n.serveErrorLogger(metricsServer),
+			Handler:        http.HandlerFunc(n.serveMetrics),
+			RequestTimeout: headerTimeout,
+			IdleTimeout:    idleTimeout,
+			HeaderBytes:    headerBytes,
+			OnError:        n.serveErrorLogger(metricsServer),
 		}, l.metrics)
 	}
 	return s
--- a/partner/router/build.go
+++ b/partner/router/build.go
@@ -10,6 +10,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/fleet"
+	"granitehoist.example/granitehoist/internal/readlimit"
 	"granitehoist.example/granitehoist/partner/bill"
 	"granitehoist.example/granitehoist/partner/budget"
 	"granitehoist.example/granitehoist/partner/config"
@@ -24,14 +25,26 @@
 // build constructs the router's components in order of their dependencies.
 func (r *Router) build() {
 	engines := upstream.NewEngine()
-	r.components.client = fleet.NewClient(fleet.ClientSettings{})
+	reads := r.peerReads()
+	r.components.client = fleet.NewClient(fleet.ClientSettings{Reads: reads})
 	r.buildStoreView()
 	r.buildBudget()
 	r.buildBills()
 	r.buildOrphans(engines)
 	r.buildGate(engines)
 	r.servers.build(r.components.gate, r.adminHandler(), time.Duration(r.settings.Router.Limits.ReadTimeout), func(err error) { r.logFailure("callers", err) })
-	r.buildPeers()
+	r.buildPeers(reads)
+}
+
+// peerMemory bounds the messages of other routers that are being read together, in bytes.
+const peerMemory = 64 << 20
+
+// peerReads returns the bounds of what is read from other routers.
+func (r *Router) peerReads() fleet.ReadSettings {
+	return fleet.ReadSettings{
+		Memory:     readlimit.NewMemory(peerMemory),
+		OnExceeded: func(address string, e *readlimit.Error) { r.logFailure("message of "+address, e) },
+	}
 }
 
 // buildStoreView constructs the document follower and the fleet registry.
@@ -136,8 +149,8 @@
 }
 
 // buildPeers constructs the server of calls from other routers.
-func (r *Router) buildPeers() {
-	r.servers.peers = fleet.NewServer(fleet.ServerSettings{Self: r.self.Incarnation, Methods: map[string]fleet.HandlerFunc{
+func (r *Router) buildPeers(reads fleet.ReadSettings) {
+	r.servers.peers = fleet.NewServer(fleet.ServerSettings{Self: r.self.Incarnation, Reads: reads, Methods: map[string]fleet.HandlerFunc{
 		budget.MethodSync:   fleet.Handle(r.components.agent.ServeSync),
 		budget.MethodBorrow: fleet.Handle(r.components.agent.ServeBorrow),
 		bill.MethodCollect:  fleet.Handle(r.components.sender.ServeCollect),
