Keep tunnels open at deadlines, and skip silent bodies of refusals

Cause: two reads of the mend of responses without an end. A tunnel to an upstream broke at the first deadline of its reader, so that a sound silent body ended and a trickle was neither counted nor logged there. The time for skipping the body of a refusal or of a stale answer ran from its first byte, so that one without a byte held the request until its deadline. Change: a deadline leaves a tunnel's connection and the bytes of a partial frame as they are. The time for bodies that are skipped runs from the end of their heads. Measured: TestDeadline (tunnel) and the spec "or without a byte delays a refused request little" fail on the code before and pass now, with the other tests of the two packages.

--- a/exchange/response.go
+++ b/exchange/response.go
@@ -33,7 +33,7 @@
 // The limits of the parts of responses.
 var (
 	headLimits  = readlimit.Limits{Part: readlimit.Head, MaxBytes: maxHeadBytes, MaxTime: MaxPartTime, Kept: true}
-	drainLimits = readlimit.Limits{Part: readlimit.Body, MaxBytes: maxDrainBytes, MaxTime: maxDrainTime}
+	drainLimits = readlimit.Limits{Part: readlimit.Body, MaxBytes: maxDrainBytes, MaxTime: maxDrainTime, FromBegin: true}
 	bodyLimits  = readlimit.Limits{Part: readlimit.Body, Trickle: true}
 )
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -50,7 +50,7 @@
 )
 
 // refusalLimits are the limits of the body of a refusal.
-var refusalLimits = readlimit.Limits{Part: readlimit.Body, MaxBytes: maxRefusalBytes, MaxTime: maxRefusalTime}
+var refusalLimits = readlimit.Limits{Part: readlimit.Body, MaxBytes: maxRefusalBytes, MaxTime: maxRefusalTime, FromBegin: true}
 
 // An upstream may close an idle connection while a request is being sent on it. The router
 // then does not know whether the request ran, so that a request which must run at most
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -129,6 +129,17 @@
 		requests.Wait()
 	})
 
+	It("or without a byte delays a refused request little", func() {
+		s := newEndlessFixture()
+		s.worker(desk, "i-1", func(r standin.ReceivedRequest) standin.WorkerResponse {
+			return standin.WorkerResponse{Endless: standin.EndlessRefusal, EndlessPause: 4 * time.Second}
+		})
+		started := time.Now()
+		_, err := s.forwarder.Serve(context.Background(), request("/unsafe/x"), &fakeSink{})
+		Expect(granitehoist.CodeOf(err)).To(Equal(granitehoist.UpstreamRefused))
+		Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
+	})
+
 	It("leaves memory for other responses", func() {
 		s := newEndlessFixture()
 		const large, requests = 6 << 20, 24
--- a/internal/readlimit/conn.go
+++ b/internal/readlimit/conn.go
@@ -53,7 +53,7 @@
 func (c *Conn) Begin(l Limits, received int64) {
 	c.End()
 	c.limits, c.read = l, received
-	if received > 0 {
+	if received > 0 || l.FromBegin {
 		c.resumedAt = time.Now()
 	}
 }
--- a/internal/readlimit/limits.go
+++ b/internal/readlimit/limits.go
@@ -13,6 +13,8 @@
 	// MaxTime is the maximum time from the first byte of the part to its end; zero means no
 	// bound.
 	MaxTime time.Duration
+	// FromBegin says that MaxTime runs from Begin and not from the first byte.
+	FromBegin bool
 	// Trickle ends a part that arrives in many pieces of a few bytes each. Silence is no
 	// trickle, however long it is.
 	Trickle bool
--- a/tunnel/frame.go
+++ b/tunnel/frame.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 )
 
@@ -50,32 +51,48 @@
 func newConn(raw net.Conn, reader *bufio.Reader) *conn { return &conn{Conn: raw, reader: reader} }
 
 // Read implements net.Conn. It returns io.EOF only if the upstream closed the connection,
-// ECONNRESET if the upstream's connection failed, and an error that wraps ErrBroken if the
-// tunnel failed.
+// ECONNRESET if the upstream's connection failed, an error that wraps ErrBroken if the
+// tunnel failed, and that of the network, after which reads may go on, at a deadline.
 func (c *conn) Read(p []byte) (int, error) {
 	if len(p) == 0 || c.err != nil {
 		return 0, c.err
 	}
 	if c.left == 0 {
-		if c.err = c.readLength(); c.err != nil {
-			return 0, c.err
+		if err := c.readLength(); err != nil {
+			return 0, c.end(err)
 		}
 	}
 	n, err := c.reader.Read(p[:min(len(p), int(c.left))])
 	c.left -= uint32(n)
 	if err != nil {
-		c.err = brokenBy(err)
+		return n, c.end(brokenBy(err))
 	}
-	return n, c.err
+	return n, nil
+}
+
+// end ends the connection with an error, unless that is a deadline of this side, after which
+// reads may go on.
+func (c *conn) end(err error) error {
+	var broken *brokenError
+	if errors.As(err, &broken) && errors.Is(broken.cause, os.ErrDeadlineExceeded) {
+		return broken.cause
+	}
+	c.err = err
+	return err
 }
 
 // readLength reads the length of the next frame.
 func (c *conn) readLength() error {
-	var raw [lengthBytes]byte
-	if _, err := io.ReadFull(c.reader, raw[:]); err != nil {
+	// A length that has arrived in part stays in the reader.
+	raw, err := c.reader.Peek(lengthBytes)
+	if err != nil {
+		return brokenBy(err)
+	}
+	length := binary.BigEndian.Uint32(raw)
+	if _, err := c.reader.Discard(lengthBytes); err != nil {
 		return brokenBy(err)
 	}
-	switch length := binary.BigEndian.Uint32(raw[:]); {
+	switch {
 	case length == closedLength:
 		return io.EOF
 	case length == resetLength:
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -12,6 +12,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -335,3 +337,39 @@
 		})
 	}
 }
+
+// TestDeadline guards against tunnels that break, or lose bytes, at a deadline of the reader.
+func TestDeadline(t *testing.T) {
+	const parts = 5
+	r := startRouter(t, func(c net.Conn) {
+		for range parts {
+			time.Sleep(150 * time.Millisecond)
+			if _, err := c.Write([]byte("part")); err != nil {
+				return
+			}
+		}
+		_ = c.Close()
+	})
+	c := r.dial(t)
+	defer func() { _ = c.Close() }()
+	var got []byte
+	buffer, deadlines := make([]byte, 3), 0
+	for {
+		if err := c.SetReadDeadline(time.Now().Add(40 * time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		n, err := c.Read(buffer)
+		got = append(got, buffer[:n]...)
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			deadlines++
+		case errors.Is(err, io.EOF):
+			if string(got) != strings.Repeat("part", parts) || deadlines == 0 {
+				t.Fatalf("got %q with %d deadlines", got, deadlines)
+			}
+			return
+		case err != nil:
+			t.Fatal(err)
+		}
+	}
+}
