Don't let the end of a chunk begin the time of the next event

Cause: the time of an event ran from any byte after the event before. The end of a chunk that arrives by itself would have started it, so that a sound stream that is silent for 3.5 s afterwards, as one that is preempted, would have been ended and its upstream ejected. Change: the first two bytes of the part start no time. Measured: the case "silence after the end of the part before takes no time" passes; without the two bytes it fails with the bound of time, as the case of a trickling head does.

--- a/exchange/dial.go
+++ b/exchange/dial.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	limited := readlimit.NewConn(raw, readlimit.ConnSettings{Memory: p.settings.ReadMemory, FreeBytes: readBufferBytes, OnRead: p.settings.OnRead})
+	limited := readlimit.NewConn(raw, readlimit.ConnSettings{Memory: p.settings.ReadMemory, BufferBytes: readBufferBytes, OnRead: p.settings.OnRead})
 	return &conn{Conn: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), address: address, connectTime: p.settings.Clock().Sub(started)}, nil
 }
 
--- a/forward/streamreader.go
+++ b/forward/streamreader.go
@@ -18,9 +18,12 @@
 	maxTokenlessEvents = 64
 )
 
+// chunkEndBytes is the length of the end of a chunk, which may arrive after its event.
+const chunkEndBytes = int64(len("\r\n"))
+
 // eventLimits are the limits of an event. The size of an event is bounded by package
 // eventstream.
-var eventLimits = readlimit.Limits{Part: readlimit.Event, MaxTime: exchange.MaxPartTime}
+var eventLimits = readlimit.Limits{Part: readlimit.Event, MaxTime: exchange.MaxPartTime, LeadBytes: chunkEndBytes}
 
 // maxStreamEvents returns the maximum number of events of a stream, zero if there is none.
 // Events carry at least one token each, but for maxTokenlessEvents. cost is nil if the request
--- a/internal/readlimit/conn.go
+++ b/internal/readlimit/conn.go
@@ -35,8 +35,8 @@
 type ConnSettings struct {
 	// Memory is shared with other reads; nil has no limit.
 	Memory *Memory
-	// FreeBytes is the size of a reader's own buffer, which does not count in Memory.
-	FreeBytes int64
+	// BufferBytes is the size of a reader's own buffer, which does not count in Memory.
+	BufferBytes int64
 	// OnRead, if set, is called with the part and the number of bytes of each read.
 	OnRead func(Part, int)
 }
@@ -53,7 +53,7 @@
 func (c *Conn) Begin(l Limits, received int64) {
 	c.End()
 	c.limits, c.read = l, received
-	if received > 0 || l.FromBegin {
+	if received > l.LeadBytes || l.FromBegin {
 		c.resumedAt = time.Now()
 	}
 }
@@ -154,7 +154,7 @@
 	c.read += int64(n)
 	c.window.reads++
 	c.window.bytes += int64(n)
-	if c.resumedAt.IsZero() {
+	if c.resumedAt.IsZero() && c.read > c.limits.LeadBytes {
 		c.resumedAt = time.Now()
 	}
 	c.settings.OnRead(c.limits.Part, n)
@@ -162,7 +162,7 @@
 
 // reserve reserves the bytes that the reader keeps and reports whether it may.
 func (c *Conn) reserve() bool {
-	if !c.limits.Kept || c.read <= c.settings.FreeBytes {
+	if !c.limits.Kept || c.read <= c.settings.BufferBytes {
 		return true
 	}
 	return c.held.Resize(c.read)
--- a/internal/readlimit/limits.go
+++ b/internal/readlimit/limits.go
@@ -13,6 +13,9 @@
 	// MaxTime is the maximum time from the first byte of the part to its end; zero means no
 	// bound.
 	MaxTime time.Duration
+	// LeadBytes is the number of bytes before the one from which MaxTime runs. They may end
+	// what was sent before the part.
+	LeadBytes int64
 	// FromBegin says that MaxTime runs from Begin and not from the first byte.
 	FromBegin bool
 	// Trickle ends a part that arrives in many pieces of a few bytes each. Silence is no
--- a/internal/readlimit/readlimit_test.go
+++ b/internal/readlimit/readlimit_test.go
@@ -211,6 +211,19 @@
 			t.Fatalf("got %q, %v", got, err)
 		}
 	})
+	t.Run("silence after the end of the part before takes no time", func(t *testing.T) {
+		c, far := connPair(t, ConnSettings{})
+		c.Begin(Limits{Part: Event, MaxTime: 100 * time.Millisecond, LeadBytes: 2}, 0)
+		go func() {
+			send(far, "\r\n", 0)
+			time.Sleep(300 * time.Millisecond)
+			send(far, "whole", 0)
+			_ = far.Close()
+		}()
+		if got, err := io.ReadAll(c); err != nil || string(got) != "\r\nwhole" {
+			t.Fatalf("got %q, %v", got, err)
+		}
+	})
 	t.Run("a part has no time of the one before", func(t *testing.T) {
 		c, far := connPair(t, ConnSettings{})
 		go send(far, "0123456789", 60*time.Millisecond)
@@ -235,7 +248,7 @@
 	})
 	t.Run("shared memory", func(t *testing.T) {
 		memory := NewMemory(100)
-		c, far := connPair(t, ConnSettings{Memory: memory, FreeBytes: 10})
+		c, far := connPair(t, ConnSettings{Memory: memory, BufferBytes: 10})
 		go send(far, strings.Repeat("x", 1000), 0)
 		c.Begin(Limits{Part: Head, Kept: true}, 0)
 		_, err := io.ReadAll(c)
