--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -131,9 +131,7 @@
 
 	It("or without a byte delays a refused request little", func() {
 		s := newEndlessFixture()
-		s.worker(desk, "i-1", func(r standin.ReceivedRequest) standin.WorkerResponse {
-			return standin.WorkerResponse{Endless: standin.EndlessRefusal, EndlessPause: 4 * time.Second}
-		})
+		s.worker(desk, "i-1", always(standin.WorkerResponse{Endless: standin.EndlessRefusal, EndlessPause: 4 * time.Second}))
 		started := time.Now()
 		_, err := s.forwarder.Serve(context.Background(), request("/unsafe/x"), &fakeSink{})
 		Expect(granitehoist.CodeOf(err)).To(Equal(granitehoist.UpstreamRefused))
