Bound what sockets hold that was not read

Cause: the platform counts bytes that have arrived and were not read. While a caller takes a stream slowly the router doesn't read from its upstream, and while it serves a request it reads nothing further from the caller; the kernel lets each such socket grow to megabytes. Found by reading; the limits of reads don't hold for what isn't read. Change: sockets to upstreams and those of callers and tunnels have a receive buffer of 128 KB, which the kernel doubles. Measured: TestLimitSocket; without the option it fails with 528,595 and 3,475,740 bytes.

--- a/exchange/dial.go
+++ b/exchange/dial.go
@@ -60,7 +60,8 @@
 // bytes may stay unacknowledged. Package syscall lacks it on some architectures.
 const tcpUserTimeout = 18
 
-// NewDialer returns a dialer whose connections detect unresponsive peers.
+// NewDialer returns a dialer whose connections detect unresponsive peers and hold few bytes
+// that were not read.
 func NewDialer() *net.Dialer {
 	return &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -70,6 +71,9 @@
 			Count:    maxProbes,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
+			if err := readlimit.LimitSocket(raw); err != nil {
+				return err
+			}
 			return raw.Control(func(fd uintptr) {
 				// Without the option an unresponsive peer is detected later, by the
 				// keep-alive probes or the deadline of the attempt.
--- a/internal/readlimit/readlimit_test.go
+++ b/internal/readlimit/readlimit_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -260,6 +261,62 @@
 	})
 }
 
+// receiveBuffer returns the size of the receive buffer of a connection.
+func receiveBuffer(t *testing.T, c net.Conn) (size int) {
+	t.Helper()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	controlErr := raw.Control(func(fd uintptr) { size, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF) })
+	if controlErr != nil || err != nil {
+		t.Fatal(controlErr, err)
+	}
+	return size
+}
+
+// TestLimitSocket guards against sockets that grow to megabytes as they are read, and then hold
+// as much of what is not read.
+func TestLimitSocket(t *testing.T) {
+	limit := func(_, _ string, raw syscall.RawConn) error { return LimitSocket(raw) }
+	listen := net.ListenConfig{Control: limit}
+	listener, err := listen.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	dialer := net.Dialer{Control: limit}
+	dialed, err := dialer.DialContext(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = dialed.Close() }()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	for name, ends := range map[string][2]net.Conn{"dialed": {dialed, accepted}, "accepted": {accepted, dialed}} {
+		t.Run(name, func(t *testing.T) {
+			const total = 64 << 20
+			go func() {
+				block := make([]byte, 1<<20)
+				for range total / len(block) {
+					if _, err := ends[1].Write(block); err != nil {
+						return
+					}
+				}
+			}()
+			if _, err := io.CopyN(io.Discard, ends[0], total); err != nil {
+				t.Fatal(err)
+			}
+			if size := receiveBuffer(t, ends[0]); size > 2*socketBytes {
+				t.Fatalf("the socket holds %d bytes", size)
+			}
+		})
+	}
+}
+
 // BenchmarkConn reads a response that arrives at once, as most do.
 func BenchmarkConn(b *testing.B) {
 	c := NewConn(&repeatedConn{}, ConnSettings{Memory: NewMemory(1 << 20), BufferBytes: 2048})
--- a/node/servers.go
+++ b/node/servers.go
@@ -4,9 +4,11 @@
 package node
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -14,6 +16,7 @@
 	"granitehoist.example/granitehoist/escrow"
 	"granitehoist.example/granitehoist/fleet"
 	"granitehoist.example/granitehoist/internal/httpserver"
+	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
 const (
@@ -48,6 +51,12 @@
 	return l.tunnels.Addr().String()
 }
 
+// boundedListen opens an address whose connections hold few bytes that were not read.
+func boundedListen(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return readlimit.LimitSocket(raw) }}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
 // listen opens the configured addresses. If one cannot be opened, it closes those opened
 // before and returns the error.
 func listen(c *Config) (listeners, error) {
@@ -62,7 +71,7 @@
 // open opens the addresses in turn. After a failure those opened before stay open.
 func (l *listeners) open(c *Config) error {
 	var err error
-	if l.callers, err = net.Listen("tcp", c.CallerAddress); err != nil {
+	if l.callers, err = boundedListen(c.CallerAddress); err != nil {
 		return eris.Wrap(err, "node: cannot listen for callers")
 	}
 	if l.ready, err = net.Listen("tcp", c.ReadinessAddress); err != nil {
@@ -72,7 +81,7 @@
 		return eris.Wrap(err, "node: cannot listen for neighbours")
 	}
 	if c.TunnelPort > 0 {
-		if l.tunnels, err = net.Listen("tcp", net.JoinHostPort(c.PeerIP, strconv.Itoa(c.TunnelPort))); err != nil {
+		if l.tunnels, err = boundedListen(net.JoinHostPort(c.PeerIP, strconv.Itoa(c.TunnelPort))); err != nil {
 			return eris.Wrap(err, "node: cannot listen for tunnels")
 		}
 	}
