--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -89,7 +89,7 @@
 	GinkgoHelper()
 	s := newEndlessFixture()
 	path := pathOf(part)
-	w := s.worker(serviceOf(path), "i-1", always(standin.WorkerResponse{Endless: part, EndlessPause: pause}))
+	w := s.worker(serviceOf(path), "i-1", always(standin.WorkerResponse{Endless: standin.Endless{Part: part, Pause: pause}}))
 	started := time.Now()
 	_, err := s.forwarder.Serve(context.Background(), request(path), &fakeSink{})
 	Expect(time.Since(started)).To(BeNumerically("<", within), string(part))
@@ -131,7 +131,7 @@
 
 	It("or without a byte delays a refused request little", func() {
 		s := newEndlessFixture()
-		s.worker(desk, "i-1", always(standin.WorkerResponse{Endless: standin.EndlessRefusal, EndlessPause: 4 * time.Second}))
+		s.worker(desk, "i-1", always(standin.WorkerResponse{Endless: standin.Endless{Part: standin.EndlessRefusal, Pause: 4 * time.Second}}))
 		started := time.Now()
 		_, err := s.forwarder.Serve(context.Background(), request("/unsafe/x"), &fakeSink{})
 		Expect(granitehoist.CodeOf(err)).To(Equal(granitehoist.UpstreamRefused))
--- a/node/endless_test.go
+++ b/node/endless_test.go
@@ -29,7 +29,7 @@
 			endless := map[string]bool{}
 			w := s.startWorkerFunc(func(r standin.ReceivedRequest) standin.WorkerResponse {
 				if strings.HasPrefix(r.ID, "endless") {
-					return standin.WorkerResponse{Endless: standin.EndlessFields}
+					return standin.WorkerResponse{Endless: standin.Endless{Part: standin.EndlessFields}}
 				}
 				return standin.WorkerResponse{Body: "answer"}
 			})
--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -69,9 +69,9 @@
 	if worker < faultyWorkers && s.random.Float64() < endlessShare {
 		s.endless++
 		parts := standin.EndlessParts()
-		response := standin.WorkerResponse{Endless: parts[s.random.IntN(len(parts))]}
+		response := standin.WorkerResponse{Endless: standin.Endless{Part: parts[s.random.IntN(len(parts))]}}
 		if s.random.IntN(3) == 0 {
-			response.EndlessPause = time.Duration(1+s.random.IntN(50)) * time.Millisecond
+			response.Endless.Pause = time.Duration(1+s.random.IntN(50)) * time.Millisecond
 		}
 		return response
 	}
@@ -132,13 +132,9 @@
 // keptCaller sends requests over one connection as long as it stays open, also to a process
 // that stops.
 type keptCaller struct {
-	fleet   *fleet
-	service *endlessService
-	random  *rand.Rand
-	number  int
-	lost    *atomic.Int64
-	served  *atomic.Int64
-	late    *atomic.Int64
+	run    *endlessRun
+	random *rand.Rand
+	number int
 
 	conn   net.Conn
 	reader *bufio.Reader
@@ -146,11 +142,12 @@
 	requests int
 }
 
-// run sends requests until a time.
-func (c *keptCaller) run(until time.Time) {
+// sendUntilEnd sends requests until the end of the run.
+func (c *keptCaller) sendUntilEnd() {
+	processes := c.run.fleet.processes
 	target := c.number
-	for n := 0; time.Now().Before(until); n++ {
-		p := c.fleet.processes[target%len(c.fleet.processes)]
+	for n := 0; time.Now().Before(c.run.until); n++ {
+		p := processes[target%len(processes)]
 		if c.conn == nil && !c.connect(p) {
 			target++
 			continue
@@ -158,7 +155,7 @@
 		if !c.send(p, fmt.Sprintf("endless-%d-%d", c.number, n)) {
 			_ = c.conn.Close() // the connection is not used any more
 			c.conn = nil
-			target += 1 + c.random.IntN(len(c.fleet.processes)-1)
+			target += 1 + c.random.IntN(len(processes)-1)
 		}
 		time.Sleep(time.Duration(c.random.IntN(40)) * time.Millisecond)
 	}
@@ -187,7 +184,7 @@
 	}
 	request, err := newRequest(p, kind, id, strings.Repeat("x", size))
 	if err != nil {
-		c.fleet.t.Error(err)
+		c.run.fleet.t.Error(err)
 		return false
 	}
 	sent, incarnation := time.Now(), p.pid()
@@ -206,13 +203,13 @@
 	// What a signal ends is judged by other tests.
 	undisturbed := p.faults.undisturbedSince(sent) && p.pid() == incarnation
 	if undisturbed && time.Since(sent) > requestTimeout+answerSlack {
-		c.late.Add(1)
+		c.run.late.Add(1)
 	}
-	if undisturbed && kept && response == nil && c.service.ranAtSoundWorker(id) {
-		c.lost.Add(1)
+	if undisturbed && kept && response == nil && c.run.service.ranAtSoundWorker(id) {
+		c.run.lost.Add(1)
 	}
 	if err == nil && response.StatusCode == http.StatusOK {
-		c.served.Add(1)
+		c.run.served.Add(1)
 	}
 	return err == nil && !response.Close
 }
@@ -230,60 +227,86 @@
 	}
 }
 
+// endlessRun is a run of TestEndless.
+type endlessRun struct {
+	fleet   *fleet
+	service *endlessService
+	seed    int
+	until   time.Time
+	// peak is the most memory that a process used, in bytes.
+	peak               int64
+	lost, served, late atomic.Int64
+}
+
+// random returns the random numbers of a part of the run.
+func (r *endlessRun) random(part uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(r.seed), part))
+}
+
+// runEndless runs callers and faults beside workers whose responses have no end.
 func runEndless(t *testing.T, binary string, seed int) {
-	f := newStore(t, binary, 1000*largeBudget)
-	f.memoryLimit = endlessMemory
-	service := &endlessService{random: rand.New(rand.NewPCG(uint64(seed), 1)), sound: map[string]bool{}}
+	r := &endlessRun{fleet: newStore(t, binary, 1000*largeBudget), seed: seed}
+	r.service = &endlessService{random: r.random(1), sound: map[string]bool{}}
+	r.fleet.memoryLimit = endlessMemory
 	block := endlessBlock + seed%40
 	for i := range workerCount {
-		f.addWorker(fmt.Sprintf("i-%d", i), workerAddress(block, i), func(a standin.ReceivedRequest) standin.WorkerResponse {
-			return service.respond(i, a)
+		r.fleet.addWorker(fmt.Sprintf("i-%d", i), workerAddress(block, i), func(a standin.ReceivedRequest) standin.WorkerResponse {
+			return r.service.respond(i, a)
 		})
 	}
-	f.addProcesses(nodeCount, block)
-	f.awaitReady(recoveryTimeout)
-	stop, until := make(chan struct{}), time.Now().Add(endlessTime)
-	var peak int64
-	var lost, served, late atomic.Int64
-	var watching, callers, faults sync.WaitGroup
-	watching.Go(func() { peak = f.watchMemory(stop) })
+	r.fleet.addProcesses(nodeCount, block)
+	r.fleet.awaitReady(recoveryTimeout)
+	r.until = time.Now().Add(endlessTime)
+	stop := make(chan struct{})
+	var watching, playing sync.WaitGroup
+	watching.Go(func() { r.peak = r.fleet.watchMemory(stop) })
 	for i := range endlessCallers {
-		c := &keptCaller{fleet: f, service: service, random: rand.New(rand.NewPCG(uint64(seed), uint64(1000+i))), number: i, lost: &lost, served: &served, late: &late}
-		callers.Go(func() { c.run(until) })
+		c := &keptCaller{run: r, random: r.random(uint64(1000 + i)), number: i}
+		playing.Go(c.sendUntilEnd)
 	}
-	faults.Go(func() {
-		for revision := 2; time.Now().Before(until); revision++ {
-			f.replaceEntry(platform.ConfigKey, f.configuration(revision))
-			time.Sleep(configInterval)
-		}
-	})
+	playing.Go(r.changeConfiguration)
 	for i := range concurrentFaults {
-		random := rand.New(rand.NewPCG(uint64(seed), uint64(100+i)))
-		faults.Go(func() {
-			for time.Now().Before(until) {
-				p := f.processes[random.IntN(len(f.processes))]
-				f.inject([]processFault{killed, stopped, paused, storeFault}[random.IntN(4)], p, random)
-				time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
-			}
-		})
+		playing.Go(func() { r.disturb(r.random(uint64(100 + i))) })
 	}
-	callers.Wait()
-	faults.Wait()
+	playing.Wait()
 	close(stop)
 	watching.Wait()
-	t.Logf("%d served, %d lost, %d late, %d responses without an end, %d MB at most", served.Load(), lost.Load(), late.Load(), service.endless, peak>>20)
-	if peak > endlessMemory {
-		t.Errorf("a process used %d MB of %d MB", peak>>20, endlessMemory>>20)
+	r.check()
+}
+
+// changeConfiguration writes one configuration after the other.
+func (r *endlessRun) changeConfiguration() {
+	for revision := 2; time.Now().Before(r.until); revision++ {
+		r.fleet.replaceEntry(platform.ConfigKey, r.fleet.configuration(revision))
+		time.Sleep(configInterval)
+	}
+}
+
+// disturb injects faults at processes, one after the other.
+func (r *endlessRun) disturb(random *rand.Rand) {
+	for time.Now().Before(r.until) {
+		p := r.fleet.processes[random.IntN(len(r.fleet.processes))]
+		r.fleet.inject([]processFault{killed, stopped, paused, storeFault}[random.IntN(4)], p, random)
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+	}
+}
+
+// check checks the memory of the processes and the answers of the callers.
+func (r *endlessRun) check() {
+	t := r.fleet.t
+	t.Logf("%d served, %d lost, %d late, %d responses without an end, %d MB at most", r.served.Load(), r.lost.Load(), r.late.Load(), r.service.endless, r.peak>>20)
+	if r.peak > endlessMemory {
+		t.Errorf("a process used %d MB of %d MB", r.peak>>20, endlessMemory>>20)
 	}
-	if lost.Load() > maxEndlessLost {
-		t.Errorf("%d requests were lost on kept connections", lost.Load())
+	if r.lost.Load() > maxEndlessLost {
+		t.Errorf("%d requests were lost on kept connections", r.lost.Load())
 	}
-	if late.Load() > 0 {
-		t.Errorf("%d requests had no answer in time", late.Load())
+	if r.late.Load() > 0 {
+		t.Errorf("%d requests had no answer in time", r.late.Load())
 	}
-	if service.endless == 0 || served.Load() == 0 {
-		t.Errorf("%d responses without an end, %d requests served", service.endless, served.Load())
+	if r.service.endless == 0 || r.served.Load() == 0 {
+		t.Errorf("%d responses without an end, %d requests served", r.service.endless, r.served.Load())
 	}
-	f.awaitReady(recoveryTimeout)
-	f.logOnFailure()
+	r.fleet.awaitReady(recoveryTimeout)
+	r.fleet.logOnFailure()
 }
--- a/standin/endless.go
+++ b/standin/endless.go
@@ -10,6 +10,14 @@
 	"time"
 )
 
+// Endless describes a response without an end. The zero value is none.
+type Endless struct {
+	// Part is the part that has no end.
+	Part EndlessPart
+	// Pause is the time between two bytes; zero sends them at once.
+	Pause time.Duration
+}
+
 // EndlessPart is the part of a response that has no end.
 type EndlessPart string
 
@@ -100,18 +108,18 @@
 // writeEndless sends an endless response until the router closes the connection or
 // maxEndlessBytes are sent.
 func (w *Worker) writeEndless(conn net.Conn, request ReceivedRequest, response WorkerResponse) {
-	begin, repeat := w.endlessText(request, response.Endless)
+	begin, repeat := w.endlessText(request, response.Endless.Part)
 	_, err := conn.Write([]byte(begin))
 	block := []byte(repeat)
-	if response.EndlessPause == 0 {
+	if response.Endless.Pause == 0 {
 		block = bytes.Repeat([]byte(repeat), endlessBlockBytes/len(repeat))
 	}
 	for sent := 0; err == nil && sent < maxEndlessBytes; {
 		var n int
-		if response.EndlessPause == 0 {
+		if response.Endless.Pause == 0 {
 			n, err = conn.Write(block)
 		} else {
-			time.Sleep(response.EndlessPause)
+			time.Sleep(response.Endless.Pause)
 			n, err = conn.Write(block[sent%len(block):][:1])
 		}
 		sent += n
--- a/standin/workerresponse.go
+++ b/standin/workerresponse.go
@@ -33,10 +33,8 @@
 	Cut Cut
 	// Hang sends nothing and waits for the router to close the connection.
 	Hang bool
-	// Endless, unless empty, replaces the response by one with a part that has no end.
-	// EndlessPause is the time between its bytes; zero sends them at once.
-	Endless      EndlessPart
-	EndlessPause time.Duration
+	// Endless, if it names a part, replaces the response by one without an end.
+	Endless Endless
 	// ExtraBefore and ExtraAfter are bytes sent before and after the response, which
 	// are not part of the response.
 	ExtraBefore, ExtraAfter string
@@ -91,7 +89,7 @@
 	if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != w.instance {
 		response = WorkerResponse{Status: http.StatusMisdirectedRequest, NoSeal: true}
 	}
-	if response.Endless != "" {
+	if response.Endless.Part != "" {
 		w.writeEndless(conn, request, response)
 		return false
 	}
