--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -44,10 +44,12 @@
 	// Framed is false if the end of the connection delimits the body.
 	Framed bool
 	// Length is the announced length of the body, negative if there is none.
-	Length   int64
-	conn     *conn
-	body     io.Reader
-	read     int64
+	Length int64
+	conn   *conn
+	body   io.Reader
+	read   int64
+	// divided is set once Limit has begun another part of the body.
+	divided  bool
 	complete bool
 	end      func(complete bool)
 }
@@ -60,12 +62,16 @@
 	if errors.Is(err, io.EOF) {
 		r.complete = true
 	}
+	if !r.divided && r.conn.PartBytes() > 2*r.read+maxFramingBytes {
+		return 0, &readlimit.Error{Part: readlimit.Body, Bound: readlimit.Framing, Read: r.read}
+	}
 	return n, r.conn.bodyError(err, r.read)
 }
 
 // Limit begins another part of the body, which the limits bound. received is the number of
 // its bytes that the caller has read already. Until then the body is bounded in its rate only.
 func (r *Response) Limit(l readlimit.Limits, received int64) {
+	r.divided = true
 	r.conn.Begin(l, received+int64(r.conn.reader.Buffered()))
 }
 
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -24,6 +24,9 @@
 	maxDrainTime  = time.Second
 	// maxHeadBytes bounds the heads of the responses to one request, interim ones included.
 	maxHeadBytes = 32 << 10
+	// maxFramingBytes bounds the chunk sizes and trailers of a body, beside as many bytes as
+	// the body itself has. Chunks of a byte each would cost much processor time.
+	maxFramingBytes = 64 << 10
 	// MaxPartTime bounds the time from the first to the last byte of a head or an event,
 	// which an upstream writes at once. It is longer than the time after which the kernel
 	// closes a connection whose peer does not respond.
--- a/internal/readlimit/conn.go
+++ b/internal/readlimit/conn.go
@@ -87,6 +87,9 @@
 	c.window = window{}
 }
 
+// PartBytes returns the number of bytes of the current part that were read.
+func (c *Conn) PartBytes() int64 { return c.read }
+
 // Read implements net.Conn. The error is an *Error if the part exceeds a bound.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.exceeded != nil {
