Log and count why an attempt is known not to have run

Cause: the line of an attempt had a status and an error. It did not tell a dial that failed from a rejection, nor whether the connection had been used before, had brought other answers first, or goes through another router.

Change: exchange.Trace says what is known of the connection, and each attempt logs it with the reason (not_run) by which the router concludes that nothing ran. attempts_not_run counts the reasons. No decision changes.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -19,6 +19,10 @@
 	*readlimit.Conn
 	reader  *bufio.Reader
 	address string
+	// detour is set if the connection goes through another router.
+	detour bool
+	// exchanges is the number of requests sent on the connection.
+	exchanges int
 	// idlePeriod is the time during which the idle connection may be reused. Pool.mu
 	// guards idlePeriod.
 	idlePeriod idlePeriod
--- a/exchange/dial.go
+++ b/exchange/dial.go
@@ -119,36 +119,36 @@
 // upstream did not accept the connection.
 func (p *Pool) dial(ctx context.Context, upstream granitehoist.Upstream, address string) (*conn, error) {
 	started := p.settings.Clock()
-	raw, err := p.open(ctx, upstream, address)
+	raw, detour, err := p.open(ctx, upstream, address)
 	if err != nil {
 		return nil, err
 	}
 	limited := readlimit.NewConn(raw, readlimit.ConnSettings{Memory: p.settings.ReadMemory, BufferBytes: readBufferBytes, OnRead: p.settings.OnRead})
-	return &conn{Conn: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), address: address, connectTime: p.settings.Clock().Sub(started)}, nil
+	return &conn{Conn: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), address: address, detour: detour, connectTime: p.settings.Clock().Sub(started)}, nil
 }
 
-// open connects to an upstream directly or through the detour.
-func (p *Pool) open(ctx context.Context, upstream granitehoist.Upstream, address string) (net.Conn, error) {
+// open connects to an upstream directly or through the detour, and reports which.
+func (p *Pool) open(ctx context.Context, upstream granitehoist.Upstream, address string) (raw net.Conn, detour bool, err error) {
 	var direct error
 	if state := p.Path(); state == PathOpen || state == PathSuspect {
 		raw, err := p.DialDirect(ctx, upstream, address)
 		if err == nil || p.Path() == PathOpen {
-			return raw, cannotConnect(err)
+			return raw, false, cannotConnect(err)
 		}
 		direct = err
 	}
-	raw, err := p.dialDetour(ctx, upstream)
+	raw, err = p.dialDetour(ctx, upstream)
 	if !errors.Is(err, ErrNoDetour) {
-		return raw, cannotConnect(err)
+		return raw, true, cannotConnect(err)
 	}
 	switch {
 	case direct != nil:
-		return nil, cannotConnect(direct)
+		return nil, false, cannotConnect(direct)
 	case p.path.isHopeless(upstream):
-		return nil, granitehoist.Wrap(granitehoist.UpstreamsUnreachable, err, "")
+		return nil, false, granitehoist.Wrap(granitehoist.UpstreamsUnreachable, err, "")
 	}
 	raw, err = p.DialDirect(ctx, upstream, address)
-	return raw, cannotConnect(err)
+	return raw, false, cannotConnect(err)
 }
 
 // dialDetour connects to an upstream through the detour, within connectTimeout.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -31,6 +31,8 @@
 	// MaxIdle bounds the idle time of a reused connection for which the upstream sent no
 	// keep-alive timeout.
 	MaxIdle time.Duration
+	// Trace, if not nil, is filled in by Do.
+	Trace *Trace
 }
 
 // Response is an upstream's response, whose body is read with Read. Close must be called
@@ -91,10 +93,16 @@
 	if err != nil {
 		return nil, err
 	}
+	trace := r.Trace
+	if trace == nil {
+		trace = &Trace{}
+	}
+	trace.begin(c)
 	stop := context.AfterFunc(ctx, func() { discard(c) })
 	progress := newWriteProgress()
 	go func() { progress.result <- c.write(r, progress) }()
-	response, err := c.readResponse(r)
+	response, err := c.readResponse(r, trace)
+	trace.Early = err == nil && !progress.finalChunkStarted.Load()
 	if err != nil {
 		// A write error needs no check: the request may have run either way, and
 		// reading from a failed connection fails as well.
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -66,14 +66,13 @@
 }
 
 // readResponse reads responses until one belongs to the request. It skips interim
-// responses, and stale ones if their bodies can be read to the end.
-func (c *conn) readResponse(r Request) (*http.Response, error) {
-	sawStale := false
+// responses, and stale ones, which trace counts, if their bodies can be read to the end.
+func (c *conn) readResponse(r Request, trace *Trace) (*http.Response, error) {
 	c.beginPart(headLimits)
 	for range maxResponsesRead {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, classifyReadError(c.Cause(err), sawStale)
+			return nil, classifyReadError(c.Cause(err), trace.Stale > 0)
 		}
 		switch classifyResponse(response.StatusCode, response.Header, r.Matches) {
 		case interim:
@@ -83,7 +82,7 @@
 			c.beginPart(bodyLimits)
 			return response, nil
 		case stale:
-			sawStale = true
+			trace.Stale++
 		}
 		c.beginPart(drainLimits)
 		if response.Close || !drain(response) {
@@ -91,7 +90,7 @@
 		}
 		c.beginPart(headLimits)
 	}
-	return nil, classifyReadError(&readlimit.Error{Part: readlimit.Head, Bound: readlimit.Responses}, sawStale)
+	return nil, classifyReadError(&readlimit.Error{Part: readlimit.Head, Bound: readlimit.Responses}, trace.Stale > 0)
 }
 
 // errStaleResponse means that a response to an earlier request could not be skipped.
--- a/forward/active.go
+++ b/forward/active.go
@@ -228,6 +228,9 @@
 	outcome := instanceResult(&result, ctx.Err() != nil)
 	lease.Done(outcome, ended)
 	a.reportExceeded(lease, &result)
+	if reason := result.notRunReason(); reason != NotRunUnproven {
+		settings.OnNotRun(reason)
+	}
 	a.endAttempt(lease, &result, outcome, sent, ended)
 	a.reportCrossing(lease, a.progress.relayedBytes-relayedBefore)
 	a.logAttempt(lease, &result, ended.Sub(sent))
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -37,6 +37,8 @@
 	feedback balance.Feedback
 	// drainError is set if the body of a refusal exceeded a bound.
 	drainError *readlimit.Error
+	// trace is what is known of the connection.
+	trace exchange.Trace
 	// crashed is set if the instance crashed while it may have been running the request.
 	crashed bool
 }
@@ -80,9 +82,11 @@
 	timer := newStallTimer(ctx, a.stallLimits(), a.takeRetry, cancel)
 	defer func() { result.retryTaken = timer.stop() }()
 	now := a.forwarder.settings.Clock()
-	response, err := a.forwarder.settings.Pool.Do(ctx, a.upstreamRequest(lease, afterEvent, now), now)
+	request, trace := a.upstreamRequest(lease, afterEvent, now), exchange.Trace{}
+	request.Trace = &trace
+	response, err := a.forwarder.settings.Pool.Do(ctx, request, now)
 	if err != nil {
-		return attemptResult{err: a.pathRefusal(timer.attemptError(ctx, err)), unsent: isUnsent(err), refusedDial: isRefusedDial(err)}
+		return attemptResult{err: a.pathRefusal(timer.attemptError(ctx, err)), trace: trace, unsent: isUnsent(err), refusedDial: isRefusedDial(err)}
 	}
 	defer response.Close()
 	headAt := a.forwarder.settings.Clock()
@@ -93,7 +97,7 @@
 	if !head.Misdirected {
 		lease.Observe(head.Feedback, headAt)
 	}
-	result = attemptResult{headAt: headAt, status: response.Status, class: classifyHead(head, response.Status, a.progress.started), feedback: head.Feedback}
+	result = attemptResult{headAt: headAt, trace: trace, status: response.Status, class: classifyHead(head, response.Status, a.progress.started), feedback: head.Feedback}
 	result.err = result.class.error(response.Status, head.RetryAfter)
 	switch result.class {
 	case responseRefused, responseMisdirected, responseBadRequest:
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -67,6 +67,9 @@
 	// OnEnd, if set, receives a report of each request when it ends. It is called by the
 	// goroutine that called Serve.
 	OnEnd func(Report)
+	// OnNotRun, if set, is called with the reason of each attempt that did not run, by the
+	// goroutine that called Serve.
+	OnNotRun func(NotRunReason)
 	// OnCrossing, if set, receives the traffic of each attempt that left the router's zone
 	// when the attempt ends, from the same goroutine.
 	OnCrossing func(CrossedTraffic)
@@ -135,6 +138,9 @@
 	if s.OnEnd == nil {
 		s.OnEnd = func(Report) {}
 	}
+	if s.OnNotRun == nil {
+		s.OnNotRun = func(NotRunReason) {}
+	}
 	if s.OnExceeded == nil {
 		s.OnExceeded = func(granitehoist.Upstream, *readlimit.Error) {}
 	}
--- a/forward/log.go
+++ b/forward/log.go
@@ -108,12 +108,33 @@
 	return fields
 }
 
+// proofFields returns what tells whether an attempt ran and whose response it got. Fields
+// that don't apply are left out.
+func proofFields(result *attemptResult) []zap.Field {
+	var fields []zap.Field
+	if reason := result.notRunReason(); reason != NotRunUnproven {
+		fields = append(fields, zap.String("not_run", string(reason)))
+	}
+	if result.trace.Stale > 0 {
+		fields = append(fields, zap.Int("stale", result.trace.Stale))
+	}
+	if result.trace.Early {
+		fields = append(fields, zap.Bool("early", true))
+	}
+	if result.trace.Detour {
+		fields = append(fields, zap.Bool("detour", true))
+	}
+	return fields
+}
+
 // logAttempt logs an attempt. took is its duration, from before the request was sent.
 // "release" is the version of the instance's software, "entry" that of its entry, "home"
 // whether the instance owns the prefix of the prompt, "pause" the longest gap between events, and "after" the last event
 // that the caller has. "crosses" and "why" are logged if the instance is in another zone or
 // region, "crashed" if the upstream crashed during the attempt, "ejected" if it was ejected
-// and no other could be chosen.
+// and no other could be chosen. "exchange" is the number of the request on its connection,
+// zero without one, "stale" the number of answers to other requests that came first, and
+// "not_run" why the router concludes that the attempt did not run.
 func (a *activeRequest) logAttempt(l *balance.Lease, result *attemptResult, took time.Duration) {
 	fields := []zap.Field{
 		zap.String("request", string(a.request.ID)),
@@ -129,10 +150,12 @@
 		zap.Int("status", result.status),
 		zap.Int64("after", a.progress.lastEventID),
 		zap.Duration("took", took),
+		zap.Int("exchange", result.trace.Exchange),
 	}
 	if result.err != nil {
 		fields = append(fields, zap.Error(result.err))
 	}
+	fields = append(fields, proofFields(result)...)
 	if l.Ejected {
 		fields = append(fields, zap.Bool("ejected", true))
 	}
--- a/node/components.go
+++ b/node/components.go
@@ -112,6 +112,7 @@
 		Deadlines:     c.deadlines,
 		Log:           n.log,
 		OnEnd:         n.counters.countRequest,
+		OnNotRun:      n.counters.countNotRun,
 		OnCrossing:    n.counters.countCrossing,
 		ReadMemory:    &n.readMemory.upstreams,
 		OnExceeded:    n.upstreamExceeded,
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -38,6 +38,7 @@
 	metricConnections         = "upstream_connections"
 	metricDials               = "upstream_dials"
 	metricRejections          = "upstream_rejections"
+	metricNotRun              = "attempts_not_run"
 	metricPathLost            = "path_lost"
 	metricDetours             = "detour_dials"
 	metricTunnels             = "tunnels"
@@ -67,7 +68,7 @@
 func MetricNames() []string {
 	return []string{
 		metricActiveRequests, metricRouters, metricConfigVersion, metricConfigAge, metricInstancesAge, metricBudgetFree, metricBudgetSpent, metricStoreRemaining,
-		metricRequests, metricAttempts, metricRefusals, metricDuration, metricFirstByte, metricConnections, metricDials, metricRejections, metricPathLost, metricDetours, metricTunnels, metricTunnelBytes, metricSuspects, metricSuspectsRefused, metricUpstreamsEjected, metricUpstreamsLeaving, metricUpstreamsBackingOff, metricAvoidedChoices, metricUpstreamLimit, metricPermits, metricRolloutShare, metricRolloutAnswers, metricStoreCalls, metricLogLinesDropped,
+		metricRequests, metricAttempts, metricRefusals, metricDuration, metricFirstByte, metricConnections, metricDials, metricRejections, metricNotRun, metricPathLost, metricDetours, metricTunnels, metricTunnelBytes, metricSuspects, metricSuspectsRefused, metricUpstreamsEjected, metricUpstreamsLeaving, metricUpstreamsBackingOff, metricAvoidedChoices, metricUpstreamLimit, metricPermits, metricRolloutShare, metricRolloutAnswers, metricStoreCalls, metricLogLinesDropped,
 		metricCrossings, metricCrossedBytes, metricCrossedTokens, metricHeapBytes, metricUpstreamReadBytes, metricReadMemory, metricReadLimitsExceeded,
 	}
 }
@@ -146,6 +147,9 @@
 	}
 }
 
+// countNotRun counts an attempt that did not run.
+func (c *counters) countNotRun(r forward.NotRunReason) { c.count(1, metricNotRun, "reason=%q", r) }
+
 // countDial counts a dial to an upstream.
 func (c *counters) countDial(r exchange.DialResult) { c.count(1, metricDials, "result=%q", r) }
 
