Send no request on a connection that carried its id before

What callers saw: refusals as not run of requests that ran, and requests that ran twice, if they came back with the same id.

Cause: a response was known by the id of its request alone. An upstream may send a response once more, in the place where the next one is due. If the next request on the connection has the same id, the old rejection is taken for its response while the upstream runs it. Class: an answer is attributed by what the other side chose and may use again.

A request without an id gets a new connection.

Why it works: an id of a response then names at most one request of its connection, whatever is sent again and however late.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -21,8 +21,9 @@
 	address string
 	// detour is set if the connection goes through another router.
 	detour bool
-	// exchanges is the number of requests sent on the connection.
-	exchanges int
+	// history holds the ids of the requests sent on the connection. Pool.mu guards it while
+	// the connection is idle.
+	history history
 	// idlePeriod is the time during which the idle connection may be reused. Pool.mu
 	// guards idlePeriod.
 	idlePeriod idlePeriod
--- a/exchange/example_test.go
+++ b/exchange/example_test.go
@@ -30,6 +30,7 @@
 		Target:  "/",
 		Host:    "service.example",
 		Header:  http.Header{"Request-Id": {"r-1"}},
+		ID:      "r-1",
 		Matches: func(h http.Header) bool { return h.Get("Request-Id") == "r-1" },
 	}, time.Now())
 	if err != nil {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -25,7 +25,11 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response with the given header belongs to the request;
+	// ID identifies the request in its response. It may have been used before: the request
+	// is not sent on a connection that has carried another one with this id. A request
+	// without an id gets a new connection.
+	ID string
+	// Matches reports whether a response with the given header is one to a request with ID;
 	// nil accepts every response.
 	Matches func(http.Header) bool
 	// MaxIdle bounds the idle time of a reused connection for which the upstream sent no
@@ -97,7 +101,7 @@
 	if trace == nil {
 		trace = &Trace{}
 	}
-	trace.begin(c)
+	trace.begin(c, r.ID)
 	stop := context.AfterFunc(ctx, func() { discard(c) })
 	progress := newWriteProgress()
 	go func() { progress.result <- c.write(r, progress) }()
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -88,7 +89,7 @@
 // that of dial.
 func (p *Pool) get(ctx context.Context, r *Request, now time.Time) (*conn, error) {
 	for {
-		c := p.takeIdle(r.Address, r.MaxIdle, now)
+		c := p.takeIdle(r, now)
 		if c == nil {
 			return p.dial(ctx, r.Upstream, r.Address)
 		}
@@ -99,32 +100,46 @@
 	}
 }
 
-// takeIdle removes and returns the most recently used connection that is reusable, and nil
-// if there is none. It closes the connections that it finds not to be reusable.
-func (p *Pool) takeIdle(address string, maxIdle time.Duration, now time.Time) *conn {
+// takeIdle removes and returns the most recently used connection that is reusable for a
+// request, and nil if there is none. It closes the connections that it finds to be idle for
+// too long, and passes over those that carried a request with the same id.
+func (p *Pool) takeIdle(r *Request, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idle := p.idle[address]
-	for len(idle) > 0 {
-		c := idle[len(idle)-1]
-		idle = idle[:len(idle)-1]
-		p.idle[address] = idle
-		if c.idlePeriod.reusable(maxIdle, now) {
+	idle := p.idle[r.Address]
+	for i := len(idle) - 1; i >= 0; i-- {
+		c := idle[i]
+		expired := !c.idlePeriod.reusable(r.MaxIdle, now)
+		if !expired && !c.history.mayCarry(r.ID) {
+			continue
+		}
+		idle = slices.Delete(idle, i, i+1)
+		p.setIdle(r.Address, idle)
+		if !expired {
 			return c
 		}
 		discard(c)
 	}
-	delete(p.idle, address)
 	return nil
 }
 
-// put adds a connection to the idle ones, or closes it if there are too many. keepAlive is
-// the keep-alive timeout that the upstream sent, zero if it sent none.
+// setIdle replaces the idle connections to an address. The caller holds mu.
+func (p *Pool) setIdle(address string, idle []*conn) {
+	if len(idle) == 0 {
+		delete(p.idle, address)
+		return
+	}
+	p.idle[address] = idle
+}
+
+// put adds a connection to the idle ones, or closes it if there are too many or it has
+// carried maxExchanges requests. keepAlive is the keep-alive timeout that the upstream sent,
+// zero if it sent none.
 func (p *Pool) put(c *conn, keepAlive time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.idlePeriod = newIdlePeriod(keepAlive, idleTimeout, now)
-	if len(p.idle[c.address]) >= maxIdlePerUpstream {
+	if c.history.isFull() || len(p.idle[c.address]) >= maxIdlePerUpstream {
 		discard(c)
 		return
 	}
--- a/exchange/repeatedid_test.go
+++ b/exchange/repeatedid_test.go
@@ -86,6 +86,7 @@
 	response, err := pool.Do(context.Background(), exchange.Request{
 		Address: u.listener.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h",
 		Header:  http.Header{"Id": {id}},
+		ID:      id,
 		Matches: func(h http.Header) bool { return h.Get("Id") == id },
 	}, time.Now())
 	if err != nil {
--- a/exchange/trace.go
+++ b/exchange/trace.go
@@ -17,8 +17,8 @@
 	Early bool
 }
 
-// begin records that the request uses c.
-func (t *Trace) begin(c *conn) {
-	c.exchanges++
-	t.Exchange, t.Detour = c.exchanges, c.detour
+// begin records that the request with an id uses c.
+func (t *Trace) begin(c *conn, id string) {
+	c.history.add(id)
+	t.Exchange, t.Detour = len(c.history.ids), c.detour
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -198,6 +198,7 @@
 		Host:     request.Host,
 		Header:   header,
 		Body:     request.Body,
+		ID:       string(request.ID),
 		Matches:  func(h http.Header) bool { return codec.Matches(request, h) },
 		MaxIdle:  idleLimit(a.admission.route),
 	}
