--- a/forward/fakes_test.go
+++ b/forward/fakes_test.go
@@ -196,6 +196,15 @@
 	return r
 }
 
+// earlierRequest returns a request with another id than that of request. A connection that
+// carried it may carry that one too.
+func earlierRequest(path string) *forward.Request {
+	r := request(path)
+	r.ID = "r-0"
+	r.Header.Set("Attempt-Id", string(r.ID))
+	return r
+}
+
 // always returns a handler that gives the same answer to each request.
 func always(a standin.WorkerResponse) func(standin.ReceivedRequest) standin.WorkerResponse {
 	return func(standin.ReceivedRequest) standin.WorkerResponse { return a }
