--- a/forward/bench_test.go
+++ b/forward/bench_test.go
@@ -13,9 +13,18 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/balance"
+	"granitehoist.example/granitehoist/forward"
 	"granitehoist.example/granitehoist/standin"
 )
 
+// numberedRequest returns a request with an id of its own for each number.
+func numberedRequest(path string, n int) *forward.Request {
+	r := request(path)
+	r.ID = granitehoist.RequestID(strconv.Itoa(n))
+	r.Header.Set("Attempt-Id", string(r.ID))
+	return r
+}
+
 // benchmarkServe measures requests for a path that one worker serves over loopback.
 func benchmarkServe(b *testing.B, path string, service granitehoist.Service, answer standin.WorkerResponse) {
 	RegisterTestingT(b)
@@ -26,10 +35,7 @@
 	s.table.Announce(balance.Instance{ID: "i-1", Service: service, Address: w.Address(), Version: 1}, time.Now())
 	b.ReportAllocs()
 	for n := 0; b.Loop(); n++ {
-		r := request(path)
-		r.ID = granitehoist.RequestID(strconv.Itoa(n))
-		r.Header.Set("Attempt-Id", string(r.ID))
-		if _, err := s.forwarder.Serve(context.Background(), r, &fakeSink{}); err != nil {
+		if _, err := s.forwarder.Serve(context.Background(), numberedRequest(path, n), &fakeSink{}); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/forward/suspects_test.go
+++ b/forward/suspects_test.go
@@ -288,8 +288,8 @@
 	b.Cleanup(w.Close)
 	s.table.Announce(balance.Instance{ID: "i-1", Service: desk, Address: w.Address(), Version: 1}, time.Now())
 	b.ReportAllocs()
-	for b.Loop() {
-		if _, err := s.forwarder.Serve(context.Background(), request("/safe/x"), &fakeSink{}); err != nil {
+	for n := 0; b.Loop(); n++ {
+		if _, err := s.forwarder.Serve(context.Background(), numberedRequest("/safe/x", n), &fakeSink{}); err != nil {
 			b.Fatal(err)
 		}
 	}
