Take a stream that ends before its first event for cut

What callers saw: nothing known. A stream whose upstream closed the connection right after the head, without a length, was relayed as status 200 with an empty body, as whole.

Cause: the end of the connection is the end of such a body, and only bytes after the last event counted as a sign of a cut. A stream has at least one event, so that none is a sign too.

Measured: TestCutAnswerIsNotWhole cuts answers at each byte of head, body, chunks and trailer, on four kinds of routes with four framings, by a FIN and by a reset. Before, 2 of 32 cases failed, both this one; no cut within a head was relayed as whole. All pass now.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -79,11 +79,15 @@
 func isCounted(event eventstream.Event) bool { return event.HasID }
 
 // endStream relays the bytes after the last event. If the end of the connection delimits
-// the body, these bytes are a truncated event: endStream then relays nothing and returns
-// an error with code UpstreamCut.
+// the body, these bytes are a truncated event, and a body without any event was cut before the
+// first: endStream then relays nothing and returns an error with code UpstreamCut.
 func (a *activeRequest) endStream(response *exchange.Response, remaining []byte) error {
-	if !response.Framed && len(remaining) > 0 {
+	switch {
+	case response.Framed:
+	case len(remaining) > 0:
 		return granitehoist.Wrap(granitehoist.UpstreamCut, io.ErrUnexpectedEOF, "the stream ended within an event")
+	case !a.progress.started:
+		return granitehoist.Wrap(granitehoist.UpstreamCut, io.ErrUnexpectedEOF, "the stream ended before its first event")
 	}
 	if err := a.relayHead(response.Status, response.Header); err != nil {
 		return err
