Count a request's time from its arrival in the socket, and drop abandoned ones

What callers saw: a router that was frozen read their requests when it went on, and sent them to upstreams, although they had left or their deadline had passed. A caller who meanwhile went elsewhere has two runs.

Cause: the time of a request began when it was read. A close that waits in the socket behind the request was noticed only by chance before it was sent on. Class: what happened while the process did not run was taken not to have happened.

Change: internal/tcpstate asks the kernel how long the latest bytes of the caller have waited and whether it has closed the connection. The time of a request counts from then; one whose caller has left is not sent; Pool.Do writes nothing once its context has ended. The log has unread=.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -97,6 +97,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if ctx.Err() != nil {
+		discard(c)
+		return nil, granitehoist.Wrap(granitehoist.UpstreamRefused, ctx.Err(), "ended before it was sent")
+	}
 	trace := r.Trace
 	if trace == nil {
 		trace = &Trace{}
--- a/forward/log.go
+++ b/forward/log.go
@@ -14,6 +14,9 @@
 	"granitehoist.example/granitehoist/internal/event"
 )
 
+// minUnreadLogged is the shortest time unread that is logged.
+const minUnreadLogged = 20 * time.Millisecond
+
 // logEnd logs the end of a request. "fate" is whether the request ran, "first" the time to
 // the response head. The keys of log lines stay for compatibility.
 func (a *activeRequest) logEnd(report Report, err error) {
@@ -32,6 +35,9 @@
 	if a.admission.route != nil {
 		fields = append(fields, zap.String("route", string(a.admission.route.Name)))
 	}
+	if a.request.Unread >= minUnreadLogged {
+		fields = append(fields, zap.Duration("unread", a.request.Unread))
+	}
 	if a.admission.maxCost > 0 {
 		fields = append(fields, a.budgetFields()...)
 	}
--- a/forward/request.go
+++ b/forward/request.go
@@ -28,8 +28,10 @@
 	Body []byte
 	// Key is the caller's key, empty if the request has none.
 	Key string
-	// Arrived is when the request head was received.
+	// Arrived is when the request head was received, whether or not it could be read then.
 	Arrived time.Time
+	// Unread is how long it then waited to be read; zero if that is not known.
+	Unread time.Duration
 	// Timeout is how long the caller waits, from Arrived on; zero if it states none.
 	Timeout time.Duration
 	// MaxCost is the maximum cost; nil for requests that use no tokens.
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -11,6 +11,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"granitehoist.example/granitehoist/internal/tcpstate"
 )
 
 // Settings configure a Server.
@@ -52,6 +54,7 @@
 		ReadTimeout:       s.RequestTimeout,
 		IdleTimeout:       s.IdleTimeout,
 		MaxHeaderBytes:    s.HeaderBytes,
+		ConnContext:       tcpstate.NewContext,
 	}
 	if s.OnError != nil {
 		server.ErrorLog = log.New(errorWriter(s.OnError), "", 0)
