Tell a call's response from a surplus one at the partners' router

What callers saw: nothing known. On a reused connection a late 400, 429 or 503 without an id counted as the refusal of the next call, which the engine ran: reported as not run and not charged. A late answer of a plain service without an id went to the next caller.

Cause: a response that names no attempt was accepted on any connection. Class: as at the edge router, an answer was attributed by belief.

Change: only connections of upstreams that name attempts are reused, and on a reused connection a response has to name its own. Else the call may have run. Upstreams that never name one get a connection for each call.

--- a/partner/upstream/transport.go
+++ b/partner/upstream/transport.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,11 +51,16 @@
 // sender makes HTTP calls. Its errors tell whether the upstream may have received any
 // byte of the request. It is safe for concurrent use.
 type sender struct {
-	// pooled reuses connections. singleUse dials one for each call, since the standard
-	// library may resend a request that failed on a reused connection.
+	// pooled reuses connections. singleUse dials one for each call, for upstreams that are
+	// not echoing, and for calls that must not be repeated, since the standard library may
+	// resend a request that failed on a reused connection.
 	pooled, singleUse *http.Client
 	// lookups sends the calls of Engine.Stop and Engine.List.
 	lookups *http.Client
+	// echoing holds the addresses of the upstreams whose latest response named its attempt.
+	// Only their connections are reused: on a reused connection nothing else tells a response
+	// from a surplus one to an earlier call.
+	echoing sync.Map
 	// memory is shared by the bodies that are buffered.
 	memory *readlimit.Memory
 }
@@ -101,26 +107,50 @@
 	return granitehoist.Wrap(granitehoist.UpstreamCut, err, "")
 }
 
-// send sends a call once and returns the response. The error has code UpstreamRefused if
-// the call is invalid or no connection was established, and UpstreamLost otherwise.
-func (s *sender) send(ctx context.Context, c granitehoist.Call) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	client := s.pooled
-	if c.Once {
-		client = s.singleUse
+// client returns the client for a call.
+func (s *sender) client(c granitehoist.Call) *http.Client {
+	if _, echoes := s.echoing.Load(c.Address); c.Once || !echoes {
+		return s.singleUse
 	}
+	return s.pooled
+}
+
+// send sends a call once and returns the response, and whether its connection was reused. The
+// error has code UpstreamRefused if the call is invalid or no connection was established, and
+// UpstreamLost otherwise.
+func (s *sender) send(ctx context.Context, c granitehoist.Call) (response *http.Response, reused bool, err error) {
+	request, err := newRequest(c)
+	if err != nil {
+		return nil, false, granitehoist.Wrap(granitehoist.UpstreamRefused, err, "can't build the HTTP request")
+	}
+	var connected, old atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected.Store(true)
+		old.Store(info.Reused)
+	}}
+	response, err = s.client(c).Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	switch {
+	case err == nil:
+		return response, old.Load(), nil
+	case !connected.Load():
+		return nil, false, granitehoist.Wrap(granitehoist.UpstreamRefused, err, "no connection to the upstream")
+	}
+	return nil, false, granitehoist.Wrap(granitehoist.UpstreamLost, err, "")
+}
+
+// newRequest returns the HTTP request of a call.
+func newRequest(c granitehoist.Call) (*http.Request, error) {
 	base, path, err := splitPath(c)
 	if err != nil {
-		return nil, granitehoist.Wrap(granitehoist.UpstreamRefused, err, "the URL of the call is invalid")
+		return nil, err
 	}
-	builder := sling.New().Client(client).Base(base).Path(path)
+	builder := sling.New().Base(base).Path(path)
 	if len(c.Body) > 0 {
 		builder = builder.Body(nonReplayableBody{bytes.NewReader(c.Body)})
 	}
 	request, err := builder.Request()
 	if err != nil {
-		return nil, granitehoist.Wrap(granitehoist.UpstreamRefused, err, "can't build the HTTP request")
+		return nil, err
 	}
 	request.ContentLength = int64(len(c.Body))
 	request.Method = c.Method
@@ -128,21 +158,15 @@
 		request.Header[name] = values
 	}
 	request.Header.Set(HeaderAttempt, string(c.Attempt))
-	response, err := client.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
-	if err == nil {
-		return response, nil
-	}
-	if !connected.Load() {
-		return nil, granitehoist.Wrap(granitehoist.UpstreamRefused, err, "no connection to the upstream")
-	}
-	return nil, granitehoist.Wrap(granitehoist.UpstreamLost, err, "")
+	return request, nil
 }
 
 // open sends a call and returns the response, or an error with code AnswerCrossed if it
-// names another attempt. The caller must call end after reading the response.
+// names another attempt, or none although its connection was used before. The caller must
+// call end after reading the response.
 func (s *sender) open(ctx context.Context, c granitehoist.Call) (response *http.Response, end func(), err error) {
 	ctx, cancel := context.WithCancel(ctx)
-	response, err = s.send(ctx, c)
+	response, reused, err := s.send(ctx, c)
 	if err != nil {
 		cancel()
 		return nil, nil, err
@@ -154,7 +178,13 @@
 		// The body has been read or is discarded, so an error has no effect.
 		_ = response.Body.Close()
 	}
-	if namesOtherAttempt(response, c.Attempt) {
+	echoed := response.Header.Get(HeaderAttempt)
+	if echoed != "" {
+		s.echoing.Store(c.Address, struct{}{})
+	} else {
+		s.echoing.Delete(c.Address)
+	}
+	if echoed != string(c.Attempt) && (echoed != "" || reused) {
 		end()
 		return nil, nil, granitehoist.Errorf(granitehoist.AnswerCrossed, "")
 	}
@@ -174,12 +204,6 @@
 	return strings.TrimRight(c.Address, "/"), c.Path, nil
 }
 
-// namesOtherAttempt reports whether the response echoes the id of another attempt.
-func namesOtherAttempt(r *http.Response, attempt granitehoist.AttemptID) bool {
-	echoed := r.Header.Get(HeaderAttempt)
-	return echoed != "" && echoed != string(attempt)
-}
-
 // EndToEndHeader returns a copy of h without the fields of one connection or message, as
 // exchange.EndToEndHeader removes them, and without the given names.
 func EndToEndHeader(h http.Header, without ...string) http.Header {
