Show that streams are lost if all routers are killed between two releases

What callers saw: 503 with code 4005 for streams that they took up, although upstreams of the release that began them serve. Real processes, two releases, one worker of the older one leaves, all processes killed by SIGKILL together, twice.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -172,6 +172,7 @@
 		{"name":"once","hostname":"h.example","pathPrefix":"/once/","type":"unsafe","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":1},
 		{"name":"stream","hostname":"h.example","pathPrefix":"/stream/","type":"streaming","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":2,"streamResume":true},
 		{"name":"oncestream","hostname":"h.example","pathPrefix":"/oncestream/","type":"streaming","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":1},
+		{"name":"long","hostname":"h.example","pathPrefix":"/long/","type":"streaming","timeoutMs":10000,"targetLatencyMs":500,"priorityClass":1,"backend":"pool","maxAttempts":2,"streamResume":true},
 		{"name":"fragile","hostname":"h.example","pathPrefix":"/fragile/","type":"unsafe","timeoutMs":3000,"targetLatencyMs":500,"priorityClass":1,"backend":"fragile","maxAttempts":1}],
 		"backends":[{"name":"fragile","healthPath":"/healthz","runtime":{"capacity":64,"increment":%[1]d}},{"name":"pool","healthPath":"/healthz","runtime":{"capacity":64,"increment":%[1]d}}],
 		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -107,6 +107,19 @@
 	}
 }
 
+// drainOne makes one worker of a release drain. It serves on.
+func (s *releaseSeries) drainOne(release granitehoist.Release) {
+	s.mu.Lock()
+	s.serving[release]--
+	s.mu.Unlock()
+	for i, id := range s.fleet.workerIDs {
+		if strings.HasPrefix(id, string(release)+"-") {
+			s.fleet.replaceEntry(platform.InstancesPrefix+id, instanceEntry(s.fleet.workers[i], release, processZone, "draining"))
+			return
+		}
+	}
+}
+
 // servingOf returns the number of workers of a release that serve.
 func (s *releaseSeries) servingOf(release granitehoist.Release) int {
 	s.mu.Lock()
