Archive where streams began while a service has several releases

What callers saw: 503 with code 4005 for streams that they took up after all routers were killed between two releases, although upstreams of the release that began them serve.

Cause: only routers held the records of streams, and all of them were gone.

Change: while several releases are registered, routers hand their records to a writer, one of eight by hash, which writes them to the store with one call for an interval, under a lease that outlasts the streams. A router that finds a stream neither in its table nor at its holders looks there, once a second at most. Nothing is written while there is one release, and no first event waits.

The subtest of TestStreamIsNotResumedElsewhere in which all routers restart expected a refusal because nothing was known; it now plays the two cases in which that is still so (nothing archived, store silent) with the same checks, and TestRestartedRoutersResumeStreams expects the stream to go on at its own release. Package node has another network of loopback addresses, since all tests together had used up two.

--- a/forward/origins.go
+++ b/forward/origins.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"granitehoist.example/granitehoist"
@@ -62,6 +64,9 @@
 	return s
 }
 
+// errOriginUnknown is the cause of a refusal for want of a record.
+var errOriginUnknown = errors.New("forward: no record of the stream")
+
 // findOrigin finds where the stream that the caller takes up began. The stream may go on
 // only there, so that findOrigin refuses the request if that is unknown or not possible.
 func (a *activeRequest) findOrigin(ctx context.Context) error {
@@ -71,10 +76,12 @@
 	settings := &a.forwarder.settings
 	found, known := settings.Origins.Find(ctx, a.stream(), a.admission.service.Name)
 	if !known {
-		return originUnknown.error(a.timeLeft())
+		e := originUnknown.error(a.timeLeft())
+		e.Cause = errOriginUnknown
+		return e
 	}
 	if !a.useService(found.Service) || !settings.Table.Serves(found.Service, found.Release) {
-		return a.originGoneError(nil)
+		return a.originGoneError(fmt.Errorf("forward: no instance of release %q of %s", found.Release, found.Service))
 	}
 	a.progress.origin = &found
 	return nil
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -65,11 +65,13 @@
 	Release           Name = "release"
 	ReleaseFailed     Name = "release_failed"
 	OriginDropped     Name = "origin_dropped"
-	ReadLimitExceeded Name = "read_limit_exceeded"
-	BudgetGrant       Name = "budget_grant"
-	BudgetLoan        Name = "budget_loan"
-	BudgetRepaid      Name = "budget_repaid"
-	BudgetSyncFailed  Name = "budget_sync_failed"
+
+	OriginArchiveFailed Name = "origin_archive_failed"
+	ReadLimitExceeded   Name = "read_limit_exceeded"
+	BudgetGrant         Name = "budget_grant"
+	BudgetLoan          Name = "budget_loan"
+	BudgetRepaid        Name = "budget_repaid"
+	BudgetSyncFailed    Name = "budget_sync_failed"
 )
 
 // Events of roll-outs, logged by package rollout.
@@ -87,7 +89,7 @@
 		Start, Stop, Stopped, Reload, ReloadFailed, ServeFailed, ReturnFailed, LeaveFailed, LogDropped, Resumed,
 		Request, Attempt, Suspect,
 		ConfigInForce, ConfigBad, ZoneEvacuated, ZoneRestored, Upstream, UpstreamGone, UpstreamBad, UpstreamLimit, UpstreamLeaving, UpstreamBackoff, RejectionLimit, PathLost, PathRegained, DetourFailed, StoreLost, StoreRegained, HistoryGone,
-		StoreRestored, CopyRejected, CopyFromNeighbour, RelayLost, Shedding, PeerBad, SuspectBad, SuspectKeepFailed, Release, ReleaseFailed, OriginDropped, ReadLimitExceeded, BudgetGrant, BudgetLoan, BudgetRepaid, BudgetSyncFailed,
+		StoreRestored, CopyRejected, CopyFromNeighbour, RelayLost, Shedding, PeerBad, SuspectBad, SuspectKeepFailed, Release, ReleaseFailed, OriginDropped, OriginArchiveFailed, ReadLimitExceeded, BudgetGrant, BudgetLoan, BudgetRepaid, BudgetSyncFailed,
 		RolloutOrder, RolloutStage, RolloutFinding, RolloutVerdict, RolloutWriteFailed,
 	}
 }
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -96,7 +96,7 @@
 // from 128 to 223 belong to package soak.
 func nextIP() string {
 	const octet, hosts = 256, 254
-	networks := []struct{ first, count int }{{64, 64}, {224, 31}}
+	networks := []struct{ first, count int }{{64, 64}, {224, 31}, {16, 48}}
 	pid, number := os.Getpid(), int(lastIP.Add(1)-1)
 	network := networks[number/hosts]
 	return fmt.Sprintf("127.%d.%d.%d", network.first+pid/octet%network.count, pid%octet, 1+number%hosts)
--- a/node/golden_test.go
+++ b/node/golden_test.go
@@ -14,6 +14,7 @@
 	"granitehoist.example/granitehoist/balance"
 	"granitehoist.example/granitehoist/escrow"
 	"granitehoist.example/granitehoist/follow"
+	"granitehoist.example/granitehoist/origin"
 	"granitehoist.example/granitehoist/rollout"
 	"granitehoist.example/granitehoist/suspect"
 )
@@ -70,6 +71,8 @@
 	{"origins-hold", decodeAs[holdParams]},
 	{"origins-find-question", decodeAs[findParams]},
 	{"origins-find", decodeAs[findResult]},
+	{"origins-archive", decodeAs[archiveParams]},
+	{"origins-segment", decodeAs[origin.Segment]},
 	{"releases", decodeAs[releasesResult]},
 	{"rollout-record", decodeAs[rollout.Record]},
 }
--- a/node/node.go
+++ b/node/node.go
@@ -131,6 +131,8 @@
 	go n.components.suspects.runStore(ctx)
 	go n.components.origins.registry.run(ctx)
 	go n.components.origins.run(ctx)
+	go n.components.origins.writer.runHandOver(ctx)
+	go n.components.origins.writer.runWrite(ctx)
 	go n.components.signals.runPush(ctx)
 	go n.components.limits.runPermits(ctx)
 	go n.components.rollouts.run(ctx)
--- a/node/origins.go
+++ b/node/origins.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,6 +74,8 @@
 	table    origin.Table
 	registry *releaseRegistry
 	outbox   *originOutbox
+	writer   *originWriter
+	archive  *originArchive
 	peers    *peers
 	clock    granitehoist.Clock
 	log      *zap.Logger
@@ -85,6 +88,8 @@
 	return &origins{
 		registry: newReleaseRegistry(n, c),
 		outbox:   newOriginOutbox(c.peers, n.log),
+		writer:   newOriginWriter(n, c.peers),
+		archive:  newOriginArchive(n, c.peers),
 		peers:    c.peers,
 		clock:    n.clock,
 		log:      n.log,
@@ -113,8 +118,12 @@
 	return o.registry.known.IsMixed(s) || o.storeAge(now) > silentStoreAge
 }
 
-// replicate sends a record to the holders of its stream.
+// replicate sends a record to the holders of its stream, and archives it while the service
+// has several registered releases.
 func (o *origins) replicate(r origin.Record) {
+	if o.registry.known.IsMixed(r.Service) {
+		o.writer.add(r)
+	}
 	view := o.peers.view()
 	o.outbox.send(r, view.holders(r.Stream, holdersAsked), view.originReplicas())
 }
@@ -126,18 +135,50 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	sources := []func() findResult{}
-	if !o.registry.known.IsMixed(service) {
-		sources = append(sources, func() findResult { return o.onlyOrigin(ctx, service) })
+	if s.Request == "" {
+		found := o.onlyOrigin(ctx, service)
+		return found.Origin, found.Found
 	}
-	if s.Request != "" {
-		for _, holder := range o.peers.view().holders(s, holdersAsked) {
-			sources = append(sources, func() findResult { return o.ask(ctx, holder.peer(), s) })
-		}
+	var holders sync.WaitGroup
+	var sources []func() findResult
+	for _, holder := range o.peers.view().holders(s, holdersAsked) {
+		holders.Add(1)
+		sources = append(sources, func() findResult {
+			defer holders.Done()
+			return o.ask(ctx, holder.peer(), s)
+		})
 	}
+	sources = append(sources, func() findResult { return o.findInStore(ctx, s, service, &holders) })
 	return firstFound(sources)
 }
 
+// findInStore returns the only registered release of a service, or the archived origin of a
+// stream. It looks into the archive once the holders of the stream have answered, or after
+// archiveDelay.
+func (o *origins) findInStore(ctx context.Context, s origin.Stream, service granitehoist.Service, holders *sync.WaitGroup) findResult {
+	if found := o.onlyOrigin(ctx, service); found.Found {
+		return found
+	}
+	answered := make(chan struct{})
+	go func() {
+		holders.Wait()
+		close(answered)
+	}()
+	waitForChange(ctx, answered, archiveDelay)
+	return o.archive.find(ctx, s)
+}
+
+// waitForChange waits until changed is closed, ctx ends or the timeout passes.
+func waitForChange(ctx context.Context, changed <-chan struct{}, timeout time.Duration) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
 // firstFound calls all sources at once and returns the first origin that one of them
 // found.
 func firstFound(sources []func() findResult) (origin.Origin, bool) {
@@ -153,8 +194,12 @@
 	return origin.Origin{}, false
 }
 
-// onlyOrigin returns the only registered release of a service.
+// onlyOrigin returns the only registered release of a service. It reads nothing while this
+// node knows of several.
 func (o *origins) onlyOrigin(ctx context.Context, s granitehoist.Service) findResult {
+	if o.registry.known.IsMixed(s) {
+		return findResult{}
+	}
 	release, found := o.registry.only(ctx, s, o.clock())
 	return findResult{Found: found, Origin: origin.Origin{Service: s, Release: release}}
 }
@@ -190,6 +235,7 @@
 	for ctx.Err() == nil {
 		now := o.clock()
 		o.table.Sweep(now)
+		o.archive.records.Sweep(now)
 		var started []granitehoist.Service
 		for service := range o.registry.known.Registered() {
 			replicates := o.replicates(service, now)
--- a/node/resumedstream_test.go
+++ b/node/resumedstream_test.go
@@ -5,6 +5,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,6 +18,8 @@
 	. "github.com/onsi/gomega"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/pack"
+	"granitehoist.example/granitehoist/origin"
 	"granitehoist.example/granitehoist/platform"
 	"granitehoist.example/granitehoist/standin"
 )
@@ -292,6 +296,61 @@
 	})
 }
 
+// awaitArchived waits until the store holds the record of a stream.
+func (s *testFleet) awaitArchived(root string) {
+	fingerprint := origin.FingerprintOf(origin.Stream{Workspace: "kiosk", Request: granitehoist.RequestID(root)})
+	s.Eventually(func() bool {
+		for _, key := range s.keysUnder("origins/") {
+			entry, err := s.store.Get(context.Background(), key)
+			s.Expect(err).NotTo(HaveOccurred())
+			var segment origin.Segment
+			s.Expect(pack.Unpack(entry.Value, &segment)).To(Succeed())
+			for _, g := range segment.Groups {
+				if bytes.Contains(g.Streams, fingerprint[:]) {
+					return true
+				}
+			}
+		}
+		return false
+	}, stepTimeout).Should(BeTrue())
+}
+
+// TestRestartedRoutersResumeStreams guards against streams of a service with two releases that
+// are lost, or that go on at the other release, after all routers were killed together.
+func TestRestartedRoutersResumeStreams(t *testing.T) {
+	t.Parallel()
+	for _, nodes := range []int{1, 3} {
+		for _, release := range []granitehoist.Release{"v1", "v2"} {
+			t.Run(fmt.Sprintf("%d routers, begun at %s", nodes, release), func(t *testing.T) {
+				t.Parallel()
+				s, workers := newReleaseFleet(t, nodes, sendSlowly)
+				root := workers.beginAt(s.members[0], release, "q")
+				s.awaitArchived(root)
+				for _, m := range s.members {
+					m.node.Kill()
+				}
+				started := []*member{s.start(), s.start()}
+				for _, m := range started {
+					s.Eventually(m.ready, stepTimeout).Should(Equal(http.StatusOK))
+				}
+				for _, m := range started {
+					m.expectResumed(root)
+				}
+				s.Expect(workers.mixedStreams()).To(BeEmpty())
+			})
+		}
+	}
+	t.Run("one release has left nothing in the store", func(t *testing.T) {
+		t.Parallel()
+		s := newTestFleet(t, 1)
+		s.configure(1, 1_000_000, "/stream/", "/a/")
+		workers := s.startReleases(2, sendSlowly, "v1")
+		s.awaitFleet("/a/x")
+		workers.beginAt(s.members[0], "v1", "q")
+		s.Consistently(func() []string { return s.keysUnder("origins/") }, "500ms").Should(BeEmpty())
+	})
+}
+
 // TestStreamIsNotResumedElsewhere guards against streams that go on at another release, and
 // against callers who wait for the refusal.
 func TestStreamIsNotResumedElsewhere(t *testing.T) {
@@ -311,16 +370,34 @@
 		s.members[1].expectNotResumed(root)
 		s.Expect(workers.requests("v2")).To(Equal(before))
 	})
-	t.Run("after all routers of a service with two releases have restarted", func(t *testing.T) {
+	t.Run("after all routers of a service with two releases have restarted, without an archived record", func(t *testing.T) {
 		t.Parallel()
 		s, workers := newReleaseFleet(t, 2, sendSlowly)
+		for _, m := range s.members {
+			m.store.Fail(standin.PlatformFaults{RefuseWrites: true})
+		}
 		root := workers.beginAt(s.members[0], "v1", "q")
 		for _, m := range s.members {
-			m.node.Stop()
+			m.node.Kill()
+		}
+		started := s.start()
+		s.Eventually(started.ready, stepTimeout).Should(Equal(http.StatusOK))
+		started.expectNotResumed(root)
+		s.Expect(workers.mixedStreams()).To(BeEmpty())
+	})
+	t.Run("after all routers of a service with two releases have restarted, with the store silent", func(t *testing.T) {
+		t.Parallel()
+		s, workers := newReleaseFleet(t, 2, sendSlowly)
+		root := workers.beginAt(s.members[0], "v1", "q")
+		s.awaitArchived(root)
+		for _, m := range s.members {
+			m.node.Kill()
 		}
 		started := s.start()
 		s.Eventually(started.ready, stepTimeout).Should(Equal(http.StatusOK))
+		started.store.Fail(standin.PlatformFaults{Hang: true})
 		started.expectNotResumed(root)
+		s.Expect(workers.mixedStreams()).To(BeEmpty())
 	})
 	t.Run("at a router without the store and without neighbours", func(t *testing.T) {
 		t.Parallel()
--- a/node/servers.go
+++ b/node/servers.go
@@ -195,17 +195,19 @@
 // newCallServer returns the server for calls between nodes.
 func newCallServer(n *Node) *fleet.Server {
 	methods := map[string]fleet.HandlerFunc{
-		methodUpdates:      fleet.Handle(n.serveUpdates),
-		escrow.MethodLend:  fleet.Handle(n.components.syncer.ServeLend),
-		escrow.MethodRepay: fleet.Handle(n.components.syncer.ServeRepay),
-		methodPushSuspects: fleet.Handle(n.components.suspects.servePush),
-		methodPullSuspects: fleet.Handle(n.components.suspects.servePull),
-		methodHoldOrigins:  fleet.Handle(n.components.origins.serveHold),
-		methodFindOrigin:   fleet.Handle(n.components.origins.serveFind),
-		methodReleases:     fleet.Handle(n.components.origins.registry.serveReleases),
-		methodPushSignals:  fleet.Handle(n.components.signals.servePush),
-		methodPermits:      fleet.Handle(n.components.limits.servePermits),
-		methodReach:        fleet.Handle(n.components.tunnels.serveReach),
+		methodUpdates:        fleet.Handle(n.serveUpdates),
+		escrow.MethodLend:    fleet.Handle(n.components.syncer.ServeLend),
+		escrow.MethodRepay:   fleet.Handle(n.components.syncer.ServeRepay),
+		methodPushSuspects:   fleet.Handle(n.components.suspects.servePush),
+		methodPullSuspects:   fleet.Handle(n.components.suspects.servePull),
+		methodHoldOrigins:    fleet.Handle(n.components.origins.serveHold),
+		methodFindOrigin:     fleet.Handle(n.components.origins.serveFind),
+		methodArchiveOrigins: fleet.Handle(n.components.origins.writer.serveArchive),
+		methodFindArchived:   fleet.Handle(n.components.origins.archive.serveFind),
+		methodReleases:       fleet.Handle(n.components.origins.registry.serveReleases),
+		methodPushSignals:    fleet.Handle(n.components.signals.servePush),
+		methodPermits:        fleet.Handle(n.components.limits.servePermits),
+		methodReach:          fleet.Handle(n.components.tunnels.serveReach),
 	}
 	n.components.rollouts.addMethods(methods)
 	return fleet.NewServer(fleet.ServerSettings{
--- a/soak/powerloss_test.go
+++ b/soak/powerloss_test.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -26,9 +27,11 @@
 	// powerLosses is the number of times that all processes are killed together.
 	powerLosses = 2
 	// longEvents is the number of events of a stream, longGap the time between two.
-	longEvents, longGap = 60, 40 * time.Millisecond
+	longEvents, longGap = 100, 40 * time.Millisecond
+	// longPause bounds the pause of a caller between two streams.
+	longPause = 1500 * time.Millisecond
 	// longTimeout is the deadline that callers send with a stream.
-	longTimeout = 8 * time.Second
+	longTimeout = 10 * time.Second
 	// longCallers is the number of callers of each process.
 	longCallers = 10
 	// minResumedShare is the least share of the streams that callers take up which go on.
@@ -46,6 +49,8 @@
 	taken, resumed int
 	complete       int
 	mixed          []string
+	// refused describes the streams that did not go on.
+	refused []string
 	// slow describes the streams whose refusal took too long.
 	slow []string
 }
@@ -62,6 +67,7 @@
 // run opens one stream after the other until stop is closed.
 func (c *longCaller) run(stop <-chan struct{}) {
 	defer c.client.CloseIdleConnections()
+	time.Sleep(time.Duration(c.random.Int64N(int64(longPause))))
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -69,6 +75,8 @@
 		default:
 		}
 		c.stream(fmt.Sprintf("%s-%d", c.name, n), stop)
+		// Without a pause all callers would begin their streams at the same time.
+		time.Sleep(time.Duration(c.random.Int64N(int64(longPause))))
 	}
 }
 
@@ -80,22 +88,40 @@
 	for try := 0; time.Since(began) < longTimeout; try++ {
 		before := held
 		sent := time.Now()
-		status, wrong, complete := c.send(&held, fmt.Sprintf("%s-%d", name, try))
-		c.results.count(&before, &held, status, complete, wrong, time.Since(sent))
-		if complete || wrong != "" || status != 0 && held.events == before.events {
+		result := c.send(&held, fmt.Sprintf("%s-%d", name, try))
+		pause := time.Duration(10+c.random.IntN(60)) * time.Millisecond
+		if result.comesBack() {
+			pause += result.retryAfter
+		} else {
+			c.results.count(&before, &held, result, time.Since(sent))
+		}
+		if result.complete || result.wrong != "" || result.status != 0 && !result.comesBack() && held.events == before.events {
 			return
 		}
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(10+c.random.IntN(60)) * time.Millisecond):
+		case <-time.After(pause):
 		}
 	}
 }
 
-// send sends one request for the stream to a random process. It returns the status, zero
-// without one, what is wrong with the events, and whether the stream is complete.
-func (c *longCaller) send(held *heldStream, id string) (status int, wrong string, complete bool) {
+// longResult is what a request for a stream brought.
+type longResult struct {
+	// status is zero without a response.
+	status int
+	// retryAfter is how long a refused caller is asked to wait, zero if it is not.
+	retryAfter time.Duration
+	// wrong says what is wrong with the events.
+	wrong    string
+	complete bool
+}
+
+// comesBack reports whether the caller was asked to try again.
+func (r *longResult) comesBack() bool { return r.retryAfter > 0 }
+
+// send sends one request for the stream to a random process.
+func (c *longCaller) send(held *heldStream, id string) longResult {
 	request, err := newRequest(c.fleet.processes[c.random.IntN(len(c.fleet.processes))], "long", id, "question")
 	c.fleet.must(err)
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(longTimeout.Milliseconds(), 10))
@@ -108,14 +134,18 @@
 	defer cancel()
 	response, err := c.client.Do(request.WithContext(ctx))
 	if err != nil {
-		return 0, "", false
+		return longResult{}
 	}
 	// An error of Close doesn't matter once the body has been read.
 	defer func() { _ = response.Body.Close() }()
+	result := longResult{status: response.StatusCode}
 	if response.StatusCode != http.StatusOK {
+		// Without a valid number the caller does not come back.
+		seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		result.retryAfter = time.Duration(seconds * float64(time.Second))
 		// An error here ends the connection, and the caller uses another one.
 		_, _ = io.Copy(io.Discard, response.Body)
-		return response.StatusCode, "", false
+		return result
 	}
 	lines := bufio.NewScanner(response.Body)
 	var event []string
@@ -124,34 +154,37 @@
 			event = append(event, lines.Text())
 			continue
 		}
-		if wrong = held.take(id, event); wrong != "" {
-			return response.StatusCode, wrong, false
+		if result.wrong = held.take(id, event); result.wrong != "" {
+			return result
 		}
 		event = nil
 	}
-	return response.StatusCode, "", lines.Err() == nil && held.events == longEvents
+	result.complete = lines.Err() == nil && held.events == longEvents
+	return result
 }
 
 // count records one request for a stream of which the caller had before and has now.
-func (l *longStreams) count(before, now *heldStream, status int, complete bool, wrong string, took time.Duration) {
+func (l *longStreams) count(before, now *heldStream, result longResult, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if complete {
+	if result.complete {
 		l.complete++
 	}
-	if wrong != "" {
-		l.mixed = append(l.mixed, wrong)
+	if result.wrong != "" {
+		l.mixed = append(l.mixed, result.wrong)
 	}
-	if before.root == "" || status == 0 {
+	if before.root == "" || result.status == 0 {
 		return
 	}
 	l.taken++
 	switch {
 	case now.events > before.events:
 		l.resumed++
+		return
 	case took > maxRefusalTime:
-		l.slow = append(l.slow, fmt.Sprintf("%s refused with %d after %s", before.root, status, took))
+		l.slow = append(l.slow, fmt.Sprintf("%s refused with %d after %s", before.root, result.status, took))
 	}
+	l.refused = append(l.refused, fmt.Sprintf("%s after %d events", before.root, before.events))
 }
 
 // TestPowerLoss guards against streams that can't be taken up after all processes, or most of
@@ -241,5 +274,5 @@
 	if float64(l.resumed) < minResumedShare*float64(l.taken) {
 		t.Errorf("%d of %d streams that callers took up went on", l.resumed, l.taken)
 	}
-	t.Logf("%d of %d streams went on, %d complete", l.resumed, l.taken, l.complete)
+	t.Logf("%d of %d streams went on, %d complete; refused: %s", l.resumed, l.taken, l.complete, strings.Join(l.refused, ", "))
 }
