Keep for how long the store has held a ceiling over a restart of all routers

What callers saw: 503 with code 3003 for all requests of the busiest workspace for 15 s after all routers were killed, with a quarter of its tokens in the store; with them the streams that callers took up.

Cause: a raised ceiling counts once the store has held it for the loss window, and only the routers that saw it knew since when. After a kill of all the window began anew.

Change: a router writes with the record for how long, at least, the store has held the ceilings above the durable one, four at most. Others count from there in the same era and as long as no ceiling was lowered. The time is a lower bound whatever their clocks say, since the record is read after it was written.

--- a/escrow/ceiling.go
+++ b/escrow/ceiling.go
@@ -4,7 +4,9 @@
 package escrow
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"granitehoist.example/granitehoist"
@@ -34,7 +36,8 @@
 	since ceilingEpoch
 	// durable is the highest ceiling that the store has held for the loss window.
 	durable granitehoist.Tokens
-	// observed holds the higher ceilings that the store holds, in ascending order.
+	// observed holds the higher ceilings that the store holds, in ascending order and in the
+	// order of time.
 	observed []observedCeiling
 }
 
@@ -58,13 +61,51 @@
 		*c = ceilings{since: epoch}
 	}
 	c.durable = max(c.durable, account.Durable)
-	highest := c.durable
-	if n := len(c.observed); n > 0 {
-		highest = max(highest, c.observed[n-1].total)
+	if h := account.Held; h != nil && c.since == (ceilingEpoch{h.Era, h.Lowerings}) {
+		for _, held := range h.Ceilings {
+			// The account was written before now, and the ceiling held for longer by then.
+			c.note(observedCeiling{held.Total, now.Add(-time.Duration(held.HeldMS) * time.Millisecond)})
+		}
 	}
-	if account.Ceiling > highest {
-		c.observed = append(c.observed, observedCeiling{account.Ceiling, now})
+	c.note(observedCeiling{account.Ceiling, now})
+}
+
+// note adds a ceiling that the store holds. A ceiling covers those below it.
+func (c *ceilings) note(added observedCeiling) {
+	covers := func(a, b observedCeiling) bool { return a.total >= b.total && !a.since.After(b.since) }
+	if added.total <= c.durable || slices.ContainsFunc(c.observed, func(o observedCeiling) bool { return covers(o, added) }) {
+		return
+	}
+	c.observed = slices.DeleteFunc(c.observed, func(o observedCeiling) bool { return covers(added, o) })
+	i, _ := slices.BinarySearchFunc(c.observed, added, func(a, b observedCeiling) int { return cmp.Compare(a.total, b.total) })
+	c.observed = slices.Insert(c.observed, i, added)
+}
+
+// maxHeldCeilings is the number of ceilings in a HeldCeilings. The loss window is divided into
+// as many parts, and of the ceilings that were first seen in one of them the highest counts.
+const maxHeldCeilings = 4
+
+// held returns for how long the store has held ceilings that are not durable, as known at now,
+// nil if there are none. Another router, or this one after a restart, then need not wait for
+// the whole window again.
+func (c *ceilings) held(window time.Duration, now time.Time) *HeldCeilings {
+	if len(c.observed) == 0 {
+		return nil
+	}
+	h := &HeldCeilings{Era: c.since.era, Lowerings: c.since.lowerings}
+	last := -1
+	for _, o := range c.observed {
+		age := max(0, now.Sub(o.since))
+		held := HeldCeiling{Total: o.total, HeldMS: age.Milliseconds()}
+		part := int(age * maxHeldCeilings / window)
+		if part != last {
+			h.Ceilings = append(h.Ceilings, held)
+			last = part
+			continue
+		}
+		h.Ceilings[len(h.Ceilings)-1] = held
 	}
+	return h
 }
 
 // advance updates durable to now.
@@ -85,13 +126,14 @@
 	return max(0, c.durable-account.Outstanding())
 }
 
-// announce changes the ceilings of an account that is about to be written. A raised ceiling
+// announce changes the ceilings of an account that is about to be written at now. A raised ceiling
 // counts once the store has held it for the loss window, but the first one and a lowered one
 // at once: all grants are writes of the record that states them.
-func (c *ceilings) announce(account *StoredAccount, i ceilingInputs) {
+func (c *ceilings) announce(account *StoredAccount, i ceilingInputs, now time.Time) {
 	if i.window <= 0 {
 		return
 	}
+	account.Held = c.held(i.window, now)
 	wanted := min(noCeiling, account.Outstanding()+i.headroom())
 	account.Durable = max(account.Durable, c.durable)
 	switch {
@@ -102,5 +144,6 @@
 	case account.Durable >= account.Ceiling && float64(account.Ceiling-account.Outstanding()) > highHeadroom*float64(i.headroom()):
 		account.Ceiling, account.Durable = wanted, wanted
 		account.Lowerings++
+		account.Held = nil
 	}
 }
--- a/escrow/pendingrows.go
+++ b/escrow/pendingrows.go
@@ -79,7 +79,7 @@
 		ceiling := a.ceilingInputs(after, c)
 		if row != found || rowNeedsWrite(row, next, remaining, a.owned.limit) || ceiling.needsRaise(stored) {
 			stored.Rows[self] = next
-			a.ceilings.announce(stored, ceiling)
+			a.ceilings.announce(stored, ceiling, now)
 			p[w] = pendingRow{row: next, remaining: after, unconfirmed: stored.Unconfirmed, limit: a.owned.limit}
 		}
 		a.lastTarget = a.target(remaining, c)
--- a/escrow/record.go
+++ b/escrow/record.go
@@ -46,6 +46,23 @@
 // Net returns the tokens that were granted to the incarnation and not returned.
 func (r Row) Net() granitehoist.Tokens { return r.Granted - r.Returned }
 
+// HeldCeilings says for how long the store had held some ceilings of an account when it was
+// written. A HeldCeilings is not changed after that.
+type HeldCeilings struct {
+	// Era and Lowerings are the store's era and StoredAccount.Lowerings at that time. In
+	// others the ceilings are held anew.
+	Era       granitehoist.Era `json:"e,omitempty"`
+	Lowerings int              `json:"l,omitempty"`
+	Ceilings  []HeldCeiling    `json:"c"`
+}
+
+// HeldCeiling is a ceiling and the least time for which the store had held it, in
+// milliseconds.
+type HeldCeiling struct {
+	Total  granitehoist.Tokens `json:"t"`
+	HeldMS int64               `json:"ms"`
+}
+
 // StoredAccount is the record of one workspace.
 type StoredAccount struct {
 	// EndedNet is the sum of Row.Net over incarnations that have ended.
@@ -56,6 +73,9 @@
 	Ceiling   granitehoist.Tokens `json:"c,omitempty"`
 	Durable   granitehoist.Tokens `json:"d,omitempty"`
 	Lowerings int                 `json:"l,omitempty"`
+	// Held holds for how long the store has held ceilings above Durable; nil if that is not
+	// known of any.
+	Held *HeldCeilings `json:"h,omitempty"`
 	// Unconfirmed is how many more tokens can have been granted by writes that the store has
 	// lost, in becoming the store of Era.
 	Unconfirmed granitehoist.Tokens              `json:"u,omitempty"`
--- a/node/golden_test.go
+++ b/node/golden_test.go
@@ -58,6 +58,7 @@
 	{"escrow", decodeAs[escrow.Record]},
 	{"escrow-era", decodeAs[escrow.Record]},
 	{"escrow-confirmed", decodeAs[escrow.Record]},
+	{"escrow-held", decodeAs[escrow.Record]},
 	{"escrow-divided", decodeAs[escrow.Record]},
 	{"limits", decodeAs[balance.Updates]},
 	{"limits-leaving", decodeAs[balance.Updates]},
