Count the orders of roll-outs as known once they have been applied

What callers saw: requests at the target of a replaced order.

Cause, traced by logs: a router learned of the new release's instance some 24 us before the order that concerns it. The copy of the orders already stated the order's version, since the copy changes before its user is told, so that the release counted as one without an order and stayed in force after the next order. Class: a version was taken for what had been handled.

Change: follow.Follower.AppliedVersion, which grows after OnChange.

Measured: TestAppliedVersion fails with Version in its place.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"iter"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,6 +24,8 @@
 	copy     *prefixCopy
 	// lastUpdatesCall is when another router last called Updates.
 	lastUpdatesCall atomicTime
+	// applied is the result of AppliedVersion.
+	applied atomic.Uint64
 
 	// The fields below belong to the goroutine of Run.
 
@@ -295,6 +298,7 @@
 	changed := f.copy.apply(update, f.settings.Clock())
 	if first {
 		f.settings.OnChange(changed, update.Version)
+		f.applied.Store(uint64(f.Version()))
 		return
 	}
 	f.report(changed, update.Version)
@@ -305,6 +309,7 @@
 	if len(changed) > 0 {
 		f.settings.OnChange(changed, at)
 	}
+	f.applied.Store(uint64(f.Version()))
 }
 
 // Updates returns the changes after a version. If there are none, it waits up to wait for a
@@ -330,6 +335,12 @@
 // Version returns the store's version of the copy, and zero before there is a copy.
 func (f *Follower) Version() granitehoist.Version { return f.copy.version() }
 
+// AppliedVersion returns the version up to which Settings.OnChange has handled the changes.
+// Version is above it while OnChange runs.
+func (f *Follower) AppliedVersion() granitehoist.Version {
+	return granitehoist.Version(f.applied.Load())
+}
+
 // HasCopy reports whether a copy has been received from the store or another router.
 func (f *Follower) HasCopy() bool { return f.copy.hasCopy() }
 
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -40,7 +40,7 @@
 		StatusKey:     n.adapter.StatusKey,
 		EncodeStatus:  n.adapter.EncodeStatus,
 		Releases:      c.table.Releases,
-		OrdersVersion: func() granitehoist.Version { return n.configs.follower.Version() },
+		OrdersVersion: func() granitehoist.Version { return n.configs.follower.AppliedVersion() },
 		Members:       c.peers.members,
 		Caller:        c.peers,
 		Regions:       countRegions(n.config.Regions),
