Wait for a change and read streams in one place each

Two functions stood twice: the wait for a change (forward, node) is pause.Until now, and the reading of a stream's events in the soak a method of heldStream. No behaviour changes.

--- a/forward/wait.go
+++ b/forward/wait.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"time"
+
+	"granitehoist.example/granitehoist/internal/pause"
 )
 
 // waitReason is why a request can't be sent yet.
@@ -35,7 +37,7 @@
 		if ctx.Err() != nil || left <= 0 || reason.left > left {
 			return reason.refusal()
 		}
-		waitForChange(ctx, reason.changed, nextCheck(reason.left, left))
+		pause.Until(ctx, reason.changed, nextCheck(reason.left, left))
 	}
 }
 
@@ -47,14 +49,3 @@
 	}
 	return left
 }
-
-// waitForChange waits until changed is closed, ctx ends or the timeout passes.
-func waitForChange(ctx context.Context, changed <-chan struct{}, timeout time.Duration) {
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-changed:
-	case <-timer.C:
-	}
-}
--- a/internal/pause/pause_test.go
+++ b/internal/pause/pause_test.go
@@ -38,3 +38,29 @@
 		}
 	})
 }
+
+func TestUntil(t *testing.T) {
+	closed, open := make(chan struct{}), make(chan struct{})
+	close(closed)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for name, wait := range map[string]func(){
+		"a change":        func() { pause.Until(context.Background(), closed, time.Minute) },
+		"an ended ctx":    func() { pause.Until(ended, open, time.Minute) },
+		"the time passes": func() { pause.Until(context.Background(), open, time.Millisecond) },
+		"no time":         func() { pause.Until(context.Background(), nil, 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			done := make(chan struct{})
+			go func() {
+				wait()
+				close(done)
+			}()
+			select {
+			case <-done:
+			case <-time.After(10 * time.Second):
+				t.Error("it goes on waiting")
+			}
+		})
+	}
+}
--- a/node/origins.go
+++ b/node/origins.go
@@ -15,6 +15,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/event"
+	"granitehoist.example/granitehoist/internal/pause"
 	"granitehoist.example/granitehoist/origin"
 )
 
@@ -164,21 +165,10 @@
 		holders.Wait()
 		close(answered)
 	}()
-	waitForChange(ctx, answered, archiveDelay)
+	pause.Until(ctx, answered, archiveDelay)
 	return o.archive.find(ctx, s)
 }
 
-// waitForChange waits until changed is closed, ctx ends or the timeout passes.
-func waitForChange(ctx context.Context, changed <-chan struct{}, timeout time.Duration) {
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-changed:
-	case <-timer.C:
-	}
-}
-
 // firstFound calls all sources at once and returns the first origin that one of them
 // found.
 func firstFound(sources []func() findResult) (origin.Origin, bool) {
--- a/soak/powerloss_test.go
+++ b/soak/powerloss_test.go
@@ -4,7 +4,6 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -147,19 +146,8 @@
 		_, _ = io.Copy(io.Discard, response.Body)
 		return result
 	}
-	lines := bufio.NewScanner(response.Body)
-	var event []string
-	for lines.Scan() {
-		if lines.Text() != "" {
-			event = append(event, lines.Text())
-			continue
-		}
-		if result.wrong = held.take(id, event); result.wrong != "" {
-			return result
-		}
-		event = nil
-	}
-	result.complete = lines.Err() == nil && held.events == longEvents
+	result.wrong, err = held.read(id, response.Body)
+	result.complete = err == nil && result.wrong == "" && held.events == longEvents
 	return result
 }
 
--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -184,6 +184,24 @@
 	return ""
 }
 
+// read adds the events of a response to the stream until one is wrong, which it describes, or
+// the body ends. The error is that of the body.
+func (h *heldStream) read(id string, body io.Reader) (wrong string, err error) {
+	lines := bufio.NewScanner(body)
+	var event []string
+	for lines.Scan() {
+		if lines.Text() != "" {
+			event = append(event, lines.Text())
+			continue
+		}
+		if wrong := h.take(id, event); wrong != "" {
+			return wrong, nil
+		}
+		event = nil
+	}
+	return "", lines.Err()
+}
+
 // streamCaller opens streams and resumes those that break off, at other processes.
 type streamCaller struct {
 	fleet   *fleet
@@ -252,19 +270,11 @@
 		_, _ = io.Copy(io.Discard, response.Body)
 		return response.StatusCode, "", false
 	}
-	lines := bufio.NewScanner(response.Body)
-	var event []string
-	for lines.Scan() {
-		if lines.Text() != "" {
-			event = append(event, lines.Text())
-			continue
-		}
-		if wrong = held.take(id, event); wrong != "" {
-			return response.StatusCode, wrong, false
-		}
-		event = nil
+	wrong, err = held.read(id, response.Body)
+	if wrong != "" {
+		return response.StatusCode, wrong, false
 	}
-	complete = lines.Err() == nil
+	complete = err == nil
 	if complete && held.events != labelledEvents {
 		wrong = fmt.Sprintf("complete after %d events", held.events)
 	}
