--- a/forward/promise_test.go
+++ b/forward/promise_test.go
@@ -106,9 +106,8 @@
 	return int(runs.Load()), err
 }
 
-// TestNotRunIsProven guards against a request that is refused as not run although an upstream
-// began to work on it, and against second runs of requests that must run once, whatever its
-// attempts meet, also while the machine is suspended.
+// TestNotRunIsProven guards against refusals as not run of requests that an upstream began to
+// work on, and against second runs of requests that must run once.
 func TestNotRunIsProven(t *testing.T) {
 	RegisterTestingT(t)
 	rapid.Check(t, func(t *rapid.T) {
--- a/node/originroles_test.go
+++ b/node/originroles_test.go
@@ -149,8 +149,7 @@
 }
 
 // TestArchiveCost guards against an archive that costs nodes or the store more than they may
-// spend: 22 KB a second for a node and a quarter of 1,200 writes a second, at 45 streams a
-// second begun at each node.
+// spend.
 func TestArchiveCost(t *testing.T) {
 	const (
 		streamsPerSecond = 45
--- a/soak/keptconnections_test.go
+++ b/soak/keptconnections_test.go
@@ -114,9 +114,8 @@
 	return response.StatusCode, response.Close, nil
 }
 
-// TestLastRequests guards against requests on kept connections that run while their process
-// stops, and whose connection is then closed without an answer, and against refusals as not
-// run of requests that ran. Signals come in series and overlap.
+// TestLastRequests guards against requests that run while their process stops and get no
+// answer, or one that they did not run. Signals come in series and overlap.
 func TestLastRequests(t *testing.T) {
 	from, to := seedRange(t, 1, 1)
 	binary := buildProgram(t, "..")
--- a/soak/powerloss_test.go
+++ b/soak/powerloss_test.go
@@ -175,9 +175,8 @@
 	l.refused = append(l.refused, fmt.Sprintf("%s after %d events", before.root, before.events))
 }
 
-// TestPowerLoss guards against streams that can't be taken up after all processes, or most of
-// them, were killed together while a service has two releases, one of which partly leaves,
-// and against streams with events of both.
+// TestPowerLoss guards against streams that are lost or mixed after all processes were killed
+// together while a service has two releases, one of which partly leaves.
 func TestPowerLoss(t *testing.T) {
 	from, to := seedRange(t, 1, 2)
 	binary := buildProgram(t, "..")
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -192,9 +192,8 @@
 	return f
 }
 
-// TestPromises guards against requests that run although their callers were told that they
-// did not, and requests that run twice, while upstreams are full and send rejections again,
-// callers come back with the same id, and processes and upstreams fail.
+// TestPromises guards against refusals as not run of requests that ran, and requests that run
+// twice, if full upstreams send rejections again and callers come back with the same id.
 func TestPromises(t *testing.T) {
 	from, to := seedRange(t, 1, 3)
 	binary := buildProgram(t, "..")
