Freeze and stop processes for certain in two tests of the soak

No check changed.

Change: the test waits until each thread is stopped, as /proc states, before it sends; further signals go to the process that was asked to stop.

--- a/soak/frozen_test.go
+++ b/soak/frozen_test.go
@@ -9,6 +9,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -84,9 +87,43 @@
 	}
 }
 
+// freeze stops a process and waits until each of its threads has stopped. Until then it may
+// read and send requests.
+func (f *fleet) freeze(p *process) {
+	p.signal(syscall.SIGSTOP)
+	p.mu.Lock()
+	pid := p.command.Process.Pid
+	p.mu.Unlock()
+	for end := time.Now().Add(recoveryTimeout); !isStopped(pid); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("process %d does not stop", pid)
+		}
+	}
+}
+
+// isStopped reports whether all threads of a process are stopped.
+func isStopped(pid int) bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	for _, thread := range threads {
+		stat, err := os.ReadFile(thread)
+		if err != nil {
+			return false
+		}
+		// The state follows the name of the command, which is in parentheses.
+		_, state, found := strings.Cut(string(stat), ") ")
+		if !found || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
+
 // freezeOnce freezes a process, sends it requests and checks what became of them.
 func (f *fleet) freezeOnce(p *process, name string, random *rand.Rand) {
-	p.signal(syscall.SIGSTOP)
+	f.freeze(p)
 	frozen := time.Now()
 	var all []*unreadRequest
 	for i := range frozenCallers {
--- a/soak/keptconnections_test.go
+++ b/soak/keptconnections_test.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -158,12 +159,13 @@
 			random := rand.New(rand.NewPCG(uint64(seed), uint64(1000+i)))
 			for range lastStops {
 				time.Sleep(time.Duration(random.IntN(800)) * time.Millisecond)
-				ended := make(chan struct{})
-				go func() {
-					f.restart(p, syscall.SIGTERM, 20*time.Millisecond)
-					close(ended)
-				}()
-				f.signalUntil(p, random, ended)
+				p.mu.Lock()
+				stopping, ended := p.command.Process, p.exited
+				p.mu.Unlock()
+				var restart sync.WaitGroup
+				restart.Go(func() { f.restart(p, syscall.SIGTERM, 20*time.Millisecond) })
+				signalUntil(stopping, random, ended)
+				restart.Wait()
 			}
 		})
 	}
@@ -171,7 +173,7 @@
 }
 
 // signalUntil sends further signals that do not end a process earlier until it has ended.
-func (f *fleet) signalUntil(p *process, random *rand.Rand, ended <-chan struct{}) {
+func signalUntil(p *os.Process, random *rand.Rand, ended <-chan struct{}) {
 	for {
 		select {
 		case <-ended:
@@ -182,7 +184,8 @@
 		case <-ended:
 			return
 		default:
-			p.signal([]syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}[random.IntN(2)])
+			// An error means that the process has just ended.
+			_ = p.Signal([]syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}[random.IntN(2)])
 		}
 	}
 }
