--- a/forward/cutanswer_test.go
+++ b/forward/cutanswer_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,6 +45,8 @@
 // TestCutAnswerIsNotWhole guards against an answer that its upstream cut at any byte of its
 // head, body, chunks or trailer, and that is relayed as whole.
 func TestCutAnswerIsNotWhole(t *testing.T) {
+	// The fixtures of the subtests, which run in parallel, report to this test.
+	RegisterTestingT(t)
 	stream := events(3)
 	for path, contentType := range map[string]string{"/safe/x": "text/plain", "/unsafe/x": "text/plain", "/stream/x": "text/event-stream", "/resume/x": "text/event-stream"} {
 		body, service := "a whole answer", desk
@@ -54,10 +57,10 @@
 			for _, reset := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s %s, reset %t", strings.Trim(path, "/x"), name, reset), func(t *testing.T) {
 					t.Parallel()
-					RegisterTestingT(t)
-					sent := 0
-					address := answerRaw(t, func() (string, bool) { return answer.text[:sent], reset })
-					for ; sent < len(answer.text); sent++ {
+					var cutAt atomic.Int64
+					address := answerRaw(t, func() (string, bool) { return answer.text[:cutAt.Load()], reset })
+					for sent := range len(answer.text) {
+						cutAt.Store(int64(sent))
 						s := newFixture()
 						s.table.Announce(balance.Instance{ID: "i-1", Service: service, Address: address, Version: 1}, time.Now())
 						sink := &fakeSink{}
--- a/node/originwriter.go
+++ b/node/originwriter.go
@@ -142,6 +142,7 @@
 		if err == nil {
 			return
 		}
+		// A writer that does not answer may have the records; they may be written twice.
 	}
 	if err := w.accept(records); err != nil {
 		w.log.Warn(event.OriginArchiveFailed, zap.Error(err))
--- a/partner/upstream/surplus_test.go
+++ b/partner/upstream/surplus_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"granitehoist.example/granitehoist"
@@ -118,9 +119,10 @@
 				continue // plain services have no streams
 			}
 			t.Run(protocolName+" "+name, func(t *testing.T) {
-				sent := 0
-				address := serveBytes(t, true, func(int, string) string { return c.text[:sent] })
-				for ; sent < len(c.text); sent++ {
+				var cutAt atomic.Int64
+				address := serveBytes(t, true, func(int, string) string { return c.text[:cutAt.Load()] })
+				for sent := range len(c.text) {
+					cutAt.Store(int64(sent))
 					if c.stream && strings.Contains(c.text[:sent], "data: [DONE]\n") {
 						break // the stream has ended by its own mark; only its framing is cut
 					}
