--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -102,7 +102,27 @@
 	mu          sync.Mutex
 	command     *exec.Cmd
 	exited      chan struct{}
-	log         bytes.Buffer
+	log         logBuffer
+}
+
+// logBuffer collects the output of a process. It is safe for concurrent use.
+type logBuffer struct {
+	mu     sync.Mutex
+	output bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.output.Write(p)
+}
+
+// String returns the output so far.
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.output.String()
 }
 
 // fleet holds the store, the workers and the router processes of one seed.
--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -66,7 +67,7 @@
 	switch kind {
 	case connected:
 		var err error
-		if l.listener, err = net.Listen("tcp", l.address); err != nil {
+		if l.listener, err = listenAgain(l.address); err != nil {
 			return err
 		}
 		go l.accept(l.listener)
@@ -82,6 +83,17 @@
 	return nil
 }
 
+// listenAgain listens at an address that was closed before. The kernel may take some time to
+// free it.
+func listenAgain(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	for end := time.Now().Add(time.Second); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+		listener, err = net.Listen("tcp", address)
+	}
+	return listener, err
+}
+
 // reopen ends the effects of the current kind. The caller holds mu.
 func (l *link) reopen() {
 	if l.listener != nil {
