Report a reset of an upstream to the reader of its response

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part and reset the connection; the part was relayed as a whole answer, on safe, unsafe and streaming routes.

Cause: the kernel reports the error of a socket once. The goroutine that still writes the request gets ECONNRESET, and the read after it gets the end of the connection, which completes a body without a length. The comment in Pool.Do, that reading from a failed connection fails as well, does not hold.

Change: connections to upstreams are wrapped (internal/sockerror). At the end of a connection Read ends a Write in progress by a deadline in the past, waits for it, and returns its error unless that is EPIPE, the deadline or a close of this side.

Why it works: a read sees the end instead of the error only after a write has taken the error in the kernel, so that this write has its result or is about to return it; the reader waits for it. If the upstream closes its side first, the kernel keeps that for the reader, and a later reset gives the writer EPIPE: a sound early response passes, also while its upstream reads on slowly or not at all. No exchange uses a connection after the end of its response.

--- a/exchange/dial.go
+++ b/exchange/dial.go
@@ -13,6 +13,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/readlimit"
+	"granitehoist.example/granitehoist/internal/sockerror"
 )
 
 // Dialer opens connections, like net.Dialer. Implementations must be safe for concurrent
@@ -96,7 +97,9 @@
 	return err
 }
 
-// DialDirect connects to an upstream without a detour, within connectTimeout.
+// DialDirect connects to an upstream without a detour, within connectTimeout. Reads from the
+// connection return io.EOF only if the upstream closed it in good order, also while another
+// goroutine writes.
 func (p *Pool) DialDirect(ctx context.Context, upstream granitehoist.Upstream, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
@@ -110,7 +113,7 @@
 		return nil, err
 	}
 	p.settings.OnOpen()
-	return p.settings.Meter.Conn(raw), nil
+	return p.settings.Meter.Conn(sockerror.NewConn(raw)), nil
 }
 
 // dial opens a connection for a request. While the direct path is lost it takes a detour.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -113,7 +113,8 @@
 	trace.Early = err == nil && !progress.finalChunkStarted.Load()
 	if err != nil {
 		// A write error needs no check: the request may have run either way, and
-		// reading from a failed connection fails as well.
+		// reading from a failed connection fails as well, since the connection reports
+		// its failure to both sides (package sockerror; tunnels send it in a frame).
 		stop()
 		discard(c)
 		c.End()
