Carry a reset through a tunnel as a reset

A router without a path of its own to the upstreams got the orderly end of a response that its upstream had cut by a reset, and more often a broken tunnel, also where the response was whole.

Cause: the serving router reads from the upstream while another goroutine writes to it, so that the write may take the error of the reset. That goroutine also closed both connections as soon as its write failed, and a connection that is closed with unread bytes is reset, which discards the last frames.

Change: the server reads from upstreams through sockerror. After a failed write it discards what the caller sends, until the last frame has been sent and the caller has closed its connection, one second at most.

Why it works: the reader alone reports how the upstream's connection ended, and no byte of the caller is left unread when the connection closes.

The protocol of tunnels has not changed.

--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/sockerror"
 )
 
 // ServerSettings configure a Server. Open is required.
@@ -40,6 +41,9 @@
 	// restTime is the time after the last byte of the upstream from which a tunnel counts
 	// as unused. The pauses within a response are shorter.
 	restTime = time.Second
+	// lingerTime is how long the caller's connection stays open after the last frame, unless
+	// the caller closes it.
+	lingerTime = time.Second
 )
 
 // Server opens tunnels to upstreams for other routers. It implements http.Handler. Create
@@ -95,7 +99,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	t := &serverTunnel{caller: caller, reader: buffered.Reader, upstream: upstream, clock: s.settings.Clock, movedAt: s.settings.Clock()}
+	t := &serverTunnel{caller: caller, reader: buffered.Reader, upstream: sockerror.NewConn(upstream), clock: s.settings.Clock, movedAt: s.settings.Clock()}
 	s.add(t)
 	t.run()
 	s.remove(t)
@@ -210,22 +214,28 @@
 		t.copyRequests(watchdog)
 		t.close()
 	})
-	t.copyResponses(watchdog)
+	if t.copyResponses(watchdog) {
+		// If bytes of the caller were unread, closing would reset its connection, and the
+		// last frames could be lost. An error means that the connection is closed already.
+		_ = t.caller.SetReadDeadline(time.Now().Add(lingerTime))
+		copies.Wait()
+	}
 	t.close()
 	copies.Wait()
 }
 
-// copyRequests copies from the caller to the upstream. A caller that has closed its
-// connection waits for no response.
+// copyRequests copies from the caller to the upstream until the caller closes its connection,
+// since it waits for no response then. If the upstream's connection fails, the caller may not
+// have all of the response yet: copyRequests discards what follows, and copyResponses reports
+// the end.
 func (t *serverTunnel) copyRequests(watchdog *time.Timer) {
-	buffer := make([]byte, maxFrameBytes)
+	buffer, failed := make([]byte, maxFrameBytes), false
 	for {
 		n, err := t.reader.Read(buffer)
-		if n > 0 {
+		if n > 0 && !failed {
 			t.moved(n, false, watchdog)
-			if _, err := t.upstream.Write(buffer[:n]); err != nil {
-				return
-			}
+			_, writeErr := t.upstream.Write(buffer[:n])
+			failed = writeErr != nil
 		}
 		if err != nil {
 			return
@@ -234,10 +244,10 @@
 }
 
 // copyResponses tells the caller that the tunnel is open and copies from the upstream to
-// the caller.
-func (t *serverTunnel) copyResponses(watchdog *time.Timer) {
+// the caller. It reports whether it sent the last frame.
+func (t *serverTunnel) copyResponses(watchdog *time.Timer) bool {
 	if !t.send([]byte("HTTP/1.1 200 OK\r\n\r\n")) {
-		return
+		return false
 	}
 	buffer := make([]byte, lengthBytes+maxFrameBytes)
 	for {
@@ -246,13 +256,11 @@
 			t.moved(n, true, watchdog)
 			putLength(buffer, uint32(n))
 			if !t.send(buffer[:lengthBytes+n]) {
-				return
+				return false
 			}
 		}
 		if err != nil {
-			// The result does not matter, since the tunnel ends either way.
-			_ = t.send(endFrame(err))
-			return
+			return t.send(endFrame(err))
 		}
 	}
 }
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -373,3 +373,53 @@
 		}
 	}
 }
+
+// TestEarlyResponse guards against a reset of the upstream that looks like the end of its
+// response while a request is being copied, and against a sound response that is lost because
+// its upstream reads no further.
+func TestEarlyResponse(t *testing.T) {
+	const uploadBytes, attempts = 12 << 20, 20
+	for name, c := range map[string]struct {
+		end  func(*net.TCPConn) error
+		want error
+	}{
+		"a reset": {func(c *net.TCPConn) error {
+			time.Sleep(10 * time.Millisecond)
+			return c.SetLinger(0)
+		}, syscall.ECONNRESET},
+		"an orderly end": {func(c *net.TCPConn) error {
+			err := c.CloseWrite()
+			time.Sleep(10 * time.Millisecond)
+			return err
+		}, io.EOF},
+		"an orderly end, then a reset": {func(c *net.TCPConn) error {
+			return errors.Join(c.CloseWrite(), c.SetLinger(0))
+		}, io.EOF},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := startRouter(t, func(upstream net.Conn) {
+				_, _ = io.ReadFull(upstream, make([]byte, 100))
+				_, _ = io.WriteString(upstream, "part")
+				_ = c.end(upstream.(*net.TCPConn))
+				_ = upstream.Close()
+			})
+			for attempt := range attempts {
+				tunneled := r.dial(t)
+				written := make(chan struct{})
+				go func() {
+					defer close(written)
+					_, _ = tunneled.Write(make([]byte, uploadBytes))
+				}()
+				buffer := make([]byte, 100)
+				n, err := io.ReadFull(tunneled, buffer[:len("part")])
+				if err != nil {
+					t.Errorf("attempt %d: %d bytes of the response, %v", attempt, n, err)
+				} else if _, err = tunneled.Read(buffer); !errors.Is(err, c.want) {
+					t.Errorf("attempt %d: the response ended with %v, want %v", attempt, err, c.want)
+				}
+				_ = tunneled.Close()
+				<-written
+			}
+		})
+	}
+}
