Detect reset responses in the partners' router

What callers saw: of a plain service that answered a long upload at once without a length and reset the connection, the part as a whole answer.

Cause: as in the edge router. net/http writes a request beside the read of its response, and its reader gets the end of the connection once the writer has taken the error of the reset.

Change: the connections to upstreams are wrapped by sockerror.

Why it works: the read that would complete the body gets the error of the write; an orderly end, with the rest of the request unread, still passes.

--- a/partner/upstream/transport.go
+++ b/partner/upstream/transport.go
@@ -21,6 +21,7 @@
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/exchange"
 	"granitehoist.example/granitehoist/internal/readlimit"
+	"granitehoist.example/granitehoist/internal/sockerror"
 )
 
 // HeaderAttempt is the header with the attempt id, in requests and responses.
@@ -70,7 +71,7 @@
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	newTransport := func(disableKeepAlives bool) *http.Transport {
 		return &http.Transport{
-			DialContext:            dialer.DialContext,
+			DialContext:            sockerror.Wrap(dialer.DialContext),
 			MaxIdleConnsPerHost:    maxIdlePerUpstream,
 			IdleConnTimeout:        idleTimeout,
 			DisableKeepAlives:      disableKeepAlives,
