Reject responses with invalid field names

What callers saw: answers with a field name that holds a blank, such as X Broken or "Content-Length ", in the head, an interim response or a trailer. They got them as whole, with the field passed on, or with another body than the upstream's, since a length in a field with such a name frames nothing. A refusal in such a head was believed as not run.

Cause: textproto takes blanks in field names for the sake of old servers and leaves such names as they are. Nothing after it looked at the names.

Tabs, control bytes, NUL, DEL, other separators, bytes above ASCII, empty names, control bytes in values and lengths that differ were rejected already; their tests stay, and nothing else changes for them.

Not covered: a line that begins with a blank continues the one before it, which HTTP lets a gateway accept (RFC 9112, section 5.2); a transfer coding in a response of HTTP/1.0 is dropped by net/http before it can be seen.

--- a/exchange/response.go
+++ b/exchange/response.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/internal/httpvalid"
 	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
@@ -66,11 +67,15 @@
 }
 
 // readResponse reads responses until one belongs to the request. It skips interim
-// responses, and stale ones, which trace counts, if their bodies can be read to the end.
+// responses, and stale ones, which trace counts, if their bodies can be read to the end. No
+// response may be invalid: those after it might be parts of it.
 func (c *conn) readResponse(r Request, trace *Trace) (*http.Response, error) {
 	c.beginPart(headLimits)
 	for range maxResponsesRead {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		if err == nil {
+			err = httpvalid.Response(response)
+		}
 		if err != nil {
 			return nil, classifyReadError(c.Cause(err), trace.Stale > 0)
 		}
--- /dev/null
+++ b/internal/httpvalid/doc.go
@@ -0,0 +1,13 @@
+// Copyright ©2026 The granitehoist Authors. All rights reserved.
+// Use of this source code is governed by the MIT licence in the file LICENSE.
+
+// Package httpvalid finds what HTTP does not allow in a response that net/http has parsed.
+//
+// net/http takes field names with blanks and leaves them as they are: a length in the field
+// "Content-Length " does not frame the body. Such a response is broken, and the length and the
+// meaning of what it holds are in doubt (RFC 9110, section 5.1; RFC 9112, section 5.1). What
+// net/http rejects itself is not checked again: control bytes, lengths that differ and unknown
+// transfer codings.
+//
+// Package exchange calls Response; the clients of net/http in partner/upstream use a Transport. Begin reading at Response.
+package httpvalid
