Reject responses with invalid statuses and versions

What callers saw: answers with status 600, 777 and 999, on routes with one attempt (2 of 4 kinds); an answer in HTTP/2.0 or HTTP/0.9 as a whole one (4 of 4). A response with status 000, 099, +20 or 101 alone was refused, but a valid one after it reached the caller (4 of 4).

Cause: net/http accepts any three characters that are a number as a status, and any major version. Statuses below 200 counted as interim, those from 500 as failures that may be relayed.

Evidence: TestInvalidStatus; the figures are those of the code before. 000, 001, 099, +20, -20, 20, 2000, 2x0 and an empty status alone were refused already; their tests stay.

Change: httpvalid.Response also checks the version and the status (RFC 9110, section 15), and rejects 101, since no router asks for another protocol.

Why it works: what is not a response of HTTP/1 has no meaning, neither that of a failure nor that of an interim response, so that nothing after it is read.

Found on the way: the chunks of an answer in HTTP/1.0 reach the caller as its body, since net/http drops the transfer coding before it can be seen.

Measured: 0 of the cases above; packages httpvalid and exchange, and the tests of early and invalid answers of forward, pass.

--- a/forward/invalidanswer_test.go
+++ b/forward/invalidanswer_test.go
@@ -101,3 +101,32 @@
 		t.Run(name, func(t *testing.T) { expectInvalid(t, validHead+"X: "+value+"\r\n"+framedBody) })
 	}
 }
+
+// TestInvalidStatus guards against an answer that the caller gets although its status line is
+// invalid (RFC 9110, section 15).
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+20", "-20", "20", "2000", "2x0", "", "600", "777", "999", "101"} {
+		for _, field := range []string{"", "Not-Executed: 1\r\n"} {
+			t.Run(status+" "+strings.TrimSpace(field), func(t *testing.T) {
+				expectInvalid(t, "HTTP/1.1 "+status+" x\r\nAttempt-Id: r-1\r\nResponse-Seal: x\r\n"+field+framedBody)
+			})
+		}
+	}
+	for _, version := range []string{"HTTP/2.0", "HTTP/0.9", "HTTP/11.1", "http/1.1", "ICY"} {
+		t.Run(version, func(t *testing.T) {
+			expectInvalid(t, version+strings.TrimPrefix(validHead, "HTTP/1.1")+framedBody)
+		})
+	}
+	// A valid response may follow what a parser takes for an interim one.
+	for _, status := range []string{"000", "099", "+20", "101"} {
+		t.Run(status+" before a valid one", func(t *testing.T) {
+			expectInvalid(t, "HTTP/1.1 "+status+" x\r\nAttempt-Id: r-1\r\n\r\n"+validHead+framedBody)
+		})
+	}
+}
+
+// TestTransferCodingOfHTTP10 guards against an answer in HTTP/1.0 whose chunks the caller gets as
+// its body: such an answer has a faulty framing (RFC 9112, section 6.1).
+func TestTransferCodingOfHTTP10(t *testing.T) {
+	expectInvalid(t, "HTTP/1.0 200 OK"+strings.TrimPrefix(validHead, "HTTP/1.1 200 OK")+"Transfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n")
+}
--- a/internal/httpvalid/doc.go
+++ b/internal/httpvalid/doc.go
@@ -3,11 +3,13 @@
 
 // Package httpvalid finds what HTTP does not allow in a response that net/http has parsed.
 //
-// net/http takes field names with blanks and leaves them as they are: a length in the field
-// "Content-Length " does not frame the body. Such a response is broken, and the length and the
-// meaning of what it holds are in doubt (RFC 9110, section 5.1; RFC 9112, section 5.1). What
+// net/http takes any three characters that are a number for a status, any major version, and
+// field names with blanks, which it leaves as they are: a length in the field "Content-Length "
+// does not frame the body. Such a response is broken, and the length and the meaning of what it
+// holds are in doubt (RFC 9110, sections 5.1 and 15; RFC 9112, sections 2.3 and 5.1). What
 // net/http rejects itself is not checked again: control bytes, lengths that differ and unknown
 // transfer codings.
 //
-// Package exchange calls Response; the clients of net/http in partner/upstream use a Transport. Begin reading at Response.
+// Package exchange calls Response; the clients of net/http in partner/upstream use a Transport.
+// Begin reading at Response.
 package httpvalid
--- a/internal/httpvalid/response.go
+++ b/internal/httpvalid/response.go
@@ -16,9 +16,25 @@
 // Error implements error.
 func (e *Error) Error() string { return "httpvalid: " + e.text }
 
-// Response returns an *Error if a field name of a response is invalid. Otherwise it replaces the body
+const (
+	// minStatus and maxStatus are the least and the greatest valid status.
+	minStatus, maxStatus = 100, 599
+	// majorVersion is the only major version of the protocol that the routers speak.
+	majorVersion = 1
+)
+
+// Response returns an *Error if the version, the status or a field name of a response is
+// invalid, or if it switches protocols, which no router asks for. Otherwise it replaces the body
 // by one whose Read returns an *Error in place of io.EOF if the trailer is invalid.
 func Response(r *http.Response) error {
+	switch {
+	case r.ProtoMajor != majorVersion:
+		return &Error{text: fmt.Sprintf("version %q", r.Proto)}
+	case r.StatusCode < minStatus || r.StatusCode > maxStatus:
+		return &Error{text: fmt.Sprintf("status %q", r.Status)}
+	case r.StatusCode == http.StatusSwitchingProtocols:
+		return &Error{text: "the protocol is switched without a request for it"}
+	}
 	if err := fields(r.Header); err != nil {
 		return err
 	}
