Reject invalid responses in the partners' router

What callers saw: from plain services any status, 000 and 999 included, and from both kinds of upstreams responses with invalid field names; a refusal or a rejection in such a head as a promise that nothing ran.

Cause: net/http.Client returns such responses, as http.ReadResponse does in the edge router.

Change: the clients use httpvalid.Transport; an invalid response is a bad answer that may have run, and its connection is closed. The transport bounds interim responses itself, since net/http drops its own bound for a caller that looks at them.

Why it works: every response to a call passes the transport, its interim responses through httptrace, and its trailer at the end of the body.

--- a/partner/upstream/transport.go
+++ b/partner/upstream/transport.go
@@ -20,6 +20,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/exchange"
+	"granitehoist.example/granitehoist/internal/httpvalid"
 	"granitehoist.example/granitehoist/internal/readlimit"
 	"granitehoist.example/granitehoist/internal/sockerror"
 )
@@ -81,7 +82,7 @@
 	}
 	newClient := func(transport *http.Transport, maxBytes int64) *http.Client {
 		return &http.Client{
-			Transport:     &readlimit.Transport{Base: transport, MaxBytes: maxBytes},
+			Transport:     &readlimit.Transport{Base: &httpvalid.Transport{Base: transport}, MaxBytes: maxBytes},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
 	}
@@ -117,8 +118,8 @@
 }
 
 // send sends a call once and returns the response, and whether its connection was reused. The
-// error has code UpstreamRefused if the call is invalid or no connection was established, and
-// UpstreamLost otherwise.
+// error has code UpstreamRefused if the call is invalid or no connection was established,
+// UpstreamBadAnswer if the head of the response is invalid, and UpstreamLost otherwise.
 func (s *sender) send(ctx context.Context, c granitehoist.Call) (response *http.Response, reused bool, err error) {
 	request, err := newRequest(c)
 	if err != nil {
@@ -130,11 +131,14 @@
 		old.Store(info.Reused)
 	}}
 	response, err = s.client(c).Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	var invalid *httpvalid.Error
 	switch {
 	case err == nil:
 		return response, old.Load(), nil
 	case !connected.Load():
 		return nil, false, granitehoist.Wrap(granitehoist.UpstreamRefused, err, "no connection to the upstream")
+	case errors.As(err, &invalid):
+		return nil, false, granitehoist.Wrap(granitehoist.UpstreamBadAnswer, err, "")
 	}
 	return nil, false, granitehoist.Wrap(granitehoist.UpstreamLost, err, "")
 }
