Reject invalid answers of the store, the list of boxes and neighbours

What callers saw: nothing yet. An answer of the store with an invalid field name was believed: a write counted as done, and a 404 as an entry that does not exist, from which a router would continue as if it had been deleted. A router's answer to CONNECT opened a tunnel whatever its version and its field names.

Why it works: an invalid answer counts as none, so that a write is read back.

--- a/cmd/granitehoist/router.go
+++ b/cmd/granitehoist/router.go
@@ -10,6 +10,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"granitehoist.example/granitehoist/internal/httpvalid"
 	"granitehoist.example/granitehoist/partner/boxlist"
 	"granitehoist.example/granitehoist/partner/router"
 	"granitehoist.example/granitehoist/partner/settings"
@@ -76,7 +77,8 @@
 
 // newStoreClient returns the HTTP client shared by the store and the list of boxes.
 func newStoreClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: storeIdleConns, IdleConnTimeout: storeIdleTime, MaxResponseHeaderBytes: storeHeaderBytes}}
+	transport := &http.Transport{MaxIdleConnsPerHost: storeIdleConns, IdleConnTimeout: storeIdleTime, MaxResponseHeaderBytes: storeHeaderBytes}
+	return &http.Client{Transport: &httpvalid.Transport{Base: transport}}
 }
 
 // newStore returns a client of the platform's store.
--- a/internal/httpvalid/doc.go
+++ b/internal/httpvalid/doc.go
@@ -10,6 +10,6 @@
 // net/http rejects itself is not checked again: control bytes, lengths that differ and unknown
 // transfer codings.
 //
-// Package exchange calls Response; the clients of net/http in partner/upstream use a Transport.
-// Begin reading at Response.
+// Packages exchange, tunnel and platform call Response; the clients of net/http in
+// partner/upstream and partner/boxlist use a Transport. Begin reading at Response.
 package httpvalid
--- a/partner/boxlist/boxlist.go
+++ b/partner/boxlist/boxlist.go
@@ -13,6 +13,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/defaults"
+	"granitehoist.example/granitehoist/internal/httpvalid"
 	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
@@ -62,7 +63,7 @@
 	defaults.Set(&s.Timeout, defaultTimeout)
 	if s.Client == nil {
 		transport := &http.Transport{IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeaderBytes}
-		s.Client = &http.Client{Transport: &readlimit.Transport{Base: transport, MaxBytes: maxListBytes}}
+		s.Client = &http.Client{Transport: &readlimit.Transport{Base: &httpvalid.Transport{Base: transport}, MaxBytes: maxListBytes}}
 	}
 	return &Client{settings: s}
 }
--- a/partner/boxlist/boxlist_test.go
+++ b/partner/boxlist/boxlist_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -56,4 +57,13 @@
 		_, err := boxlist.New(boxlist.Settings{Address: notFound.URL}).Boxes(ctx)
 		Expect(err).To(MatchError(granitehoist.ErrUnknown))
 	})
+
+	It("returns ErrUnknown for an invalid response", func() {
+		const body = `{"boxes":{"b":true}}`
+		server, err := standin.NewRawUpstream(fmt.Sprintf("HTTP/1.1 200 OK\r\nX Broken: 1\r\nContent-Length: %d\r\n\r\n%s", len(body), body), standin.CloseWriteFor(0))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = server.Close() }()
+		_, err = boxlist.New(boxlist.Settings{Address: "http://" + server.Address()}).Boxes(ctx)
+		Expect(err).To(MatchError(granitehoist.ErrUnknown))
+	})
 })
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -12,6 +12,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/exchange"
+	"granitehoist.example/granitehoist/internal/httpvalid"
 	"granitehoist.example/granitehoist/internal/readlimit"
 )
 
@@ -63,7 +64,7 @@
 }
 
 // connect sends the CONNECT request and reads the head of its response. The error is a
-// *readlimit.Error if the head exceeds a bound.
+// *readlimit.Error if the head exceeds a bound, an *httpvalid.Error if it is invalid.
 func connect(raw net.Conn, upstream granitehoist.Upstream) (*bufio.Reader, error) {
 	request := &http.Request{
 		Method: http.MethodConnect,
@@ -81,6 +82,9 @@
 	if err != nil {
 		return nil, limited.Cause(err)
 	}
+	if err := httpvalid.Response(response); err != nil {
+		return nil, err
+	}
 	limited.End()
 	return reader, errorOf(response.StatusCode)
 }
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -22,6 +22,7 @@
 
 	"granitehoist.example/granitehoist"
 	"granitehoist.example/granitehoist/internal/readlimit"
+	"granitehoist.example/granitehoist/standin"
 	"granitehoist.example/granitehoist/tunnel"
 )
 
@@ -423,3 +424,26 @@
 		})
 	}
 }
+
+// TestInvalidHead guards against a tunnel through a router whose response to a CONNECT request
+// is invalid.
+func TestInvalidHead(t *testing.T) {
+	for name, text := range map[string]string{
+		"a field name": "HTTP/1.1 200 OK\r\nX Broken: 1\r\n\r\n",
+		"a version":    "HTTP/2.0 200 OK\r\n\r\n",
+		"a status":     "HTTP/1.1 000 x\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			other, err := standin.NewRawUpstream(text, standin.CloseWriteFor(100*time.Millisecond))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = other.Close() }()
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			if _, err := (&tunnel.Client{}).Dial(ctx, other.Address(), "i-1/a b"); err == nil {
+				t.Error("the tunnel is used")
+			}
+		})
+	}
+}
