Answer the requests that a stop can't finish

Cause: new requests are served for 0.32 of the grace, since the balancer still sends some; what is unfinished at 0.95 lost its connection when the servers closed.

Change: at 0.95 of the grace the stop ends the requests in progress as if their time were over (forward.Forwarder.Abandon). Callers without a part of a response get 502 with 5002, which says that the request may have run. The stop waits up to 0.1 s for these answers, and then returns the tokens as before. The log line stopped has their number.

Why it works: no request is accepted after 0.32 of the grace, so that those in progress at 0.95 are all there are; the connections close only after the answers are written. Streams that have begun are still cut there.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -154,6 +154,11 @@
 // continue.
 func (f *Forwarder) Stop() { f.stopped.Store(true) }
 
+// Abandon ends the requests in progress as if their deadlines had passed: callers that have no
+// part of a response yet get an error, which says that the request may have run if it was sent.
+// New requests are not affected, so that Stop should be called before.
+func (f *Forwarder) Abandon() { f.settings.Deadlines.CancelAll() }
+
 // Serve serves a request until it is complete or ctx ends; ctx must end when the caller
 // disconnects. A nil error means that the response was written to the sink completely.
 // Otherwise the error is a *granitehoist.Error, and started reports whether a part of a
--- a/internal/boottime/deadlines.go
+++ b/internal/boottime/deadlines.go
@@ -47,6 +47,15 @@
 	delete(d.pending, p)
 }
 
+// CancelAll cancels all contexts.
+func (d *Deadlines) CancelAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for p := range d.pending {
+		p.cancel()
+	}
+}
+
 // CancelExpired cancels the contexts whose deadline is not after now.
 func (d *Deadlines) CancelExpired(now time.Time) {
 	d.mu.Lock()
--- a/internal/boottime/deadlines_test.go
+++ b/internal/boottime/deadlines_test.go
@@ -24,6 +24,17 @@
 		Expect(ctx.Err()).To(MatchError(context.Canceled))
 	})
 
+	It("cancels all contexts", func() {
+		var d Deadlines
+		first, cancelFirst := d.WithTimeout(context.Background(), time.Hour, now)
+		defer cancelFirst()
+		second, cancelSecond := d.WithTimeout(context.Background(), 2*time.Hour, now)
+		defer cancelSecond()
+		d.CancelAll()
+		Expect(first.Err()).To(MatchError(context.Canceled))
+		Expect(second.Err()).To(MatchError(context.Canceled))
+	})
+
 	It("ends a context on time without a check", func() {
 		var d Deadlines
 		ctx, cancel := d.WithTimeout(context.Background(), time.Millisecond, now)
--- a/node/stop.go
+++ b/node/stop.go
@@ -23,6 +23,8 @@
 	// finishUntilFraction is the fraction of the grace period after which requests still
 	// in progress are abandoned.
 	finishUntilFraction = 0.95
+	// answerTime is how long the stop waits at most for the answers to abandoned requests.
+	answerTime = 100 * time.Millisecond
 	// returnUntilFraction is the fraction of the grace period after which the return of
 	// tokens is abandoned, shortly before the platform kills the process. The return may
 	// last longer because of minReturnTime.
@@ -98,8 +100,7 @@
 // delay the end of the process.
 func (n *Node) Stop() { n.stopOnce.Do(n.stop) }
 
-// stop runs the phases of a stop. Requests still in progress at its end are cut off when
-// the callers' connections close.
+// stop runs the phases of a stop. Streams still in progress at its end are cut off.
 func (n *Node) stop() {
 	start := n.clock()
 	grace := n.live.Load().grace
@@ -119,8 +120,9 @@
 	for plan.phase(n.clock(), n.active()) != phaseReturn {
 		time.Sleep(stopPollInterval)
 	}
+	abandoned := n.abandonRequests()
 	n.returnTokens(plan)
-	n.log.Info(event.Stopped, zap.Int("active", forwarder.Active()), zap.Duration("took", n.clock().Sub(start)))
+	n.log.Info(event.Stopped, zap.Int("abandoned", abandoned), zap.Int("active", forwarder.Active()), zap.Duration("took", n.clock().Sub(start)))
 	n.servers.closeHTTP()
 	n.cancel()
 	n.servers.calls.Close()
@@ -130,6 +132,24 @@
 	// because stop closed its connection would be logged as a lost relay.
 }
 
+// abandonRequests ends the requests in progress and returns their number. It waits up to
+// answerTime for their answers: a caller that got none could not tell whether its request ran,
+// or when to stop waiting.
+func (n *Node) abandonRequests() int {
+	forwarder := n.components.forwarder
+	abandoned := forwarder.Active()
+	if abandoned == 0 {
+		return 0
+	}
+	forwarder.Abandon()
+	for end := n.clock().Add(answerTime); forwarder.Active() > 0 && n.clock().Before(end); {
+		time.Sleep(stopPollInterval)
+	}
+	// net/http sends an answer after the request has ended for the forwarder.
+	time.Sleep(stopPollInterval)
+	return abandoned
+}
+
 // active returns the number of requests in progress, those of neighbours included that use
 // a tunnel of this node. It closes the other tunnels.
 func (n *Node) active() int {
--- a/soak/keptconnections_test.go
+++ b/soak/keptconnections_test.go
@@ -84,7 +84,7 @@
 		request, err := newRequest(k.process, "once", id, "question")
 		k.fleet.must(err)
 		writeErr := request.Write(c)
-		status, closing, err := readStatus(c, reader)
+		status, closing, err := readStatus(c, reader, requestTimeout+time.Second)
 		k.mu.Lock()
 		if err != nil {
 			k.last = append(k.last, lastRequest{id: id, written: writeErr == nil, reset: errors.Is(err, syscall.ECONNRESET) || errors.Is(writeErr, syscall.ECONNRESET)})
@@ -99,10 +99,10 @@
 	}
 }
 
-// readStatus reads a response. It returns its status and whether it announces the close of the
-// connection.
-func readStatus(c net.Conn, reader *bufio.Reader) (status int, closing bool, err error) {
-	if err := c.SetReadDeadline(time.Now().Add(requestTimeout + time.Second)); err != nil {
+// readStatus reads a response within a time. It returns its status and whether it announces the
+// close of the connection.
+func readStatus(c net.Conn, reader *bufio.Reader, within time.Duration) (status int, closing bool, err error) {
+	if err := c.SetReadDeadline(time.Now().Add(within)); err != nil {
 		return 0, false, err
 	}
 	response, err := http.ReadResponse(reader, nil)
