Accept no new requests later than 3 s into a stop

What callers saw: nothing on the sites of today, whose grace of 8 s ends the accepting of requests after 2.56 s.

Cause: the time is a fraction of the grace without a bound.

Evidence: TestStopPlan, before the change: 9.6 s at a grace of 30 s.

Change: 3 s at most, in which the balancer has noticed the stop: it needs two failed checks, one second apart.

Measured: TestStopPlan passes.

--- a/node/stop.go
+++ b/node/stop.go
@@ -20,6 +20,9 @@
 	// notice that the node stops. A larger fraction would leave too little time to finish
 	// streams. At 0.40, stops took 7.5 of 8 s and cut one to three streams.
 	serveUntilFraction = 0.32
+	// maxServeTime bounds the time for which new requests are still served. The balancer
+	// sends none after that.
+	maxServeTime = 3 * time.Second
 	// finishUntilFraction is the fraction of the grace period after which requests still
 	// in progress are abandoned.
 	finishUntilFraction = 0.95
@@ -69,7 +72,8 @@
 // the process is killed.
 func newStopPlan(start time.Time, grace time.Duration) stopPlan {
 	at := func(fraction float64) time.Time { return start.Add(time.Duration(fraction * float64(grace))) }
-	return stopPlan{serveUntil: at(serveUntilFraction), finishUntil: at(finishUntilFraction), returnUntil: at(returnUntilFraction)}
+	serveUntil := start.Add(min(at(serveUntilFraction).Sub(start), maxServeTime))
+	return stopPlan{serveUntil: serveUntil, finishUntil: at(finishUntilFraction), returnUntil: at(returnUntilFraction)}
 }
 
 // phase returns the phase at now with the given number of requests in progress.
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -29,8 +29,8 @@
 	}
 }
 
-// TestStopPlan guards against requests cut off early and a return of tokens that the
-// platform would kill.
+// TestStopPlan guards against requests cut off early, new ones that are accepted too late, and a
+// return of tokens that the platform would kill.
 func TestStopPlan(t *testing.T) {
 	phases := []struct {
 		name   string
@@ -49,6 +49,12 @@
 	for _, c := range phases {
 		t.Run(c.name, func(t *testing.T) { expectPhase(t, c.after, c.active, c.want) })
 	}
+	t.Run("the latest end of phaseServe", func(t *testing.T) {
+		plan := newStopPlan(stopStart, 30*time.Second)
+		if served := plan.serveUntil.Sub(stopStart); served > 3*time.Second {
+			t.Fatalf("new requests are served for %v", served)
+		}
+	})
 	returns := []struct {
 		name        string
 		after, want time.Duration
