Report failures of a test's goroutine by Error

go vet finds a call of Fatal outside the test's goroutine in the new test of sockerror. The check stays as strict: the test fails in either way.

--- a/internal/sockerror/conn_test.go
+++ b/internal/sockerror/conn_test.go
@@ -39,12 +39,7 @@
 }
 
 // reset resets a connection.
-func reset(t testing.TB, c *net.TCPConn) {
-	t.Helper()
-	if err := errors.Join(c.SetLinger(0), c.Close()); err != nil {
-		t.Fatal(err)
-	}
-}
+func reset(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) }
 
 // writeUntilError writes until a Write fails and returns its error.
 func writeUntilError(c net.Conn) error {
@@ -63,7 +58,9 @@
 	if _, err := io.WriteString(far, "part"); err != nil {
 		t.Fatal(err)
 	}
-	reset(t, far)
+	if err := reset(far); err != nil {
+		t.Fatal(err)
+	}
 	if err := writeUntilError(c); !errors.Is(err, syscall.ECONNRESET) {
 		t.Fatalf("the write returned %v", err)
 	}
@@ -82,7 +79,11 @@
 		if _, err := io.WriteString(far, "part"); err != nil {
 			t.Fatal(err)
 		}
-		go reset(t, far)
+		go func() {
+			if err := reset(far); err != nil {
+				t.Error(err)
+			}
+		}()
 		if got, err := io.ReadAll(c); !errors.Is(err, syscall.ECONNRESET) {
 			t.Errorf("attempt %d: read %q, %v", attempt, got, err)
 		}
@@ -96,8 +97,12 @@
 // happens to the writer.
 func TestReadAfterClose(t *testing.T) {
 	for name, end := range map[string]func(*testing.T, *net.TCPConn){
-		"and nothing more":         func(*testing.T, *net.TCPConn) {},
-		"and a reset":              func(t *testing.T, c *net.TCPConn) { reset(t, c) },
+		"and nothing more": func(*testing.T, *net.TCPConn) {},
+		"and a reset": func(t *testing.T, c *net.TCPConn) {
+			if err := reset(c); err != nil {
+				t.Error(err)
+			}
+		},
 		"and a peer that reads on": func(_ *testing.T, c *net.TCPConn) { go func() { _, _ = io.Copy(io.Discard, c) }() },
 	} {
 		t.Run(name, func(t *testing.T) {
