--- a/exchange/doc.go
+++ b/exchange/doc.go
@@ -15,7 +15,9 @@
 // partner router and by package platform.
 //
 // A Pool guards its idle connections with a mutex. A connection in use belongs to one
-// exchange: a goroutine writes the request while the caller reads the response. TCP
+// exchange: a goroutine writes the request while the caller reads the response. Reads report
+// the failure of a connection even if a write was told of it first (internal/sockerror), so
+// that a response which ends with its connection is whole only if the upstream closed it. TCP
 // keep-alive probes and TCP_USER_TIMEOUT detect unresponsive peers; deadlines come from the
 // caller's context.
 //
--- a/internal/httpvalid/doc.go
+++ b/internal/httpvalid/doc.go
@@ -10,6 +10,6 @@
 // net/http rejects itself is not checked again: control bytes, lengths that differ and unknown
 // transfer codings.
 //
-// Packages exchange, tunnel and platform call Response; the clients of net/http in
+// Packages exchange and tunnel call Response; the clients of net/http in platform,
 // partner/upstream and partner/boxlist use a Transport. Begin reading at Response.
 package httpvalid
--- a/internal/httpvalid/transport.go
+++ b/internal/httpvalid/transport.go
@@ -39,10 +39,10 @@
 		return nil, err
 	}
 	if err := Response(response); err != nil {
-		// A connection whose last response had no body would be used again. Nothing more is
-		// read from it, so that errors of Close have no effect.
+		// Nothing more is read, so that an error of Close has no effect.
 		_ = response.Body.Close()
 		if c := connection.Load(); c != nil {
+			// Without a body the connection would be used again. An error has no effect either.
 			_ = (*c).Close()
 		}
 		return nil, err
