Bound the time from a silent connection to the store to the entry in force

Cause: only the timeout of a watch shows such a connection, and its time was a sum of constants in three packages: pause 0.5 s, wait 2.5 s, grace 0.5 s, retry delay 0.25 s. While entries change all the time their follower is nearly always in its pause, and begins the whole wait on a connection that is silent already. A router whose relays were all old watched with the whole wait as well.

A watch ends at an age of the copy, so that a pause counts. A first watch without an answer is repeated at once, on a new connection, since a call that times out closes the idle ones; store_silent tells that this helped.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -209,8 +209,12 @@
 	if f.copy.mustList(f.lastWatchAt) {
 		return f.list(ctx)
 	}
-	wait := f.failures.watchTimeout(f.lastUpdatesCall.isRecent(relayRoleTTL, f.lastWatchAt))
+	age := f.Age(f.lastWatchAt)
+	wait := f.failures.watchWait(age, f.settings.ContactTime, f.lastUpdatesCall.isRecent(relayRoleTTL, f.lastWatchAt))
 	changed, at, err := f.settings.Store.Watch(ctx, f.settings.Prefix, f.Version(), wait)
+	if f.mayBeSilence(ctx, err) {
+		changed, at, err = f.repeatWatch(ctx, err)
+	}
 	if errors.Is(err, granitehoist.ErrHistoryGone) {
 		f.settings.Log.Warn(event.HistoryGone, f.prefixField(), f.versionField(), f.eraField())
 		return f.list(ctx)
@@ -222,6 +226,22 @@
 	return nil
 }
 
+// mayBeSilence reports whether a watch may have failed because its connection alone is silent:
+// it got no response, and the call before it did.
+func (f *Follower) mayBeSilence(ctx context.Context, err error) bool {
+	return errors.Is(err, granitehoist.ErrUnknown) && f.failures.consecutive == 0 && ctx.Err() == nil
+}
+
+// repeatWatch repeats a watch that failed with cause. The client has closed the connections that
+// may be silent too.
+func (f *Follower) repeatWatch(ctx context.Context, cause error) ([]granitehoist.Entry, granitehoist.Version, error) {
+	changed, at, err := f.settings.Store.Watch(ctx, f.settings.Prefix, f.Version(), probeWatchTimeout)
+	if err == nil {
+		f.settings.Log.Warn(event.StoreSilent, f.prefixField(), f.versionField(), zap.Duration("age", f.Age(f.settings.Clock())), zap.Error(cause))
+	}
+	return changed, at, err
+}
+
 // queryNeighbours queries all neighbours in parallel and applies the updates that are newer
 // than the copy.
 func (f *Follower) queryNeighbours(ctx context.Context) {
--- a/follow/relays.go
+++ b/follow/relays.go
@@ -13,7 +13,7 @@
 	// relayPollTimeout is how long a relay may hold a call while there is no change.
 	relayPollTimeout = 400 * time.Millisecond
 	// maxRelayAge is the age above which the copy of a relay counts as stale. It exceeds
-	// relayWatchTimeout, so that a relay with a working connection to the store is fresh.
+	// relayWatchAge, so that a relay with a working connection to the store is fresh.
 	maxRelayAge = 1500 * time.Millisecond
 	// maxRelayAttempts is the maximum number of relays that a step polls before it calls the
 	// store, unless all of them are stale.
@@ -30,9 +30,9 @@
 	// count as unavailable; with fewer relays, all of them must. One or two relays may have
 	// lost only their own connection.
 	minOutageReports = 3
-	// relayWatchTimeout is the timeout of a relay's watches. It keeps the age of the relay's
-	// copy below maxRelayAge while the store responds.
-	relayWatchTimeout = time.Second
+	// relayWatchAge is the age of a relay's copy at which its watches end. It is below
+	// maxRelayAge, so that the copy stays fresh while the store responds.
+	relayWatchAge = time.Second
 	// relayRoleTTL is how long a router counts as a relay after a call of Updates.
 	relayRoleTTL = 5 * time.Second
 )
--- a/follow/settings.go
+++ b/follow/settings.go
@@ -50,6 +50,9 @@
 	// MinWatchInterval is the least time between the starts of two watches of the store; zero
 	// means no limit. The second watch returns all changes in between in one response.
 	MinWatchInterval time.Duration
+	// ContactTime is the time within which the copy must have caught up after connections to the
+	// store went silent while new ones work; zero means no such bound.
+	ContactTime time.Duration
 	// PeersKnown reports whether the relays are known. Until they are, the store is listed
 	// once but not watched. Nil means that the relays are always known.
 	PeersKnown func() bool
--- a/follow/storefailures.go
+++ b/follow/storefailures.go
@@ -74,20 +74,26 @@
 	return delay
 }
 
-// watchTimeout returns the timeout of the next watch:
+// watchWait returns the wait of the next watch, which begins at an age of the copy:
 //
 //   - probeWatchTimeout while the store fails, except after every fullTimeoutEvery-th
 //     consecutive failure;
-//   - otherwise relayWatchTimeout if this router is a relay;
-//   - otherwise zero, which means the timeout of the store's client.
-func (f *storeFailures) watchTimeout(isRelay bool) time.Duration {
-	switch {
-	case f.consecutive%fullTimeoutEvery != 0:
+//   - otherwise, at a relay, until the copy has the age relayWatchAge;
+//   - otherwise until it has the age maxWatchAge of the contact time.
+//
+// After failures the copy is old, and the whole of either age is waited.
+func (f *storeFailures) watchWait(age, contact time.Duration, isRelay bool) time.Duration {
+	if f.consecutive%fullTimeoutEvery != 0 {
 		return probeWatchTimeout
-	case isRelay:
-		return relayWatchTimeout
 	}
-	return 0
+	end := maxWatchAge(contact)
+	if isRelay && (end == 0 || relayWatchAge < end) {
+		end = relayWatchAge
+	}
+	if f.consecutive > 0 {
+		return end
+	}
+	return watchWait(age, end)
 }
 
 // listTimeout returns the timeout of the first list. It is firstListTimeout, even before the
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -53,6 +53,7 @@
 	DetourFailed      Name = "detour_failed"
 	StoreLost         Name = "store_lost"
 	StoreRegained     Name = "store_regained"
+	StoreSilent       Name = "store_silent"
 	HistoryGone       Name = "history_gone"
 	StoreRestored     Name = "store_restored"
 	CopyRejected      Name = "copy_rejected"
@@ -88,7 +89,7 @@
 	return []Name{
 		Start, Stop, Stopped, Reload, ReloadFailed, ServeFailed, ReturnFailed, LeaveFailed, LogDropped, Resumed,
 		Request, Attempt, Suspect,
-		ConfigInForce, ConfigBad, ZoneEvacuated, ZoneRestored, Upstream, UpstreamGone, UpstreamBad, UpstreamLimit, UpstreamLeaving, UpstreamBackoff, RejectionLimit, PathLost, PathRegained, DetourFailed, StoreLost, StoreRegained, HistoryGone,
+		ConfigInForce, ConfigBad, ZoneEvacuated, ZoneRestored, Upstream, UpstreamGone, UpstreamBad, UpstreamLimit, UpstreamLeaving, UpstreamBackoff, RejectionLimit, PathLost, PathRegained, DetourFailed, StoreLost, StoreRegained, StoreSilent, HistoryGone,
 		StoreRestored, CopyRejected, CopyFromNeighbour, RelayLost, Shedding, PeerBad, SuspectBad, SuspectKeepFailed, Release, ReleaseFailed, OriginDropped, OriginArchiveFailed, ReadLimitExceeded, BudgetGrant, BudgetLoan, BudgetRepaid, BudgetSyncFailed,
 		RolloutOrder, RolloutStage, RolloutFinding, RolloutVerdict, RolloutWriteFailed,
 	}
--- a/internal/httpvalid/transport.go
+++ b/internal/httpvalid/transport.go
@@ -49,3 +49,11 @@
 	}
 	return response, nil
 }
+
+// CloseIdleConnections closes the idle connections of Base, if it has such a method. It makes
+// http.Client.CloseIdleConnections work.
+func (t *Transport) CloseIdleConnections() {
+	if closer, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
+		closer.CloseIdleConnections()
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"sync"
@@ -92,11 +93,15 @@
 // on a new configuration or a draining upstream.
 const minWatchInterval = 500 * time.Millisecond
 
+// defaultContactTime replaces an unknown Config.ContactTime for the followers.
+const defaultContactTime = 3 * time.Second
+
 // newFollower returns a follower with the prefix and the callbacks in s. newFollower sets
 // the other settings: the store, the neighbours, the clock and the log.
 func (n *Node) newFollower(s follow.Settings) *follow.Follower {
 	s.Store = n.adapter.Store
 	s.MinWatchInterval = minWatchInterval
+	s.ContactTime = cmp.Or(n.config.ContactTime, defaultContactTime)
 	s.Relays = n.components.peers.relaysToAsk
 	s.NearRelays = n.components.peers.nearRelaysToAsk
 	s.Neighbours = n.components.peers.neighboursToAsk
