Give the tokens that a crashed router had not used to its successor

Cause: what a router held counted as spent once its process had ended, and all routers hold 9 s of spending for outages of the store.

Change: a row states a bound on what its incarnation can have used (UseBound), which the router obeys: the lowest of those that its successor may read. It grows at the rate of spending with the time since the machine booted, and ends after 5 s, so that outages are served from the whole holding. The successor evaluates it at its own start. Without a proof of the same boot (its id and its time of day), or of the store's present era, all counts as spent, as before.

Mutations that let the successor ignore the growth or the boot, or the router rely on an unanswered write, fail TestHistoriesOfRestoredStore, TestUnprovenCrash and TestUnacknowledgedBound.

--- a/cmd/granitehoist-edge/main.go
+++ b/cmd/granitehoist-edge/main.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -94,6 +95,7 @@
 		return err
 	}
 	config.Clock = clock.Now
+	config.Machine = machineOf(clock, log)
 	n, err := node.New(config, platform.NewAdapter(platform.StoreSettings{Address: config.StoreAddress}), log)
 	if err != nil {
 		return err
@@ -118,6 +120,23 @@
 	}
 }
 
+// machineOf returns the machine of this process. Without the id or the time of its boot, which it
+// logs, a crash loses the tokens that are held.
+func machineOf(clock *boottime.Clock, log *zap.Logger) escrow.Machine {
+	id, err := boottime.BootID()
+	if err != nil {
+		log.Warn(event.BootUnknown, zap.Error(err))
+		return escrow.Machine{}
+	}
+	at, err := boottime.BootTime()
+	if err != nil {
+		log.Warn(event.BootUnknown, zap.Error(err))
+		return escrow.Machine{}
+	}
+	boot := escrow.Boot{ID: xxhash.Sum64String(id), TimeMS: at.UnixMilli()}
+	return escrow.Machine{Boot: boot, Started: clock.Started(), SinceBoot: clock.SinceBoot}
+}
+
 // reload reads the settings file again after SIGHUP and applies what can be changed at run
 // time: the memory limit and the settings that node.Node.Reload applies. It logs the names
 // of other changed settings, which need a restart. An invalid file changes nothing.
--- a/escrow/account.go
+++ b/escrow/account.go
@@ -14,6 +14,8 @@
 	// owned holds this router's tokens, the only part that decides what may be spent.
 	// The other parts decide how much is held and which requests are refused.
 	owned owned
+	// bounds limits how much of that may be used until the store has a later bound.
+	bounds useBounds
 	// ceilings are those that the store holds.
 	ceilings ceilings
 	// ceilingBound is set if, at the last sync, the ceiling allowed less than this router
--- a/escrow/doc.go
+++ b/escrow/doc.go
@@ -15,9 +15,11 @@
 //
 // Rows only grow and each has one writer, so a write whose response is lost needs no
 // repair: the next read shows whether it took effect, and a write that the store applies
-// late is still conditional on the version. The tokens that a router owned when it
-// crashed are never granted again, since it is unknown how many it had spent. Grants
-// therefore cover only a few seconds of demand and shrink with the remaining budget.
+// late is still conditional on the version. Of the tokens that a router owned when it
+// crashed, its successor on the box grants again what the router had bound itself not to
+// use by then (UseBound), if the machine has not booted since; the others are never granted
+// again. Grants therefore cover only a few seconds of demand and shrink with the remaining
+// budget.
 // Loans between routers are cumulative totals, so messages may be lost, duplicated or
 // delayed.
 //
@@ -61,7 +63,7 @@
 //
 //   - admission: admit.go, lowbudget.go, wait.go;
 //   - placement of tokens: role.go, shard.go, target.go, postoutage.go, grant.go, batch.go,
-//     surplus.go, loansize.go, loanrequest.go, syncneeded.go;
+//     surplus.go, loansize.go, loanrequest.go, syncneeded.go, usebound.go;
 //   - state of the store and of other routers: storehealth.go, fleetview.go;
 //   - control of the syncer: round.go, storeretry.go.
 //
--- a/escrow/export_test.go
+++ b/escrow/export_test.go
@@ -28,7 +28,7 @@
 
 // Repay deducts tokens from a ledger and returns the message to the receiver.
 func Repay(l *Ledger, to granitehoist.Incarnation, w granitehoist.Workspace, tokens granitehoist.Tokens) RepayParams {
-	return l.repay(to, surplus{w, tokens})
+	return l.repay(to, surplus{w, tokens}, time.Now())
 }
 
 // CheckConservation checks the conservation rule of owned for every workspace. It
--- a/escrow/fuzz_test.go
+++ b/escrow/fuzz_test.go
@@ -21,7 +21,7 @@
 		if err != nil {
 			return
 		}
-		record.RegisterIncarnation("edge-2", "edge-2-a")
+		record.RegisterIncarnation("edge-2", "edge-2-a", escrow.Machine{})
 		if _, err := record.Encode(); err != nil {
 			t.Fatal(err)
 		}
--- a/escrow/history_test.go
+++ b/escrow/history_test.go
@@ -78,6 +78,8 @@
 	// enough to divide the record.
 	roles []escrow.Role
 	large bool
+	// machines holds the machine of each box.
+	machines []testMachine
 }
 
 type waitingRequest struct {
@@ -96,6 +98,7 @@
 		h.openMaxCosts = append(h.openMaxCosts, nil)
 		h.waiting = append(h.waiting, nil)
 		h.roles = append(h.roles, escrow.RoleDirect)
+		h.machines = append(h.machines, newTestMachine(uint64(i+1), h.now))
 		h.start(i)
 	}
 	return h
@@ -109,6 +112,7 @@
 	ledger := escrow.NewLedger(escrow.LedgerSettings{
 		Incarnation: granitehoist.Incarnation(h.incarnations[i]),
 		Role:        func(escrow.Shard) escrow.Role { return h.roles[i] },
+		Machine:     h.machines[i].at(h.now),
 	})
 	ledger.SetLimit(testWorkspace, h.limit)
 	h.boxes[i] = &box{ledger, escrow.NewSyncer(escrow.SyncerSettings{
@@ -243,6 +247,14 @@
 	{8, func(t *rapid.T, h *history) { h.settle(index.Draw(t, "box"), rapid.IntRange(0, 4).Draw(t, "part")) }},
 	{8, func(t *rapid.T, h *history) { _ = h.boxes[index.Draw(t, "box")].sync() }},
 	{1, func(t *rapid.T, h *history) { h.crash(index.Draw(t, "box")) }},
+	{1, func(t *rapid.T, h *history) {
+		// All routers crash, and start again after a while.
+		h.now = h.now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "ms")) * time.Millisecond)
+		for i := range h.boxes {
+			h.machines[i].change(machineChange(rapid.IntRange(0, int(machineChanges)-1).Draw(t, "change")), h.now)
+			h.crash(i)
+		}
+	}},
 	{1, func(t *rapid.T, h *history) {
 		i := index.Draw(t, "box")
 		h.boxes[i].ledger.Close()
--- a/escrow/holdings.go
+++ b/escrow/holdings.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		used = append(used, ShardOf(w))
-		if a.mustSync() || a.mustRewrite(l.era) || a.returnInputs(a.fleet.record.remaining, c).needsSync(c) {
+		if a.mustSync() || a.mustRewrite(l.era) || a.mustRestate(l.settings.Machine, now) || a.returnInputs(a.fleet.record.remaining, c).needsSync(c) {
 			needed = append(needed, ShardOf(w))
 			continue
 		}
@@ -128,7 +128,7 @@
 	defer l.mu.Unlock()
 	var found []surplus
 	for w, a := range l.accounts {
-		free := a.owned.free()
+		free := a.free(l.settings.Machine, now)
 		if free <= 0 || len(a.waiters) > 0 || (!l.role(w, a, now).borrows() && !l.closing) {
 			continue
 		}
--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -38,6 +38,8 @@
 	// LossWindow is the greatest age of the copies from which the store may return, the
 	// same at all routers; zero means DefaultLossWindow, negative means NoLossWindow.
 	LossWindow time.Duration
+	// Machine is the machine of this run.
+	Machine Machine
 	// Role returns this router's role for the workspaces of a shard; nil means RoleDirect
 	// for all. It is called with the ledger's lock held and must not call the ledger.
 	Role func(Shard) Role
@@ -105,7 +107,7 @@
 // request counts as demand until Settle records its use. The caller holds mu.
 func (l *Ledger) reserveIfAdmitted(a *account, c claim, now time.Time) bool {
 	reserve := priorityReserve(c.priority, a.demand.highestPriority, a.lastTarget, outageRemaining(l.health.unresponsiveSince, now))
-	if admit(a.owned.free(), c.maxCost, reserve) != admitted {
+	if admit(a.free(l.settings.Machine, now), c.maxCost, reserve) != admitted {
 		return false
 	}
 	a.owned.reserve(c.maxCost)
--- a/escrow/loan.go
+++ b/escrow/loan.go
@@ -17,7 +17,7 @@
 	a := l.account(p.Workspace)
 	lends := l.role(p.Workspace, a, now).lends()
 	loan := loanInputs{
-		free: a.owned.free(), need: p.Need, want: p.Want,
+		free: a.free(l.settings.Machine, now), need: p.Need, want: p.Want,
 		waiting: len(a.waiters) > 0, closing: l.closing, allOrNothing: lends,
 	}.loan()
 	if loan > 0 {
@@ -106,11 +106,11 @@
 
 // repay deducts tokens from what this ledger owns and returns the message that transfers
 // them to the receiver.
-func (l *Ledger) repay(to granitehoist.Incarnation, s surplus) RepayParams {
+func (l *Ledger) repay(to granitehoist.Incarnation, s surplus, now time.Time) RepayParams {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(s.workspace)
-	if give := min(s.tokens, a.owned.free()); give > 0 {
+	if give := min(s.tokens, a.free(l.settings.Machine, now)); give > 0 {
 		a.owned.lend(to, give)
 	}
 	return RepayParams{Sender: l.settings.Incarnation, Workspace: s.workspace, Total: a.owned.lent[to]}
--- a/escrow/pendingrows.go
+++ b/escrow/pendingrows.go
@@ -76,13 +76,15 @@
 		next := a.nextRow(row, remaining, c, threshold, a.ceilings.grantLimit(stored, c.lossWindow, now))
 		after := remaining - (next.Granted - row.Granted) + (next.Returned - row.Returned)
 		next.Era = r.era
+		a.lastTarget = a.target(remaining, c)
 		ceiling := a.ceilingInputs(after, c)
-		if row != found || rowNeedsWrite(row, next, remaining, a.owned.limit) || ceiling.needsRaise(stored) {
+		if row != found || rowNeedsWrite(row, next, remaining, a.owned.limit) || ceiling.needsRaise(stored) || a.mustRestate(l.settings.Machine, now) {
+			next.Bound = a.nextBound(l.settings.Machine, c, a.lastTarget)
+			a.bounds.state(next.Bound, a.owned.used())
 			stored.Rows[self] = next
 			a.ceilings.announce(stored, ceiling, now)
 			p[w] = pendingRow{row: next, remaining: after, unconfirmed: stored.Unconfirmed, limit: a.owned.limit}
 		}
-		a.lastTarget = a.target(remaining, c)
 		a.routers = routers
 		a.fleet.record = recordView{
 			remaining: after, idleOfOthers: stored.IdleOfOthers(self), readAt: now, valid: true,
@@ -141,6 +143,7 @@
 		if stored, ok := r.Accounts[w]; ok {
 			row := stored.Rows[l.settings.Incarnation]
 			a.owned.confirmGranted(row.Granted)
+			a.bounds.confirm(row.Bound)
 			a.ceilings.observe(stored, r.era, now)
 			a.writtenIn = max(a.writtenIn, row.Era)
 		}
--- a/escrow/predecessor.go
+++ b/escrow/predecessor.go
@@ -36,7 +36,8 @@
 		row, found := account.Rows[p.incarnation]
 		final, known := p.rows[w]
 		if found && known && row.isStale(r.era) {
-			final.Era = r.era
+			// The bound belongs to the era in which the row was written.
+			final.Era, final.Bound = r.era, UseBound{}
 			account.reveal(func() { account.Rows[p.incarnation] = final })
 		}
 	}
--- a/escrow/record.go
+++ b/escrow/record.go
@@ -41,6 +41,8 @@
 	Rate granitehoist.Tokens `json:"v,omitempty"`
 	// Era is the store's era in which the incarnation wrote the row.
 	Era granitehoist.Era `json:"e,omitempty"`
+	// Bound is what the incarnation can have used, as of when it last wrote the row.
+	Bound UseBound `json:"b,omitzero"`
 }
 
 // Net returns the tokens that were granted to the incarnation and not returned.
@@ -65,7 +67,8 @@
 
 // StoredAccount is the record of one workspace.
 type StoredAccount struct {
-	// EndedNet is the sum of Row.Net over incarnations that have ended.
+	// EndedNet is the sum over incarnations that have ended of Row.Net, or of what they can have
+	// used of that.
 	EndedNet granitehoist.Tokens `json:"f,omitempty"`
 	// Ceiling is the most that Outstanding may become before a higher ceiling has been in
 	// the store for the loss window, and Durable one that has been. Lowerings counts how
@@ -214,12 +217,13 @@
 	return raw, nil
 }
 
-// RegisterIncarnation registers an incarnation as the current one of its box. The rows
-// of the previous incarnation are added to EndedNet and deleted: a box runs one router
-// at a time, so the previous one has ended. Its successor gets an empty row, unless that one
+// RegisterIncarnation registers an incarnation, which runs on a machine, as the current one of
+// its box. The rows of the previous incarnation are deleted, and what it can have used is added
+// to EndedNet: a box runs one router at a time, so the previous one had ended when the machine's
+// time was Started. Its successor gets an empty row, unless that one
 // had been granted nothing: without a row a restored record would not tell that grants of the
 // successor may be lost. Rows of an earlier era stay: another router may know of later grants.
-func (r *Record) RegisterIncarnation(box granitehoist.Box, incarnation granitehoist.Incarnation) {
+func (r *Record) RegisterIncarnation(box granitehoist.Box, incarnation granitehoist.Incarnation, on Machine) {
 	previous, found := r.Boxes[box]
 	if found && previous == incarnation {
 		return
@@ -233,7 +237,7 @@
 		if !ok || row.isStale(r.era) {
 			continue
 		}
-		account.EndedNet += row.Net()
+		account.EndedNet += row.usedBy(on)
 		delete(account.Rows, previous)
 		if row.Granted > 0 {
 			account.Rows[incarnation] = Row{Era: r.era}
--- a/escrow/repay.go
+++ b/escrow/repay.go
@@ -84,7 +84,7 @@
 	if err := s.settings.Caller.Call(ctx, to, MethodRepay, ask, &result); err != nil {
 		return false
 	}
-	repayment := s.settings.Ledger.repay(to.Incarnation, extra)
+	repayment := s.settings.Ledger.repay(to.Incarnation, extra, s.settings.Clock())
 	if err := s.settings.Caller.Call(ctx, to, MethodRepay, repayment, &result); err != nil {
 		// The tokens may have arrived, so they stay deducted. The total of the next
 		// message to this neighbour includes them.
--- a/escrow/restored_test.go
+++ b/escrow/restored_test.go
@@ -59,6 +59,7 @@
 	ledger := escrow.NewLedger(escrow.LedgerSettings{
 		Incarnation: granitehoist.Incarnation(fmt.Sprintf("i-%d", f.starts)),
 		LossWindow:  f.window,
+		Machine:     newTestMachine(uint64(i+1), time.Unix(1000, 0)).at(f.now),
 	})
 	ledger.SetLimit(testWorkspace, restoredLimit)
 	f.boxes[i] = &box{ledger, escrow.NewSyncer(escrow.SyncerSettings{
--- a/escrow/sync.go
+++ b/escrow/sync.go
@@ -232,7 +232,7 @@
 	self := s.settings.Ledger.settings.Incarnation
 	c.predecessor.observe(record, s.settings.Box, self)
 	c.predecessor.complete(record)
-	record.RegisterIncarnation(s.settings.Box, self)
+	record.RegisterIncarnation(s.settings.Box, self, s.settings.Ledger.settings.Machine)
 	w := pendingWrite{copy: c, record: record, confirms: s.updateConfirmed(record, c, now)}
 	w.rows = s.settings.Ledger.updateRows(record, c.scope, batched, s.settings.Routers(), now)
 	return w, nil
--- a/escrow/unknownfields_test.go
+++ b/escrow/unknownfields_test.go
@@ -52,7 +52,7 @@
 	})
 	t.Run("unknown fields of a deleted row are dropped", func(t *testing.T) {
 		want := `{"format":1,"later":[1,2],"boxes":{"edge-1":"edge-1-b"},"accounts":{"kiosk":{"big":12345678901234567890,"f":500,"rows":{"edge-1-b":{"g":0}}}}}`
-		expectReencoded(t, stored, want, func(r *Record) { r.RegisterIncarnation("edge-1", "edge-1-b") })
+		expectReencoded(t, stored, want, func(r *Record) { r.RegisterIncarnation("edge-1", "edge-1-b", Machine{}) })
 	})
 	t.Run("a known field that became zero is not kept", func(t *testing.T) {
 		const idle = `{"format":1,"later":0,"boxes":{},"accounts":{"kiosk":{"rows":{"edge-1-a":{"g":500,"i":20}}}}}`
--- a/internal/boottime/clock.go
+++ b/internal/boottime/clock.go
@@ -4,6 +4,9 @@
 package boottime
 
 import (
+	"math"
+	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +34,8 @@
 	// monotonic time of system.now is zero.
 	start     time.Time
 	startBoot time.Duration
+	// started is the time since boot that New read.
+	started time.Duration
 
 	state atomic.Pointer[state]
 	// checking serialises checks for a suspension.
@@ -75,7 +80,7 @@
 		return nil, eris.Wrap(err, "boottime: CLOCK_BOOTTIME")
 	}
 	wall, monotonic := system.now()
-	c := &Clock{system: system, start: wall.Add(-monotonic), startBoot: boot - monotonic}
+	c := &Clock{system: system, start: wall.Add(-monotonic), startBoot: boot - monotonic, started: boot}
 	c.state.Store(&state{})
 	return c, nil
 }
@@ -120,3 +125,45 @@
 	c.state.Store(&found)
 	return &found
 }
+
+// SinceBoot returns the time since boot at a result of Now. It may return less, never more.
+func (c *Clock) SinceBoot(now time.Time) time.Duration { return c.startBoot + now.Sub(c.start) }
+
+// Started returns the time since boot when the Clock was created.
+func (c *Clock) Started() time.Duration { return c.started }
+
+// bootIDFile holds the kernel's id of the boot.
+const bootIDFile = "/proc/sys/kernel/random/boot_id"
+
+// BootID returns the kernel's id of the machine's boot.
+func BootID() (string, error) {
+	raw, err := os.ReadFile(bootIDFile)
+	if err != nil {
+		return "", eris.Wrap(err, "boottime: id of the boot")
+	}
+	return strings.TrimSpace(string(raw)), nil
+}
+
+// bootTimeReadings is the number of readings of BootTime. One that is interrupted is less exact.
+const bootTimeReadings = 5
+
+// BootTime returns the time of day at which the machine booted, as its clock shows it now.
+func BootTime() (time.Time, error) {
+	var best time.Time
+	shortest := time.Duration(math.MaxInt64)
+	for range bootTimeReadings {
+		before, err := readBoottime()
+		if err != nil {
+			return time.Time{}, eris.Wrap(err, "boottime: CLOCK_BOOTTIME")
+		}
+		wall := time.Now().Round(0)
+		after, err := readBoottime()
+		if err != nil {
+			return time.Time{}, eris.Wrap(err, "boottime: CLOCK_BOOTTIME")
+		}
+		if took := after - before; took < shortest {
+			best, shortest = wall.Add(-before-took/2), took
+		}
+	}
+	return best, nil
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -11,7 +11,7 @@
 // keep an older word for compatibility.
 type Name = string
 
-// Process events. Package node logs them, except Reload and ReloadFailed
+// Process events. Package node logs them, except Reload, ReloadFailed and BootUnknown
 // (cmd/granitehoist-edge) and LogDropped (internal/logsink).
 const (
 	Start        Name = "start"
@@ -24,6 +24,7 @@
 	LeaveFailed  Name = "leave_failed"
 	LogDropped   Name = "log_dropped"
 	Resumed      Name = "woke"
+	BootUnknown  Name = "boot_unknown"
 )
 
 // Request events, logged by package forward.
@@ -87,7 +88,7 @@
 // All returns the names of all events, in the order of the groups above.
 func All() []Name {
 	return []Name{
-		Start, Stop, Stopped, Reload, ReloadFailed, ServeFailed, ReturnFailed, LeaveFailed, LogDropped, Resumed,
+		Start, Stop, Stopped, Reload, ReloadFailed, ServeFailed, ReturnFailed, LeaveFailed, LogDropped, Resumed, BootUnknown,
 		Request, Attempt, Suspect,
 		ConfigInForce, ConfigBad, ZoneEvacuated, ZoneRestored, Upstream, UpstreamGone, UpstreamBad, UpstreamLimit, UpstreamLeaving, UpstreamBackoff, RejectionLimit, PathLost, PathRegained, DetourFailed, StoreLost, StoreRegained, StoreSilent, HistoryGone,
 		StoreRestored, CopyRejected, CopyFromNeighbour, RelayLost, Shedding, PeerBad, SuspectBad, SuspectKeepFailed, Release, ReleaseFailed, OriginDropped, OriginArchiveFailed, ReadLimitExceeded, BudgetGrant, BudgetLoan, BudgetRepaid, BudgetSyncFailed,
--- a/node/components.go
+++ b/node/components.go
@@ -93,6 +93,7 @@
 	c.limits.connect(c.table, c.peers)
 	c.ledger = escrow.NewLedger(escrow.LedgerSettings{
 		Incarnation: n.incarnation, Role: c.peers.role, LossWindow: n.config.StoreLossWindow,
+		Machine: n.config.Machine,
 	})
 	c.syncer = newSyncer(n, c.ledger, c.peers)
 	c.rollouts = newRollouts(n, c)
--- a/node/config.go
+++ b/node/config.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"granitehoist.example/granitehoist"
+	"granitehoist.example/granitehoist/escrow"
 	"granitehoist.example/granitehoist/exchange"
 	"granitehoist.example/granitehoist/forward"
 	"granitehoist.example/granitehoist/rollout"
@@ -64,6 +65,8 @@
 	// Clock returns the current time; nil means time.Now, which does not advance while
 	// the machine is suspended (package internal/boottime).
 	Clock granitehoist.Clock
+	// Machine is the machine on which the process runs, in the time of Clock.
+	Machine escrow.Machine
 	// Bootstrap says that the whole fleet starts for the first time, so that the node
 	// list in the store is empty or incomplete.
 	Bootstrap bool
--- a/node/golden_test.go
+++ b/node/golden_test.go
@@ -59,6 +59,7 @@
 	{"escrow-era", decodeAs[escrow.Record]},
 	{"escrow-confirmed", decodeAs[escrow.Record]},
 	{"escrow-held", decodeAs[escrow.Record]},
+	{"escrow-bound", decodeAs[escrow.Record]},
 	{"escrow-divided", decodeAs[escrow.Record]},
 	{"limits", decodeAs[balance.Updates]},
 	{"limits-leaving", decodeAs[balance.Updates]},
