Keep the first event of streams whose ids begin at 0

Cause: the number 0 stood for "no event": an event whose id was not above it counted as one that the caller has, and Last-Event-Id: 0 was neither read nor sent.

Change: granitehoist.EventID can say "none", and is the type in progress, retries, origins, log and headers. The first id may be any; later ones are consecutive, as before. A caller's Last-Event-Id: 0 counts as an id if Resumes names the request that brought the event.

The table of decideRetry and two specs name the id by NewEventID now; nothing else in them changed.

--- a/forward/active.go
+++ b/forward/active.go
@@ -70,7 +70,7 @@
 	// that the caller has, which may stem from an earlier request.
 	events      int64
 	uncounted   bool
-	lastEventID int64
+	lastEventID granitehoist.EventID
 	// relayedBytes counts the bytes of response bodies that were relayed.
 	relayedBytes int64
 	// deferredFor is the time spent waiting because all instances were backing off or at
@@ -208,7 +208,7 @@
 // attemptAt makes one attempt at an instance and reports it to the balancer and the log.
 // It returns whether another attempt may follow, and the error of this one, which is nil
 // if the response was relayed completely.
-func (a *activeRequest) attemptAt(ctx context.Context, lease *balance.Lease, afterEvent int64) (retryDecision, error) {
+func (a *activeRequest) attemptAt(ctx context.Context, lease *balance.Lease, afterEvent granitehoist.EventID) (retryDecision, error) {
 	settings := &a.forwarder.settings
 	a.progress.tried[lease.ID] = true
 	a.progress.attempts++
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -76,7 +76,7 @@
 
 // attempt sends the request to one instance and relays its response. A stream resumes
 // after the event afterEvent, zero for its start.
-func (a *activeRequest) attempt(ctx context.Context, lease *balance.Lease, afterEvent int64) (result attemptResult) {
+func (a *activeRequest) attempt(ctx context.Context, lease *balance.Lease, afterEvent granitehoist.EventID) (result attemptResult) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := newStallTimer(ctx, a.stallLimits(), a.takeRetry, cancel)
@@ -178,7 +178,7 @@
 }
 
 // upstreamRequest returns the HTTP request for the instance of the lease.
-func (a *activeRequest) upstreamRequest(lease *balance.Lease, afterEvent int64, now time.Time) exchange.Request {
+func (a *activeRequest) upstreamRequest(lease *balance.Lease, afterEvent granitehoist.EventID, now time.Time) exchange.Request {
 	request, codec := a.request, a.forwarder.settings.Codec
 	header := codec.Header(&Attempt{
 		Request:     request,
--- a/forward/charge_test.go
+++ b/forward/charge_test.go
@@ -133,7 +133,7 @@
 		})
 		first, _ := chargeOf(s, "/resume/x", func(r *forward.Request) { r.ID, r.Header = "r-0", http.Header{"Attempt-Id": {"r-0"}} }, &fakeSink{})
 		Expect(first).To(Equal(chargedPrompt + 7*tokens))
-		both, _ := chargeOf(s, "/resume/x", func(r *forward.Request) { r.LastEventID, r.Resumes = 6, "r-0" }, &fakeSink{})
+		both, _ := chargeOf(s, "/resume/x", func(r *forward.Request) { r.LastEventID, r.Resumes = granitehoist.NewEventID(6), "r-0" }, &fakeSink{})
 		Expect(both - first).To(Equal(chargedPrompt + 4*tokens))
 	})
 	It("counts a whole answer once if an attempt before it failed", func() {
--- a/forward/log.go
+++ b/forward/log.go
@@ -41,8 +41,8 @@
 	if a.admission.maxCost > 0 {
 		fields = append(fields, a.budgetFields()...)
 	}
-	if a.request.LastEventID > 0 {
-		fields = append(fields, zap.String("resumes", string(a.request.Resumes)), zap.Int64("resumed_after", a.request.LastEventID))
+	if !a.request.LastEventID.IsNone() {
+		fields = append(fields, zap.String("resumes", string(a.request.Resumes)), zap.Stringer("resumed_after", a.request.LastEventID))
 	}
 	if a.progress.origin != nil {
 		fields = append(fields, zap.String("release", string(a.progress.origin.Release)))
@@ -154,7 +154,7 @@
 		zap.Bool("slow", l.Slow),
 		zap.Duration("pause", l.LongestEventGap()),
 		zap.Int("status", result.status),
-		zap.Int64("after", a.progress.lastEventID),
+		zap.Stringer("after", a.progress.lastEventID),
 		zap.Duration("took", took),
 		zap.Int("exchange", result.trace.Exchange),
 	}
--- a/forward/origins.go
+++ b/forward/origins.go
@@ -55,7 +55,7 @@
 // stream returns the identity of the stream that the request begins or takes up.
 func (a *activeRequest) stream() origin.Stream {
 	s := origin.Stream{Request: a.request.ID}
-	if a.request.LastEventID > 0 {
+	if !a.request.LastEventID.IsNone() {
 		s.Request = a.request.Resumes
 	}
 	if a.admission.workspace != nil {
@@ -70,7 +70,7 @@
 // findOrigin finds where the stream that the caller takes up began. The stream may go on
 // only there, so that findOrigin refuses the request if that is unknown or not possible.
 func (a *activeRequest) findOrigin(ctx context.Context) error {
-	if a.admission.route.Kind != catalog.Stream || a.request.LastEventID == 0 {
+	if a.admission.route.Kind != catalog.Stream || a.request.LastEventID.IsNone() {
 		return nil
 	}
 	settings := &a.forwarder.settings
--- a/forward/origins_test.go
+++ b/forward/origins_test.go
@@ -77,7 +77,7 @@
 	}
 	resume := func(after int64) error {
 		r := request("/resume/x")
-		r.LastEventID, r.Resumes = after, "r-0"
+		r.LastEventID, r.Resumes = granitehoist.NewEventID(after), "r-0"
 		_, err := s.forwarder.Serve(context.Background(), r, sink)
 		return err
 	}
--- a/forward/request.go
+++ b/forward/request.go
@@ -40,9 +40,8 @@
 	// requests, in order. PrefixTokens is their total length.
 	PrefixParts  []string
 	PrefixTokens granitehoist.Tokens
-	// LastEventID is the id of the last event of the stream that the caller has; zero if
-	// it has none.
-	LastEventID int64
+	// LastEventID is the id of the last event of the stream that the caller has.
+	LastEventID granitehoist.EventID
 	// Resumes is the id of the request that brought the caller the first event of the
 	// stream; empty if the caller states none.
 	Resumes granitehoist.RequestID
@@ -78,9 +77,9 @@
 	Instance granitehoist.Upstream
 	// Remaining is the remaining timeout of the request.
 	Remaining time.Duration
-	// LastEventID is the id of the event after which the stream resumes; zero for its
+	// LastEventID is the id of the event after which the stream resumes; none for its
 	// start.
-	LastEventID int64
+	LastEventID granitehoist.EventID
 }
 
 // ResponseHead is the status and the header of an upstream's response.
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -40,7 +40,7 @@
 	attempts, runs, refusedDials int
 	// started is set if a part of a response was relayed, up to the event lastEventID.
 	started     bool
-	lastEventID int64
+	lastEventID granitehoist.EventID
 	// timeLeft is the remaining timeout of the request.
 	timeLeft time.Duration
 }
@@ -53,7 +53,7 @@
 	// service.
 	usesRetryBudget bool
 	// afterEvent is the id of the event after which the stream resumes.
-	afterEvent int64
+	afterEvent granitehoist.EventID
 }
 
 // decideRetry decides whether another attempt may follow a failed one, whether it uses
--- a/forward/retry_test.go
+++ b/forward/retry_test.go
@@ -41,7 +41,7 @@
 var _ = ginkgo.Describe("Another attempt", func() {
 	refused := afterFirst(unsafeRoute, granitehoist.NotRun)
 	lostSafe := afterFirst(safeRoute, granitehoist.MayHaveRun)
-	cutStream := with(afterFirst(resumeRoute, granitehoist.MayHaveRun), func(in *retryInput) { in.started, in.lastEventID = true, 57 })
+	cutStream := with(afterFirst(resumeRoute, granitehoist.MayHaveRun), func(in *retryInput) { in.started, in.lastEventID = true, granitehoist.NewEventID(57) })
 	never, budgeted := retryDecision{}, retryDecision{allowed: true, usesRetryBudget: true}
 
 	ginkgo.DescribeTable("is decided",
@@ -51,7 +51,7 @@
 		ginkgo.Entry("to follow one that may have run if the request is safe", lostSafe, budgeted),
 		ginkgo.Entry("not to follow one that may have run if the request is unsafe", afterFirst(unsafeRoute, granitehoist.MayHaveRun), never),
 		ginkgo.Entry("not to follow one that may have run if the stream can't be resumed", afterFirst(streamRoute, granitehoist.MayHaveRun), never),
-		ginkgo.Entry("to resume a stream after the last event", cutStream, retryDecision{allowed: true, usesRetryBudget: true, afterEvent: 57}),
+		ginkgo.Entry("to resume a stream after the last event", cutStream, retryDecision{allowed: true, usesRetryBudget: true, afterEvent: granitehoist.NewEventID(57)}),
 		ginkgo.Entry("not to resume a response that is not a stream", with(lostSafe, func(in *retryInput) { in.started = true }), never),
 		ginkgo.Entry("not to run at more upstreams than the route allows", with(lostSafe, func(in *retryInput) { in.runs = 2 }), never),
 		ginkgo.Entry("not to run again if the route sets no maximum", afterFirst(&catalog.Route{Kind: catalog.Safe}, granitehoist.MayHaveRun), never),
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -38,15 +38,17 @@
 }
 
 // relayEvents relays the events that the caller does not have yet. The ids of events must
-// be consecutive.
+// be consecutive; the first one of a stream may be any.
 func (a *activeRequest) relayEvents(response *exchange.Response, lease *balance.Lease, events []eventstream.Event) error {
 	last := &a.progress.lastEventID
 	for _, event := range events {
-		if event.HasID && event.ID <= *last {
-			continue
-		}
-		if event.HasID && event.ID != *last+1 {
-			return granitehoist.Errorf(granitehoist.UpstreamBadAnswer, "event %d follows %d", event.ID, *last)
+		if event.HasID && !last.IsNone() {
+			if event.ID <= last.Number() {
+				continue
+			}
+			if event.ID != last.Number()+1 {
+				return granitehoist.Errorf(granitehoist.UpstreamBadAnswer, "event %d follows %s", event.ID, *last)
+			}
 		}
 		a.recordOrigin(lease)
 		if err := a.relayHead(response.Status, response.Header); err != nil {
@@ -56,7 +58,7 @@
 			return err
 		}
 		if event.HasID {
-			*last = event.ID
+			*last = granitehoist.NewEventID(event.ID)
 		}
 	}
 	return nil
--- a/ids.go
+++ b/ids.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/hex"
+	"fmt"
 	"io"
 	"strconv"
 	"strings"
@@ -160,6 +161,30 @@
 // AttemptPrefix returns the common prefix of the ids of all attempts of an incarnation.
 func AttemptPrefix(i Incarnation) string { return string(i) + attemptSeparator }
 
+// EventID is the id of an event of a stream, or none. Ids ascend; the first one may be any, zero
+// included. The zero value is none.
+type EventID struct {
+	number  int64
+	present bool
+}
+
+// NewEventID returns the id with a number.
+func NewEventID(number int64) EventID { return EventID{number: number, present: true} }
+
+// IsNone reports whether there is no id.
+func (e EventID) IsNone() bool { return !e.present }
+
+// Number returns the number of the id; zero if there is none.
+func (e EventID) Number() int64 { return e.number }
+
+// String returns the number in decimal, and "none" for none.
+func (e EventID) String() string {
+	if !e.present {
+		return "none"
+	}
+	return fmt.Sprint(e.number)
+}
+
 // randomIDBytes is the size of the random part of an identifier; 96 bits make collisions
 // negligible.
 const randomIDBytes = 12
--- a/standin/workerresponse.go
+++ b/standin/workerresponse.go
@@ -29,6 +29,10 @@
 	Label string
 	// Gap is the delay before each event, Delay the delay before the head.
 	Gap, Delay time.Duration
+	// IDOffset is added to the id of each event of a stream, whose ids begin at 1 otherwise.
+	IDOffset int
+	// SkipEvents is the number of events that a stream lacks where it begins.
+	SkipEvents int
 	// Cut truncates the response.
 	Cut Cut
 	// Hang sends nothing and waits for the router to close the connection.
@@ -189,13 +193,17 @@
 	if _, err := io.WriteString(conn, w.head(request, response, framing)); err != nil {
 		return false
 	}
-	for n := request.After + 1; n <= response.Events; n++ {
+	first := 1
+	if request.Header.Get("Last-Event-Id") != "" {
+		first = request.After - response.IDOffset + 1
+	}
+	for n := first + response.SkipEvents; n <= response.Events; n++ {
 		time.Sleep(response.Gap)
 		if response.Cut.Crash && n > response.Cut.After {
 			w.Crash()
 			return false
 		}
-		event := StreamEvent(request.ID, n)
+		event := strings.Replace(StreamEvent(request.ID, n), fmt.Sprint("id: ", n), fmt.Sprint("id: ", n+response.IDOffset), 1)
 		if response.Label != "" {
 			event = strings.TrimSuffix(event, "\n\n") + " " + response.Label + "\n\n"
 		}
