Register releases beside one whose registration the store rejects

Callers saw: with one odd entry among the upstreams, of a release of 400 bytes or nested 3,000 deep, resumable streams got 503 once the sound upstreams had moved to another release, also after the odd entry had gone.

Cause: the release is a part of a key; the store rejects keys of more than 200 bytes, and the loop over the releases ended at its first error, again and again. The stand-in took keys of any size, so that no test showed it.

Change: the stand-in rejects long keys and writes to foreign keys. ErrRejected tells a call that will not be accepted later; it holds up no other release and is retried after 10 minutes.

--- a/node/releaseregistry.go
+++ b/node/releaseregistry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net/url"
 	"slices"
@@ -44,6 +45,8 @@
 	registrationSpread = 60 * time.Millisecond
 	// registrationRetry is the delay before a failed registration is retried.
 	registrationRetry = 300 * time.Millisecond
+	// rejectedRetry is the delay before a registration that the store rejected is tried again.
+	rejectedRetry = 10 * time.Minute
 	// releaseSweepInterval is the time between two comparisons with the instances.
 	releaseSweepInterval = 15 * time.Second
 )
@@ -75,6 +78,9 @@
 	eraMu    sync.Mutex
 	era      granitehoist.Era
 	eraSince time.Time
+	// rejectedUntil holds by key until when a registration that the store rejected is not tried
+	// again. Only run's goroutine uses it.
+	rejectedUntil map[string]time.Time
 	// wake wakes run, changed wakes awaitChange. Both have a capacity of one.
 	wake, changed chan struct{}
 
@@ -89,9 +95,11 @@
 func newReleaseRegistry(n *Node, c *components) *releaseRegistry {
 	return &releaseRegistry{
 		known: &origin.Registry{}, store: n.adapter.Store, table: c.table, peers: c.peers, clock: n.clock, log: n.log,
-		loaded:   c.suspects.gate.sourceRead,
-		storeAge: func(now time.Time) time.Duration { return n.instances.follower.Age(now) },
-		wake:     make(chan struct{}, 1), changed: make(chan struct{}, 1),
+		loaded:        c.suspects.gate.sourceRead,
+		storeAge:      func(now time.Time) time.Duration { return n.instances.follower.Age(now) },
+		rejectedUntil: map[string]time.Time{},
+
+		wake: make(chan struct{}, 1), changed: make(chan struct{}, 1),
 		lastRead: map[granitehoist.Service]time.Time{}, lastList: map[granitehoist.Service][]granitehoist.Release{},
 	}
 }
@@ -198,16 +206,45 @@
 	}
 	for service, releases := range trusted {
 		for _, release := range releases {
-			if key := releaseKey(service, release); !stored[key] {
-				if err := r.create(ctx, key); err != nil {
-					return err
-				}
+			key := releaseKey(service, release)
+			if stored[key] {
+				continue
+			}
+			if err := r.create(ctx, key); err != nil && !r.skipRejected(service, release, err) {
+				return err
 			}
 		}
 	}
 	return nil
 }
 
+// skipRejected reports whether the store rejected the registration of a release. It logs and notes
+// that, so that the registration is not tried again for rejectedRetry.
+func (r *releaseRegistry) skipRejected(s granitehoist.Service, release granitehoist.Release, err error) bool {
+	if !errors.Is(err, granitehoist.ErrRejected) {
+		return false
+	}
+	r.rejectedUntil[releaseKey(s, release)] = r.clock().Add(rejectedRetry)
+	r.log.Warn(event.ReleaseFailed, zap.String("service", string(s)), zap.String("release", string(release)), zap.Error(err))
+	return true
+}
+
+// pending returns the releases that have to be registered, without those that the store rejected a
+// short while ago.
+func (r *releaseRegistry) pending() map[granitehoist.Service][]granitehoist.Release {
+	now := r.clock()
+	maps.DeleteFunc(r.rejectedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	pending := map[granitehoist.Service][]granitehoist.Release{}
+	for service, releases := range r.known.Pending() {
+		for _, release := range releases {
+			if _, rejected := r.rejectedUntil[releaseKey(service, release)]; !rejected {
+				pending[service] = append(pending[service], release)
+			}
+		}
+	}
+	return pending
+}
+
 // create writes a registration unless the store has it. It returns the error of the store.
 func (r *releaseRegistry) create(ctx context.Context, key string) error {
 	_, err := store.Create(ctx, r.store, key, []byte(registrationValue))
@@ -269,24 +306,25 @@
 
 // registerPending registers the releases that have to be. It reports whether none is left.
 func (r *releaseRegistry) registerPending(ctx context.Context) bool {
-	if len(r.known.Pending()) == 0 {
+	if len(r.pending()) == 0 {
 		return true
 	}
-	if r.readPeers(ctx, r.peers.relaysToAsk()) && len(r.known.Pending()) == 0 {
+	if r.readPeers(ctx, r.peers.relaysToAsk()) && len(r.pending()) == 0 {
 		return true
 	}
 	pause.For(ctx, time.Duration(rand.Float64()*float64(registrationSpread)))
-	for service, releases := range r.known.Pending() {
+	for service, releases := range r.pending() {
 		if err := r.registerReleases(ctx, service, releases); err != nil {
 			r.log.Warn(event.ReleaseFailed, zap.String("service", string(service)), zap.Error(err))
 			r.readPeers(ctx, r.peers.neighboursToAsk())
-			return len(r.known.Pending()) == 0
+			return len(r.pending()) == 0
 		}
 	}
 	return true
 }
 
-// registerReleases registers releases of a service that the store lacks.
+// registerReleases registers releases of a service that the store lacks. A release that the store
+// rejects does not hold up the others.
 func (r *releaseRegistry) registerReleases(ctx context.Context, s granitehoist.Service, releases []granitehoist.Release) error {
 	if err := r.readStore(ctx, releaseKey(s, "")); err != nil {
 		return err
@@ -295,7 +333,11 @@
 		if slices.Contains(r.known.Registered()[s], release) {
 			continue
 		}
-		if err := r.create(ctx, releaseKey(s, release)); err != nil {
+		err := r.create(ctx, releaseKey(s, release))
+		if r.skipRejected(s, release, err) {
+			continue
+		}
+		if err != nil {
 			return err
 		}
 		r.register(s, release)
--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -223,6 +224,10 @@
 		return
 	}
 	changes := transaction.changes(p.Store.Era())
+	if status := rejection(changes); status != 0 {
+		w.WriteHeader(status)
+		return
+	}
 	version, err := p.Store.CompareAndSwapAll(r.Context(), changes)
 	switch {
 	case errors.Is(err, granitehoist.ErrConflict):
@@ -235,6 +240,23 @@
 	}
 }
 
+// foreignPrefixes are the prefixes of the keys that only operators and upstreams write.
+var foreignPrefixes = []string{"op/", "servers/"}
+
+// rejection returns the status of a transaction that the platform's store does not accept; zero if
+// it does.
+func rejection(changes []granitehoist.Change) int {
+	for _, c := range changes {
+		if len(c.Key) > granitehoist.MaxKeySize {
+			return http.StatusBadRequest
+		}
+		if slices.ContainsFunc(foreignPrefixes, func(prefix string) bool { return strings.HasPrefix(c.Key, prefix) }) {
+			return http.StatusForbidden
+		}
+	}
+	return 0
+}
+
 // writeConflict writes the current entries of the keys of a failed transaction.
 func (p *PlatformStore) writeConflict(w http.ResponseWriter, r *http.Request, changes []granitehoist.Change) {
 	var items []platformItem
--- a/store.go
+++ b/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -46,6 +47,9 @@
 	// ErrUnavailable means that the store refused the call: it is down, the rate limit was
 	// exceeded or the call is not allowed. A write had no effect.
 	ErrUnavailable = errors.New("store: unavailable")
+	// ErrRejected is an ErrUnavailable of a call that the store will not accept later either: it
+	// is invalid, or writes a key that is not the system's.
+	ErrRejected = fmt.Errorf("%w: rejected", ErrUnavailable)
 	// ErrUnknown means that there was no valid response.
 	ErrUnknown = errors.New("store: outcome unknown")
 	// ErrNoLease means that the lease has expired. A write under it had no effect.
@@ -80,6 +84,9 @@
 // Unwrap returns ErrConflict.
 func (c *Conflict) Unwrap() error { return ErrConflict }
 
+// MaxKeySize is the maximum size of a key in the store, in bytes.
+const MaxKeySize = 200
+
 // MaxValueSize is the maximum size of a value in the store, in bytes.
 const MaxValueSize = 1 << 20
 
