--- a/follow/silence_test.go
+++ b/follow/silence_test.go
@@ -11,8 +11,9 @@
 	"pgregory.net/rapid"
 )
 
-// shortestContact is the shortest contact time that can be kept with a pause of half a second.
-const shortestContact = (500*time.Millisecond + probeWatchTimeout + ResponseGrace + reconnectTime) * 8 / 7
+// shortestContact is the shortest contact time that can be kept with a pause of half a second,
+// rounded up.
+const shortestContact = (500*time.Millisecond+probeWatchTimeout+ResponseGrace+reconnectTime)*8/7 + 1
 
 // TestCatchUpTime guards against a sum of waits, in whatever package, that exceeds the time in
 // which a router must have caught up after its connections to the store went silent.
