State a part of the prepaid total in advance, so that bursts wait for no write

Callers saw: since bounds of use are stated, requests that came together at one router were refused as not run (3003) although it had their tokens.

Cause: a bound allowed one and a half of the largest requests in advance; a burst waited for the write of the next one, at most 60 ms here, and on a busy machine the write takes longer.

Change: the bounds of all routers allow 0.2 % of the prepaid total together if that is more. TestBurstWaitsForNoWrite failed before.

--- a/escrow/usebound.go
+++ b/escrow/usebound.go
@@ -29,8 +29,10 @@
 	// tokens since.
 	restateAfter = 3 * time.Second
 	// statedRequests is the number of requests of the largest maximum cost that a UseBound allows
-	// besides its growth.
+	// besides its growth, and statedFraction the fraction of the prepaid total that the bounds of
+	// all routers allow together if that is more. A burst then waits for no write.
 	statedRequests = 1.5
+	statedFraction = 0.002
 	// minHeadroomPart is the part of the largest request below which the headroom is too small.
 	minHeadroomPart = 8
 	// bootTolerance is by how much the times of a boot may differ that two processes derive from
@@ -156,7 +158,7 @@
 }
 
 // nextBound returns the bound to be stated at now: what has been used, what the waiting requests
-// need and statedRequests more, growing at the rate for which the router holds tokens.
+// need and some more, growing at the rate for which the router holds tokens.
 func (a *account) nextBound(m Machine, c conditions, target granitehoist.Tokens) UseBound {
 	if m.SinceBoot == nil || m.Boot.ID == 0 {
 		return UseBound{}
@@ -165,7 +167,8 @@
 	if c.cover > 0 {
 		rate = max(rate, float64(target)/c.cover.Seconds())
 	}
-	allowed := a.owned.used() + granitehoist.Tokens(statedRequests*float64(a.demand.largest))
+	stated := max(statedRequests*float64(a.demand.largest), statedFraction*float64(a.owned.limit)/float64(c.routers))
+	allowed := a.owned.used() + granitehoist.Tokens(stated)
 	for _, w := range a.waiters {
 		allowed += w.maxCost
 	}
--- a/escrow/usebound_test.go
+++ b/escrow/usebound_test.go
@@ -222,3 +222,15 @@
 	}
 	f.expectUsable(f.start("b"), 0.9)
 }
+
+// TestBurstWaitsForNoWrite guards against requests that come together and are refused, although the
+// router has their tokens, since they exceed the bound that it has stated.
+func TestBurstWaitsForNoWrite(t *testing.T) {
+	f := newCrashedFleet(t)
+	b := newBoxWith(escrow.LedgerSettings{Incarnation: "a", Machine: f.machine.at(f.now)}, "box", f.store, 1, f.clock)
+	b.ledger.SetLimit(testWorkspace, 100*crashLimit)
+	f.serve(b, 15*time.Second)
+	for range 48 {
+		NewWithT(t).Expect(b.ledger.Reserve(testWorkspace, crashRequest, maxPriority, f.now)).To(BeTrue())
+	}
+}
